Serve a request from caller to backend server through separate processes

Cause: the project starts here; nothing could be run. Change: typed CBOR messages over websockets with a mutual proof of the deployment key, callers' HTTP port, announcements of backend servers, forwarding to another region with hop checks, planned stop, questionnaire and generated configuration, stand-in engine and records service, demo. Conclusion: the thin path holds. A filing sent twice still runs twice: the ledger is not there.

--- /dev/null
+++ b/figpaddle/daemon/__init__.py
@@ -0,0 +1,6 @@
+"""The daemon: tasks for callers, backend servers, peers, operators and storage."""
+
+from figpaddle.daemon._main import main
+from figpaddle.daemon._settings import Settings, load_settings
+
+__all__ = ["Settings", "load_settings", "main"]
--- /dev/null
+++ b/figpaddle/daemon/__main__.py
@@ -0,0 +1,5 @@
+"""Runs ``figpaddled`` as ``python -m figpaddle.daemon``."""
+
+from figpaddle.daemon import main
+
+main()
--- /dev/null
+++ b/figpaddle/daemon/_backend_watch.py
@@ -0,0 +1,96 @@
+"""Spreads announcements within the region and summaries to other regions."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import anyio
+
+from figpaddle.coordination import InstanceDirectory
+from figpaddle.daemon._component import Component
+from figpaddle.daemon._logs import Log
+from figpaddle.daemon._peers import PeerNetwork
+from figpaddle.daemon._regions import RegionView
+from figpaddle.routing import BackendTable
+from figpaddle.wire import BackendInfo, BackendsUpdate, Message, RegionSummary
+
+#: Interval of region summaries, seconds.
+SUMMARY_INTERVAL_S = 1.0
+
+
+class BackendWatch(Component):
+    """Keeps the tables of backend servers and of other regions."""
+
+    def __init__(
+        self,
+        *,
+        directory: InstanceDirectory,
+        network: PeerNetwork,
+        backends: BackendTable,
+        regions: RegionView,
+        clock: Callable[[], float],
+        log: Log,
+    ) -> None:
+        self._directory = directory
+        self._network = network
+        self._backends = backends
+        self._regions = regions
+        self._clock = clock
+        self._log = log
+        network.register(BackendsUpdate, self._on_backends)
+        network.register(RegionSummary, self._on_summary)
+
+    @property
+    def name(self) -> str:
+        """Key of its part in the state dump."""
+        return "backends"
+
+    def dump(self, *, now: float) -> Any:
+        """Return the known backend servers."""
+        return [
+            {
+                "name": known.info.name,
+                "services": list(known.info.services),
+                "state": known.info.state.value,
+                "in_flight": known.in_flight,
+                "running": known.info.running,
+                "waiting": known.info.waiting,
+                "age_s": round(now - known.heard_at, 3),
+            }
+            for known in self._backends.backends
+        ]
+
+    def publish(self, info: BackendInfo) -> None:
+        """Pass an announcement on to the other instances of the region."""
+        update = BackendsUpdate(backends=(info,))
+        own_region = self._directory.own.region
+        for peer in self._directory.peers():
+            if peer.region == own_region:
+                self._network.post(peer.name, update)
+
+    async def run(self) -> None:
+        """Send summaries and forget silent backend servers until cancelled."""
+        while True:
+            self._send_summary()
+            for name in self._backends.expire(now=self._clock()):
+                self._log.info("backend_expired", backend=name)
+            await anyio.sleep(SUMMARY_INTERVAL_S)
+
+    def _send_summary(self) -> None:
+        own_region = self._directory.own.region
+        services = self._backends.summaries(now=self._clock())
+        summary = RegionSummary(region=own_region, services=services)
+        for peer in self._directory.peers():
+            if peer.region != own_region:
+                self._network.post(peer.name, summary)
+
+    async def _on_backends(self, peer: str, item: BackendsUpdate) -> Message | None:
+        for info in item.backends:
+            if info.region == self._directory.own.region:
+                self._backends.announce(info, now=self._clock())
+        return None
+
+    async def _on_summary(self, peer: str, item: RegionSummary) -> Message | None:
+        self._regions.take(item, now=self._clock())
+        return None
--- /dev/null
+++ b/figpaddle/daemon/_callers.py
@@ -0,0 +1,310 @@
+"""The callers' port: entry lookup, chat completions and application services."""
+
+from __future__ import annotations
+
+import json
+import uuid
+from collections.abc import Callable
+from typing import Any
+
+import anyio
+
+from figpaddle.coordination import InstanceDirectory
+from figpaddle.daemon._backend_client import HOP_HEADERS
+from figpaddle.daemon._configuration_state import ConfigurationState
+from figpaddle.daemon._exchange import (
+    AnswerHead,
+    AnswerSink,
+    BodySource,
+    BufferedBody,
+    Headers,
+    RequestHead,
+)
+from figpaddle.daemon._gateway import Gateway
+from figpaddle.daemon._http import (
+    CallerGoneError,
+    HttpBody,
+    Receive,
+    Scope,
+    Send,
+    bearer,
+    encode_headers,
+    header,
+    problem_document,
+    send_json,
+    send_problem,
+)
+from figpaddle.daemon._logs import Log
+from figpaddle.deployment import Client, ClientDirectory, ServiceConfiguration, ServiceKind
+from figpaddle.errors import (
+    DrainingError,
+    ForbiddenError,
+    InvalidRequestError,
+    RequestError,
+    UnauthorizedError,
+)
+from figpaddle.routing import rank_entries
+
+#: Path of chat completions, here and at the engines.
+CHAT_PATH = "/v1/chat/completions"
+#: Prefix of application services; the service's name and the path at it follow.
+SERVICES_PREFIX = "/services/"
+#: Methods that never change anything at the service.
+SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
+#: Headers of the caller that are for figpaddle only.
+OWN_HEADERS = frozenset({"authorization", "content-length", "x-request-id"})
+
+
+class CallersPort:
+    """ASGI application of the callers' port."""
+
+    def __init__(
+        self,
+        *,
+        gateway: Gateway,
+        directory: InstanceDirectory,
+        configuration: ConfigurationState,
+        clients: ClientDirectory,
+        body_limit_bytes: int,
+        clock: Callable[[], float],
+        log: Log,
+    ) -> None:
+        self._gateway = gateway
+        self._directory = directory
+        self._configuration = configuration
+        self._clients = clients
+        self._body_limit_bytes = body_limit_bytes
+        self._clock = clock
+        self._log = log
+        #: Set when the instance takes no more requests.
+        self.closed = False
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Serve one HTTP request."""
+        if scope["type"] != "http":
+            return
+        request_id = uuid.uuid4().hex
+        sink = HttpSink(send=send, request_id=request_id, closing=lambda: self.closed)
+        try:
+            await self._route(scope, receive, sink, request_id)
+        except CallerGoneError:
+            self._log.info("caller_gone", request_id=request_id)
+        except RequestError as error:
+            await sink.fail(error)
+
+    async def _route(self, scope: Scope, receive: Receive, sink: HttpSink, request_id: str) -> None:
+        if self.closed:
+            raise DrainingError(instance=self._directory.own.name)
+        client = self._authenticate(scope)
+        path = scope["path"]
+        if path == "/v1/entries":
+            await self._entries(client, sink)
+        elif path == CHAT_PATH and scope["method"] == "POST":
+            await self._chat(scope, receive, sink, client, request_id)
+        elif path.startswith(SERVICES_PREFIX):
+            await self._application(scope, receive, sink, client, request_id)
+        else:
+            raise InvalidRequestError(what=f"no such path {path}", mend="see the README's paths")
+
+    def _authenticate(self, scope: Scope) -> Client:
+        key = bearer(scope)
+        client = self._clients.client_for_key(key) if key is not None else None
+        if client is None:
+            raise UnauthorizedError
+        return client
+
+    async def _entries(self, client: Client, sink: HttpSink) -> None:
+        member = self._configuration.current.member(client.member)
+        services = member.services if member is not None else ()
+        allowed = tuple(sorted({region for service in services for region in service.regions}))
+        answer = rank_entries(
+            self._directory.instances,
+            preferred_region=client.home,
+            allowed_regions=allowed,
+            caller=client.name,
+        )
+        entries = [
+            {"instance": info.name, "region": info.region, "address": info.caller_address}
+            for info in answer.entries
+        ]
+        await sink.send_plain({"entries": entries, "ttl_s": answer.ttl_s})
+
+    def _service(self, client: Client, name: str) -> ServiceConfiguration:
+        member = self._configuration.current.member(client.member)
+        service = member.service(name) if member is not None else None
+        if service is None:
+            raise ForbiddenError
+        return service
+
+    async def _chat(
+        self, scope: Scope, receive: Receive, sink: HttpSink, client: Client, request_id: str
+    ) -> None:
+        data = await HttpBody(receive=receive, limit_bytes=self._body_limit_bytes).read()
+        service = self._service(client, _model_name(data))
+        if service.kind is not ServiceKind.MODEL:
+            raise ForbiddenError
+        head = self._head(scope, client, service, target=CHAT_PATH, request_id=request_id)
+        await self._serve_until_gone(head, BufferedBody(data=data), sink, receive)
+
+    async def _application(
+        self, scope: Scope, receive: Receive, sink: HttpSink, client: Client, request_id: str
+    ) -> None:
+        name, _, rest = scope["path"][len(SERVICES_PREFIX) :].partition("/")
+        service = self._service(client, name)
+        if service.kind is not ServiceKind.APPLICATION:
+            raise ForbiddenError
+        query = scope["query_string"].decode("latin-1")
+        target = f"/{rest}" + (f"?{query}" if query else "")
+        head = self._head(scope, client, service, target=target, request_id=request_id)
+        body = HttpBody(receive=receive, limit_bytes=self._body_limit_bytes)
+        await self._serve_until_gone(head, body, sink, receive)
+
+    def _head(
+        self,
+        scope: Scope,
+        client: Client,
+        service: ServiceConfiguration,
+        *,
+        target: str,
+        request_id: str,
+    ) -> RequestHead:
+        idempotent = service.repeatable or scope["method"] in SAFE_METHODS
+        key = header(scope, "idempotency-key")
+        if not idempotent and key is None:
+            raise InvalidRequestError(
+                what="this call may not be repeated and has no key",
+                mend="send an Idempotency-Key header and keep it when sending again",
+            )
+        return RequestHead(
+            request_id=request_id,
+            member=client.member,
+            client=client.name,
+            home=client.home,
+            service=service.name,
+            method=scope["method"],
+            target=target,
+            headers=_passed_headers(scope),
+            idempotent=idempotent,
+            idempotency_key=key,
+            deadline_at=self._clock() + service.deadline_s,
+            deadline_s=service.deadline_s,
+            priority=service.priority,
+        )
+
+    async def _serve_until_gone(
+        self, head: RequestHead, body: BodySource, sink: HttpSink, receive: Receive
+    ) -> None:
+        error: RequestError | CallerGoneError | None = None
+        async with anyio.create_task_group() as tasks:
+            if isinstance(body, BufferedBody):
+                tasks.start_soon(self._watch_caller, receive, tasks.cancel_scope, head.request_id)
+            try:
+                await self._gateway.serve(head, body, sink)
+            except (RequestError, CallerGoneError) as failure:
+                error = failure
+            tasks.cancel_scope.cancel()
+        if error is not None:
+            raise error
+
+    async def _watch_caller(
+        self, receive: Receive, scope: anyio.CancelScope, request_id: str
+    ) -> None:
+        while True:
+            event = await receive()
+            if event["type"] == "http.disconnect":
+                self._log.info("caller_gone", request_id=request_id)
+                scope.cancel()
+                return
+
+
+def _passed_headers(scope: Scope) -> Headers:
+    left_out = HOP_HEADERS | OWN_HEADERS
+    return tuple(
+        (key.decode("latin-1").lower(), value.decode("latin-1"))
+        for key, value in scope["headers"]
+        if key.decode("latin-1").lower() not in left_out
+    )
+
+
+def _model_name(data: bytes) -> str:
+    try:
+        plain: Any = json.loads(data)
+    except ValueError as error:
+        raise InvalidRequestError(what="the body is not JSON", mend="send a JSON object") from error
+    model = plain.get("model") if isinstance(plain, dict) else None
+    if not isinstance(model, str):
+        raise InvalidRequestError(what="the body names no model", mend="add 'model'")
+    return model
+
+
+class HttpSink(AnswerSink):
+    """Sends an answer to the caller.
+
+    A stream that breaks after its head ends as an error that the caller sees as one: an SSE
+    ``error`` event and a connection closed without the end mark.
+    """
+
+    def __init__(self, *, send: Send, request_id: str, closing: Callable[[], bool]) -> None:
+        self._send = send
+        self._request_id = request_id
+        self._closing = closing
+        self._started = False
+        self._is_event_stream = False
+
+    @property
+    def started(self) -> bool:
+        """Whether the head of the answer has been sent."""
+        return self._started
+
+    async def start(self, head: AnswerHead) -> None:
+        """Send the head of the answer with where it was served."""
+        self._started = True
+        headers = [
+            (key.encode(), value.encode("latin-1", "replace")) for key, value in head.headers
+        ]
+        own = {
+            "figpaddle-request-id": self._request_id,
+            "figpaddle-instance": head.instance,
+            "figpaddle-region": head.region,
+            "figpaddle-backend": head.backend,
+            **self._connection(),
+        }
+        self._is_event_stream = any(
+            key == "content-type" and value.startswith("text/event-stream")
+            for key, value in head.headers
+        )
+        await self._send(
+            {
+                "type": "http.response.start",
+                "status": head.status,
+                "headers": [*headers, *encode_headers(own)],
+            }
+        )
+
+    async def write(self, data: bytes) -> None:
+        """Send a piece of the answer."""
+        await self._send({"type": "http.response.body", "body": data, "more_body": True})
+
+    async def finish(self) -> None:
+        """Send the end mark."""
+        await self._send({"type": "http.response.body", "body": b"", "more_body": False})
+
+    async def send_plain(self, plain: Any) -> None:
+        """Send ``plain`` as JSON."""
+        self._started = True
+        await send_json(self._send, status=200, plain=plain, extra=self._connection())
+
+    async def fail(self, error: RequestError) -> None:
+        """End the answer with ``error``; raises it again if the answer had begun."""
+        if not self._started:
+            await send_problem(
+                self._send, error, request_id=self._request_id, extra=self._connection()
+            )
+            return
+        if self._is_event_stream:
+            document = json.dumps(problem_document(error, request_id=self._request_id))
+            await self.write(f"event: error\ndata: {document}\n\n".encode())
+        raise error
+
+    def _connection(self) -> dict[str, str]:
+        return {"connection": "close"} if self._closing() else {}
--- /dev/null
+++ b/figpaddle/daemon/_exchange.py
@@ -0,0 +1,112 @@
+"""What the parts of a request's path hand each other: its head, its body and its answer."""
+
+from __future__ import annotations
+
+import abc
+import dataclasses
+from collections.abc import AsyncIterator
+
+Headers = tuple[tuple[str, str], ...]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class RequestHead:
+    """Everything about a request but its body."""
+
+    #: Identifier through all hops.
+    request_id: str
+    #: Member whose request it is.
+    member: str
+    #: Client whose request it is.
+    client: str
+    #: Region where the client is at home.
+    home: str
+    #: Service that it asks for.
+    service: str
+    #: HTTP method.
+    method: str
+    #: Path and query at the backend server.
+    target: str
+    #: HTTP headers for the backend server, names in lower case.
+    headers: Headers
+    #: Whether it may be sent to a backend server more than once.
+    idempotent: bool
+    #: Key of a non-idempotent request.
+    idempotency_key: str | None
+    #: Latest time for the first byte of the answer, seconds on the clock of the instance.
+    deadline_at: float
+    #: Time allowed from receipt to the first byte, seconds.
+    deadline_s: float
+    #: Priority class within the member, 0 first.
+    priority: int
+    #: Instances that the request has passed.
+    visited: tuple[str, ...] = ()
+    #: How often it has crossed regions.
+    crossings: int = 0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class AnswerHead:
+    """Head of an answer and where it came from."""
+
+    #: HTTP status.
+    status: int
+    #: HTTP headers of the backend server.
+    headers: Headers
+    #: Backend server that answers.
+    backend: str
+    #: Instance that talks to the backend server.
+    instance: str
+    #: Region that the request is served in.
+    region: str
+
+
+class BodySource(abc.ABC):
+    """The body of a request."""
+
+    @property
+    @abc.abstractmethod
+    def touched(self) -> bool:
+        """Whether a part of the body was already taken and can't be taken again."""
+
+    @abc.abstractmethod
+    def chunks(self) -> AsyncIterator[bytes]:
+        """Return the pieces of the body in order."""
+
+
+class BufferedBody(BodySource):
+    """A body held whole in memory, which can be sent again."""
+
+    def __init__(self, *, data: bytes) -> None:
+        self._data = data
+
+    @property
+    def touched(self) -> bool:
+        """Whether a part of the body can't be taken again: never."""
+        return False
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        """Return the whole body as one piece."""
+        if self._data:
+            yield self._data
+
+
+class AnswerSink(abc.ABC):
+    """Where the answer to a request goes."""
+
+    @property
+    @abc.abstractmethod
+    def started(self) -> bool:
+        """Whether the head of the answer has been sent."""
+
+    @abc.abstractmethod
+    async def start(self, head: AnswerHead) -> None:
+        """Send the head of the answer."""
+
+    @abc.abstractmethod
+    async def write(self, data: bytes) -> None:
+        """Send a piece of the answer's body; waits while the receiver is slow."""
+
+    @abc.abstractmethod
+    async def finish(self) -> None:
+        """Send the end mark; an answer without it is not whole."""
--- /dev/null
+++ b/figpaddle/daemon/_http.py
@@ -0,0 +1,145 @@
+"""Small helpers for the HTTP ports: bodies, JSON answers and problem documents."""
+
+from __future__ import annotations
+
+import json
+import math
+from collections.abc import AsyncIterator, Awaitable, Callable, MutableMapping
+from typing import Any
+
+from figpaddle.daemon._exchange import BodySource
+from figpaddle.errors import BodyTooLargeError, FigpaddleError, Outcome, RequestError
+
+Scope = MutableMapping[str, Any]
+Receive = Callable[[], Awaitable[MutableMapping[str, Any]]]
+Send = Callable[[MutableMapping[str, Any]], Awaitable[None]]
+
+#: Prefix of the types of problem documents.
+PROBLEM_PREFIX = "urn:figpaddle:problem:"
+
+
+class CallerGoneError(FigpaddleError):
+    """The caller closed its connection before the end."""
+
+    def __init__(self) -> None:
+        super().__init__(what="the caller closed the connection")
+
+
+def header(scope: Scope, name: str) -> str | None:
+    """Return the first header called ``name`` in lower case, or None."""
+    wanted = name.encode()
+    for key, value in scope["headers"]:
+        if key.lower() == wanted:
+            return str(value.decode("latin-1"))
+    return None
+
+
+def bearer(scope: Scope) -> str | None:
+    """Return the bearer token of the request, or None."""
+    kind, _, token = (header(scope, "authorization") or "").partition(" ")
+    return token.strip() if kind.lower() == "bearer" and token.strip() else None
+
+
+class HttpBody(BodySource):
+    """The body of an HTTP request, read as it arrives and limited in size."""
+
+    def __init__(self, *, receive: Receive, limit_bytes: int) -> None:
+        self._receive = receive
+        self._limit_bytes = limit_bytes
+        self._touched = False
+        self._ended = False
+        self._size = 0
+
+    @property
+    def touched(self) -> bool:
+        """Whether a part of the body was already taken."""
+        return self._touched
+
+    @property
+    def ended(self) -> bool:
+        """Whether the body has been read to its end."""
+        return self._ended
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        """Return the pieces; raises BodyTooLargeError or CallerGoneError."""
+        self._touched = True
+        while not self._ended:
+            event = await self._receive()
+            if event["type"] == "http.disconnect":
+                raise CallerGoneError
+            data = event.get("body", b"")
+            self._ended = not event.get("more_body", False)
+            self._size += len(data)
+            if self._size > self._limit_bytes:
+                raise BodyTooLargeError(limit_bytes=self._limit_bytes)
+            if data:
+                yield data
+
+    async def read(self) -> bytes:
+        """Return the whole body."""
+        return b"".join([chunk async for chunk in self.chunks()])
+
+
+def encode_headers(headers: dict[str, str]) -> list[tuple[bytes, bytes]]:
+    """Return headers in the form that ASGI wants."""
+    return [(key.encode(), value.encode("latin-1", "replace")) for key, value in headers.items()]
+
+
+async def send_bytes(
+    send: Send, *, status: int, data: bytes, content_type: str, extra: dict[str, str] | None = None
+) -> None:
+    """Send a whole answer."""
+    headers = {"content-type": content_type, "content-length": str(len(data)), **(extra or {})}
+    await send(
+        {"type": "http.response.start", "status": status, "headers": encode_headers(headers)}
+    )
+    await send({"type": "http.response.body", "body": data})
+
+
+async def send_json(
+    send: Send, *, status: int, plain: Any, extra: dict[str, str] | None = None
+) -> None:
+    """Send ``plain`` as JSON."""
+    data = json.dumps(plain, ensure_ascii=False).encode()
+    await send_bytes(send, status=status, data=data, content_type="application/json", extra=extra)
+
+
+def problem_document(error: RequestError, *, request_id: str) -> dict[str, Any]:
+    """Return the problem document of ``error``."""
+    document: dict[str, Any] = {
+        "type": PROBLEM_PREFIX + error.problem,
+        "title": error.what,
+        "status": error.status,
+        "outcome": error.outcome.value,
+        "request_id": request_id,
+    }
+    if error.mend:
+        document["detail"] = error.mend
+    if error.retry_after_s is not None:
+        document["retry_after_s"] = error.retry_after_s
+    return document
+
+
+async def send_problem(
+    send: Send, error: RequestError, *, request_id: str, extra: dict[str, str] | None = None
+) -> None:
+    """Send ``error`` as a problem document with its outcome and the time to come back."""
+    headers = {"figpaddle-request-id": request_id, "figpaddle-outcome": error.outcome.value}
+    if error.retry_after_s is not None:
+        headers["retry-after"] = str(math.ceil(error.retry_after_s))
+    headers.update(extra or {})
+    data = json.dumps(problem_document(error, request_id=request_id)).encode()
+    await send_bytes(
+        send,
+        status=error.status,
+        data=data,
+        content_type="application/problem+json",
+        extra=headers,
+    )
+
+
+class InternalError(RequestError):
+    """A fault of figpaddle's own, or a backend server's answer that makes no sense."""
+
+    def __init__(self) -> None:
+        super().__init__(what="internal fault", outcome=Outcome.UNKNOWN, retry_after_s=1.0)
--- /dev/null
+++ b/figpaddle/daemon/_instance.py
@@ -0,0 +1,228 @@
+"""One process: its shared state, its ports and its components."""
+
+from __future__ import annotations
+
+import random
+import signal
+import time
+from typing import Any
+
+import anyio
+import anyio.abc
+from hypercorn.asyncio import serve as serve_http
+from hypercorn.config import Config
+
+from figpaddle.coordination import InstanceDirectory
+from figpaddle.daemon._backend_client import BackendClient
+from figpaddle.daemon._backend_watch import BackendWatch
+from figpaddle.daemon._backends_port import BackendsPort
+from figpaddle.daemon._callers import CallersPort
+from figpaddle.daemon._component import Component
+from figpaddle.daemon._configuration_state import ConfigurationState
+from figpaddle.daemon._forwarder import Forwarder, ForwardReceiver
+from figpaddle.daemon._gateway import Gateway
+from figpaddle.daemon._logs import Log
+from figpaddle.daemon._membership import Membership
+from figpaddle.daemon._operators import OperatorsPort
+from figpaddle.daemon._peers import PeerNetwork
+from figpaddle.daemon._regions import RegionView
+from figpaddle.daemon._settings import Settings, load_yaml
+from figpaddle.daemon._sockets import Listener, listen, split_address
+from figpaddle.deployment import configuration_from_plain, read_directory
+from figpaddle.routing import BackendTable, LeastLoadPolicy
+from figpaddle.wire import Handshake, InstanceInfo
+
+#: Interval at which a stopping process looks whether requests are still in progress, seconds.
+DRAIN_POLL_S = 0.05
+#: Largest head of an HTTP request, bytes.
+MAX_HTTP_HEAD_BYTES = 32 * 1024
+
+
+class Instance:
+    """A figpaddled process."""
+
+    def __init__(self, *, settings: Settings, log: Log) -> None:
+        self._settings = settings
+        self._log = log
+        self._clock = time.monotonic
+        self._rng = random.Random(f"{settings.instance}/{time.time_ns()}")
+        self._stopping = anyio.Event()
+        self._ports_closing = anyio.Event()
+        self._configuration = _initial_configuration(settings)
+        self._listeners = {
+            name: listen(getattr(settings.listen, name))
+            for name in ("callers", "backends", "operators", "peers")
+        }
+        self._directory = InstanceDirectory(own=self._own_info())
+        self._backends = BackendTable()
+        self._regions = RegionView(own_region=settings.region)
+        self._network = PeerNetwork(
+            name=settings.instance,
+            handshake=Handshake(key=settings.deployment_key.encode()),
+            listener=self._listeners["peers"],
+            rng=self._rng,
+            log=log,
+            clock=self._clock,
+        )
+        own_ip, _ = split_address(self._listeners["peers"].address)
+        self._client = BackendClient(
+            own_ip=own_ip, region=settings.region, instance=settings.instance
+        )
+        self._gateway = self._make_gateway()
+        self._watch = BackendWatch(
+            directory=self._directory,
+            network=self._network,
+            backends=self._backends,
+            regions=self._regions,
+            clock=self._clock,
+            log=log,
+        )
+        self._components = self._make_components()
+        self._callers = self._make_callers_port()
+        self._ports = {
+            "callers": self._callers,
+            "backends": BackendsPort(
+                backends=self._backends,
+                region=settings.region,
+                publish=self._watch.publish,
+                clock=self._clock,
+                log=log,
+            ),
+            "operators": OperatorsPort(operators=settings.operators, dump=self.dump),
+        }
+        receiver = ForwardReceiver(serve=self._gateway.serve, clock=self._clock)
+        self._network.register_forward(receiver.handle)
+
+    def _own_info(self) -> InstanceInfo:
+        settings = self._settings
+        peers = settings.advertise.peers or self._listeners["peers"].address
+        callers = settings.advertise.callers or self._listeners["callers"].address
+        return InstanceInfo(
+            name=settings.instance,
+            region=settings.region,
+            zone=settings.zone,
+            peer_address=peers,
+            caller_address=callers,
+            incarnation=time.time_ns() // 1_000_000,
+        )
+
+    def _make_gateway(self) -> Gateway:
+        forwarder = Forwarder(
+            directory=self._directory,
+            configuration=self._configuration,
+            network=self._network,
+            rng=self._rng,
+            clock=self._clock,
+        )
+        return Gateway(
+            directory=self._directory,
+            configuration=self._configuration,
+            backends=self._backends,
+            regions=self._regions,
+            policy=LeastLoadPolicy(rng=self._rng),
+            client=self._client,
+            forwarder=forwarder,
+            clock=self._clock,
+            log=self._log,
+        )
+
+    def _make_callers_port(self) -> CallersPort:
+        path = self._settings.directory
+        return CallersPort(
+            gateway=self._gateway,
+            directory=self._directory,
+            configuration=self._configuration,
+            clients=read_directory(load_yaml(path), document=str(path)),
+            body_limit_bytes=self._settings.limits.body_bytes,
+            clock=self._clock,
+            log=self._log,
+        )
+
+    def _make_components(self) -> tuple[Component, ...]:
+        membership = Membership(
+            directory=self._directory,
+            network=self._network,
+            join=self._settings.join,
+            log=self._log,
+        )
+        return (membership, self._watch)
+
+    def dump(self) -> dict[str, Any]:
+        """Return the state of the process without clients' data and keys."""
+        now = self._clock()
+        own = self._directory.own
+        configuration = self._configuration.current
+        parts = {component.name: component.dump(now=now) for component in self._components}
+        return {
+            "instance": own.name,
+            "region": own.region,
+            "zone": own.zone,
+            "state": own.state.value,
+            "incarnation": own.incarnation,
+            "in_progress": self._gateway.in_progress,
+            "configuration": {
+                "revision": configuration.revision,
+                "digest": configuration.digest(),
+            },
+            **parts,
+        }
+
+    async def run(self) -> None:
+        """Serve until a planned stop has ended."""
+        async with anyio.create_task_group() as tasks:
+            await tasks.start(self._run_network)
+            for component in self._components:
+                tasks.start_soon(component.run)
+            tasks.start_soon(self._watch_signals)
+            async with anyio.create_task_group() as ports:
+                for name, application in self._ports.items():
+                    ports.start_soon(self._serve_port, application, self._listeners[name])
+                addresses = {name: entry.address for name, entry in self._listeners.items()}
+                self._log.info("ready", **addresses)
+                await self._stopping.wait()
+                await self._drain()
+                self._ports_closing.set()
+            tasks.cancel_scope.cancel()
+        await self._client.close()
+        self._log.info("stopped")
+
+    async def _run_network(self, *, task_status: anyio.abc.TaskStatus[None]) -> None:
+        await self._network.run(task_status=task_status)
+
+    async def _serve_port(self, application: Any, listener: Listener) -> None:
+        config = Config()
+        config.bind = [f"fd://{listener.socket.fileno()}"]
+        config.accesslog = None
+        config.errorlog = None
+        config.graceful_timeout = 0.5
+        config.keep_alive_timeout = 30.0
+        config.h11_max_incomplete_size = MAX_HTTP_HEAD_BYTES
+        await serve_http(application, config, shutdown_trigger=self._ports_closing.wait)
+
+    async def _watch_signals(self) -> None:
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            async for _ in signals:
+                self._stopping.set()
+
+    async def _drain(self) -> None:
+        """Leave the lookup, take no new work, then finish what is in progress."""
+        limits = self._settings.limits
+        self._log.info("leaving", in_progress=self._gateway.in_progress)
+        for component in self._components:
+            await component.leave()
+        await anyio.sleep(limits.leave_grace_s)
+        self._callers.closed = True
+        with anyio.move_on_after(limits.drain_s):
+            while self._gateway.in_progress:
+                await anyio.sleep(DRAIN_POLL_S)
+        for component in self._components:
+            await component.depart()
+        await anyio.sleep(DRAIN_POLL_S)
+
+
+def _initial_configuration(settings: Settings) -> ConfigurationState:
+    state = ConfigurationState()
+    if settings.configuration is not None:
+        plain = load_yaml(settings.configuration)
+        state.install(configuration_from_plain(plain, document=str(settings.configuration)))
+    return state
--- /dev/null
+++ b/figpaddle/daemon/_main.py
@@ -0,0 +1,40 @@
+"""The ``figpaddled`` program."""
+
+from __future__ import annotations
+
+import pathlib
+import sys
+from typing import Annotated
+
+import anyio
+import typer
+
+from figpaddle.daemon._instance import Instance
+from figpaddle.daemon._logs import make_log
+from figpaddle.daemon._settings import load_settings
+from figpaddle.errors import DocumentError
+
+#: Exit code for invalid settings or files.
+EXIT_INVALID = 2
+
+
+def run(
+    settings: Annotated[pathlib.Path, typer.Option(help="YAML file with the process's settings.")],
+) -> None:
+    """Run one figpaddle instance until it is told to stop."""
+    try:
+        loaded = load_settings(settings)
+        log = make_log(instance=loaded.instance)
+        instance = Instance(settings=loaded, log=log)
+    except DocumentError as error:
+        for fault in error.faults:
+            print(f"{error.where}: {fault}", file=sys.stderr)
+        raise typer.Exit(EXIT_INVALID) from error
+    anyio.run(instance.run)
+
+
+def main() -> None:
+    """Entry point of ``figpaddled``."""
+    app = typer.Typer(add_completion=False, pretty_exceptions_enable=False)
+    app.command()(run)
+    app()
--- /dev/null
+++ b/figpaddle/daemon/_regions.py
@@ -0,0 +1,38 @@
+"""What this instance has heard of other regions' services."""
+
+from __future__ import annotations
+
+from figpaddle.routing import RegionOption
+from figpaddle.wire import RegionSummary, ServiceSummary
+
+#: A summary counts for this long, seconds.
+SUMMARY_TTL_S = 6.0
+
+
+class RegionView:
+    """Newest summary of each other region."""
+
+    def __init__(self, *, own_region: str) -> None:
+        self._own_region = own_region
+        self._heard: dict[str, tuple[float, dict[str, ServiceSummary]]] = {}
+
+    def take(self, summary: RegionSummary, *, now: float) -> None:
+        """Take in the summary of another region."""
+        if summary.region != self._own_region:
+            services = {entry.service: entry for entry in summary.services}
+            self._heard[summary.region] = (now, services)
+
+    def options(
+        self, service: str, allowed: tuple[str, ...], *, now: float
+    ) -> tuple[RegionOption, ...]:
+        """Return the other allowed regions that have backend servers for ``service``."""
+        found = []
+        for region, (heard_at, services) in sorted(self._heard.items()):
+            entry = services.get(service)
+            if entry is None or region not in allowed or now - heard_at > SUMMARY_TTL_S:
+                continue
+            option = RegionOption(
+                region=region, backends=entry.backends, slots=entry.slots, load=entry.load
+            )
+            found.append(option)
+        return tuple(found)
--- /dev/null
+++ b/figpaddle/ledger/__init__.py
@@ -0,0 +1,1 @@
+"""Outcome of each non-idempotent request."""
--- /dev/null
+++ b/figpaddle/standins/_announcer.py
@@ -0,0 +1,53 @@
+"""Announces a stand-in backend server to figpaddle's instances."""
+
+from __future__ import annotations
+
+import contextlib
+import dataclasses
+import time
+from collections.abc import Callable
+
+import anyio
+import httpx
+import pydantic
+
+from figpaddle.wire import BackendInfo, BackendState
+
+#: Interval of announcements, seconds.
+ANNOUNCE_INTERVAL_S = 1.0
+
+_INFO = pydantic.TypeAdapter(BackendInfo)
+
+
+class Announcer:
+    """Renews the announcement of one backend server until it has left."""
+
+    def __init__(
+        self, *, info: BackendInfo, targets: tuple[str, ...], load: Callable[[], tuple[int, int]]
+    ) -> None:
+        self._info = dataclasses.replace(info, incarnation=time.time_ns() // 1_000_000)
+        self._targets = targets
+        self._load = load
+        self._client = httpx.AsyncClient(timeout=1.0, trust_env=False)
+
+    async def run(self, stop: anyio.Event) -> None:
+        """Announce at every interval until ``stop`` is set."""
+        while not stop.is_set():
+            await self.announce(BackendState.SERVING)
+            with anyio.move_on_after(ANNOUNCE_INTERVAL_S):
+                await stop.wait()
+
+    async def announce(self, state: BackendState) -> None:
+        """Announce once, in ``state``, to every target."""
+        running, waiting = self._load()
+        self._info = dataclasses.replace(
+            self._info,
+            sequence=self._info.sequence + 1,
+            state=state,
+            running=running,
+            waiting=waiting,
+        )
+        plain = _INFO.dump_python(self._info, mode="json")
+        for target in self._targets:
+            with contextlib.suppress(httpx.HTTPError):
+                await self._client.post(f"http://{target}/v1/announce", json=plain)
--- /dev/null
+++ b/figpaddle/standins/_engine.py
@@ -0,0 +1,131 @@
+"""A small engine: continuous batching with slots, a prefix cache and streamed tokens."""
+
+from __future__ import annotations
+
+import json
+from collections import OrderedDict
+from collections.abc import Awaitable, Callable, MutableMapping
+from typing import Any
+
+import anyio
+
+Scope = MutableMapping[str, Any]
+Receive = Callable[[], Awaitable[MutableMapping[str, Any]]]
+Send = Callable[[MutableMapping[str, Any]], Awaitable[None]]
+
+#: Characters counted as one token.
+CHARACTERS_PER_TOKEN = 4
+#: Prompt tokens covered by one entry of the prefix cache.
+CACHE_BLOCK_TOKENS = 64
+#: Tokens generated where the request names no limit.
+DEFAULT_TOKENS = 16
+
+
+class Engine:
+    """ASGI application that behaves like an engine behind a chat completions endpoint."""
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        slots: int,
+        prefill_tokens_per_s: float,
+        decode_s: float,
+        cache_blocks: int,
+    ) -> None:
+        self._name = name
+        self._slots = anyio.Semaphore(slots)
+        self._prefill_tokens_per_s = prefill_tokens_per_s
+        self._decode_s = decode_s
+        self._cache_blocks = cache_blocks
+        self._cache: OrderedDict[int, None] = OrderedDict()
+        self._running = 0
+        self._waiting = 0
+
+    def load(self) -> tuple[int, int]:
+        """Return the requests running and waiting."""
+        return self._running, self._waiting
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Serve one HTTP request."""
+        if scope["type"] != "http":
+            return
+        body = b""
+        while True:
+            event = await receive()
+            body += event.get("body", b"")
+            if not event.get("more_body", False):
+                break
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._cancel_when_gone, receive, tasks.cancel_scope)
+            await self._generate(json.loads(body), send)
+            tasks.cancel_scope.cancel()
+
+    async def _cancel_when_gone(self, receive: Receive, scope: anyio.CancelScope) -> None:
+        while (await receive())["type"] != "http.disconnect":
+            pass
+        scope.cancel()
+
+    async def _generate(self, request: dict[str, Any], send: Send) -> None:
+        prompt = "\n".join(str(item.get("content", "")) for item in request.get("messages", []))
+        tokens = int(request.get("max_tokens", DEFAULT_TOKENS))
+        self._waiting += 1
+        try:
+            await self._slots.acquire()
+        finally:
+            self._waiting -= 1
+        self._running += 1
+        try:
+            uncached = self._take_prompt(prompt)
+            await anyio.sleep(uncached / self._prefill_tokens_per_s)
+            await self._answer(request, prompt, tokens, send)
+        finally:
+            self._running -= 1
+            self._slots.release()
+
+    def _take_prompt(self, prompt: str) -> int:
+        """Return the prompt's tokens that were not in the cache, and cache them."""
+        step = CACHE_BLOCK_TOKENS * CHARACTERS_PER_TOKEN
+        uncached = 0
+        for end in range(step, len(prompt) + step, step):
+            block = hash(prompt[:end])
+            if block in self._cache:
+                self._cache.move_to_end(block)
+                continue
+            uncached += CACHE_BLOCK_TOKENS
+            self._cache[block] = None
+            while len(self._cache) > self._cache_blocks:
+                self._cache.popitem(last=False)
+        return uncached
+
+    async def _answer(self, request: dict[str, Any], prompt: str, tokens: int, send: Send) -> None:
+        words = prompt.split() or ["(empty)"]
+        pieces = [words[index % len(words)] + " " for index in range(tokens)]
+        if not request.get("stream", False):
+            await anyio.sleep(self._decode_s * tokens)
+            choice = {"index": 0, "message": {"role": "assistant", "content": "".join(pieces)}}
+            await _send_whole(send, {"object": "chat.completion", "choices": [choice]})
+            return
+        headers = [(b"content-type", b"text/event-stream")]
+        await send({"type": "http.response.start", "status": 200, "headers": headers})
+        for piece in pieces:
+            choice = {"index": 0, "delta": {"content": piece}}
+            await _send_event(send, json.dumps({"choices": [choice]}, ensure_ascii=False))
+            await anyio.sleep(self._decode_s)
+        await _send_event(send, "[DONE]")
+        await send({"type": "http.response.body", "body": b"", "more_body": False})
+
+
+async def _send_event(send: Send, data: str) -> None:
+    body = f"data: {data}\n\n".encode()
+    await send({"type": "http.response.body", "body": body, "more_body": True})
+
+
+async def _send_whole(send: Send, plain: Any) -> None:
+    body = json.dumps(plain, ensure_ascii=False).encode()
+    headers = [
+        (b"content-type", b"application/json"),
+        (b"content-length", str(len(body)).encode()),
+    ]
+    await send({"type": "http.response.start", "status": 200, "headers": headers})
+    await send({"type": "http.response.body", "body": body})
--- /dev/null
+++ b/figpaddle/tool/__main__.py
@@ -0,0 +1,5 @@
+"""Runs the tool as ``python -m figpaddle.tool``."""
+
+from figpaddle.tool import main
+
+main()
--- /dev/null
+++ b/figpaddle/wire/_codec.py
@@ -0,0 +1,112 @@
+"""CBOR encoding of typed messages between instances."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import Any, ClassVar, TypeVar
+
+import cbor2
+import pydantic
+
+from figpaddle.errors import MalformedMessageError, UnknownMessageError
+
+#: Version of the message format; a frame of another version is refused.
+PROTOCOL_VERSION = 1
+#: Largest frame accepted on a control link, bytes.
+MAX_FRAME_BYTES = 4 * 1024 * 1024
+
+_REGISTRY: dict[str, type[Message]] = {}
+_ADAPTERS: dict[str, pydantic.TypeAdapter[Any]] = {}
+
+MessageT = TypeVar("MessageT", bound="type[Message]")
+
+
+class Message:
+    """Base of everything that travels between instances.
+
+    A message is a frozen keyword-only data class, registered under a stable name:
+
+    >>> @message("example.ping")
+    ... @dataclasses.dataclass(frozen=True, kw_only=True)
+    ... class Ping(Message):
+    ...     number: int
+    >>> decode(encode(Ping(number=3)))
+    Ping(number=3)
+    """
+
+    #: Stable name of the type on the wire.
+    wire_name: ClassVar[str] = ""
+
+
+def message(name: str) -> Any:
+    """Return a class decorator that registers a message type under ``name``."""
+
+    def register(cls: MessageT) -> MessageT:
+        cls.wire_name = name
+        _REGISTRY[name] = cls
+        return cls
+
+    return register
+
+
+def _adapter(cls: type[Message]) -> pydantic.TypeAdapter[Any]:
+    adapter = _ADAPTERS.get(cls.wire_name)
+    if adapter is None:
+        adapter = pydantic.TypeAdapter(cls)
+        _ADAPTERS[cls.wire_name] = adapter
+    return adapter
+
+
+def _encode_enum(encoder: cbor2.CBOREncoder, value: Any) -> None:
+    encoder.encode(value.value)
+
+
+def encode(item: Message, *, correlation: int = 0) -> bytes:
+    """Return the frame of ``item``; ``correlation`` pairs a request with its reply, 0 for none."""
+    fields = _adapter(type(item)).dump_python(item)
+    return cbor2.dumps(
+        [PROTOCOL_VERSION, item.wire_name, correlation, fields], default=_encode_enum
+    )
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Frame:
+    """A decoded frame: the message and the number that pairs it with its reply."""
+
+    #: The message itself.
+    item: Message
+    #: Number that pairs a request with its reply; 0 for a message without reply.
+    correlation: int
+
+
+def decode_frame(data: bytes) -> Frame:
+    """Return the frame held in ``data``.
+
+    Raises MalformedMessageError for bytes that are no message and UnknownMessageError for another
+    version or type.
+    """
+    try:
+        decoded = cbor2.loads(data)
+        version, name, correlation, fields = decoded
+    except (cbor2.CBORDecodeError, ValueError, TypeError) as error:
+        raise MalformedMessageError(what="not a CBOR frame", where="frame") from error
+    if version != PROTOCOL_VERSION:
+        raise UnknownMessageError(
+            what=f"protocol version {version!r}", mend=f"speak version {PROTOCOL_VERSION}"
+        )
+    cls = _REGISTRY.get(name) if isinstance(name, str) else None
+    if cls is None:
+        raise UnknownMessageError(what=f"message type {name!r}")
+    if not isinstance(correlation, int):
+        raise MalformedMessageError(what="the correlation is not a number", where=str(name))
+    try:
+        return Frame(item=_adapter(cls).validate_python(fields), correlation=correlation)
+    except pydantic.ValidationError as error:
+        raise MalformedMessageError(
+            what=f"{error.error_count()} invalid fields", where=str(name)
+        ) from error
+
+
+def decode(data: bytes) -> Message:
+    """Return the message held in ``data``; see ``decode_frame`` for the failures."""
+    return decode_frame(data).item
--- /dev/null
+++ b/scripts/setup.sh
@@ -0,0 +1,10 @@
+#!/usr/bin/env bash
+# Creates the environment that the other scripts use, unless it is there already.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+stamp=.venv/requirements.stamp
+if [ ! -f "$stamp" ] || ! cmp -s "$stamp" requirements-dev.txt; then
+  python3 -m venv .venv
+  .venv/bin/pip install --quiet --disable-pip-version-check -r requirements-dev.txt
+  cp requirements-dev.txt "$stamp"
+fi
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Integration tests: real processes behind a fault-injecting proxy."""
--- /dev/null
+++ b/tests/calls.py
@@ -0,0 +1,60 @@
+"""Requests that tests send, and waiting for a condition with a deadline."""
+
+from __future__ import annotations
+
+import json
+import time
+from collections.abc import Callable
+from typing import Any
+
+import httpx
+
+from tests.harness import OPERATOR_TOKEN, Process, ProcessError
+
+CALL_TIMEOUT_S = 20.0
+POLL_S = 0.05
+
+
+def call(entry: str, method: str, path: str, *, key: str, **options: Any) -> httpx.Response:
+    """Send one request of a client."""
+    headers = {"authorization": f"Bearer {key}", **options.pop("headers", {})}
+    return httpx.request(
+        method,
+        f"http://{entry}{path}",
+        headers=headers,
+        timeout=CALL_TIMEOUT_S,
+        trust_env=False,
+        **options,
+    )
+
+
+def chat(entry: str, model: str, text: str, *, key: str, **options: Any) -> httpx.Response:
+    """Send one chat completion."""
+    body = {"model": model, "messages": [{"role": "user", "content": text}], **options}
+    return call(entry, "POST", "/v1/chat/completions", key=key, json=body)
+
+
+def streamed_words(text: str) -> list[str]:
+    """Return the pieces of a streamed answer, without its end mark."""
+    events = [line[6:] for line in text.splitlines() if line.startswith("data: ")]
+    if not events or events[-1] != "[DONE]":
+        raise ProcessError(f"the stream is not whole: {text[-200:]}")
+    return [json.loads(event)["choices"][0]["delta"]["content"] for event in events[:-1]]
+
+
+def state(instance: Process) -> Any:
+    """Return the state dump of one process."""
+    url = f"http://{instance.fields['operators']}/v1/state"
+    headers = {"authorization": f"Bearer {OPERATOR_TOKEN}"}
+    return httpx.get(url, headers=headers, timeout=CALL_TIMEOUT_S, trust_env=False).json()
+
+
+def wait_until(condition: Callable[[], bool], *, what: str, timeout_s: float = 15.0) -> float:
+    """Return the seconds until ``condition`` held; raises ProcessError after ``timeout_s``."""
+    begun = time.monotonic()
+    pause = POLL_S
+    while not condition():
+        if time.monotonic() - begun > timeout_s:
+            raise ProcessError(f"not within {timeout_s} s: {what}")
+        time.sleep(pause)
+    return time.monotonic() - begun
--- /dev/null
+++ b/tests/harness.py
@@ -0,0 +1,160 @@
+"""Starts real processes for integration tests and the demo, and stops them by id."""
+
+from __future__ import annotations
+
+import contextlib
+import dataclasses
+import pathlib
+import queue
+import re
+import signal
+import subprocess
+import sys
+import threading
+import time
+
+import yaml
+
+from figpaddle.deployment import key_digest
+
+DEPLOYMENT_KEY = "a key that all instances of this test share"
+OPERATOR_TOKEN = "operator-token"
+READY_TIMEOUT_S = 20.0
+STOP_TIMEOUT_S = 30.0
+
+
+class ProcessError(Exception):
+    """A process did not do what the test needs."""
+
+
+@dataclasses.dataclass(kw_only=True)
+class Process:
+    """One started process and the lines that it printed."""
+
+    name: str
+    popen: subprocess.Popen[str]
+    lines: list[str] = dataclasses.field(default_factory=list)
+    news: queue.Queue[str | None] = dataclasses.field(default_factory=queue.Queue)
+    fields: dict[str, str] = dataclasses.field(default_factory=dict)
+
+    def wait_for(self, text: str, timeout_s: float = READY_TIMEOUT_S) -> str:
+        """Return the next line that contains ``text``."""
+        deadline = time.monotonic() + timeout_s
+        while True:
+            left = deadline - time.monotonic()
+            try:
+                line = self.news.get(timeout=max(0.01, left))
+            except queue.Empty:
+                raise ProcessError(f"{self.name}: no {text!r} in time\n{self.tail()}") from None
+            if line is None:
+                raise ProcessError(f"{self.name} ended\n{self.tail()}")
+            if text in line:
+                return line
+
+    def tail(self) -> str:
+        return "\n".join(self.lines[-30:])
+
+    def signal(self, number: signal.Signals) -> None:
+        self.popen.send_signal(number)
+
+    def kill(self) -> None:
+        with contextlib.suppress(ProcessLookupError):
+            self.popen.kill()
+        self.popen.wait()
+
+    def stop(self, timeout_s: float = STOP_TIMEOUT_S) -> int:
+        self.popen.terminate()
+        return self.popen.wait(timeout_s)
+
+
+def start(name: str, *arguments: str) -> Process:
+    """Start ``python -m arguments`` and return it once it says that it is ready."""
+    popen = subprocess.Popen(
+        [sys.executable, "-u", "-m", *arguments],
+        stdout=subprocess.PIPE,
+        stderr=subprocess.STDOUT,
+        text=True,
+    )
+    process = Process(name=name, popen=popen)
+    threading.Thread(target=_read, args=(process,), daemon=True).start()
+    line = process.wait_for("event=ready")
+    process.fields = dict(re.findall(r"(\w+)=(\S+)", line))
+    return process
+
+
+def _read(process: Process) -> None:
+    assert process.popen.stdout is not None
+    for line in process.popen.stdout:
+        process.lines.append(line.rstrip())
+        process.news.put(line.rstrip())
+    process.news.put(None)
+
+
+class Deployment:
+    """Instances and stand-ins of one test, all stopped at its end."""
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        self.folder = folder
+        self.instances: dict[str, Process] = {}
+        self.backends: dict[str, Process] = {}
+        self.operators = [{"name": "root", "token_digest": key_digest(OPERATOR_TOKEN)}]
+
+    def __enter__(self) -> Deployment:
+        return self
+
+    def __exit__(self, *error: object) -> None:
+        for process in [*self.backends.values(), *self.instances.values()]:
+            process.kill()
+
+    def write(self, name: str, plain: object) -> pathlib.Path:
+        path = self.folder / name
+        path.write_text(yaml.safe_dump(plain), encoding="utf-8")
+        return path
+
+    def write_clients(self, *clients: tuple[str, str, str, str]) -> None:
+        """Write the directory from (name, member, home, key)."""
+        plain = [
+            {"name": name, "member": member, "home": home, "key_digest": key_digest(key)}
+            for name, member, home, key in clients
+        ]
+        self.write("clients.yaml", plain)
+
+    def start_instance(self, name: str, region: str, **settings: object) -> Process:
+        """Start a figpaddled that joins by those already started."""
+        host = settings.pop("host", "127.0.0.1")
+        join = [
+            process.fields["peers"]
+            for process in self.instances.values()
+            if process.popen.poll() is None
+        ]
+        ports = ("callers", "backends", "operators", "peers")
+        plain = {
+            "instance": name,
+            "region": region,
+            "zone": f"{region}-a",
+            "listen": dict.fromkeys(ports, f"{host}:0"),
+            "join": join,
+            "deployment_key": DEPLOYMENT_KEY,
+            "directory": "clients.yaml",
+            "configuration": "configuration.yaml",
+            "operators": self.operators,
+            **settings,
+        }
+        path = self.write(f"{name}.yaml", plain)
+        process = start(name, "figpaddle.daemon", "--settings", str(path))
+        self.instances[name] = process
+        return process
+
+    def start_backend(
+        self, name: str, kind: str, region: str, services: tuple[str, ...], *options: str
+    ) -> Process:
+        """Start a stand-in that announces itself to the region's instances."""
+        arguments = ["figpaddle.standins", kind, "--name", name, "--region", region]
+        for service in services:
+            arguments += ["--service", service]
+        for process in self.instances.values():
+            if process.name.startswith(region):
+                arguments += ["--announce", process.fields["backends"]]
+        process = start(name, *arguments, *options)
+        self.backends[name] = process
+        return process
--- /dev/null
+++ b/tests/test_path.py
@@ -0,0 +1,104 @@
+"""A request goes from a caller through figpaddle to a backend server and back."""
+
+from __future__ import annotations
+
+import concurrent.futures
+import pathlib
+from collections.abc import Iterator
+
+import pytest
+
+from tests.calls import call, chat, state, streamed_words, wait_until
+from tests.conftest import CUMBRE_KEY, HANBIT_KEY, write_examples
+from tests.harness import Deployment
+
+
+@pytest.fixture(scope="module")
+def running(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Deployment]:
+    folder: pathlib.Path = tmp_path_factory.mktemp("path")
+    with Deployment(folder) as deployment:
+        write_examples(deployment)
+        for region in ("seoul", "busan"):
+            deployment.start_instance(f"{region}-1", region)
+        deployment.start_backend("engine-1", "engine", "seoul", ("draft", "desk-chat"))
+        deployment.start_backend("records-1", "records", "busan", ("intake-records",))
+        entry = deployment.instances["seoul-1"].fields["callers"]
+        wait_until(
+            lambda: chat(entry, "draft", "x", key=HANBIT_KEY).is_success
+            and call(entry, "GET", "/services/intake-records/", key=HANBIT_KEY).is_success,
+            what="both services answer",
+        )
+        yield deployment
+
+
+def entry(deployment: Deployment, name: str) -> str:
+    return deployment.instances[name].fields["callers"]
+
+
+@pytest.mark.parametrize("name", ["seoul-1", "busan-1"])
+def test_streams_a_whole_draft_through_any_entry(running: Deployment, name: str) -> None:
+    answer = chat(
+        entry(running, name), "draft", "신고서 요약", key=HANBIT_KEY, stream=True, max_tokens=9
+    )
+    assert answer.headers["figpaddle-region"] == "seoul"
+    assert len(streamed_words(answer.text)) == 9
+
+
+def test_application_call_crosses_to_the_region_of_its_service(running: Deployment) -> None:
+    answer = call(
+        entry(running, "seoul-1"),
+        "POST",
+        "/services/intake-records/filings",
+        key=HANBIT_KEY,
+        content=b"x" * 300_000,
+        headers={"idempotency-key": "one"},
+    )
+    assert answer.status_code == 201
+    assert answer.headers["figpaddle-region"] == "busan"
+    assert answer.json()["run"] == 1
+
+
+@pytest.mark.parametrize(
+    ("key", "model", "status", "problem"),
+    [
+        ("wrong", "draft", 401, "unauthorized"),
+        (CUMBRE_KEY, "draft", 403, "forbidden"),
+        (HANBIT_KEY, "no-such-model", 403, "forbidden"),
+        (HANBIT_KEY, "intake-records", 403, "forbidden"),
+    ],
+)
+def test_refusal_gives_no_hint_of_what_exists(
+    running: Deployment, key: str, model: str, status: int, problem: str
+) -> None:
+    answer = chat(entry(running, "seoul-1"), model, "x", key=key)
+    assert answer.status_code == status
+    document = answer.json()
+    assert document["type"] == f"urn:figpaddle:problem:{problem}"
+    assert document["outcome"] == "not run"
+
+
+def test_lookup_names_serving_instances_home_region_first(running: Deployment) -> None:
+    answer = call(entry(running, "busan-1"), "GET", "/v1/entries", key=HANBIT_KEY).json()
+    assert [item["instance"] for item in answer["entries"]] == ["seoul-1", "busan-1"]
+    assert answer["ttl_s"] > 0
+
+
+def test_planned_stop_cuts_no_stream_in_progress(deployment: Deployment) -> None:
+    instance = deployment.start_instance("seoul-1", "seoul")
+    deployment.start_backend("engine-1", "engine", "seoul", ("draft",), "--decode-ms", "50")
+    address = instance.fields["callers"]
+    wait_until(
+        lambda: chat(address, "draft", "x", key=HANBIT_KEY, max_tokens=1).is_success,
+        what="the engine answers",
+    )
+    with concurrent.futures.ThreadPoolExecutor() as pool:
+        stream = pool.submit(
+            chat, address, "draft", "long", key=HANBIT_KEY, stream=True, max_tokens=100
+        )
+        wait_until(lambda: state_in_progress(deployment) == 1, what="the stream runs")
+        assert instance.stop() == 0
+        assert len(streamed_words(stream.result().text)) == 100
+
+
+def state_in_progress(deployment: Deployment) -> int:
+    return int(state(deployment.instances["seoul-1"])["in_progress"])
