Add a fault-injecting proxy and prove that a cut-off region serves its own callers

Cause: promises under partition had no proof; links could not be cut, delayed or recorded. Change: a TCP proxy that knows both ends of a connection by their IP; the harness gives each process an IP of its own and leads peers, callers and backend servers through the proxy. Conclusion: a region cut off both ways answers its own callers; the link opens again when healed.

--- a/figpaddle/standins/_main.py
+++ b/figpaddle/standins/_main.py
@@ -26,6 +26,7 @@
 RegionOption = Annotated[str, typer.Option(help="Region it stands in.")]
 AnnounceOption = Annotated[list[str], typer.Option(help="Backends' port of an instance.")]
 ListenOption = Annotated[str, typer.Option(help="Address to listen on.")]
+AdvertiseOption = Annotated[str | None, typer.Option(help="Address to announce, if another.")]
 
 
 @app.command()
@@ -35,6 +36,7 @@
     region: RegionOption,
     announce: AnnounceOption,
     listen_on: ListenOption = "127.0.0.1:0",
+    advertise: AdvertiseOption = None,
     slots: Annotated[int, typer.Option(help="Requests in one batch.")] = 8,
     prefill: Annotated[float, typer.Option(help="Prompt tokens a second.")] = 20000.0,
     decode_ms: Annotated[float, typer.Option(help="Time for a token, milliseconds.")] = 5.0,
@@ -48,7 +50,7 @@
         decode_s=decode_ms / 1000,
         cache_blocks=cache_blocks,
     )
-    _run(application, name, service, region, announce, listen_on, slots)
+    _run(application, name, service, region, announce, listen_on, advertise, slots)
 
 
 @app.command()
@@ -58,9 +60,10 @@
     region: RegionOption,
     announce: AnnounceOption,
     listen_on: ListenOption = "127.0.0.1:0",
+    advertise: AdvertiseOption = None,
 ) -> None:
     """Run an application service whose calls may not be repeated."""
-    _run(RecordsService(name=name), name, service, region, announce, listen_on, 16)
+    _run(RecordsService(name=name), name, service, region, announce, listen_on, advertise, 16)
 
 
 def _run(
@@ -70,12 +73,13 @@
     region: str,
     targets: list[str],
     address: str,
+    advertise: str | None,
     slots: int,
 ) -> None:
     listener = listen(address)
     info = BackendInfo(
         name=name,
-        address=listener.address,
+        address=advertise or listener.address,
         region=region,
         zone=f"{region}-a",
         services=tuple(services),
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -15,6 +15,7 @@
     generate,
     read_answers,
 )
+from tests.fault_proxy import FaultProxy
 from tests.harness import Deployment
 
 EXAMPLES = pathlib.Path(__file__).resolve().parent.parent / "examples"
@@ -44,3 +45,11 @@
     with Deployment(tmp_path) as running:
         write_examples(running)
         yield running
+
+
+@pytest.fixture
+def proxied(tmp_path: pathlib.Path) -> Iterator[Deployment]:
+    """A deployment whose processes reach each other through a fault-injecting proxy."""
+    with Deployment(tmp_path, proxy=FaultProxy()) as running:
+        write_examples(running)
+        yield running
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -16,9 +16,11 @@
 import yaml
 
 from figpaddle.deployment import key_digest
+from tests.fault_proxy import FaultProxy
 
 DEPLOYMENT_KEY = "a key that all instances of this test share"
 OPERATOR_TOKEN = "operator-token"
+PORTS = ("callers", "backends", "operators", "peers")
 READY_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 30.0
 
@@ -91,10 +93,17 @@
 
 
 class Deployment:
-    """Instances and stand-ins of one test, all stopped at its end."""
+    """Instances and stand-ins of one test, all stopped at its end.
 
-    def __init__(self, folder: pathlib.Path) -> None:
+    With a proxy each instance and backend server has an IP of its own, and peers, callers and
+    backend servers are reached through the proxy under the process's name.
+    """
+
+    def __init__(self, folder: pathlib.Path, *, proxy: FaultProxy | None = None) -> None:
         self.folder = folder
+        self.proxy = proxy
+        self._hosts: dict[str, str] = {}
+        self._proxied: dict[tuple[str, str], str] = {}
         self.instances: dict[str, Process] = {}
         self.backends: dict[str, Process] = {}
         self.operators = [{"name": "root", "token_digest": key_digest(OPERATOR_TOKEN)}]
@@ -105,6 +114,8 @@
     def __exit__(self, *error: object) -> None:
         for process in [*self.backends.values(), *self.instances.values()]:
             process.kill()
+        if self.proxy is not None:
+            self.proxy.close()
 
     def write(self, name: str, plain: object) -> pathlib.Path:
         path = self.folder / name
@@ -119,20 +130,41 @@
         ]
         self.write("clients.yaml", plain)
 
+    def host_of(self, name: str) -> str:
+        """Return the IP of the process called ``name``."""
+        if self.proxy is None:
+            return "127.0.0.1"
+        if name not in self._hosts:
+            self._hosts[name] = f"127.7.0.{len(self._hosts) + 1}"
+            self.proxy.name_source(self._hosts[name], name)
+        return self._hosts[name]
+
+    def address(self, name: str, port: str) -> str:
+        """Return the proxied address of a port of the process called ``name``."""
+        assert self.proxy is not None
+        if (name, port) not in self._proxied:
+            self._proxied[name, port] = self.proxy.add(name, port)
+        return self._proxied[name, port]
+
+    def entry(self, name: str) -> str:
+        """Return the callers' address of an instance, proxied if there is a proxy."""
+        if self.proxy is not None:
+            return self.address(name, "callers")
+        return self.instances[name].fields["callers"]
+
     def start_instance(self, name: str, region: str, **settings: object) -> Process:
         """Start a figpaddled that joins by those already started."""
-        host = settings.pop("host", "127.0.0.1")
+        host = self.host_of(name)
         join = [
-            process.fields["peers"]
-            for process in self.instances.values()
-            if process.popen.poll() is None
+            self.address(other, "peers") if self.proxy else process.fields["peers"]
+            for other, process in self.instances.items()
+            if other != name and process.popen.poll() is None
         ]
-        ports = ("callers", "backends", "operators", "peers")
         plain = {
             "instance": name,
             "region": region,
             "zone": f"{region}-a",
-            "listen": dict.fromkeys(ports, f"{host}:0"),
+            "listen": dict.fromkeys(PORTS, f"{host}:0"),
             "join": join,
             "deployment_key": DEPLOYMENT_KEY,
             "directory": "clients.yaml",
@@ -140,9 +172,17 @@
             "operators": self.operators,
             **settings,
         }
+        if self.proxy is not None:
+            plain["advertise"] = {
+                "peers": self.address(name, "peers"),
+                "callers": self.address(name, "callers"),
+            }
         path = self.write(f"{name}.yaml", plain)
         process = start(name, "figpaddle.daemon", "--settings", str(path))
         self.instances[name] = process
+        if self.proxy is not None:
+            for port in ("peers", "callers"):
+                self.proxy.set_target(name, port, process.fields[port])
         return process
 
     def start_backend(
@@ -155,6 +195,11 @@
         for process in self.instances.values():
             if process.name.startswith(region):
                 arguments += ["--announce", process.fields["backends"]]
+        if self.proxy is not None:
+            arguments += ["--listen-on", f"{self.host_of(name)}:0"]
+            arguments += ["--advertise", self.address(name, "http")]
         process = start(name, *arguments, *options)
+        if self.proxy is not None:
+            self.proxy.set_target(name, "http", process.fields["address"])
         self.backends[name] = process
         return process
--- /dev/null
+++ b/tests/test_partition.py
@@ -0,0 +1,41 @@
+"""A region cut off from the others keeps serving its own callers."""
+
+from __future__ import annotations
+
+from tests.calls import chat, state, wait_until
+from tests.conftest import HANBIT_KEY
+from tests.harness import Deployment
+
+
+def start_two_regions(deployment: Deployment) -> None:
+    for region in ("seoul", "busan"):
+        deployment.start_instance(f"{region}-1", region)
+        deployment.start_backend(f"{region}-engine", "engine", region, ("draft",))
+
+
+def served_region(deployment: Deployment, instance: str) -> str | None:
+    answer = chat(deployment.entry(instance), "draft", "x", key=HANBIT_KEY, max_tokens=1)
+    return answer.headers.get("figpaddle-region") if answer.is_success else None
+
+
+def test_region_cut_off_keeps_serving_its_own_callers(proxied: Deployment) -> None:
+    start_two_regions(proxied)
+    for region in ("seoul", "busan"):
+        wait_until(lambda r=region: served_region(proxied, f"{r}-1") == r, what="served at home")
+
+    wait_until(
+        lambda: bool(state(proxied.instances["seoul-1"])["membership"]["links"]), what="link"
+    )
+    assert proxied.proxy is not None
+    proxied.proxy.cut("seoul-1", "busan-1")
+    wait_until(
+        lambda: not state(proxied.instances["seoul-1"])["membership"]["links"],
+        what="the cut link is noticed",
+    )
+    for region in ("seoul", "busan"):
+        assert served_region(proxied, f"{region}-1") == region
+    proxied.proxy.heal()
+    wait_until(
+        lambda: bool(state(proxied.instances["seoul-1"])["membership"]["links"]),
+        what="the link opens again",
+    )
