Route by member and service, so that equal names never mix members

Cause: backend servers announced a bare service name; a rival's request for a service of the same name reached them. Ruled out: unique names across members; that would let one member infer another's configuration. Change: announcements and summaries name member/service. Conclusion: the test passes; a request reaches only what was announced for its member.

--- a/figpaddle/daemon/_exchange.py
+++ b/figpaddle/daemon/_exchange.py
@@ -44,6 +44,14 @@
     #: How often it has crossed regions.
     crossings: int = 0
 
+    @property
+    def offering(self) -> str:
+        """Name under which backend servers announce the service: ``member/service``.
+
+        Two members may give services the same name, so the member is always part of it.
+        """
+        return f"{self.member}/{self.service}"
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class AnswerHead:
--- a/figpaddle/daemon/_gateway.py
+++ b/figpaddle/daemon/_gateway.py
@@ -117,10 +117,10 @@
         now = self._clock()
         backends = tuple(
             known
-            for known in self._backends.candidates(head.service, now=now)
+            for known in self._backends.candidates(head.offering, now=now)
             if known.info.name not in tried
         )
-        regions = () if head.crossings else self._regions.options(head.service, allowed, now=now)
+        regions = () if head.crossings else self._regions.options(head.offering, allowed, now=now)
         return self._policy.place(Options(backends=backends, regions=regions), now=now)
 
     async def _carry_out(
--- a/figpaddle/standins/_main.py
+++ b/figpaddle/standins/_main.py
@@ -22,7 +22,9 @@
 app = typer.Typer(add_completion=False, no_args_is_help=True)
 
 NameOption = Annotated[str, typer.Option(help="Name of the backend server.")]
-ServiceOption = Annotated[list[str], typer.Option(help="Service that it runs; repeat for more.")]
+ServiceOption = Annotated[
+    list[str], typer.Option(help="Service that it runs, member/service; repeat for more.")
+]
 RegionOption = Annotated[str, typer.Option(help="Region it stands in.")]
 AnnounceOption = Annotated[list[str], typer.Option(help="Backends' port of an instance.")]
 ListenOption = Annotated[str, typer.Option(help="Address to listen on.")]
--- a/figpaddle/wire/_messages.py
+++ b/figpaddle/wire/_messages.py
@@ -128,7 +128,7 @@
     region: str
     #: Availability zone it stands in.
     zone: str
-    #: Names of the services it runs.
+    #: Services that it runs, each as ``member/service``.
     services: tuple[str, ...]
     #: Raised by the backend server at each start.
     incarnation: int
@@ -159,7 +159,7 @@
 class ServiceSummary:
     """State of one service in one region."""
 
-    #: Name of the service.
+    #: Service as ``member/service``.
     service: str
     #: Backend servers that take new work.
     backends: int
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -188,10 +188,13 @@
     def start_backend(
         self, name: str, kind: str, region: str, services: tuple[str, ...], *options: str
     ) -> Process:
-        """Start a stand-in that announces itself to the region's instances."""
+        """Start a stand-in that announces itself to the region's instances.
+
+        A service without a member is Hanbit's.
+        """
         arguments = ["figpaddle.standins", kind, "--name", name, "--region", region]
         for service in services:
-            arguments += ["--service", service]
+            arguments += ["--service", service if "/" in service else f"hanbit/{service}"]
         for process in self.instances.values():
             if process.name.startswith(region):
                 arguments += ["--announce", process.fields["backends"]]
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -77,6 +77,17 @@
     assert document["outcome"] == "not run"
 
 
+def test_service_of_one_member_never_gets_another_members_request(
+    deployment: Deployment,
+) -> None:
+    instance = deployment.start_instance("highlands-1", "highlands")
+    deployment.start_backend("rival-engine", "engine", "highlands", ("hanbit/chat",))
+    wait_until(lambda: bool(state(instance)["backends"]), what="the engine is known")
+    answer = chat(instance.fields["callers"], "chat", "x", key=CUMBRE_KEY)
+    assert answer.status_code == 503
+    assert answer.json()["type"] == "urn:figpaddle:problem:no-backend-server"
+
+
 def test_lookup_names_serving_instances_home_region_first(running: Deployment) -> None:
     answer = call(entry(running, "busan-1"), "GET", "/v1/entries", key=HANBIT_KEY).json()
     assert [item["instance"] for item in answer["entries"]] == ["seoul-1", "busan-1"]
