--- a/figpaddle/daemon/_callers.py
+++ b/figpaddle/daemon/_callers.py
@@ -28,6 +28,7 @@
     Scope,
     Send,
     bearer,
+    check_body_length,
     encode_headers,
     header,
     problem_document,
@@ -40,6 +41,7 @@
     DrainingError,
     ForbiddenError,
     InvalidRequestError,
+    RegionNotAllowedError,
     RequestError,
     UnauthorizedError,
 )
@@ -51,8 +53,10 @@
 SERVICES_PREFIX = "/services/"
 #: Methods that never change anything at the service.
 SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
+#: Header that names the service of a chat outside of its body.
+SERVICE_HEADER = "figpaddle-service"
 #: Headers of the caller that are for figpaddle only.
-OWN_HEADERS = frozenset({"authorization", "content-length", "x-request-id"})
+OWN_HEADERS = frozenset({"authorization", "content-length", "x-request-id", SERVICE_HEADER})
 
 
 class CallersPort:
@@ -139,6 +143,8 @@
     async def _chat(
         self, scope: Scope, receive: Receive, sink: HttpSink, client: Client, request_id: str
     ) -> None:
+        self._check_chat_region(client, header(scope, SERVICE_HEADER))
+        check_body_length(scope, limit_bytes=self._body_limit_bytes)
         data = await HttpBody(receive=receive, limit_bytes=self._body_limit_bytes).read()
         service = self._service(client, _model_name(data))
         if service.kind is not ServiceKind.MODEL:
@@ -146,6 +152,23 @@
         head = self._head(scope, client, service, target=CHAT_PATH, request_id=request_id)
         await self._serve_until_gone(head, BufferedBody(data=data), sink, receive)
 
+    def _check_chat_region(self, client: Client, named: str | None) -> None:
+        """Raise RegionNotAllowedError before a body is read that this region may not hold.
+
+        The body of a chat names its service, so all model services of the member must be allowed
+        here unless a header names the one that is meant.
+        """
+        member = self._configuration.current.member(client.member)
+        services = member.services if member is not None else ()
+        meant = [
+            service
+            for service in services
+            if service.kind is ServiceKind.MODEL and named in (None, service.name)
+        ]
+        own_region = self._directory.own.region
+        if any(own_region not in service.regions for service in meant):
+            raise RegionNotAllowedError(region=own_region)
+
     async def _application(
         self, scope: Scope, receive: Receive, sink: HttpSink, client: Client, request_id: str
     ) -> None:
@@ -153,6 +176,9 @@
         service = self._service(client, name)
         if service.kind is not ServiceKind.APPLICATION:
             raise ForbiddenError
+        if self._directory.own.region not in service.regions:
+            raise RegionNotAllowedError(region=self._directory.own.region)
+        check_body_length(scope, limit_bytes=self._body_limit_bytes)
         query = scope["query_string"].decode("latin-1")
         target = f"/{rest}" + (f"?{query}" if query else "")
         head = self._head(scope, client, service, target=target, request_id=request_id)
@@ -196,8 +222,7 @@
     ) -> None:
         error: RequestError | CallerGoneError | None = None
         async with anyio.create_task_group() as tasks:
-            if isinstance(body, BufferedBody):
-                tasks.start_soon(self._watch_caller, receive, tasks.cancel_scope, head.request_id)
+            tasks.start_soon(self._watch_caller, body, receive, tasks.cancel_scope, head)
             try:
                 await self._gateway.serve(head, body, sink)
             except (RequestError, CallerGoneError) as failure:
@@ -207,12 +232,15 @@
             raise error
 
     async def _watch_caller(
-        self, receive: Receive, scope: anyio.CancelScope, request_id: str
+        self, body: BodySource, receive: Receive, scope: anyio.CancelScope, head: RequestHead
     ) -> None:
+        """Cancel the exchange when the caller goes away after its request was read."""
+        if isinstance(body, HttpBody):
+            await body.wait_ended()
         while True:
             event = await receive()
             if event["type"] == "http.disconnect":
-                self._log.info("caller_gone", request_id=request_id)
+                self._log.info("caller_gone", request_id=head.request_id)
                 scope.cancel()
                 return
 
--- a/figpaddle/daemon/_exchange.py
+++ b/figpaddle/daemon/_exchange.py
@@ -8,6 +8,9 @@
 
 Headers = tuple[tuple[str, str], ...]
 
+#: Largest body of a request that is held in memory to be sent again, bytes.
+HELD_BODY_BYTES = 256 * 1024
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class RequestHead:
@@ -43,6 +46,8 @@
     visited: tuple[str, ...] = ()
     #: How often it has crossed regions.
     crossings: int = 0
+    #: Longest silence within an answer, seconds.
+    idle_s: float = 30.0
 
     @property
     def offering(self) -> str:
@@ -88,6 +93,11 @@
     def __init__(self, *, data: bytes) -> None:
         self._data = data
 
+    @property
+    def data(self) -> bytes:
+        """The whole body."""
+        return self._data
+
     @property
     def touched(self) -> bool:
         """Whether a part of the body can't be taken again: never."""
@@ -99,6 +109,43 @@
             yield self._data
 
 
+class PartlyReadBody(BodySource):
+    """A body too large to hold, whose first pieces were already read."""
+
+    def __init__(self, *, first: bytes, rest: AsyncIterator[bytes]) -> None:
+        self._first = first
+        self._rest = rest
+        self._touched = False
+
+    @property
+    def touched(self) -> bool:
+        """Whether a part of the body was already taken from here."""
+        return self._touched
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        """Return the pieces of the body in order."""
+        self._touched = True
+        yield self._first
+        async for chunk in self._rest:
+            yield chunk
+
+
+async def hold_small(body: BodySource) -> BodySource:
+    """Return ``body`` held in memory if it is small, so that it can be sent again.
+
+    A larger one is returned with its first pieces read and can be sent once only.
+    """
+    if isinstance(body, BufferedBody):
+        return body
+    held = bytearray()
+    rest = body.chunks()
+    async for chunk in rest:
+        held += chunk
+        if len(held) > HELD_BODY_BYTES:
+            return PartlyReadBody(first=bytes(held), rest=rest)
+    return BufferedBody(data=bytes(held))
+
+
 class AnswerSink(abc.ABC):
     """Where the answer to a request goes."""
 
--- /dev/null
+++ b/figpaddle/daemon/_forward_receiver.py
@@ -0,0 +1,171 @@
+"""Forwarding of requests to instances of other regions, the receiving end."""
+
+from __future__ import annotations
+
+import contextlib
+from collections.abc import AsyncIterator, Awaitable, Callable
+
+import anyio
+
+from figpaddle.daemon._channel import Channel
+from figpaddle.daemon._exchange import AnswerHead, AnswerSink, BodySource, RequestHead
+from figpaddle.errors import (
+    FigpaddleError,
+    MalformedMessageError,
+    PeerUnreachableError,
+    RequestError,
+)
+from figpaddle.wire import (
+    ForwardAlive,
+    ForwardBody,
+    ForwardFailed,
+    ForwardHead,
+    ForwardOpen,
+)
+
+#: Interval at which a receiver says that it works on a request, seconds.
+ALIVE_INTERVAL_S = 1.0
+#: Longest silence within the body of a forwarded request, seconds.
+BODY_SILENCE_S = 30.0
+#: A channel without a request is closed by its receiver after this, seconds.
+UNUSED_CHANNEL_S = 15.0
+
+Serve = Callable[[RequestHead, BodySource, AnswerSink], Awaitable[None]]
+
+
+class ForwardReceiver:
+    """Serves requests that other instances forwarded."""
+
+    def __init__(self, *, serve: Serve, clock: Callable[[], float]) -> None:
+        self._serve = serve
+        self._clock = clock
+
+    async def handle(self, peer: str, channel: Channel) -> None:
+        """Serve the next request on ``channel``; raises PeerUnreachableError at its end."""
+        opened = await channel.receive_within(UNUSED_CHANNEL_S)
+        if not isinstance(opened, ForwardOpen):
+            raise MalformedMessageError(what="a forward must open first", where=peer)
+        body = _ChannelBody(channel=channel)
+        sink = _ChannelSink(channel=channel, request_id=opened.request_id)
+        failure: FigpaddleError | None = None
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(_keep_alive, channel, opened.request_id)
+            tasks.start_soon(_cancel_when_closed, channel, tasks.cancel_scope)
+            try:
+                await self._serve(self._head(opened), body, sink)
+            except FigpaddleError as error:
+                failure = error
+            tasks.cancel_scope.cancel()
+        if isinstance(failure, RequestError):
+            await channel.send(_failed(failure))
+        elif failure is not None:
+            raise failure
+        await body.discard_rest()
+
+    def _head(self, opened: ForwardOpen) -> RequestHead:
+        return RequestHead(
+            request_id=opened.request_id,
+            member=opened.member,
+            client=opened.client,
+            home="",
+            service=opened.service,
+            method=opened.method,
+            target=opened.target,
+            headers=opened.headers,
+            idempotent=opened.idempotent,
+            idempotency_key=None,
+            deadline_at=self._clock() + opened.deadline_s,
+            deadline_s=opened.deadline_s,
+            priority=opened.priority,
+            visited=opened.visited,
+            crossings=opened.crossings,
+        )
+
+
+async def _keep_alive(channel: Channel, request_id: str) -> None:
+    with contextlib.suppress(PeerUnreachableError):
+        while True:
+            await channel.send(ForwardAlive(request_id=request_id))
+            await anyio.sleep(ALIVE_INTERVAL_S)
+
+
+async def _cancel_when_closed(channel: Channel, scope: anyio.CancelScope) -> None:
+    await channel.wait_closed()
+    scope.cancel()
+
+
+def _failed(error: RequestError) -> ForwardFailed:
+    return ForwardFailed(
+        status=error.status,
+        problem=error.problem,
+        what=error.what,
+        outcome=error.outcome.value,
+        retry_after_s=error.retry_after_s,
+    )
+
+
+class _ChannelBody(BodySource):
+    """The body of a forwarded request, read from its connection."""
+
+    def __init__(self, *, channel: Channel) -> None:
+        self._channel = channel
+        self._touched = False
+        #: Whether the end mark has been read.
+        self.ended = False
+
+    @property
+    def touched(self) -> bool:
+        """Whether a part of the body was already taken."""
+        return self._touched
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        """Return the pieces as they arrive."""
+        self._touched = True
+        while not self.ended:
+            piece = await self._channel.receive_within(BODY_SILENCE_S)
+            if not isinstance(piece, ForwardBody):
+                raise MalformedMessageError(what="no body", where=self._channel.peer)
+            self.ended = piece.last
+            if piece.data:
+                yield piece.data
+
+    async def discard_rest(self) -> None:
+        """Read what is left of the body, so that the connection can carry the next request."""
+        async for _ in self.chunks():
+            pass
+
+
+class _ChannelSink(AnswerSink):
+    """Sends the answer to a forwarded request back."""
+
+    def __init__(self, *, channel: Channel, request_id: str) -> None:
+        self._channel = channel
+        self._request_id = request_id
+        self._started = False
+
+    @property
+    def started(self) -> bool:
+        """Whether the head of the answer has been sent."""
+        return self._started
+
+    async def start(self, head: AnswerHead) -> None:
+        """Send the head of the answer."""
+        self._started = True
+        await self._channel.send(
+            ForwardHead(
+                status=head.status,
+                headers=head.headers,
+                backend=head.backend,
+                instance=head.instance,
+                region=head.region,
+                request_id=self._request_id,
+            )
+        )
+
+    async def write(self, data: bytes) -> None:
+        """Send a piece of the answer."""
+        await self._channel.send(ForwardBody(data=data, last=False))
+
+    async def finish(self) -> None:
+        """Send the end mark."""
+        await self._channel.send(ForwardBody(data=b"", last=True))
--- a/figpaddle/daemon/_forwarder.py
+++ b/figpaddle/daemon/_forwarder.py
@@ -1,16 +1,18 @@
-"""Forwarding of requests to instances of other regions, both ends."""
+"""Forwarding of requests to instances of other regions, the sending end."""
 
 from __future__ import annotations
 
+import contextlib
 import random
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator, Callable, Iterator
 
 import anyio
 
 from figpaddle.coordination import InstanceDirectory
+from figpaddle.daemon._channel import Channel
 from figpaddle.daemon._configuration_state import ConfigurationState
 from figpaddle.daemon._exchange import AnswerHead, AnswerSink, BodySource, RequestHead
-from figpaddle.daemon._peers import Channel, PeerNetwork
+from figpaddle.daemon._peers import PeerNetwork
 from figpaddle.errors import (
     DeadlineExceededError,
     ForwardRefusedError,
@@ -18,18 +20,25 @@
     NoBackendServerError,
     Outcome,
     PeerLostError,
-    PeerUnreachableError,
     RequestError,
+    WireError,
 )
 from figpaddle.wire import (
+    ForwardAlive,
     ForwardBody,
     ForwardFailed,
     ForwardHead,
     ForwardOpen,
     InstanceState,
+    Message,
 )
 
-Serve = Callable[[RequestHead, BodySource, AnswerSink], Awaitable[None]]
+#: A receiver that has not accepted a request within this is given up, seconds.
+ACCEPT_TIMEOUT_S = 1.5
+#: A receiver that was silent for this long is given up, seconds.
+SILENCE_S = 4.0
+#: Largest piece of a body in one message, bytes.
+MAX_PIECE_BYTES = 256 * 1024
 
 
 class Forwarder:
@@ -51,21 +60,42 @@
         self._clock = clock
 
     async def forward(
-        self, head: RequestHead, body: BodySource, sink: AnswerSink, *, region: str
+        self,
+        head: RequestHead,
+        body: BodySource,
+        sink: AnswerSink,
+        *,
+        region: str,
+        tried: set[str],
     ) -> None:
-        """Have an instance of ``region`` serve the request and pass its answer on."""
-        peer = self._choose_instance(head, region)
-        sent = False
+        """Have an instance of ``region`` serve the request and pass its answer on.
+
+        An instance in ``tried`` is taken only if there is no other one; the chosen one is added.
+        """
+        peer = self._choose_instance(head, region, tried)
+        tried.add(peer)
+        sent = _SentBody(body)
         try:
-            async with self._network.forward_channel(peer) as channel:
-                sent = True
-                await self._exchange(head, body, sink, channel)
-        except PeerUnreachableError as error:
-            if not sent:
-                raise NoBackendServerError(service=head.service, retry_after_s=1.0) from error
-            raise PeerLostError(peer=peer, outcome=Outcome.UNKNOWN) from error
+            with self._within_deadline(head, sent) as scope:
+                async with self._network.forward_channel(peer) as channel:
+                    await self._exchange(head, sent, sink, channel, scope)
+        except WireError as error:
+            self._network.drop_idle_channels(peer)
+            raise PeerLostError(peer=peer, outcome=sent.outcome) from error
+        except RequestError as error:
+            if sent.outcome is Outcome.UNKNOWN and not isinstance(error, ForwardRefusedError):
+                error.outcome = Outcome.UNKNOWN
+            raise
+
+    @contextlib.contextmanager
+    def _within_deadline(self, head: RequestHead, sent: _SentBody) -> Iterator[anyio.CancelScope]:
+        remaining = head.deadline_at - self._clock()
+        with anyio.CancelScope(deadline=anyio.current_time() + remaining) as scope:
+            yield scope
+        if scope.cancelled_caught:
+            raise DeadlineExceededError(deadline_s=head.deadline_s, outcome=sent.outcome)
 
-    def _choose_instance(self, head: RequestHead, region: str) -> str:
+    def _choose_instance(self, head: RequestHead, region: str, tried: set[str]) -> str:
         names = [
             info.name
             for info in self._directory.peers()
@@ -73,6 +103,7 @@
             and info.state is InstanceState.SERVING
             and info.name not in head.visited
         ]
+        names = [name for name in names if name not in tried] or names
         linked = [name for name in names if name in self._network.open_links]
         usable = linked or names
         if not usable:
@@ -80,46 +111,28 @@
         return self._rng.choice(usable)
 
     async def _exchange(
-        self, head: RequestHead, body: BodySource, sink: AnswerSink, channel: Channel
+        self,
+        head: RequestHead,
+        body: _SentBody,
+        sink: AnswerSink,
+        channel: Channel,
+        scope: anyio.CancelScope,
     ) -> None:
         remaining = head.deadline_at - self._clock()
-        with anyio.CancelScope(deadline=anyio.current_time() + remaining) as scope:
-            await channel.send(self._open_message(head, remaining))
-            async for chunk in body.chunks():
-                await channel.send(ForwardBody(data=chunk, last=False))
-            await channel.send(ForwardBody(data=b"", last=True))
-            await self._relay_answer(sink, channel, scope)
-        if scope.cancelled_caught:
-            raise DeadlineExceededError(deadline_s=head.deadline_s, outcome=Outcome.UNKNOWN)
-
-    async def _relay_answer(
-        self, sink: AnswerSink, channel: Channel, scope: anyio.CancelScope
-    ) -> None:
-        first = await channel.receive()
-        if isinstance(first, ForwardFailed):
-            raise _refusal(first)
-        if not isinstance(first, ForwardHead):
-            raise MalformedMessageError(what="no head of an answer", where=channel.peer)
+        await channel.send(self._open_message(head, remaining))
+        answer = _Answer(channel=channel, request_id=head.request_id)
+        if not head.idempotent:
+            await answer.wait_accepted()
+        async for chunk in body.chunks():
+            for start in range(0, len(chunk), MAX_PIECE_BYTES):
+                piece = chunk[start : start + MAX_PIECE_BYTES]
+                await channel.send(ForwardBody(data=piece, last=False))
+        await channel.send(ForwardBody(data=b"", last=True))
+        first = await answer.head()
         scope.deadline = float("inf")
-        await sink.start(
-            AnswerHead(
-                status=first.status,
-                headers=first.headers,
-                backend=first.backend,
-                instance=first.instance,
-                region=first.region,
-            )
-        )
-        while True:
-            piece = await channel.receive()
-            if isinstance(piece, ForwardFailed):
-                raise _refusal(piece)
-            if not isinstance(piece, ForwardBody):
-                raise MalformedMessageError(what="no body of an answer", where=channel.peer)
-            if piece.data:
-                await sink.write(piece.data)
-            if piece.last:
-                break
+        await sink.start(first)
+        async for data in answer.pieces():
+            await sink.write(data)
         await sink.finish()
 
     def _open_message(self, head: RequestHead, remaining_s: float) -> ForwardOpen:
@@ -140,126 +153,83 @@
         )
 
 
-def _refusal(failed: ForwardFailed) -> ForwardRefusedError:
-    return ForwardRefusedError(
-        status=failed.status,
-        problem=failed.problem,
-        what=failed.what,
-        outcome=Outcome(failed.outcome),
-        retry_after_s=failed.retry_after_s,
-    )
-
+class _SentBody:
+    """Passes a body on and knows what a failure means for the outcome."""
 
-class ForwardReceiver:
-    """Serves requests that other instances forwarded."""
-
-    def __init__(self, *, serve: Serve, clock: Callable[[], float]) -> None:
-        self._serve = serve
-        self._clock = clock
-
-    async def handle(self, peer: str, channel: Channel) -> None:
-        """Serve the next request on ``channel``; raises PeerUnreachableError at its end."""
-        opened = await channel.receive()
-        if not isinstance(opened, ForwardOpen):
-            raise MalformedMessageError(what="a forward must open first", where=peer)
-        body = _ChannelBody(channel=channel)
-        sink = _ChannelSink(channel=channel)
-        try:
-            await self._serve(self._head(opened), body, sink)
-        except RequestError as error:
-            await channel.send(_failed(error))
-        await body.discard_rest()
-
-    def _head(self, opened: ForwardOpen) -> RequestHead:
-        return RequestHead(
-            request_id=opened.request_id,
-            member=opened.member,
-            client=opened.client,
-            home="",
-            service=opened.service,
-            method=opened.method,
-            target=opened.target,
-            headers=opened.headers,
-            idempotent=opened.idempotent,
-            idempotency_key=None,
-            deadline_at=self._clock() + opened.deadline_s,
-            deadline_s=opened.deadline_s,
-            priority=opened.priority,
-            visited=opened.visited,
-            crossings=opened.crossings,
-        )
-
-
-def _failed(error: RequestError) -> ForwardFailed:
-    return ForwardFailed(
-        status=error.status,
-        problem=error.problem,
-        what=error.what,
-        outcome=error.outcome.value,
-        retry_after_s=error.retry_after_s,
-    )
-
-
-class _ChannelBody(BodySource):
-    """The body of a forwarded request, read from its connection."""
-
-    def __init__(self, *, channel: Channel) -> None:
-        self._channel = channel
-        self._touched = False
-        #: Whether the end mark has been read.
-        self.ended = False
-
-    @property
-    def touched(self) -> bool:
-        """Whether a part of the body was already taken."""
-        return self._touched
+    def __init__(self, body: BodySource) -> None:
+        self._body = body
+        #: The receiver runs nothing before it has a part of the body or its end mark.
+        self.outcome = Outcome.NOT_RUN
 
     async def chunks(self) -> AsyncIterator[bytes]:
-        """Return the pieces as they arrive."""
-        self._touched = True
-        while not self.ended:
-            piece = await self._channel.receive()
-            if not isinstance(piece, ForwardBody):
-                raise MalformedMessageError(what="no body", where=self._channel.peer)
-            self.ended = piece.last
-            if piece.data:
-                yield piece.data
-
-    async def discard_rest(self) -> None:
-        """Read what is left of the body, so that the connection can carry the next request."""
-        async for _ in self.chunks():
-            pass
+        """Return the pieces of the body in order."""
+        self.outcome = Outcome.UNKNOWN
+        async for chunk in self._body.chunks():
+            yield chunk
 
 
-class _ChannelSink(AnswerSink):
-    """Sends the answer to a forwarded request back."""
+class _Answer:
+    """Reads the answer to one forwarded request and refuses anything else."""
 
-    def __init__(self, *, channel: Channel) -> None:
+    def __init__(self, *, channel: Channel, request_id: str) -> None:
         self._channel = channel
-        self._started = False
+        self._request_id = request_id
+        self._accepted = False
+
+    async def wait_accepted(self) -> None:
+        """Wait until the receiver says that it has the request."""
+        if not self._accepted:
+            item = await self._receive()
+            if not isinstance(item, ForwardAlive):
+                raise MalformedMessageError(what="no acceptance", where=self._channel.peer)
+
+    async def head(self) -> AnswerHead:
+        """Return the head of the answer; raises ForwardRefusedError."""
+        item = await self._receive_news()
+        if not isinstance(item, ForwardHead) or item.request_id != self._request_id:
+            raise MalformedMessageError(what="no head of the answer", where=self._channel.peer)
+        return AnswerHead(
+            status=item.status,
+            headers=item.headers,
+            backend=item.backend,
+            instance=item.instance,
+            region=item.region,
+        )
 
-    @property
-    def started(self) -> bool:
-        """Whether the head of the answer has been sent."""
-        return self._started
+    async def pieces(self) -> AsyncIterator[bytes]:
+        """Return the pieces of the answer's body up to its end mark."""
+        while True:
+            item = await self._receive_news()
+            if not isinstance(item, ForwardBody):
+                raise MalformedMessageError(what="no body of an answer", where=self._channel.peer)
+            if item.data:
+                yield item.data
+            if item.last:
+                return
+
+    async def _receive_news(self) -> Message:
+        while True:
+            item = await self._receive()
+            if not isinstance(item, ForwardAlive):
+                return item
 
-    async def start(self, head: AnswerHead) -> None:
-        """Send the head of the answer."""
-        self._started = True
-        await self._channel.send(
-            ForwardHead(
-                status=head.status,
-                headers=head.headers,
-                backend=head.backend,
-                instance=head.instance,
-                region=head.region,
-            )
-        )
+    async def _receive(self) -> Message:
+        while True:
+            timeout_s = SILENCE_S if self._accepted else ACCEPT_TIMEOUT_S
+            item = await self._channel.receive_within(timeout_s)
+            if isinstance(item, ForwardAlive) and item.request_id != self._request_id:
+                continue
+            self._accepted = True
+            if isinstance(item, ForwardFailed):
+                raise _refusal(item)
+            return item
 
-    async def write(self, data: bytes) -> None:
-        """Send a piece of the answer."""
-        await self._channel.send(ForwardBody(data=data, last=False))
 
-    async def finish(self) -> None:
-        """Send the end mark."""
-        await self._channel.send(ForwardBody(data=b"", last=True))
+def _refusal(failed: ForwardFailed) -> ForwardRefusedError:
+    return ForwardRefusedError(
+        status=failed.status,
+        problem=failed.problem,
+        what=failed.what,
+        outcome=Outcome(failed.outcome),
+        retry_after_s=failed.retry_after_s,
+    )
--- a/figpaddle/daemon/_gateway.py
+++ b/figpaddle/daemon/_gateway.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 from collections.abc import Callable
 
 import anyio
@@ -9,15 +10,22 @@
 from figpaddle.coordination import InstanceDirectory
 from figpaddle.daemon._backend_client import BackendClient
 from figpaddle.daemon._configuration_state import ConfigurationState
-from figpaddle.daemon._exchange import AnswerHead, AnswerSink, BodySource, RequestHead
+from figpaddle.daemon._exchange import (
+    AnswerHead,
+    AnswerSink,
+    BodySource,
+    RequestHead,
+    hold_small,
+)
 from figpaddle.daemon._forwarder import Forwarder
 from figpaddle.daemon._logs import Log
 from figpaddle.daemon._regions import RegionView
+from figpaddle.daemon._retries import Attempts
 from figpaddle.errors import (
     DeadlineExceededError,
     NoBackendServerError,
     Outcome,
-    RegionNotAllowedError,
+    PeerLostError,
     RequestError,
 )
 from figpaddle.routing import (
@@ -26,12 +34,13 @@
     Options,
     Placement,
     PlacementPolicy,
+    RetryBudget,
     check_forward,
     permitted_service,
 )
 
-#: Most attempts for one request, the first included.
-MAX_ATTEMPTS = 3
+#: Shortest silence within an answer that counts as its end, seconds.
+MIN_IDLE_S = 2.0
 #: Time to come back after when no backend server is known, seconds.
 NO_BACKEND_RETRY_S = 2.0
 
@@ -62,6 +71,7 @@
         self._clock = clock
         self._log = log
         self._in_progress = 0
+        self._retry_budget = RetryBudget()
 
     @property
     def in_progress(self) -> int:
@@ -95,21 +105,25 @@
         service = permitted_service(
             self._configuration.current, member=head.member, service=head.service, region=own.region
         )
-        tried: set[str] = set()
-        for attempt in range(MAX_ATTEMPTS):
-            placement = self._place(head, service.regions, tried)
-            if placement is None:
-                break
+        head = dataclasses.replace(head, idle_s=max(MIN_IDLE_S, service.deadline_s))
+        body = await hold_small(body)
+        attempts = Attempts(head=head, budget=self._retry_budget, clock=self._clock)
+        failure: RequestError = NoBackendServerError(
+            service=head.service, retry_after_s=NO_BACKEND_RETRY_S
+        )
+        while (placement := self._place(head, service.regions, attempts.tried)) is not None:
             try:
-                await self._carry_out(head, body, sink, placement)
+                await self._carry_out(head, body, sink, placement, attempts.tried)
                 return
             except RequestError as error:
-                last = attempt == MAX_ATTEMPTS - 1
-                if last or not _may_retry(head, body, sink, error):
+                attempts.note_failure(error)
+                if not attempts.may_retry(error, body, sink):
                     raise
-            if placement.backend is not None:
-                tried.add(placement.backend.info.name)
-        raise NoBackendServerError(service=head.service, retry_after_s=NO_BACKEND_RETRY_S)
+                if placement.region is not None and not isinstance(error, PeerLostError):
+                    attempts.tried.add(placement.region)
+                self._log.info("retry", request_id=head.request_id, problem=error.problem)
+                failure = error
+        raise failure
 
     def _place(
         self, head: RequestHead, allowed: tuple[str, ...], tried: set[str]
@@ -121,15 +135,22 @@
             if known.info.name not in tried
         )
         regions = () if head.crossings else self._regions.options(head.offering, allowed, now=now)
-        return self._policy.place(Options(backends=backends, regions=regions), now=now)
+        untried = tuple(option for option in regions if option.region not in tried)
+        return self._policy.place(Options(backends=backends, regions=untried), now=now)
 
     async def _carry_out(
-        self, head: RequestHead, body: BodySource, sink: AnswerSink, placement: Placement
+        self,
+        head: RequestHead,
+        body: BodySource,
+        sink: AnswerSink,
+        placement: Placement,
+        tried: set[str],
     ) -> None:
         if placement.backend is not None:
+            tried.add(placement.backend.info.name)
             await self._send(head, body, sink, placement.backend)
         elif placement.region is not None:
-            await self._forwarder.forward(head, body, sink, region=placement.region)
+            await self._forwarder.forward(head, body, sink, region=placement.region, tried=tried)
 
     async def _send(
         self, head: RequestHead, body: BodySource, sink: AnswerSink, backend: KnownBackend
@@ -174,11 +195,3 @@
     async def finish(self) -> None:
         """Send the end mark."""
         await self._sink.finish()
-
-
-def _may_retry(head: RequestHead, body: BodySource, sink: AnswerSink, error: RequestError) -> bool:
-    if sink.started or body.touched or isinstance(error, RegionNotAllowedError):
-        return False
-    if isinstance(error, DeadlineExceededError):
-        return False
-    return head.idempotent or error.outcome is Outcome.NOT_RUN
--- a/figpaddle/daemon/_http.py
+++ b/figpaddle/daemon/_http.py
@@ -7,8 +7,16 @@
 from collections.abc import AsyncIterator, Awaitable, Callable, MutableMapping
 from typing import Any
 
+import anyio
+
 from figpaddle.daemon._exchange import BodySource
-from figpaddle.errors import BodyTooLargeError, FigpaddleError, Outcome, RequestError
+from figpaddle.errors import (
+    BodyTimeoutError,
+    BodyTooLargeError,
+    FigpaddleError,
+    Outcome,
+    RequestError,
+)
 
 Scope = MutableMapping[str, Any]
 Receive = Callable[[], Awaitable[MutableMapping[str, Any]]]
@@ -16,6 +24,8 @@
 
 #: Prefix of the types of problem documents.
 PROBLEM_PREFIX = "urn:figpaddle:problem:"
+#: Longest silence of a caller within the body of its request, seconds.
+BODY_IDLE_S = 30.0
 
 
 class CallerGoneError(FigpaddleError):
@@ -40,14 +50,22 @@
     return token.strip() if kind.lower() == "bearer" and token.strip() else None
 
 
+def check_body_length(scope: Scope, *, limit_bytes: int) -> None:
+    """Raise BodyTooLargeError if the request says that its body is over the limit."""
+    length = header(scope, "content-length")
+    if length is not None and length.isdigit() and int(length) > limit_bytes:
+        raise BodyTooLargeError(limit_bytes=limit_bytes)
+
+
 class HttpBody(BodySource):
     """The body of an HTTP request, read as it arrives and limited in size."""
 
-    def __init__(self, *, receive: Receive, limit_bytes: int) -> None:
+    def __init__(self, *, receive: Receive, limit_bytes: int, idle_s: float = BODY_IDLE_S) -> None:
         self._receive = receive
         self._limit_bytes = limit_bytes
+        self._idle_s = idle_s
         self._touched = False
-        self._ended = False
+        self._ended = anyio.Event()
         self._size = 0
 
     @property
@@ -55,26 +73,33 @@
         """Whether a part of the body was already taken."""
         return self._touched
 
-    @property
-    def ended(self) -> bool:
-        """Whether the body has been read to its end."""
-        return self._ended
+    async def wait_ended(self) -> None:
+        """Wait until the body has been read to its end."""
+        await self._ended.wait()
 
     async def chunks(self) -> AsyncIterator[bytes]:
-        """Return the pieces; raises BodyTooLargeError or CallerGoneError."""
+        """Return the pieces; raises BodyTooLargeError, BodyTimeoutError or CallerGoneError."""
         self._touched = True
-        while not self._ended:
-            event = await self._receive()
+        while not self._ended.is_set():
+            event = await self._next_event()
             if event["type"] == "http.disconnect":
                 raise CallerGoneError
             data = event.get("body", b"")
-            self._ended = not event.get("more_body", False)
             self._size += len(data)
             if self._size > self._limit_bytes:
                 raise BodyTooLargeError(limit_bytes=self._limit_bytes)
+            if not event.get("more_body", False):
+                self._ended.set()
             if data:
                 yield data
 
+    async def _next_event(self) -> MutableMapping[str, Any]:
+        try:
+            with anyio.fail_after(self._idle_s):
+                return await self._receive()
+        except TimeoutError as error:
+            raise BodyTimeoutError(timeout_s=self._idle_s) from error
+
     async def read(self) -> bytes:
         """Return the whole body."""
         return b"".join([chunk async for chunk in self.chunks()])
--- a/figpaddle/daemon/_instance.py
+++ b/figpaddle/daemon/_instance.py
@@ -19,7 +19,8 @@
 from figpaddle.daemon._callers import CallersPort
 from figpaddle.daemon._component import Component
 from figpaddle.daemon._configuration_state import ConfigurationState
-from figpaddle.daemon._forwarder import Forwarder, ForwardReceiver
+from figpaddle.daemon._forward_receiver import ForwardReceiver
+from figpaddle.daemon._forwarder import Forwarder
 from figpaddle.daemon._gateway import Gateway
 from figpaddle.daemon._logs import Log
 from figpaddle.daemon._membership import Membership
--- a/figpaddle/daemon/_peers.py
+++ b/figpaddle/daemon/_peers.py
@@ -22,6 +22,7 @@
 from websockets.asyncio.server import ServerConnection, serve
 from websockets.exceptions import ConnectionClosed, WebSocketException
 
+from figpaddle.daemon._channel import Channel
 from figpaddle.daemon._logs import Log
 from figpaddle.daemon._sockets import Listener, split_address
 from figpaddle.errors import (
@@ -62,38 +63,7 @@
 IDLE_FORWARD_S = 10.0
 
 Handler = Callable[[str, Any], Awaitable[Message | None]]
-ForwardHandler = Callable[[str, "Channel"], Awaitable[None]]
-
-
-class Channel:
-    """One forward connection: whole messages in both directions."""
-
-    def __init__(self, *, socket: ClientConnection | ServerConnection, peer: str) -> None:
-        self._socket = socket
-        #: Name of the instance at the other end.
-        self.peer = peer
-        #: When it was put aside for reuse, seconds.
-        self.idle_since = 0.0
-
-    async def send(self, item: Message) -> None:
-        """Send ``item``; raises PeerUnreachableError if the connection is closed."""
-        try:
-            await self._socket.send(encode(item))
-        except ConnectionClosed as error:
-            raise PeerUnreachableError(what="the connection closed", where=self.peer) from error
-
-    async def receive(self) -> Message:
-        """Return the next message; raises PeerUnreachableError or another WireError."""
-        try:
-            data = await self._socket.recv(decode=False)
-        except ConnectionClosed as error:
-            raise PeerUnreachableError(what="the connection closed", where=self.peer) from error
-        return decode(data)
-
-    async def close(self) -> None:
-        """Close the connection without waiting for the other end."""
-        transport = self._socket.transport
-        transport.abort()
+ForwardHandler = Callable[[str, Channel], Awaitable[None]]
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -221,16 +191,21 @@
                 channel.idle_since = self._clock()
                 self._idle.setdefault(peer, []).append(channel)
             else:
-                await channel.close()
+                channel.abort()
+
+    def drop_idle_channels(self, peer: str) -> None:
+        """Close the connections to ``peer`` that wait for reuse."""
+        for channel in self._idle.pop(peer, []):
+            channel.abort()
 
     def _idle_channel(self, peer: str) -> Channel | None:
         waiting = self._idle.get(peer, [])
         while waiting:
             channel = waiting.pop()
             fresh = self._clock() - channel.idle_since < IDLE_FORWARD_S
-            if fresh and channel._socket.state.name == "OPEN":
+            if fresh and channel.is_open:
                 return channel
-            channel._socket.transport.abort()
+            channel.abort()
         return None
 
     async def _open_channel(self, peer: str) -> Channel:
--- /dev/null
+++ b/figpaddle/daemon/_retries.py
@@ -0,0 +1,51 @@
+"""Whether a failed attempt may be followed by another one."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from figpaddle.daemon._exchange import AnswerSink, BodySource, RequestHead
+from figpaddle.errors import DeadlineExceededError, Outcome, RequestError
+from figpaddle.routing import RetryBudget
+
+#: Most attempts for one request, the first included.
+MAX_ATTEMPTS = 4
+
+
+class Attempts:
+    """The attempts of one request.
+
+    The outcome of the whole request is that of its worst attempt: once an attempt may have run,
+    a later refusal no longer tells the caller that nothing was run.
+    """
+
+    def __init__(
+        self, *, head: RequestHead, budget: RetryBudget, clock: Callable[[], float]
+    ) -> None:
+        self._head = head
+        self._budget = budget
+        self._clock = clock
+        self._failed = 0
+        self._may_have_run = False
+        #: Names of backend servers, instances and regions that failed this request.
+        self.tried: set[str] = set()
+        budget.note_request(head.member, now=clock())
+
+    def note_failure(self, error: RequestError) -> None:
+        """Count a failed attempt and give ``error`` the outcome of the whole request."""
+        self._failed += 1
+        if error.outcome is Outcome.UNKNOWN:
+            self._may_have_run = True
+        elif self._may_have_run and error.outcome is Outcome.NOT_RUN:
+            error.outcome = Outcome.UNKNOWN
+
+    def may_retry(self, error: RequestError, body: BodySource, sink: AnswerSink) -> bool:
+        """Return whether another attempt is allowed, and take it from the budget."""
+        if sink.started or body.touched or self._failed >= MAX_ATTEMPTS:
+            return False
+        if not error.retriable or isinstance(error, DeadlineExceededError):
+            return False
+        if not self._head.idempotent and error.outcome is not Outcome.NOT_RUN:
+            return False
+        now = self._clock()
+        return now < self._head.deadline_at and self._budget.take(self._head.member, now=now)
--- a/figpaddle/errors/__init__.py
+++ b/figpaddle/errors/__init__.py
@@ -15,12 +15,14 @@
 )
 from figpaddle.errors._request import (
     BackendServerLostError,
+    BodyTimeoutError,
     BodyTooLargeError,
     DeadlineExceededError,
     DrainingError,
     ForbiddenError,
     ForwardingLoopError,
     ForwardRefusedError,
+    InvalidAnswerError,
     InvalidRequestError,
     NoBackendServerError,
     Outcome,
@@ -33,6 +35,7 @@
 
 __all__ = [
     "BackendServerLostError",
+    "BodyTimeoutError",
     "BodyTooLargeError",
     "DeadlineExceededError",
     "DirectoryError",
@@ -44,6 +47,7 @@
     "ForwardRefusedError",
     "ForwardingLoopError",
     "HandshakeError",
+    "InvalidAnswerError",
     "InvalidRequestError",
     "MalformedMessageError",
     "NoBackendServerError",
--- a/figpaddle/errors/_request.py
+++ b/figpaddle/errors/_request.py
@@ -33,6 +33,8 @@
     status = 500
     #: Short name of the failure, the last part of the problem document's type.
     problem = "internal"
+    #: Whether another backend server or instance might serve the request.
+    retriable = False
 
     def __init__(
         self,
@@ -116,6 +118,7 @@
 
     status = 503
     problem = "no-backend-server"
+    retriable = True
 
     def __init__(self, *, service: str, retry_after_s: float) -> None:
         super().__init__(
@@ -154,6 +157,7 @@
 
     status = 502
     problem = "backend-server-lost"
+    retriable = True
 
     def __init__(
         self,
@@ -169,6 +173,24 @@
         )
 
 
+class InvalidAnswerError(BackendServerLostError):
+    """The backend server's answer makes no sense or has no end mark."""
+
+    problem = "invalid-answer"
+
+
+class BodyTimeoutError(RequestError):
+    """The caller stopped sending in the middle of the request."""
+
+    status = 408
+    problem = "body-timeout"
+
+    def __init__(self, *, timeout_s: float) -> None:
+        super().__init__(
+            what=f"no part of the body came for {timeout_s:g} s", mend="send the request again"
+        )
+
+
 class DeadlineExceededError(RequestError):
     """The deadline of the request passed."""
 
@@ -186,11 +208,28 @@
 
     status = 502
     problem = "peer-lost"
+    retriable = True
 
     def __init__(self, *, peer: str, outcome: Outcome) -> None:
         super().__init__(what=f"instance {peer} broke off", outcome=outcome, retry_after_s=1.0)
 
 
+#: Refusals of one instance that say nothing about what another one would do.
+_LOCAL_REFUSALS = frozenset(
+    {
+        "backend-server-lost",
+        "draining",
+        "forbidden",
+        "forwarding-loop",
+        "invalid-answer",
+        "no-backend-server",
+        "overloaded",
+        "peer-lost",
+        "region-not-allowed",
+    }
+)
+
+
 class ForwardRefusedError(RequestError):
     """The instance that the request was forwarded to refused it."""
 
@@ -206,3 +245,4 @@
         super().__init__(what=what, outcome=outcome, retry_after_s=retry_after_s)
         self.status = status
         self.problem = problem
+        self.retriable = problem in _LOCAL_REFUSALS
--- a/figpaddle/routing/__init__.py
+++ b/figpaddle/routing/__init__.py
@@ -10,6 +10,7 @@
     PlacementPolicy,
     RegionOption,
 )
+from figpaddle.routing._retry_budget import RetryBudget
 
 __all__ = [
     "ANNOUNCEMENT_TTL_S",
@@ -23,6 +24,7 @@
     "Placement",
     "PlacementPolicy",
     "RegionOption",
+    "RetryBudget",
     "check_forward",
     "permitted_service",
     "rank_entries",
--- a/figpaddle/wire/__init__.py
+++ b/figpaddle/wire/__init__.py
@@ -10,6 +10,7 @@
     encode,
     message,
 )
+from figpaddle.wire._forward_messages import ForwardAlive
 from figpaddle.wire._handshake import NONCE_BYTES, Handshake
 from figpaddle.wire._messages import (
     BackendInfo,
@@ -40,6 +41,7 @@
     "BackendsUpdate",
     "Challenge",
     "DirectoryExchange",
+    "ForwardAlive",
     "ForwardBody",
     "ForwardFailed",
     "ForwardHead",
--- a/figpaddle/wire/_messages.py
+++ b/figpaddle/wire/_messages.py
@@ -239,6 +239,8 @@
     instance: str
     #: Region that the request is served in.
     region: str
+    #: Identifier of the request that this answers.
+    request_id: str
 
 
 @message("forward.failed")
