--- a/figpaddle/daemon/_gateway.py
+++ b/figpaddle/daemon/_gateway.py
@@ -163,8 +163,12 @@
             with anyio.CancelScope(deadline=anyio.current_time() + remaining) as scope:
                 timed.scope = scope
                 await self._client.send(head, body, backend, timed)
+                self._backends.note_connection(name, opened=True)
             if scope.cancelled_caught:
                 raise DeadlineExceededError(deadline_s=head.deadline_s, outcome=Outcome.UNKNOWN)
+        except NoBackendServerError:
+            self._backends.note_connection(name, opened=False)
+            raise
         finally:
             self._backends.finished(name)
 
--- /dev/null
+++ b/figpaddle/daemon/tests/test_retries.py
@@ -0,0 +1,94 @@
+"""Which failures are followed by another attempt, and the outcome of the whole request."""
+
+from __future__ import annotations
+
+import pytest
+
+from figpaddle.daemon._exchange import AnswerHead, AnswerSink, BufferedBody, RequestHead
+from figpaddle.daemon._retries import MAX_ATTEMPTS, Attempts
+from figpaddle.errors import (
+    BackendServerLostError,
+    DeadlineExceededError,
+    InvalidRequestError,
+    NoBackendServerError,
+    Outcome,
+    RequestError,
+)
+from figpaddle.routing import RetryBudget
+
+REFUSED = NoBackendServerError(service="draft", retry_after_s=1.0)
+LATE = DeadlineExceededError(deadline_s=5.0, outcome=Outcome.UNKNOWN)
+
+
+class Sink(AnswerSink):
+    def __init__(self, *, started: bool) -> None:
+        self._started = started
+
+    @property
+    def started(self) -> bool:
+        return self._started
+
+    async def start(self, head: AnswerHead) -> None: ...
+
+    async def write(self, data: bytes) -> None: ...
+
+    async def finish(self) -> None: ...
+
+
+def attempts(*, idempotent: bool = True, now: float = 0.0, saved: float = 9.0) -> Attempts:
+    head = RequestHead(
+        request_id="1",
+        member="hanbit",
+        client="desk",
+        home="seoul",
+        service="draft",
+        method="POST",
+        target="/",
+        headers=(),
+        idempotent=idempotent,
+        idempotency_key=None,
+        deadline_at=5.0,
+        deadline_s=5.0,
+        priority=0,
+    )
+    budget = RetryBudget(share=0.0, per_s=0.0, max_saved=saved)
+    return Attempts(head=head, budget=budget, clock=lambda: now)
+
+
+@pytest.mark.parametrize(
+    ("error", "idempotent", "started", "now", "saved", "expected"),
+    [
+        (BackendServerLostError(backend="e"), True, False, 0.0, 9.0, True),
+        (BackendServerLostError(backend="e"), False, False, 0.0, 9.0, False),
+        (REFUSED, False, False, 0.0, 9.0, True),
+        (REFUSED, True, True, 0.0, 9.0, False),
+        (REFUSED, True, False, 5.0, 9.0, False),
+        (REFUSED, True, False, 0.0, 0.5, False),
+        (LATE, True, False, 0.0, 9.0, False),
+        (InvalidRequestError(what="x"), True, False, 0.0, 9.0, False),
+    ],
+)
+def test_retry_needs_a_reason_a_deadline_and_a_budget(
+    error: RequestError, idempotent: bool, started: bool, now: float, saved: float, expected: bool
+) -> None:
+    made = attempts(idempotent=idempotent, now=now, saved=saved)
+    made.note_failure(error)
+    assert made.may_retry(error, BufferedBody(data=b""), Sink(started=started)) is expected
+
+
+def test_number_of_attempts_is_limited() -> None:
+    made = attempts()
+    allowed = 0
+    made.note_failure(REFUSED)
+    while made.may_retry(REFUSED, BufferedBody(data=b""), Sink(started=False)):
+        made.note_failure(REFUSED)
+        allowed += 1
+    assert allowed == MAX_ATTEMPTS - 1
+
+
+def test_refusal_after_an_attempt_that_may_have_run_is_unknown() -> None:
+    made = attempts()
+    made.note_failure(BackendServerLostError(backend="e"))
+    refusal = NoBackendServerError(service="draft", retry_after_s=1.0)
+    made.note_failure(refusal)
+    assert refusal.outcome is Outcome.UNKNOWN
--- a/figpaddle/routing/_backends.py
+++ b/figpaddle/routing/_backends.py
@@ -9,6 +9,10 @@
 #: An announcement holds for this long unless renewed, seconds.
 ANNOUNCEMENT_TTL_S = 5.0
 
+#: A backend server that refused this many connections in a row gets no work until it announces
+#: itself again; a single refusal may be the network's.
+MAX_REFUSED = 2
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class KnownBackend:
@@ -20,11 +24,13 @@
     heard_at: float
     #: Requests that the own instance has in progress there.
     in_flight: int = 0
+    #: Connections in a row that could not be opened since the latest announcement.
+    refused: int = 0
 
     @property
     def takes_work(self) -> bool:
         """Whether new work may be sent there."""
-        return self.info.state is BackendState.SERVING
+        return self.info.state is BackendState.SERVING and self.refused < MAX_REFUSED
 
 
 class BackendTable:
@@ -85,6 +91,13 @@
         """Count a request at the backend server ``name`` as ended."""
         self._change_in_flight(name, -1)
 
+    def note_connection(self, name: str, *, opened: bool) -> None:
+        """Count a connection to the backend server ``name`` that was opened or refused."""
+        known = self._known.get(name)
+        if known is not None:
+            refused = 0 if opened else known.refused + 1
+            self._known[name] = dataclasses.replace(known, refused=refused)
+
     def summaries(self, *, now: float) -> tuple[ServiceSummary, ...]:
         """Return the state of each service in the own region."""
         services = sorted({name for known in self.backends for name in known.info.services})
