Show metrics, scope operators to their member and run life cycles from charts

Cause: operators had one dump that showed every member to every operator; times of requests were recorded nowhere; the instance's life cycle was spread over flags. A settings fault printed the value at fault, keys included (test_key_is_never_shown was red).

--- /dev/null
+++ b/figpaddle/charts/tests/test_life_cycle.py
@@ -0,0 +1,32 @@
+"""Life cycles follow their charts."""
+
+from __future__ import annotations
+
+import pytest
+
+from figpaddle.charts import LifeCycle, TransitionError
+
+
+@pytest.mark.parametrize(
+    ("chart", "events", "state"),
+    [
+        ("instance", ["ready", "stop", "grace_over", "idle"], "stopped"),
+        ("instance", ["stop", "grace_over", "drain_timeout"], "stopped"),
+        ("backend", ["silence", "heard", "leave", "expired"], "gone"),
+        ("link", ["dial", "admitted", "failed", "dial"], "dialling"),
+    ],
+)
+def test_events_lead_through_the_chart(chart: str, events: list[str], state: str) -> None:
+    cycle = LifeCycle(chart=chart)
+    for event in events:
+        cycle.handle(event)
+    assert cycle.state == state
+
+
+@pytest.mark.parametrize(("chart", "event"), [("instance", "idle"), ("link", "admitted")])
+def test_event_that_does_not_apply_is_a_typed_error(chart: str, event: str) -> None:
+    cycle = LifeCycle(chart=chart)
+    before = cycle.state
+    with pytest.raises(TransitionError):
+        cycle.handle(event)
+    assert cycle.state == before
--- a/figpaddle/daemon/_backend_watch.py
+++ b/figpaddle/daemon/_backend_watch.py
@@ -12,7 +12,7 @@
 from figpaddle.daemon._logs import Log
 from figpaddle.daemon._peers import PeerNetwork
 from figpaddle.daemon._regions import RegionView
-from figpaddle.routing import BackendTable
+from figpaddle.routing import BackendTable, KnownBackend
 from figpaddle.wire import BackendInfo, BackendsUpdate, Message, RegionSummary
 
 #: Interval of region summaries, seconds.
@@ -46,19 +46,12 @@
         """Key of its part in the state dump."""
         return "backends"
 
-    def dump(self, *, now: float) -> Any:
+    def dump(self, *, now: float, member: str | None) -> Any:
         """Return the known backend servers."""
         return [
-            {
-                "name": known.info.name,
-                "services": list(known.info.services),
-                "state": known.info.state.value,
-                "in_flight": known.in_flight,
-                "running": known.info.running,
-                "waiting": known.info.waiting,
-                "age_s": round(now - known.heard_at, 3),
-            }
+            _dump_backend(known, now=now, member=member)
             for known in self._backends.backends
+            if _offerings(known, member)
         ]
 
     def publish(self, info: BackendInfo) -> None:
@@ -94,3 +87,26 @@
     async def _on_summary(self, peer: str, item: RegionSummary) -> Message | None:
         self._regions.take(item, now=self._clock())
         return None
+
+
+def _offerings(known: KnownBackend, member: str | None) -> list[str]:
+    return [
+        service
+        for service in known.info.services
+        if member is None or service.startswith(f"{member}/")
+    ]
+
+
+def _dump_backend(known: KnownBackend, *, now: float, member: str | None) -> dict[str, Any]:
+    offerings = _offerings(known, member)
+    shown: dict[str, Any] = {
+        "name": known.info.name,
+        "services": offerings,
+        "state": known.info.state.value,
+        "age_s": round(now - known.heard_at, 3),
+    }
+    if len(offerings) == len(known.info.services):
+        shown["in_flight"] = known.in_flight
+        shown["running"] = known.info.running
+        shown["waiting"] = known.info.waiting
+    return shown
--- a/figpaddle/daemon/_callers.py
+++ b/figpaddle/daemon/_callers.py
@@ -35,6 +35,7 @@
     send_problem,
 )
 from figpaddle.daemon._logs import Log
+from figpaddle.daemon._metrics import MeasuredSink, Metrics
 from figpaddle.deployment import Client, ClientDirectory, ServiceConfiguration, ServiceKind
 from figpaddle.errors import (
     DrainingError,
@@ -66,9 +67,11 @@
         configuration: ConfigurationState,
         clients: ClientDirectory,
         body_limit_bytes: int,
+        metrics: Metrics,
         clock: Callable[[], float],
         log: Log,
     ) -> None:
+        self._metrics = metrics
         self._gateway = gateway
         self._directory = directory
         self._configuration = configuration
@@ -195,15 +198,25 @@
         self, head: RequestHead, body: BodySource, sink: HttpSink, receive: Receive
     ) -> None:
         error: RequestError | CallerGoneError | None = None
+        measured = MeasuredSink(
+            sink=sink,
+            metrics=self._metrics,
+            offering=head.offering,
+            priority=head.priority,
+            received_at=self._clock(),
+            clock=self._clock,
+        )
         async with anyio.create_task_group() as tasks:
             if isinstance(body, BufferedBody):
                 tasks.start_soon(self._watch_caller, receive, tasks.cancel_scope, head.request_id)
             try:
-                await self._gateway.serve(head, body, sink)
+                await self._gateway.serve(head, body, measured)
             except (RequestError, CallerGoneError) as failure:
                 error = failure
             tasks.cancel_scope.cancel()
         if error is not None:
+            result = error.problem if isinstance(error, RequestError) else "caller-gone"
+            self._metrics.count(head.offering, result)
             raise error
 
     async def _watch_caller(
--- a/figpaddle/daemon/_component.py
+++ b/figpaddle/daemon/_component.py
@@ -17,8 +17,11 @@
         """Key of its part in the state dump."""
 
     @abc.abstractmethod
-    def dump(self, *, now: float) -> Any:
-        """Return its state for operators, without clients' data and keys."""
+    def dump(self, *, now: float, member: str | None) -> Any:
+        """Return its state for operators, without clients' data and keys.
+
+        For an operator of one ``member``, what concerns other members is left out.
+        """
 
     async def run(self) -> None:
         """Work until cancelled."""
--- a/figpaddle/daemon/_instance.py
+++ b/figpaddle/daemon/_instance.py
@@ -12,6 +12,7 @@
 from hypercorn.asyncio import serve as serve_http
 from hypercorn.config import Config
 
+from figpaddle.charts import LifeCycle
 from figpaddle.coordination import InstanceDirectory
 from figpaddle.daemon._backend_client import BackendClient
 from figpaddle.daemon._backend_watch import BackendWatch
@@ -23,6 +24,7 @@
 from figpaddle.daemon._gateway import Gateway
 from figpaddle.daemon._logs import Log
 from figpaddle.daemon._membership import Membership
+from figpaddle.daemon._metrics import Metrics
 from figpaddle.daemon._operators import OperatorsPort
 from figpaddle.daemon._peers import PeerNetwork
 from figpaddle.daemon._regions import RegionView
@@ -46,6 +48,8 @@
         self._log = log
         self._clock = time.monotonic
         self._rng = random.Random(f"{settings.instance}/{time.time_ns()}")
+        self._life_cycle = LifeCycle(chart="instance")
+        self._metrics = Metrics()
         self._stopping = anyio.Event()
         self._ports_closing = anyio.Event()
         self._configuration = _initial_configuration(settings)
@@ -88,7 +92,12 @@
                 clock=self._clock,
                 log=log,
             ),
-            "operators": OperatorsPort(operators=settings.operators, dump=self.dump),
+            "operators": OperatorsPort(
+                operators=settings.operators,
+                dump=self.dump,
+                metrics=self._metrics,
+                stop=self._stopping.set,
+            ),
         }
         receiver = ForwardReceiver(serve=self._gateway.serve, clock=self._clock)
         self._network.register_forward(receiver.handle)
@@ -134,6 +143,7 @@
             configuration=self._configuration,
             clients=read_directory(load_yaml(path), document=str(path)),
             body_limit_bytes=self._settings.limits.body_bytes,
+            metrics=self._metrics,
             clock=self._clock,
             log=self._log,
         )
@@ -147,17 +157,22 @@
         )
         return (membership, self._watch)
 
-    def dump(self) -> dict[str, Any]:
-        """Return the state of the process without clients' data and keys."""
+    def dump(self, member: str | None) -> dict[str, Any]:
+        """Return the state of the process without clients' data and keys.
+
+        For an operator of one ``member``, what concerns other members is left out.
+        """
         now = self._clock()
         own = self._directory.own
         configuration = self._configuration.current
-        parts = {component.name: component.dump(now=now) for component in self._components}
+        parts = {
+            component.name: component.dump(now=now, member=member) for component in self._components
+        }
         return {
             "instance": own.name,
             "region": own.region,
             "zone": own.zone,
-            "state": own.state.value,
+            "state": self._life_cycle.state,
             "incarnation": own.incarnation,
             "in_progress": self._gateway.in_progress,
             "configuration": {
@@ -178,6 +193,7 @@
                 for name, application in self._ports.items():
                     ports.start_soon(self._serve_port, application, self._listeners[name])
                 addresses = {name: entry.address for name, entry in self._listeners.items()}
+                self._life_cycle.handle("ready")
                 self._log.info("ready", **addresses)
                 await self._stopping.wait()
                 await self._drain()
@@ -207,14 +223,17 @@
     async def _drain(self) -> None:
         """Leave the lookup, take no new work, then finish what is in progress."""
         limits = self._settings.limits
+        self._life_cycle.handle("stop")
         self._log.info("leaving", in_progress=self._gateway.in_progress)
         for component in self._components:
             await component.leave()
         await anyio.sleep(limits.leave_grace_s)
+        self._life_cycle.handle("grace_over")
         self._callers.closed = True
-        with anyio.move_on_after(limits.drain_s):
+        with anyio.move_on_after(limits.drain_s) as waiting:
             while self._gateway.in_progress:
                 await anyio.sleep(DRAIN_POLL_S)
+        self._life_cycle.handle("drain_timeout" if waiting.cancelled_caught else "idle")
         for component in self._components:
             await component.depart()
         await anyio.sleep(DRAIN_POLL_S)
--- a/figpaddle/daemon/_membership.py
+++ b/figpaddle/daemon/_membership.py
@@ -42,7 +42,7 @@
         """Key of its part in the state dump."""
         return "membership"
 
-    def dump(self, *, now: float) -> Any:
+    def dump(self, *, now: float, member: str | None) -> Any:
         """Return the known instances and the open links."""
         return {
             "instances": [
--- a/figpaddle/daemon/_operators.py
+++ b/figpaddle/daemon/_operators.py
@@ -1,4 +1,4 @@
-"""The operators' port: state dump and configuration."""
+"""The operators' port: state dump, metrics and planned stop."""
 
 from __future__ import annotations
 
@@ -7,32 +7,67 @@
 from collections.abc import Callable
 from typing import Any
 
-from figpaddle.daemon._http import Receive, Scope, Send, bearer, send_json, send_problem
+from figpaddle.daemon._http import (
+    Receive,
+    Scope,
+    Send,
+    bearer,
+    send_bytes,
+    send_json,
+    send_problem,
+)
+from figpaddle.daemon._metrics import Metrics
 from figpaddle.daemon._settings import OperatorSettings
-from figpaddle.errors import InvalidRequestError, RequestError, UnauthorizedError
+from figpaddle.errors import ForbiddenError, InvalidRequestError, RequestError, UnauthorizedError
+
+#: Media type of the metrics page.
+METRICS_CONTENT_TYPE = "text/plain; version=0.0.4"
 
 
 class OperatorsPort:
-    """ASGI application of the operators' port."""
+    """ASGI application of the operators' port.
+
+    An operator who belongs to a member sees only this member's services.
+    """
 
     def __init__(
-        self, *, operators: tuple[OperatorSettings, ...], dump: Callable[[], dict[str, Any]]
+        self,
+        *,
+        operators: tuple[OperatorSettings, ...],
+        dump: Callable[[str | None], dict[str, Any]],
+        metrics: Metrics,
+        stop: Callable[[], None],
     ) -> None:
         self._operators = operators
         self._dump = dump
+        self._metrics = metrics
+        self._stop = stop
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one HTTP request."""
         if scope["type"] != "http":
             return
         try:
-            self._authenticate(scope)
-            if scope["path"] != "/v1/state":
-                raise InvalidRequestError(what="no such path", mend="see docs/OPERATORS.md")
-            await send_json(send, status=200, plain=self._dump())
+            operator = self._authenticate(scope)
+            await self._route(scope, send, operator)
         except RequestError as error:
             await send_problem(send, error, request_id="")
 
+    async def _route(self, scope: Scope, send: Send, operator: OperatorSettings) -> None:
+        call = (scope["method"], scope["path"])
+        if call == ("GET", "/v1/state"):
+            await send_json(send, status=200, plain=self._dump(operator.member))
+        elif call == ("GET", "/metrics"):
+            page = self._metrics.page(member=operator.member).encode()
+            await send_bytes(send, status=200, data=page, content_type=METRICS_CONTENT_TYPE)
+        elif call == ("POST", "/v1/stop"):
+            if operator.member is not None:
+                raise ForbiddenError
+            self._stop()
+            await send_json(send, status=202, plain={"stopping": True})
+        else:
+            raise InvalidRequestError(what="no such path", mend="see docs/OPERATORS.md")
+
     def _authenticate(self, scope: Scope) -> OperatorSettings:
         token = bearer(scope) or ""
         digest = hashlib.sha256(token.encode()).hexdigest()
--- a/figpaddle/deployment/_configuration.py
+++ b/figpaddle/deployment/_configuration.py
@@ -129,15 +129,26 @@
         raise DocumentError(document=document, faults=faults_of(error)) from error
 
 
+#: Entries whose values are never shown.
+SECRET_FIELDS = frozenset({"deployment_key", "key_digest", "token_digest"})
+
+
 def faults_of(error: pydantic.ValidationError) -> tuple[DocumentFault, ...]:
-    """Return every fault of a validation, each with its dotted path."""
-    return tuple(
-        DocumentFault(
-            path=".".join(str(part) for part in item["loc"]) or "(whole document)",
-            what=f"{item['msg']}, got {item['input']!r}"[:200],
-            mend=_mend(item["type"]),
-        )
-        for item in error.errors()
+    """Return every fault of a validation, each with its dotted path.
+
+    The value at fault is shown if it is a scalar and not a secret.
+    """
+    return tuple(_fault(item) for item in error.errors(include_url=False, include_context=False))
+
+
+def _fault(item: Any) -> DocumentFault:
+    path = ".".join(str(part) for part in item["loc"])
+    value = item["input"]
+    shown = isinstance(value, str | int | float) and not SECRET_FIELDS & set(item["loc"])
+    return DocumentFault(
+        path=path or "(whole document)",
+        what=f"{item['msg']}, got {value!r}" if shown else item["msg"],
+        mend=_mend(item["type"]),
     )
 
 
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -20,6 +20,7 @@
 
 DEPLOYMENT_KEY = "a key that all instances of this test share"
 OPERATOR_TOKEN = "operator-token"
+CUMBRE_TOKEN = "operator-token-of-cumbre"
 PORTS = ("callers", "backends", "operators", "peers")
 READY_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 30.0
@@ -106,7 +107,10 @@
         self._proxied: dict[tuple[str, str], str] = {}
         self.instances: dict[str, Process] = {}
         self.backends: dict[str, Process] = {}
-        self.operators = [{"name": "root", "token_digest": key_digest(OPERATOR_TOKEN)}]
+        self.operators: list[dict[str, str]] = [
+            {"name": "root", "token_digest": key_digest(OPERATOR_TOKEN)},
+            {"name": "rival", "token_digest": key_digest(CUMBRE_TOKEN), "member": "cumbre"},
+        ]
 
     def __enter__(self) -> Deployment:
         return self
