--- a/figpaddle/daemon/tests/test_settings.py
+++ b/figpaddle/daemon/tests/test_settings.py
@@ -17,7 +17,7 @@
     "instance": "seoul-1",
     "region": "seoul",
     "zone": "seoul-a",
-    "listen": {port: "127.0.0.1:0" for port in ("callers", "backends", "operators", "peers")},
+    "listen": dict.fromkeys(("callers", "backends", "operators", "peers"), "127.0.0.1:0"),
     "deployment_key": "k" * 32,
     "directory": "clients.yaml",
 }
