--- /dev/null
+++ b/figpaddle/tool/_inspect.py
@@ -0,0 +1,52 @@
+"""Commands that show what an instance knows."""
+
+from __future__ import annotations
+
+import json
+
+import typer
+
+from figpaddle.tool._client import EntryOption, InstanceOption, KeyOption, TokenOption, call
+from figpaddle.tool._output import Output, OutputOption, print_rows
+
+app = typer.Typer()
+
+
+@app.command()
+def state(instance: InstanceOption, token: TokenOption) -> None:
+    """Dump the state of one process as JSON."""
+    plain = call("GET", instance, "/v1/state", token=token).json()
+    print(json.dumps(plain, indent=2, ensure_ascii=False))
+
+
+@app.command()
+def metrics(instance: InstanceOption, token: TokenOption) -> None:
+    """Show the metrics page of one process."""
+    print(call("GET", instance, "/metrics", token=token).text, end="")
+
+
+@app.command()
+def instances(
+    instance: InstanceOption, token: TokenOption, output: OutputOption = Output.TABLE
+) -> None:
+    """List the instances that one process knows."""
+    plain = call("GET", instance, "/v1/state", token=token).json()
+    print_rows(plain["membership"]["instances"], output=output)
+
+
+@app.command()
+def backends(
+    instance: InstanceOption, token: TokenOption, output: OutputOption = Output.TABLE
+) -> None:
+    """List the backend servers that one process knows in its region."""
+    plain = call("GET", instance, "/v1/state", token=token).json()
+    columns = ("name", "services", "state", "age_s")
+    rows = [{name: backend[name] for name in columns} for backend in plain["backends"]]
+    print_rows(rows, output=output)
+
+
+@app.command()
+def entries(entry: EntryOption, key: KeyOption, output: OutputOption = Output.TABLE) -> None:
+    """Ask which entry instances a client should use, best first."""
+    plain = call("GET", entry, "/v1/entries", token=key).json()
+    print_rows(plain["entries"], output=output)
