Ask a peer before a request is sent to it unless both decide by one configuration

Cause: a receiver with a stricter configuration refused a forwarded request only after its bytes had reached the region (seen by the recording of the links in test_data_rules). Ruled out: asking before every forward; it costs a round trip, and equal digests give equal verdicts. Change: ForwardAsk holds nothing of the client; the digest of the receiver's configuration comes with its replies. Non-idempotent requests always ask, so that a silent channel gives 'not run'. The proxy records by connection and unmasks websocket frames; masked markers can't be found.

--- a/figpaddle/daemon/_callers.py
+++ b/figpaddle/daemon/_callers.py
@@ -32,6 +32,7 @@
     encode_headers,
     header,
     problem_document,
+    query_value,
     send_json,
     send_problem,
 )
@@ -105,7 +106,7 @@
         client = self._authenticate(scope)
         path = scope["path"]
         if path == "/v1/entries":
-            await self._entries(client, sink)
+            await self._entries(scope, client, sink)
         elif path == CHAT_PATH and scope["method"] == "POST":
             await self._chat(scope, receive, sink, client, request_id)
         elif path.startswith(SERVICES_PREFIX):
@@ -120,10 +121,16 @@
             raise UnauthorizedError
         return client
 
-    async def _entries(self, client: Client, sink: HttpSink) -> None:
+    async def _entries(self, scope: Scope, client: Client, sink: HttpSink) -> None:
+        """Answer which entry instances may take this client's requests.
+
+        Without the name of a service these are the ones that may take those of all its services.
+        """
         member = self._configuration.current.member(client.member)
         services = member.services if member is not None else ()
-        allowed = tuple(sorted({region for service in services for region in service.regions}))
+        named = query_value(scope, "service")
+        meant = [set(service.regions) for service in services if named in (None, service.name)]
+        allowed = tuple(sorted(set.intersection(*meant))) if meant else ()
         answer = rank_entries(
             self._directory.instances,
             preferred_region=client.home,
--- a/figpaddle/daemon/_forward_receiver.py
+++ b/figpaddle/daemon/_forward_receiver.py
@@ -8,6 +8,7 @@
 import anyio
 
 from figpaddle.daemon._channel import Channel
+from figpaddle.daemon._configuration_state import ConfigurationState
 from figpaddle.daemon._exchange import AnswerHead, AnswerSink, BodySource, RequestHead
 from figpaddle.errors import (
     FigpaddleError,
@@ -17,6 +18,7 @@
 )
 from figpaddle.wire import (
     ForwardAlive,
+    ForwardAsk,
     ForwardBody,
     ForwardFailed,
     ForwardHead,
@@ -31,25 +33,39 @@
 UNUSED_CHANNEL_S = 15.0
 
 Serve = Callable[[RequestHead, BodySource, AnswerSink], Awaitable[None]]
+#: Gets the member, the service, the instances passed and the crossings; raises RequestError.
+Check = Callable[[str, str, tuple[str, ...], int], object]
 
 
 class ForwardReceiver:
     """Serves requests that other instances forwarded."""
 
-    def __init__(self, *, serve: Serve, clock: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        *,
+        serve: Serve,
+        check: Check,
+        configuration: ConfigurationState,
+        clock: Callable[[], float],
+    ) -> None:
         self._serve = serve
+        self._check = check
+        self._configuration = configuration
         self._clock = clock
 
     async def handle(self, peer: str, channel: Channel) -> None:
         """Serve the next request on ``channel``; raises PeerUnreachableError at its end."""
         opened = await channel.receive_within(UNUSED_CHANNEL_S)
+        if isinstance(opened, ForwardAsk):
+            await self._answer(opened, channel)
+            return
         if not isinstance(opened, ForwardOpen):
             raise MalformedMessageError(what="a forward must open first", where=peer)
         body = _ChannelBody(channel=channel)
         sink = _ChannelSink(channel=channel, request_id=opened.request_id)
         failure: FigpaddleError | None = None
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(_keep_alive, channel, opened.request_id)
+            tasks.start_soon(self._keep_alive, channel, opened.request_id)
             tasks.start_soon(_cancel_when_closed, channel, tasks.cancel_scope)
             try:
                 await self._serve(self._head(opened), body, sink)
@@ -62,6 +78,23 @@
             raise failure
         await body.discard_rest()
 
+    async def _answer(self, ask: ForwardAsk, channel: Channel) -> None:
+        try:
+            self._check(ask.member, ask.service, ask.visited, ask.crossings)
+        except RequestError as error:
+            await channel.send(_failed(error))
+        else:
+            await channel.send(self._alive(ask.request_id))
+
+    def _alive(self, request_id: str) -> ForwardAlive:
+        return ForwardAlive(request_id=request_id, configuration=self._configuration.digest)
+
+    async def _keep_alive(self, channel: Channel, request_id: str) -> None:
+        with contextlib.suppress(PeerUnreachableError):
+            while True:
+                await channel.send(self._alive(request_id))
+                await anyio.sleep(ALIVE_INTERVAL_S)
+
     def _head(self, opened: ForwardOpen) -> RequestHead:
         return RequestHead(
             request_id=opened.request_id,
@@ -82,13 +115,6 @@
         )
 
 
-async def _keep_alive(channel: Channel, request_id: str) -> None:
-    with contextlib.suppress(PeerUnreachableError):
-        while True:
-            await channel.send(ForwardAlive(request_id=request_id))
-            await anyio.sleep(ALIVE_INTERVAL_S)
-
-
 async def _cancel_when_closed(channel: Channel, scope: anyio.CancelScope) -> None:
     await channel.wait_closed()
     scope.cancel()
--- a/figpaddle/daemon/_forwarder.py
+++ b/figpaddle/daemon/_forwarder.py
@@ -25,6 +25,7 @@
 )
 from figpaddle.wire import (
     ForwardAlive,
+    ForwardAsk,
     ForwardBody,
     ForwardFailed,
     ForwardHead,
@@ -58,6 +59,8 @@
         self._network = network
         self._rng = rng
         self._clock = clock
+        #: Digest of each peer's configuration, as last heard.
+        self._configurations: dict[str, str] = {}
 
     async def forward(
         self,
@@ -70,6 +73,9 @@
     ) -> None:
         """Have an instance of ``region`` serve the request and pass its answer on.
 
+        A peer that is not known to decide by the same configuration is asked first, so that it
+        refuses before any byte of the request reaches it.
+
         An instance in ``tried`` is taken only if there is no other one; the chosen one is added.
         """
         peer = self._choose_instance(head, region, tried)
@@ -118,23 +124,35 @@
         channel: Channel,
         scope: anyio.CancelScope,
     ) -> None:
-        remaining = head.deadline_at - self._clock()
-        await channel.send(self._open_message(head, remaining))
         answer = _Answer(channel=channel, request_id=head.request_id)
-        if not head.idempotent:
+        agreed = self._configurations.get(channel.peer) == self._configuration.digest
+        if not (agreed and head.idempotent):
+            await channel.send(self._ask_message(head))
             await answer.wait_accepted()
+        remaining = head.deadline_at - self._clock()
+        await channel.send(self._open_message(head, remaining))
         async for chunk in body.chunks():
             for start in range(0, len(chunk), MAX_PIECE_BYTES):
                 piece = chunk[start : start + MAX_PIECE_BYTES]
                 await channel.send(ForwardBody(data=piece, last=False))
         await channel.send(ForwardBody(data=b"", last=True))
         first = await answer.head()
+        self._configurations[channel.peer] = answer.configuration
         scope.deadline = float("inf")
         await sink.start(first)
         async for data in answer.pieces():
             await sink.write(data)
         await sink.finish()
 
+    def _ask_message(self, head: RequestHead) -> ForwardAsk:
+        return ForwardAsk(
+            request_id=head.request_id,
+            member=head.member,
+            service=head.service,
+            visited=(*head.visited, self._directory.own.name),
+            crossings=head.crossings + 1,
+        )
+
     def _open_message(self, head: RequestHead, remaining_s: float) -> ForwardOpen:
         return ForwardOpen(
             request_id=head.request_id,
@@ -175,13 +193,13 @@
         self._channel = channel
         self._request_id = request_id
         self._accepted = False
+        #: Digest of the receiver's configuration, as last heard.
+        self.configuration = ""
 
     async def wait_accepted(self) -> None:
         """Wait until the receiver says that it has the request."""
-        if not self._accepted:
-            item = await self._receive()
-            if not isinstance(item, ForwardAlive):
-                raise MalformedMessageError(what="no acceptance", where=self._channel.peer)
+        if not isinstance(await self._receive(), ForwardAlive):
+            raise MalformedMessageError(what="no acceptance", where=self._channel.peer)
 
     async def head(self) -> AnswerHead:
         """Return the head of the answer; raises ForwardRefusedError."""
@@ -217,8 +235,10 @@
         while True:
             timeout_s = SILENCE_S if self._accepted else ACCEPT_TIMEOUT_S
             item = await self._channel.receive_within(timeout_s)
-            if isinstance(item, ForwardAlive) and item.request_id != self._request_id:
-                continue
+            if isinstance(item, ForwardAlive):
+                if item.request_id != self._request_id:
+                    continue
+                self.configuration = item.configuration
             self._accepted = True
             if isinstance(item, ForwardFailed):
                 raise _refusal(item)
--- a/figpaddle/daemon/_gateway.py
+++ b/figpaddle/daemon/_gateway.py
@@ -21,6 +21,7 @@
 from figpaddle.daemon._logs import Log
 from figpaddle.daemon._regions import RegionView
 from figpaddle.daemon._retries import Attempts
+from figpaddle.deployment import ServiceConfiguration
 from figpaddle.errors import (
     DeadlineExceededError,
     NoBackendServerError,
@@ -99,12 +100,18 @@
         finally:
             self._in_progress -= 1
 
-    async def _serve(self, head: RequestHead, body: BodySource, sink: AnswerSink) -> None:
+    def check(
+        self, member: str, service: str, visited: tuple[str, ...], crossings: int
+    ) -> ServiceConfiguration:
+        """Return the service; raises RequestError if a request may not be served here."""
         own = self._directory.own
-        check_forward(instance=own.name, visited=head.visited, crossings=head.crossings)
-        service = permitted_service(
-            self._configuration.current, member=head.member, service=head.service, region=own.region
+        check_forward(instance=own.name, visited=visited, crossings=crossings)
+        return permitted_service(
+            self._configuration.current, member=member, service=service, region=own.region
         )
+
+    async def _serve(self, head: RequestHead, body: BodySource, sink: AnswerSink) -> None:
+        service = self.check(head.member, head.service, head.visited, head.crossings)
         head = dataclasses.replace(head, idle_s=max(MIN_IDLE_S, service.deadline_s))
         body = await hold_small(body)
         attempts = Attempts(head=head, budget=self._retry_budget, clock=self._clock)
--- a/figpaddle/daemon/_http.py
+++ b/figpaddle/daemon/_http.py
@@ -4,6 +4,7 @@
 
 import json
 import math
+import urllib.parse
 from collections.abc import AsyncIterator, Awaitable, Callable, MutableMapping
 from typing import Any
 
@@ -50,6 +51,12 @@
     return token.strip() if kind.lower() == "bearer" and token.strip() else None
 
 
+def query_value(scope: Scope, name: str) -> str | None:
+    """Return the first value of ``name`` in the query, or None."""
+    query = urllib.parse.parse_qs(scope["query_string"].decode("latin-1"))
+    return next(iter(query.get(name, [])), None)
+
+
 def check_body_length(scope: Scope, *, limit_bytes: int) -> None:
     """Raise BodyTooLargeError if the request says that its body is over the limit."""
     length = header(scope, "content-length")
--- a/figpaddle/daemon/_instance.py
+++ b/figpaddle/daemon/_instance.py
@@ -100,7 +100,12 @@
                 stop=self._stopping.set,
             ),
         }
-        receiver = ForwardReceiver(serve=self._gateway.serve, clock=self._clock)
+        receiver = ForwardReceiver(
+            serve=self._gateway.serve,
+            check=self._gateway.check,
+            configuration=self._configuration,
+            clock=self._clock,
+        )
         self._network.register_forward(receiver.handle)
 
     def _own_info(self) -> InstanceInfo:
--- a/figpaddle/wire/__init__.py
+++ b/figpaddle/wire/__init__.py
@@ -10,7 +10,7 @@
     encode,
     message,
 )
-from figpaddle.wire._forward_messages import ForwardAlive
+from figpaddle.wire._forward_messages import ForwardAlive, ForwardAsk
 from figpaddle.wire._handshake import NONCE_BYTES, Handshake
 from figpaddle.wire._messages import (
     BackendInfo,
@@ -42,6 +42,7 @@
     "Challenge",
     "DirectoryExchange",
     "ForwardAlive",
+    "ForwardAsk",
     "ForwardBody",
     "ForwardFailed",
     "ForwardHead",
--- a/figpaddle/wire/_forward_messages.py
+++ b/figpaddle/wire/_forward_messages.py
@@ -10,7 +10,29 @@
 @message("forward.alive")
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class ForwardAlive(Message):
-    """The receiver has the request and works on it; sent at once and then at an interval."""
+    """The receiver accepts the request; sent at once, then at an interval until the answer ends."""
 
     #: Identifier of the request.
     request_id: str
+    #: Digest of the configuration that the receiver decides by.
+    configuration: str
+
+
+@message("forward.ask")
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ForwardAsk(Message):
+    """Asks whether a request would be accepted; holds nothing that the client sent.
+
+    The reply is ForwardAlive or ForwardFailed.
+    """
+
+    #: Identifier of the request.
+    request_id: str
+    #: Member whose request it is.
+    member: str
+    #: Service that it asks for.
+    service: str
+    #: Instances that the request has passed, in order.
+    visited: tuple[str, ...]
+    #: How often it will have crossed regions.
+    crossings: int
--- a/tests/fault_proxy.py
+++ b/tests/fault_proxy.py
@@ -36,6 +36,13 @@
     writers: list[asyncio.StreamWriter] = dataclasses.field(default_factory=list)
 
 
+@dataclasses.dataclass(kw_only=True)
+class _Recording:
+    sender: str
+    receiver: str
+    data: bytearray = dataclasses.field(default_factory=bytearray)
+
+
 class FaultProxy:
     """Listeners for named destinations, run by a thread of the test process."""
 
@@ -48,7 +55,7 @@
         self._faults: dict[tuple[str, str], Fault] = {}
         self._refused: set[tuple[str, str]] = set()
         self._connections: list[_Connection] = []
-        self._recorded: dict[tuple[str, str], bytearray] | None = None
+        self._recorded: list[_Recording] | None = None
         self._servers: list[asyncio.Server] = []
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -113,12 +120,16 @@
         return len(chosen)
 
     def record(self) -> None:
-        """Keep every byte from now on."""
-        self._recorded = {}
+        """Keep every byte of the connections that are opened from now on."""
+        self._recorded = []
 
     def recorded(self) -> dict[tuple[str, str], bytes]:
-        """Return the bytes kept, by sender and receiver."""
-        return {ends: bytes(data) for ends, data in (self._recorded or {}).items()}
+        """Return the bytes kept, by sender and receiver, with websocket frames unmasked."""
+        found: dict[tuple[str, str], bytes] = {}
+        for one in self._recorded or []:
+            ends = (one.sender, one.receiver)
+            found[ends] = found.get(ends, b"") + unmasked(bytes(one.data))
+        return found
 
     def _call(self, coroutine: Coroutine[Any, Any, Any]) -> Any:
         return asyncio.run_coroutine_threadsafe(coroutine, self._loop).result(START_TIMEOUT_S)
@@ -212,13 +223,16 @@
         receiver: str,
         connection: _Connection,
     ) -> None:
+        recording = _Recording(sender=sender, receiver=receiver)
+        if self._recorded is not None:
+            self._recorded.append(recording)
         while True:
             due, data = await queue.get()
             await asyncio.sleep(max(0.0, due - self._loop.time()))
             while connection.silent or any(f.cut for f in self._faults_of(sender, receiver)):
                 await asyncio.sleep(GATE_POLL_S)
             if self._recorded is not None:
-                self._recorded.setdefault((sender, receiver), bytearray()).extend(data)
+                recording.data.extend(data)
             try:
                 if not data:
                     writer.transport.abort() if writer.is_closing() else writer.write_eof()
@@ -243,3 +257,24 @@
 
 def _matches(connection: _Connection, source: str, destination: str) -> bool:
     return source in ("*", connection.source) and destination in ("*", connection.destination)
+
+
+def unmasked(data: bytes) -> bytes:
+    """Return one direction of a connection; the frames of a websocket without their masks."""
+    head, _, rest = data.partition(b"\r\n\r\n")
+    if b"upgrade: websocket" not in head.lower():
+        return data
+    plain = bytearray(head)
+    while len(rest) >= 2:
+        length, at = rest[1] & 127, 2
+        if length >= 126:
+            at = 4 if length == 126 else 10
+            length = int.from_bytes(rest[2:at], "big")
+        mask = rest[at : at + 4] if rest[1] & 128 else b"\0\0\0\0"
+        at += 4 if rest[1] & 128 else 0
+        payload = rest[at : at + length]
+        key = (mask * (len(payload) // 4 + 1))[: len(payload)]
+        mixed = int.from_bytes(payload, "big") ^ int.from_bytes(key, "big")
+        plain += mixed.to_bytes(len(payload), "big")
+        rest = rest[at + length :]
+    return bytes(plain)
--- /dev/null
+++ b/tests/raw_peer.py
@@ -0,0 +1,46 @@
+"""A peer that speaks the protocol between instances without being one."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import secrets
+from collections.abc import AsyncIterator
+
+from websockets.asyncio.client import ClientConnection, connect
+
+from figpaddle.wire import Challenge, Handshake, LinkPurpose, Message, Welcome, decode, encode
+from tests.harness import DEPLOYMENT_KEY, ProcessError
+
+REPLY_TIMEOUT_S = 5.0
+
+
+class RawPeer:
+    """One open connection to an instance's peer port."""
+
+    def __init__(self, socket: ClientConnection) -> None:
+        self._socket = socket
+
+    async def send(self, item: Message, *, correlation: int = 0) -> None:
+        await self._socket.send(encode(item, correlation=correlation))
+
+    async def receive(self) -> Message:
+        async with asyncio.timeout(REPLY_TIMEOUT_S):
+            return decode(await self._socket.recv(decode=False))
+
+
+@contextlib.asynccontextmanager
+async def raw_peer(
+    address: str, name: str, purpose: LinkPurpose, *, key: str = DEPLOYMENT_KEY
+) -> AsyncIterator[RawPeer]:
+    """Yield a connection that has proved ``key``; raises if the instance refuses it."""
+    async with connect(f"ws://{address}", compression=None, proxy=None) as socket:
+        peer = RawPeer(socket)
+        handshake = Handshake(key=key.encode())
+        challenge = await peer.receive()
+        assert isinstance(challenge, Challenge)
+        nonce = secrets.token_bytes(32)
+        await peer.send(handshake.hello(challenge, sender=name, purpose=purpose, nonce=nonce))
+        if not isinstance(await peer.receive(), Welcome):
+            raise ProcessError("not welcome")
+        yield peer
