--- a/figpaddle/daemon/_callers.py
+++ b/figpaddle/daemon/_callers.py
@@ -4,7 +4,7 @@
 
 import json
 import uuid
-from collections.abc import Callable
+from collections.abc import Callable, MutableMapping
 from typing import Any
 
 import anyio
@@ -40,6 +40,7 @@
 from figpaddle.daemon._metrics import MeasuredSink, Metrics
 from figpaddle.deployment import Client, ClientDirectory, ServiceConfiguration, ServiceKind
 from figpaddle.errors import (
+    BodyTimeoutError,
     DrainingError,
     ForbiddenError,
     InvalidRequestError,
@@ -72,6 +73,7 @@
         configuration: ConfigurationState,
         clients: ClientDirectory,
         body_limit_bytes: int,
+        caller_idle_s: float,
         metrics: Metrics,
         clock: Callable[[], float],
         log: Log,
@@ -82,6 +84,7 @@
         self._configuration = configuration
         self._clients = clients
         self._body_limit_bytes = body_limit_bytes
+        self._caller_idle_s = caller_idle_s
         self._clock = clock
         self._log = log
         #: Set when the instance takes no more requests.
@@ -92,12 +95,19 @@
         if scope["type"] != "http":
             return
         request_id = uuid.uuid4().hex
-        sink = HttpSink(send=send, request_id=request_id, closing=lambda: self.closed)
+        sink = HttpSink(
+            send=send,
+            request_id=request_id,
+            idle_s=self._caller_idle_s,
+            closing=lambda: self.closed,
+        )
         try:
             await self._route(scope, receive, sink, request_id)
         except CallerGoneError:
             self._log.info("caller_gone", request_id=request_id)
         except RequestError as error:
+            if isinstance(error, BodyTimeoutError):
+                self._log.info("caller_silent", request_id=request_id)
             await sink.fail(error)
 
     async def _route(self, scope: Scope, receive: Receive, sink: HttpSink, request_id: str) -> None:
@@ -143,6 +153,11 @@
         ]
         await sink.send_plain({"entries": entries, "ttl_s": answer.ttl_s})
 
+    def _body(self, receive: Receive) -> HttpBody:
+        return HttpBody(
+            receive=receive, limit_bytes=self._body_limit_bytes, idle_s=self._caller_idle_s
+        )
+
     def _service(self, client: Client, name: str) -> ServiceConfiguration:
         member = self._configuration.current.member(client.member)
         service = member.service(name) if member is not None else None
@@ -155,7 +170,7 @@
     ) -> None:
         self._check_chat_region(client, header(scope, SERVICE_HEADER))
         check_body_length(scope, limit_bytes=self._body_limit_bytes)
-        data = await HttpBody(receive=receive, limit_bytes=self._body_limit_bytes).read()
+        data = await self._body(receive).read()
         service = self._service(client, _model_name(data))
         if service.kind is not ServiceKind.MODEL:
             raise ForbiddenError
@@ -192,7 +207,7 @@
         query = scope["query_string"].decode("latin-1")
         target = f"/{rest}" + (f"?{query}" if query else "")
         head = self._head(scope, client, service, target=target, request_id=request_id)
-        body = HttpBody(receive=receive, limit_bytes=self._body_limit_bytes)
+        body = self._body(receive)
         await self._serve_until_gone(head, body, sink, receive)
 
     def _head(
@@ -292,8 +307,11 @@
     ``error`` event and a connection closed without the end mark.
     """
 
-    def __init__(self, *, send: Send, request_id: str, closing: Callable[[], bool]) -> None:
-        self._send = send
+    def __init__(
+        self, *, send: Send, request_id: str, idle_s: float, closing: Callable[[], bool]
+    ) -> None:
+        self._unlimited_send = send
+        self._idle_s = idle_s
         self._request_id = request_id
         self._closing = closing
         self._started = False
@@ -304,6 +322,13 @@
         """Whether the head of the answer has been sent."""
         return self._started
 
+    async def _send(self, event: MutableMapping[str, Any]) -> None:
+        try:
+            with anyio.fail_after(self._idle_s):
+                await self._unlimited_send(event)
+        except TimeoutError as error:
+            raise CallerGoneError from error
+
     async def start(self, head: AnswerHead) -> None:
         """Send the head of the answer with where it was served."""
         self._started = True
--- a/figpaddle/daemon/_gateway.py
+++ b/figpaddle/daemon/_gateway.py
@@ -40,8 +40,10 @@
     permitted_service,
 )
 
-#: Shortest silence within an answer that counts as its end, seconds.
-MIN_IDLE_S = 2.0
+#: An answer that is silent for this many deadlines of its service is given up.
+IDLE_DEADLINES = 2.0
+#: Shortest silence after which an answer is given up, seconds.
+MIN_IDLE_S = 5.0
 #: Time to come back after when no backend server is known, seconds.
 NO_BACKEND_RETRY_S = 2.0
 
@@ -112,7 +114,9 @@
 
     async def _serve(self, head: RequestHead, body: BodySource, sink: AnswerSink) -> None:
         service = self.check(head.member, head.service, head.visited, head.crossings)
-        head = dataclasses.replace(head, idle_s=max(MIN_IDLE_S, service.deadline_s))
+        head = dataclasses.replace(
+            head, idle_s=max(MIN_IDLE_S, IDLE_DEADLINES * service.deadline_s)
+        )
         body = await hold_small(body)
         attempts = Attempts(head=head, budget=self._retry_budget, clock=self._clock)
         failure: RequestError = NoBackendServerError(
--- a/figpaddle/daemon/_http.py
+++ b/figpaddle/daemon/_http.py
@@ -25,8 +25,8 @@
 
 #: Prefix of the types of problem documents.
 PROBLEM_PREFIX = "urn:figpaddle:problem:"
-#: Longest silence of a caller within the body of its request, seconds.
-BODY_IDLE_S = 30.0
+#: Longest silence within the body of a request on the other ports, seconds.
+BODY_IDLE_S = 10.0
 
 
 class CallerGoneError(FigpaddleError):
--- a/figpaddle/daemon/_instance.py
+++ b/figpaddle/daemon/_instance.py
@@ -149,6 +149,7 @@
             configuration=self._configuration,
             clients=read_directory(load_yaml(path), document=str(path)),
             body_limit_bytes=self._settings.limits.body_bytes,
+            caller_idle_s=self._settings.limits.caller_idle_s,
             metrics=self._metrics,
             clock=self._clock,
             log=self._log,
--- a/figpaddle/daemon/_settings.py
+++ b/figpaddle/daemon/_settings.py
@@ -57,6 +57,8 @@
 
     #: Largest body of a request, bytes.
     body_bytes: Annotated[int, pydantic.Field(gt=0)] = 8 * 1024 * 1024
+    #: A caller that neither sends its body nor takes its answer for this long is gone, seconds.
+    caller_idle_s: Annotated[float, pydantic.Field(gt=0)] = 30.0
     #: Longest time that a planned stop waits for requests in progress, seconds.
     drain_s: Annotated[float, pydantic.Field(gt=0)] = 120.0
     #: Time during which a leaving instance still takes requests, seconds.
--- a/tests/raw_http.py
+++ b/tests/raw_http.py
@@ -12,6 +12,7 @@
 from typing import Any
 
 LIMIT_BYTES = 1 << 20
+CHAT_PATH = "/v1/chat/completions"
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -65,6 +66,8 @@
     def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.reader = reader
         self.writer = writer
+        #: Set when the head of an answer has come.
+        self.began = asyncio.Event()
 
     @classmethod
     async def open(cls, address: str) -> RawConnection:
@@ -87,6 +90,7 @@
     async def read_answer(self) -> RawAnswer:
         lines = (await self.reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
         pairs = (line.partition(":") for line in lines[1:] if line)
+        self.began.set()
         headers = {key.lower(): value.strip() for key, _, value in pairs}
         body, whole = await self._read_body(headers)
         return RawAnswer(status=int(lines[0].split()[1]), headers=headers, body=body, whole=whole)
@@ -133,6 +137,10 @@
 ) -> RawAnswer:
     """Send one chat completion on a connection of its own."""
     body = chat_body(model, text, **options)
-    return await raw_call(
-        address, "POST", "/v1/chat/completions", key=key, body=body, timeout_s=timeout_s
-    )
+    return await raw_call(address, "POST", CHAT_PATH, key=key, body=body, timeout_s=timeout_s)
+
+
+def chat_bytes(model: str, text: str, key: str, **options: Any) -> bytes:
+    """Return one whole request for a chat completion."""
+    body = chat_body(model, text, **options)
+    return head_bytes("POST", CHAT_PATH, key, f"content-length: {len(body)}") + body
