--- a/figpaddle/daemon/_callers.py
+++ b/figpaddle/daemon/_callers.py
@@ -208,7 +208,7 @@
         )
         async with anyio.create_task_group() as tasks:
             if isinstance(body, BufferedBody):
-                tasks.start_soon(self._watch_caller, receive, tasks.cancel_scope, head.request_id)
+                tasks.start_soon(self._watch_caller, receive, sink, tasks.cancel_scope)
             try:
                 await self._gateway.serve(head, body, measured)
             except (RequestError, CallerGoneError) as failure:
@@ -220,13 +220,14 @@
             raise error
 
     async def _watch_caller(
-        self, receive: Receive, scope: anyio.CancelScope, request_id: str
+        self, receive: Receive, sink: HttpSink, scope: anyio.CancelScope
     ) -> None:
         while True:
             event = await receive()
             if event["type"] == "http.disconnect":
-                self._log.info("caller_gone", request_id=request_id)
-                scope.cancel()
+                if not sink.finished:
+                    self._log.info("caller_gone", request_id=sink.request_id)
+                    scope.cancel()
                 return
 
 
@@ -259,7 +260,9 @@
 
     def __init__(self, *, send: Send, request_id: str, closing: Callable[[], bool]) -> None:
         self._send = send
-        self._request_id = request_id
+        self._finished = False
+        #: Identifier of the request.
+        self.request_id = request_id
         self._closing = closing
         self._started = False
         self._is_event_stream = False
@@ -269,6 +272,11 @@
         """Whether the head of the answer has been sent."""
         return self._started
 
+    @property
+    def finished(self) -> bool:
+        """Whether the end mark has been sent."""
+        return self._finished
+
     async def start(self, head: AnswerHead) -> None:
         """Send the head of the answer with where it was served."""
         self._started = True
@@ -276,7 +284,7 @@
             (key.encode(), value.encode("latin-1", "replace")) for key, value in head.headers
         ]
         own = {
-            "figpaddle-request-id": self._request_id,
+            "figpaddle-request-id": self.request_id,
             "figpaddle-instance": head.instance,
             "figpaddle-region": head.region,
             "figpaddle-backend": head.backend,
@@ -300,6 +308,7 @@
 
     async def finish(self) -> None:
         """Send the end mark."""
+        self._finished = True
         await self._send({"type": "http.response.body", "body": b"", "more_body": False})
 
     async def send_plain(self, plain: Any) -> None:
@@ -311,11 +320,11 @@
         """End the answer with ``error``; raises it again if the answer had begun."""
         if not self._started:
             await send_problem(
-                self._send, error, request_id=self._request_id, extra=self._connection()
+                self._send, error, request_id=self.request_id, extra=self._connection()
             )
             return
         if self._is_event_stream:
-            document = json.dumps(problem_document(error, request_id=self._request_id))
+            document = json.dumps(problem_document(error, request_id=self.request_id))
             await self.write(f"event: error\ndata: {document}\n\n".encode())
         raise error
 
--- a/figpaddle/daemon/_instance.py
+++ b/figpaddle/daemon/_instance.py
@@ -29,7 +29,7 @@
 from figpaddle.daemon._peers import PeerNetwork
 from figpaddle.daemon._regions import RegionView
 from figpaddle.daemon._settings import Settings, load_yaml
-from figpaddle.daemon._sockets import Listener, listen, split_address
+from figpaddle.daemon._sockets import Listener, hand_over, listen, split_address
 from figpaddle.deployment import configuration_from_plain, read_directory
 from figpaddle.routing import BackendTable, LeastLoadPolicy
 from figpaddle.wire import Handshake, InstanceInfo
@@ -207,7 +207,7 @@
 
     async def _serve_port(self, application: Any, listener: Listener) -> None:
         config = Config()
-        config.bind = [f"fd://{listener.socket.fileno()}"]
+        config.bind = [hand_over(listener)]
         config.accesslog = None
         config.errorlog = None
         config.graceful_timeout = 0.5
--- a/figpaddle/daemon/_sockets.py
+++ b/figpaddle/daemon/_sockets.py
@@ -34,3 +34,12 @@
     bound.setblocking(False)
     host, port = bound.getsockname()
     return Listener(socket=bound, address=f"{host}:{port}")
+
+
+def hand_over(listener: Listener) -> str:
+    """Return the ``fd://`` name under which a server takes the socket over for good.
+
+    The listener gives its descriptor up, since a descriptor with two owners is closed twice, the
+    second time when the number may already belong to another file.
+    """
+    return f"fd://{listener.socket.detach()}"
--- /dev/null
+++ b/figpaddle/daemon/tests/test_sockets.py
@@ -0,0 +1,15 @@
+"""Listening sockets have one owner at a time."""
+
+from __future__ import annotations
+
+import os
+
+from figpaddle.daemon._sockets import hand_over, listen
+
+
+def test_descriptor_handed_over_is_not_closed_by_its_former_owner() -> None:
+    listener = listen("127.0.0.1:0")
+    descriptor = int(hand_over(listener).removeprefix("fd://"))
+    listener.socket.close()
+    os.fstat(descriptor)
+    os.close(descriptor)
--- a/figpaddle/standins/_main.py
+++ b/figpaddle/standins/_main.py
@@ -10,7 +10,7 @@
 from hypercorn.asyncio import serve
 from hypercorn.config import Config
 
-from figpaddle.daemon._sockets import Listener, listen
+from figpaddle.daemon._sockets import Listener, hand_over, listen
 from figpaddle.standins._announcer import Announcer
 from figpaddle.standins._engine import Engine
 from figpaddle.standins._records import RecordsService
@@ -96,7 +96,7 @@
 
 async def _serve(application: Any, listener: Listener, announcer: Announcer) -> None:
     config = Config()
-    config.bind = [f"fd://{listener.socket.fileno()}"]
+    config.bind = [hand_over(listener)]
     config.accesslog = None
     config.errorlog = None
     leaving = anyio.Event()
