--- a/figpaddle/daemon/_callers.py
+++ b/figpaddle/daemon/_callers.py
@@ -4,7 +4,7 @@
 
 import json
 import uuid
-from collections.abc import Callable, MutableMapping
+from collections.abc import Callable
 from typing import Any
 
 import anyio
@@ -13,8 +13,6 @@
 from figpaddle.daemon._backend_client import HOP_HEADERS
 from figpaddle.daemon._configuration_state import ConfigurationState
 from figpaddle.daemon._exchange import (
-    AnswerHead,
-    AnswerSink,
     BodySource,
     BufferedBody,
     Headers,
@@ -29,13 +27,10 @@
     Send,
     bearer,
     check_body_length,
-    encode_headers,
     header,
-    problem_document,
     query_value,
-    send_json,
-    send_problem,
 )
+from figpaddle.daemon._http_sink import HttpSink
 from figpaddle.daemon._logs import Log
 from figpaddle.daemon._metrics import MeasuredSink, Metrics
 from figpaddle.deployment import Client, ClientDirectory, ServiceConfiguration, ServiceKind
@@ -255,7 +250,7 @@
             clock=self._clock,
         )
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._watch_caller, body, receive, tasks.cancel_scope, head)
+            tasks.start_soon(self._watch_caller, body, receive, sink, tasks.cancel_scope)
             try:
                 await self._gateway.serve(head, body, measured)
             except (RequestError, CallerGoneError) as failure:
@@ -267,7 +262,7 @@
             raise error
 
     async def _watch_caller(
-        self, body: BodySource, receive: Receive, scope: anyio.CancelScope, head: RequestHead
+        self, body: BodySource, receive: Receive, sink: HttpSink, scope: anyio.CancelScope
     ) -> None:
         """Cancel the exchange when the caller goes away after its request was read."""
         if isinstance(body, HttpBody):
@@ -275,8 +270,9 @@
         while True:
             event = await receive()
             if event["type"] == "http.disconnect":
-                self._log.info("caller_gone", request_id=head.request_id)
-                scope.cancel()
+                if not sink.finished:
+                    self._log.info("caller_gone", request_id=sink.request_id)
+                    scope.cancel()
                 return
 
 
@@ -298,86 +294,3 @@
     if not isinstance(model, str):
         raise InvalidRequestError(what="the body names no model", mend="add 'model'")
     return model
-
-
-class HttpSink(AnswerSink):
-    """Sends an answer to the caller.
-
-    A stream that breaks after its head ends as an error that the caller sees as one: an SSE
-    ``error`` event and a connection closed without the end mark.
-    """
-
-    def __init__(
-        self, *, send: Send, request_id: str, idle_s: float, closing: Callable[[], bool]
-    ) -> None:
-        self._unlimited_send = send
-        self._idle_s = idle_s
-        self._request_id = request_id
-        self._closing = closing
-        self._started = False
-        self._is_event_stream = False
-
-    @property
-    def started(self) -> bool:
-        """Whether the head of the answer has been sent."""
-        return self._started
-
-    async def _send(self, event: MutableMapping[str, Any]) -> None:
-        try:
-            with anyio.fail_after(self._idle_s):
-                await self._unlimited_send(event)
-        except TimeoutError as error:
-            raise CallerGoneError from error
-
-    async def start(self, head: AnswerHead) -> None:
-        """Send the head of the answer with where it was served."""
-        self._started = True
-        headers = [
-            (key.encode(), value.encode("latin-1", "replace")) for key, value in head.headers
-        ]
-        own = {
-            "figpaddle-request-id": self._request_id,
-            "figpaddle-instance": head.instance,
-            "figpaddle-region": head.region,
-            "figpaddle-backend": head.backend,
-            **self._connection(),
-        }
-        self._is_event_stream = any(
-            key == "content-type" and value.startswith("text/event-stream")
-            for key, value in head.headers
-        )
-        await self._send(
-            {
-                "type": "http.response.start",
-                "status": head.status,
-                "headers": [*headers, *encode_headers(own)],
-            }
-        )
-
-    async def write(self, data: bytes) -> None:
-        """Send a piece of the answer."""
-        await self._send({"type": "http.response.body", "body": data, "more_body": True})
-
-    async def finish(self) -> None:
-        """Send the end mark."""
-        await self._send({"type": "http.response.body", "body": b"", "more_body": False})
-
-    async def send_plain(self, plain: Any) -> None:
-        """Send ``plain`` as JSON."""
-        self._started = True
-        await send_json(self._send, status=200, plain=plain, extra=self._connection())
-
-    async def fail(self, error: RequestError) -> None:
-        """End the answer with ``error``; raises it again if the answer had begun."""
-        if not self._started:
-            await send_problem(
-                self._send, error, request_id=self._request_id, extra=self._connection()
-            )
-            return
-        if self._is_event_stream:
-            document = json.dumps(problem_document(error, request_id=self._request_id))
-            await self.write(f"event: error\ndata: {document}\n\n".encode())
-        raise error
-
-    def _connection(self) -> dict[str, str]:
-        return {"connection": "close"} if self._closing() else {}
