Refuse a request that crashes backend servers after two losses, in all instances

Cause: a request that ends each engine that runs it was retried and sent again without limit. Ruled out: counting broken connections (a network fault would count); counting at one instance (the caller uses all entries); running suspects together (an innocent one would be counted twice).

--- a/figpaddle/daemon/_gateway.py
+++ b/figpaddle/daemon/_gateway.py
@@ -19,15 +19,18 @@
 )
 from figpaddle.daemon._forwarder import Forwarder
 from figpaddle.daemon._logs import Log
+from figpaddle.daemon._quarantine import QuarantineKeeper
 from figpaddle.daemon._regions import RegionView
 from figpaddle.daemon._retries import Attempts
 from figpaddle.deployment import ServiceConfiguration
 from figpaddle.errors import (
+    BackendServerLostError,
     DeadlineExceededError,
     NoBackendServerError,
     Outcome,
     PeerLostError,
     RequestError,
+    RequestQuarantinedError,
 )
 from figpaddle.routing import (
     BackendTable,
@@ -36,6 +39,7 @@
     Placement,
     PlacementPolicy,
     RetryBudget,
+    Verdict,
     check_forward,
     permitted_service,
 )
@@ -44,6 +48,8 @@
 IDLE_DEADLINES = 2.0
 #: Shortest silence after which an answer is given up, seconds.
 MIN_IDLE_S = 5.0
+#: Interval at which a suspect looks for a free backend server, seconds.
+SLOT_POLL_S = 0.05
 #: Time to come back after when no backend server is known, seconds.
 NO_BACKEND_RETRY_S = 2.0
 
@@ -61,6 +67,7 @@
         policy: PlacementPolicy,
         client: BackendClient,
         forwarder: Forwarder,
+        quarantine: QuarantineKeeper,
         clock: Callable[[], float],
         log: Log,
     ) -> None:
@@ -71,6 +78,7 @@
         self._policy = policy
         self._client = client
         self._forwarder = forwarder
+        self._quarantine = quarantine
         self._clock = clock
         self._log = log
         self._in_progress = 0
@@ -122,9 +130,10 @@
         failure: RequestError = NoBackendServerError(
             service=head.service, retry_after_s=NO_BACKEND_RETRY_S
         )
-        while (placement := self._place(head, service.regions, attempts.tried)) is not None:
+        digest = self._quarantine.digest(head, body)
+        while placement := await self._place_apart(head, service.regions, attempts, digest):
             try:
-                await self._carry_out(head, body, sink, placement, attempts.tried)
+                await self._carry_out(head, body, sink, placement, attempts.tried, digest)
                 return
             except RequestError as error:
                 attempts.note_failure(error)
@@ -136,6 +145,32 @@
                 failure = error
         raise failure
 
+    async def _place_apart(
+        self, head: RequestHead, allowed: tuple[str, ...], attempts: Attempts, digest: bytes
+    ) -> Placement | None:
+        """Return the choice; that of a suspect runs no other suspect.
+
+        Raises RequestQuarantinedError for a request that may not run any more.
+        """
+        try:
+            verdict = self._quarantine.check(digest)
+        except RequestQuarantinedError as error:
+            attempts.settle(error)
+            raise
+        if verdict is Verdict.CLEAR:
+            return self._place(head, allowed, attempts.tried)
+        while self._clock() < head.deadline_at:
+            denied = set(attempts.tried)
+            while placement := self._place(head, allowed, denied):
+                name = placement.backend.info.name if placement.backend is not None else None
+                if name is None or await self._quarantine.take_slot(name, digest):
+                    return placement
+                denied.add(name)
+            if denied == attempts.tried:
+                return None
+            await anyio.sleep(SLOT_POLL_S)
+        return None
+
     def _place(
         self, head: RequestHead, allowed: tuple[str, ...], tried: set[str]
     ) -> Placement | None:
@@ -156,15 +191,21 @@
         sink: AnswerSink,
         placement: Placement,
         tried: set[str],
+        digest: bytes,
     ) -> None:
         if placement.backend is not None:
             tried.add(placement.backend.info.name)
-            await self._send(head, body, sink, placement.backend)
+            await self._send(head, body, sink, placement.backend, digest)
         elif placement.region is not None:
             await self._forwarder.forward(head, body, sink, region=placement.region, tried=tried)
 
     async def _send(
-        self, head: RequestHead, body: BodySource, sink: AnswerSink, backend: KnownBackend
+        self,
+        head: RequestHead,
+        body: BodySource,
+        sink: AnswerSink,
+        backend: KnownBackend,
+        digest: bytes,
     ) -> None:
         name = backend.info.name
         self._backends.started(name)
@@ -175,13 +216,18 @@
                 timed.scope = scope
                 await self._client.send(head, body, backend, timed)
                 self._backends.note_connection(name, opened=True)
+                self._quarantine.note_answered(digest)
             if scope.cancelled_caught:
                 raise DeadlineExceededError(deadline_s=head.deadline_s, outcome=Outcome.UNKNOWN)
         except NoBackendServerError:
             self._backends.note_connection(name, opened=False)
             raise
+        except BackendServerLostError:
+            await self._quarantine.note_broken(head, digest, backend)
+            raise
         finally:
             self._backends.finished(name)
+            self._quarantine.release_slot(name, digest)
 
 
 class DeadlineSink(AnswerSink):
--- a/figpaddle/daemon/_instance.py
+++ b/figpaddle/daemon/_instance.py
@@ -28,6 +28,7 @@
 from figpaddle.daemon._metrics import Metrics
 from figpaddle.daemon._operators import OperatorsPort
 from figpaddle.daemon._peers import PeerNetwork
+from figpaddle.daemon._quarantine import QuarantineKeeper
 from figpaddle.daemon._regions import RegionView
 from figpaddle.daemon._settings import Settings, load_yaml
 from figpaddle.daemon._sockets import Listener, hand_over, listen, split_address
@@ -73,6 +74,7 @@
         self._client = BackendClient(
             own_ip=own_ip, region=settings.region, instance=settings.instance
         )
+        self._quarantine = self._make_quarantine()
         self._gateway = self._make_gateway()
         self._watch = BackendWatch(
             directory=self._directory,
@@ -98,6 +100,7 @@
                 dump=self.dump,
                 metrics=self._metrics,
                 stop=self._stopping.set,
+                lift=self._quarantine.lift,
             ),
         }
         receiver = ForwardReceiver(
@@ -121,6 +124,16 @@
             incarnation=time.time_ns() // 1_000_000,
         )
 
+    def _make_quarantine(self) -> QuarantineKeeper:
+        return QuarantineKeeper(
+            directory=self._directory,
+            network=self._network,
+            key=self._settings.deployment_key.encode(),
+            rng=self._rng,
+            clock=self._clock,
+            log=self._log,
+        )
+
     def _make_gateway(self) -> Gateway:
         forwarder = Forwarder(
             directory=self._directory,
@@ -137,6 +150,7 @@
             policy=LeastLoadPolicy(rng=self._rng),
             client=self._client,
             forwarder=forwarder,
+            quarantine=self._quarantine,
             clock=self._clock,
             log=self._log,
         )
@@ -162,7 +176,7 @@
             join=self._settings.join,
             log=self._log,
         )
-        return (membership, self._watch)
+        return (membership, self._watch, self._quarantine)
 
     def dump(self, member: str | None) -> dict[str, Any]:
         """Return the state of the process without clients' data and keys.
--- a/figpaddle/daemon/_operators.py
+++ b/figpaddle/daemon/_operators.py
@@ -12,6 +12,7 @@
     Scope,
     Send,
     bearer,
+    query_value,
     send_bytes,
     send_json,
     send_problem,
@@ -37,11 +38,13 @@
         dump: Callable[[str | None], dict[str, Any]],
         metrics: Metrics,
         stop: Callable[[], None],
+        lift: Callable[[str | None, bytes], bool],
     ) -> None:
         self._operators = operators
         self._dump = dump
         self._metrics = metrics
         self._stop = stop
+        self._lift = lift
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one HTTP request."""
@@ -65,6 +68,9 @@
                 raise ForbiddenError
             self._stop()
             await send_json(send, status=202, plain={"stopping": True})
+        elif call == ("POST", "/v1/quarantine/lift"):
+            lifted = self._lift(operator.member, _digest(scope))
+            await send_json(send, status=200, plain={"lifted": lifted})
         else:
             raise InvalidRequestError(what="no such path", mend="see docs/OPERATORS.md")
 
@@ -75,3 +81,12 @@
             if hmac.compare_digest(digest, operator.token_digest):
                 return operator
         raise UnauthorizedError
+
+
+def _digest(scope: Scope) -> bytes:
+    try:
+        return bytes.fromhex(query_value(scope, "digest") or "")
+    except ValueError as error:
+        raise InvalidRequestError(
+            what="the digest is not hexadecimal", mend="copy it from the state dump"
+        ) from error
--- /dev/null
+++ b/figpaddle/daemon/_quarantine.py
@@ -0,0 +1,230 @@
+"""Keeps requests that crash backend servers apart and refuses them."""
+
+from __future__ import annotations
+
+import contextlib
+import hashlib
+import hmac
+import random
+import zlib
+from collections.abc import Callable
+from typing import Any
+
+import anyio
+
+from figpaddle.coordination import InstanceDirectory
+from figpaddle.daemon._component import Component
+from figpaddle.daemon._exchange import BodySource, BufferedBody, RequestHead
+from figpaddle.daemon._logs import Log
+from figpaddle.daemon._peers import PeerNetwork
+from figpaddle.daemon._sockets import split_address
+from figpaddle.errors import PeerUnreachableError, RequestQuarantinedError
+from figpaddle.routing import KnownBackend, Quarantine, SuspectSlots, Verdict
+from figpaddle.wire import (
+    InstanceState,
+    Message,
+    SuspectNews,
+    SuspectRecord,
+    SuspectSlot,
+    SuspectSlotReply,
+)
+
+#: Interval at which all records are sent to one other instance, seconds.
+GOSSIP_INTERVAL_S = 1.0
+#: Timeout for asking another instance for a slot, seconds.
+SLOT_TIMEOUT_S = 0.5
+#: A backend server that accepts no connection within this is lost, seconds.
+PROBE_TIMEOUT_S = 1.0
+#: A connection that the backend server keeps open for this long shows that it lives, seconds.
+PROBE_KEPT_S = 0.2
+#: Domain of the digests, so that the deployment key gives other digests elsewhere.
+DIGEST_DOMAIN = b"figpaddle request content"
+
+
+class QuarantineKeeper(Component):
+    """Tells suspects by a digest of their content and shares them with all instances.
+
+    Digests are keyed with the deployment key and cover the member, so that nothing of the content
+    can be told or guessed from them, and equal requests of two members have different ones.
+    """
+
+    def __init__(
+        self,
+        *,
+        directory: InstanceDirectory,
+        network: PeerNetwork,
+        key: bytes,
+        rng: random.Random,
+        clock: Callable[[], float],
+        log: Log,
+    ) -> None:
+        self._directory = directory
+        self._network = network
+        self._key = key
+        self._rng = rng
+        self._clock = clock
+        self._log = log
+        self._quarantine = Quarantine()
+        self._slots = SuspectSlots()
+        #: Slots that requests in progress hold, and who granted each.
+        self._held: dict[tuple[str, bytes], str] = {}
+        network.register(SuspectNews, self._on_news)
+        network.register(SuspectSlot, self._on_slot)
+
+    @property
+    def name(self) -> str:
+        """Key of its part in the state dump."""
+        return "quarantine"
+
+    def dump(self, *, now: float, member: str | None) -> Any:
+        """Return the requests on record by their digests."""
+        return [
+            {
+                "member": record.member,
+                "digest": record.digest.hex(),
+                "verdict": self._quarantine.verdict(record.digest, now=now).value,
+                "losses": [
+                    {"backend": loss.backend, "pardoned": loss.pardoned} for loss in record.losses
+                ],
+            }
+            for record in self._quarantine.records(now=now, member=member)
+        ]
+
+    def digest(self, head: RequestHead, body: BodySource) -> bytes:
+        """Return the digest of a request's content; empty for a body that is not held whole."""
+        if not isinstance(body, BufferedBody):
+            return b""
+        return content_digest(head, body.data, key=self._key)
+
+    def check(self, digest: bytes) -> Verdict:
+        """Return whether a request is a suspect; raises RequestQuarantinedError if refused."""
+        now = self._clock()
+        verdict = self._quarantine.verdict(digest, now=now)
+        if verdict is Verdict.REFUSED:
+            left_s = self._quarantine.refused_for_s(digest, now=now)
+            raise RequestQuarantinedError(retry_after_s=left_s)
+        return verdict
+
+    def lift(self, member: str | None, digest: bytes) -> bool:
+        """Clear a request on an operator's order; return whether it was on record.
+
+        An operator of one ``member`` can clear this member's requests only.
+        """
+        now = self._clock()
+        if not self._quarantine.records(now=now, member=member, digest=digest):
+            return False
+        self._log.info("quarantine_lifted", digest=digest.hex())
+        self._pardon(digest)
+        return True
+
+    def note_answered(self, digest: bytes) -> None:
+        """Clear a suspect that got its whole answer."""
+        self._pardon(digest)
+
+    async def note_broken(self, head: RequestHead, digest: bytes, backend: KnownBackend) -> None:
+        """Hold the loss of ``backend`` against the request if a new connection shows it."""
+        if not digest or await _is_alive(backend.info.address):
+            return
+        news = self._quarantine.note_loss(
+            head.member,
+            digest,
+            backend=backend.info.name,
+            incarnation=backend.info.incarnation,
+            now=self._clock(),
+        )
+        if news:
+            self._log.info("backend_lost", backend=backend.info.name, request_id=head.request_id)
+            self._spread(digest)
+
+    async def take_slot(self, backend: str, digest: bytes) -> bool:
+        """Return whether a suspect may run on ``backend`` now.
+
+        One instance of the region grants the slots of a backend server. While it can't be
+        reached, the own view must do.
+        """
+        owner = self._slot_owner(backend)
+        granted = await self._ask_slot(owner, SuspectSlot(backend=backend, digest=digest))
+        if granted:
+            self._held[backend, digest] = owner
+        return granted
+
+    def release_slot(self, backend: str, digest: bytes) -> None:
+        """Give back the slot of ``backend`` if it was taken for this request."""
+        owner = self._held.pop((backend, digest), None)
+        if owner is not None:
+            self._slots.release(backend, digest)
+            self._network.post(owner, SuspectSlot(backend=backend, digest=digest, release=True))
+
+    async def run(self) -> None:
+        """Send the records to one instance at each interval until cancelled."""
+        while True:
+            records = self._quarantine.records(now=self._clock())
+            peers = self._directory.peers()
+            if records and peers:
+                self._network.post(self._rng.choice(peers).name, SuspectNews(records=records))
+            await anyio.sleep(GOSSIP_INTERVAL_S)
+
+    def _pardon(self, digest: bytes) -> None:
+        if self._quarantine.pardon(digest, now=self._clock()):
+            self._spread(digest)
+
+    def _spread(self, digest: bytes) -> None:
+        records: tuple[SuspectRecord, ...] = self._quarantine.records(
+            now=self._clock(), digest=digest
+        )
+        for peer in self._directory.peers():
+            self._network.post(peer.name, SuspectNews(records=records))
+
+    def _slot_owner(self, backend: str) -> str:
+        own_region = self._directory.own.region
+        names = [
+            info.name
+            for info in self._directory.instances
+            if info.region == own_region and info.state is InstanceState.SERVING
+        ]
+        names = names or [self._directory.own.name]
+        return max(names, key=lambda name: zlib.crc32(f"{name}/{backend}".encode()))
+
+    async def _ask_slot(self, owner: str, item: SuspectSlot) -> bool:
+        if owner != self._directory.own.name:
+            with contextlib.suppress(PeerUnreachableError):
+                reply = await self._network.request(owner, item, timeout_s=SLOT_TIMEOUT_S)
+                return isinstance(reply, SuspectSlotReply) and reply.granted
+        return self._slots.take(item.backend, item.digest, now=self._clock())
+
+    async def _on_news(self, peer: str, item: SuspectNews) -> Message | None:
+        self._quarantine.merge(item.records, now=self._clock())
+        return None
+
+    async def _on_slot(self, peer: str, item: SuspectSlot) -> Message | None:
+        if item.release:
+            self._slots.release(item.backend, item.digest)
+            return None
+        granted = self._slots.take(item.backend, item.digest, now=self._clock())
+        return SuspectSlotReply(granted=granted)
+
+
+def content_digest(head: RequestHead, data: bytes, *, key: bytes) -> bytes:
+    """Return the keyed digest of a request's member, service, method, target and body."""
+    digest = hmac.new(key, DIGEST_DOMAIN, hashlib.sha256)
+    for part in (head.member, head.service, head.method, head.target):
+        encoded = part.encode()
+        digest.update(len(encoded).to_bytes(4, "big") + encoded)
+    digest.update(data)
+    return digest.digest()
+
+
+async def _is_alive(address: str) -> bool:
+    """Return whether a new connection is accepted and kept."""
+    host, port = split_address(address)
+    try:
+        with anyio.fail_after(PROBE_TIMEOUT_S):
+            stream = await anyio.connect_tcp(host, port)
+    except (OSError, TimeoutError):
+        return False
+    async with stream:
+        with anyio.move_on_after(PROBE_KEPT_S) as scope:
+            with contextlib.suppress(anyio.EndOfStream, anyio.BrokenResourceError):
+                await stream.receive(1)
+                return True
+        return scope.cancelled_caught
--- a/figpaddle/daemon/_retries.py
+++ b/figpaddle/daemon/_retries.py
@@ -36,7 +36,11 @@
         self._failed += 1
         if error.outcome is Outcome.UNKNOWN:
             self._may_have_run = True
-        elif self._may_have_run and error.outcome is Outcome.NOT_RUN:
+        self.settle(error)
+
+    def settle(self, error: RequestError) -> None:
+        """Give ``error`` the outcome of the whole request."""
+        if self._may_have_run and error.outcome is Outcome.NOT_RUN:
             error.outcome = Outcome.UNKNOWN
 
     def may_retry(self, error: RequestError, body: BodySource, sink: AnswerSink) -> bool:
--- /dev/null
+++ b/figpaddle/daemon/tests/test_quarantine.py
@@ -0,0 +1,38 @@
+"""Digests of requests tell nothing to other members."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from figpaddle.daemon._exchange import RequestHead
+from figpaddle.daemon._quarantine import content_digest
+
+HEAD = RequestHead(
+    request_id="1",
+    member="hanbit",
+    client="desk",
+    home="seoul",
+    service="draft",
+    method="POST",
+    target="/v1/chat/completions",
+    headers=(),
+    idempotent=True,
+    idempotency_key=None,
+    deadline_at=5.0,
+    deadline_s=5.0,
+    priority=0,
+)
+
+
+def test_digest_differs_by_member_service_target_body_and_key_only() -> None:
+    same = dataclasses.replace(HEAD, request_id="2", client="another", deadline_at=9.0)
+    assert content_digest(HEAD, b"x", key=b"k") == content_digest(same, b"x", key=b"k")
+    others = [
+        content_digest(dataclasses.replace(HEAD, member="cumbre"), b"x", key=b"k"),
+        content_digest(dataclasses.replace(HEAD, service="chat"), b"x", key=b"k"),
+        content_digest(dataclasses.replace(HEAD, target="/"), b"x", key=b"k"),
+        content_digest(HEAD, b"y", key=b"k"),
+        content_digest(HEAD, b"x", key=b"another"),
+        content_digest(dataclasses.replace(HEAD, member="hanbi", service="tdraft"), b"x", key=b"k"),
+    ]
+    assert len({content_digest(HEAD, b"x", key=b"k"), *others}) == 1 + len(others)
--- a/figpaddle/errors/__init__.py
+++ b/figpaddle/errors/__init__.py
@@ -30,6 +30,7 @@
     PeerLostError,
     RegionNotAllowedError,
     RequestError,
+    RequestQuarantinedError,
     UnauthorizedError,
 )
 
@@ -58,6 +59,7 @@
     "QuestionnaireError",
     "RegionNotAllowedError",
     "RequestError",
+    "RequestQuarantinedError",
     "SettingsError",
     "UnauthorizedError",
     "UnknownMessageError",
--- a/figpaddle/errors/_request.py
+++ b/figpaddle/errors/_request.py
@@ -191,6 +191,20 @@
         )
 
 
+class RequestQuarantinedError(RequestError):
+    """The request is refused because backend servers died while they ran it."""
+
+    status = 422
+    problem = "request-quarantined"
+
+    def __init__(self, *, retry_after_s: float) -> None:
+        super().__init__(
+            what="backend servers died while they ran this request",
+            mend="change the request, or ask an operator to lift the quarantine",
+            retry_after_s=retry_after_s,
+        )
+
+
 class DeadlineExceededError(RequestError):
     """The deadline of the request passed."""
 
--- a/figpaddle/routing/__init__.py
+++ b/figpaddle/routing/__init__.py
@@ -10,11 +10,13 @@
     PlacementPolicy,
     RegionOption,
 )
+from figpaddle.routing._quarantine import LOSS_TTL_S, Quarantine, SuspectSlots, Verdict
 from figpaddle.routing._retry_budget import RetryBudget
 
 __all__ = [
     "ANNOUNCEMENT_TTL_S",
     "ENTRY_TTL_S",
+    "LOSS_TTL_S",
     "MAX_CROSSINGS",
     "BackendTable",
     "EntryAnswer",
@@ -23,8 +25,11 @@
     "Options",
     "Placement",
     "PlacementPolicy",
+    "Quarantine",
     "RegionOption",
     "RetryBudget",
+    "SuspectSlots",
+    "Verdict",
     "check_forward",
     "permitted_service",
     "rank_entries",
--- /dev/null
+++ b/figpaddle/routing/tests/test_quarantine.py
@@ -0,0 +1,104 @@
+"""Which requests are suspects, refused or clear."""
+
+from __future__ import annotations
+
+import itertools
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from figpaddle.routing import LOSS_TTL_S, Quarantine, SuspectSlots, Verdict
+
+
+def lose(quarantine: Quarantine, backend: str, digest: bytes = b"d", now: float = 0.0) -> bool:
+    return quarantine.note_loss("hanbit", digest, backend=backend, incarnation=1, now=now)
+
+
+@pytest.mark.parametrize(
+    ("backends", "expected"),
+    [
+        ([], Verdict.CLEAR),
+        (["e1"], Verdict.SUSPECT),
+        (["e1", "e1"], Verdict.SUSPECT),
+        (["e1", "e2"], Verdict.REFUSED),
+    ],
+)
+def test_two_lost_backend_servers_are_enough(backends: list[str], expected: Verdict) -> None:
+    quarantine = Quarantine()
+    for backend in backends:
+        lose(quarantine, backend)
+    assert quarantine.verdict(b"d", now=1.0) is expected
+    assert quarantine.verdict(b"another", now=1.0) is Verdict.CLEAR
+
+
+def test_refusal_ends_when_its_losses_expire() -> None:
+    quarantine = Quarantine()
+    lose(quarantine, "e1", now=0.0)
+    lose(quarantine, "e2", now=100.0)
+    left = quarantine.refused_for_s(b"d", now=200.0)
+    assert quarantine.verdict(b"d", now=200.0 + left - 0.1) is Verdict.REFUSED
+    assert quarantine.verdict(b"d", now=200.0 + left + 0.1) is Verdict.SUSPECT
+    assert quarantine.records(now=100.0 + LOSS_TTL_S) == ()
+
+
+def test_pardon_holds_against_old_news_but_not_against_new_losses() -> None:
+    quarantine = Quarantine()
+    lose(quarantine, "e1")
+    lose(quarantine, "e2")
+    old = quarantine.records(now=1.0)
+    assert quarantine.pardon(b"d", now=1.0)
+    quarantine.merge(old, now=2.0)
+    assert quarantine.verdict(b"d", now=2.0) is Verdict.CLEAR
+    assert not lose(quarantine, "e2", now=2.0)
+    lose(quarantine, "e3", now=2.0)
+    lose(quarantine, "e4", now=2.0)
+    assert quarantine.verdict(b"d", now=2.0) is Verdict.REFUSED
+
+
+def test_one_members_records_push_out_only_its_own() -> None:
+    quarantine = Quarantine(max_records=10)
+    quarantine.note_loss("cumbre", b"kept", backend="e", incarnation=1, now=0.0)
+    for number in range(50):
+        lose(quarantine, "e", digest=b"%d" % number, now=float(number))
+    kept = {record.digest for record in quarantine.records(now=50.0)}
+    assert kept == {b"kept"} | {b"%d" % number for number in range(41, 50)}
+
+
+EVENTS = st.lists(
+    st.tuples(st.sampled_from(["lose", "pardon"]), st.sampled_from(["e1", "e2", "e3"])), max_size=6
+)
+
+
+@settings(derandomize=True, deadline=None, max_examples=100)
+@given(st.lists(EVENTS, min_size=3, max_size=3))
+def test_instances_agree_in_whatever_order_they_hear_of_each_other(
+    histories: list[list[tuple[str, str]]],
+) -> None:
+    verdicts = set()
+    for order in itertools.permutations(range(3)):
+        instances = [Quarantine() for _ in histories]
+        for instance, history in zip(instances, histories, strict=True):
+            for event, backend in history:
+                if event == "lose":
+                    lose(instance, backend)
+                else:
+                    instance.pardon(b"d", now=0.0)
+        for _ in range(2):
+            for source in order:
+                for target in reversed(order):
+                    instances[target].merge(instances[source].records(now=1.0), now=1.0)
+        found = {instance.verdict(b"d", now=1.0) for instance in instances}
+        assert len(found) == 1
+        verdicts |= found
+    assert len(verdicts) == 1
+
+
+def test_slot_is_for_one_suspect_at_a_time() -> None:
+    slots = SuspectSlots()
+    assert slots.take("e1", b"one", now=0.0)
+    assert not slots.take("e1", b"two", now=1.0)
+    slots.release("e1", b"two")
+    assert not slots.take("e1", b"two", now=1.0)
+    slots.release("e1", b"one")
+    assert slots.take("e1", b"two", now=1.0)
--- a/figpaddle/standins/_engine.py
+++ b/figpaddle/standins/_engine.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import os
 from collections import OrderedDict
 from collections.abc import Awaitable, Callable, MutableMapping
 from typing import Any
@@ -13,6 +14,8 @@
 Receive = Callable[[], Awaitable[MutableMapping[str, Any]]]
 Send = Callable[[MutableMapping[str, Any]], Awaitable[None]]
 
+#: Exit code of an engine that met the text that it crashes on.
+CRASH_EXIT_CODE = 70
 #: Characters counted as one token.
 CHARACTERS_PER_TOKEN = 4
 #: Prompt tokens covered by one entry of the prefix cache.
@@ -32,12 +35,14 @@
         prefill_tokens_per_s: float,
         decode_s: float,
         cache_blocks: int,
+        crash_on: str | None = None,
     ) -> None:
         self._name = name
         self._slots = anyio.Semaphore(slots)
         self._prefill_tokens_per_s = prefill_tokens_per_s
         self._decode_s = decode_s
         self._cache_blocks = cache_blocks
+        self._crash_on = crash_on
         self._cache: OrderedDict[int, None] = OrderedDict()
         self._running = 0
         self._waiting = 0
@@ -78,6 +83,8 @@
         try:
             uncached = self._take_prompt(prompt)
             await anyio.sleep(uncached / self._prefill_tokens_per_s)
+            if self._crash_on is not None and self._crash_on in prompt:
+                os._exit(CRASH_EXIT_CODE)
             await self._answer(request, prompt, tokens, send)
         finally:
             self._running -= 1
--- a/figpaddle/standins/_main.py
+++ b/figpaddle/standins/_main.py
@@ -43,6 +43,7 @@
     prefill: Annotated[float, typer.Option(help="Prompt tokens a second.")] = 20000.0,
     decode_ms: Annotated[float, typer.Option(help="Time for a token, milliseconds.")] = 5.0,
     cache_blocks: Annotated[int, typer.Option(help="Blocks in the prefix cache.")] = 4096,
+    crash_on: Annotated[str | None, typer.Option(help="Text that ends the process.")] = None,
 ) -> None:
     """Run an engine that streams tokens."""
     application = Engine(
@@ -51,6 +52,7 @@
         prefill_tokens_per_s=prefill,
         decode_s=decode_ms / 1000,
         cache_blocks=cache_blocks,
+        crash_on=crash_on,
     )
     _run(application, name, service, region, announce, listen_on, advertise, slots)
 
--- a/figpaddle/wire/__init__.py
+++ b/figpaddle/wire/__init__.py
@@ -31,12 +31,20 @@
     ServiceSummary,
     Welcome,
 )
+from figpaddle.wire._quarantine_messages import (
+    BackendLoss,
+    SuspectNews,
+    SuspectRecord,
+    SuspectSlot,
+    SuspectSlotReply,
+)
 
 __all__ = [
     "MAX_FRAME_BYTES",
     "NONCE_BYTES",
     "PROTOCOL_VERSION",
     "BackendInfo",
+    "BackendLoss",
     "BackendState",
     "BackendsUpdate",
     "Challenge",
@@ -57,6 +65,10 @@
     "Refused",
     "RegionSummary",
     "ServiceSummary",
+    "SuspectNews",
+    "SuspectRecord",
+    "SuspectSlot",
+    "SuspectSlotReply",
     "Welcome",
     "decode",
     "decode_frame",
--- a/tests/test_silent_connections.py
+++ b/tests/test_silent_connections.py
@@ -99,6 +99,7 @@
 
     async def run() -> None:
         streams = [await begin_stream(entry, 600) for _ in range(3)]
+        await asyncio.gather(*(ask(entry) for _ in range(3)))
         silent_at = time.monotonic()
         assert proxy_of(running).silence_open(*ends) >= 3
         assert max(await asyncio.gather(*(ask(entry) for _ in range(5)))) < DEADLINE_S + 0.4
