--- a/figpaddle/daemon/_gateway.py
+++ b/figpaddle/daemon/_gateway.py
@@ -48,6 +48,10 @@
 IDLE_DEADLINES = 2.0
 #: Shortest silence after which an answer is given up, seconds.
 MIN_IDLE_S = 5.0
+#: An instance hears of its region's backend servers within this after its start, seconds.
+WARM_UP_S = 1.5
+#: Interval at which a request looks for them, seconds.
+WARM_UP_POLL_S = 0.05
 #: Interval at which a suspect looks for a free backend server, seconds.
 SLOT_POLL_S = 0.05
 #: Time to come back after when no backend server is known, seconds.
@@ -83,6 +87,7 @@
         self._log = log
         self._in_progress = 0
         self._retry_budget = RetryBudget()
+        self._warm_at = clock() + WARM_UP_S
 
     @property
     def in_progress(self) -> int:
@@ -131,6 +136,7 @@
             service=head.service, retry_after_s=NO_BACKEND_RETRY_S
         )
         digest = self._quarantine.digest(head, body)
+        await self._wait_for_announcements(head)
         while placement := await self._place_apart(head, service.regions, attempts, digest):
             try:
                 await self._carry_out(head, body, sink, placement, attempts.tried, digest)
@@ -145,6 +151,14 @@
                 failure = error
         raise failure
 
+    async def _wait_for_announcements(self, head: RequestHead) -> None:
+        """Let the first announcements reach an instance that has just started."""
+        until = min(self._warm_at, head.deadline_at)
+        while (now := self._clock()) < until:
+            if self._backends.candidates(head.offering, now=now):
+                return
+            await anyio.sleep(WARM_UP_POLL_S)
+
     async def _place_apart(
         self, head: RequestHead, allowed: tuple[str, ...], attempts: Attempts, digest: bytes
     ) -> Placement | None:
--- a/figpaddle/standins/_main.py
+++ b/figpaddle/standins/_main.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import signal
+from collections.abc import Callable
 from typing import Annotated, Any
 
 import anyio
@@ -16,8 +17,12 @@
 from figpaddle.standins._records import RecordsService
 from figpaddle.wire import BackendInfo, BackendState
 
-#: How long a leaving stand-in goes on serving, seconds.
+#: Shortest time for which a leaving stand-in goes on serving, seconds.
 LEAVE_S = 1.0
+#: Longest time for which it finishes what it runs, seconds.
+MAX_LEAVE_S = 60.0
+#: Interval at which it looks whether it still runs anything, seconds.
+LEAVE_POLL_S = 0.1
 
 app = typer.Typer(add_completion=False, no_args_is_help=True)
 
@@ -93,10 +98,15 @@
     )
     announcer = Announcer(info=info, targets=tuple(targets), load=application.load)
     print(f"event=ready name={name} address={listener.address}", flush=True)
-    anyio.run(_serve, application, listener, announcer)
+    anyio.run(_serve, application, listener, announcer, application.load)
 
 
-async def _serve(application: Any, listener: Listener, announcer: Announcer) -> None:
+async def _serve(
+    application: Any,
+    listener: Listener,
+    announcer: Announcer,
+    load: Callable[[], tuple[int, int]],
+) -> None:
     config = Config()
     config.bind = [hand_over(listener)]
     config.accesslog = None
@@ -110,6 +120,9 @@
                 leaving.set()
                 await announcer.announce(BackendState.LEAVING)
                 await anyio.sleep(LEAVE_S)
+                with anyio.move_on_after(MAX_LEAVE_S):
+                    while any(load()):
+                        await anyio.sleep(LEAVE_POLL_S)
                 stop.set()
                 return
 
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -107,6 +107,12 @@
     )
     for instance in deployment.instances.values():
         assert CRASHER not in json.dumps(state(instance)) + "\n".join(instance.lines)
+    newcomer = deployment.start_instance("seoul-3", "seoul")
+    wait_until(
+        lambda: "refused" in verdicts(newcomer).values(),
+        what="an instance that starts later refuses it too",
+        timeout_s=EVERYWHERE_S + 2.0,
+    )
     assert_operator_lifts_it(deployment)
 
 
--- a/tests/test_silent_connections.py
+++ b/tests/test_silent_connections.py
@@ -115,12 +115,20 @@
 
 def test_request_without_any_answer_gets_its_outcome_at_its_deadline(running: Deployment) -> None:
     proxy_of(running).cut("busan-1", "busan-engine")
-    begun = time.monotonic()
-    answer = asyncio.run(raw_chat(running.entry("seoul-1"), "desk-chat", "x", key=HANBIT_KEY))
+
+    async def run() -> None:
+        begun = time.monotonic()
+        asked = (
+            raw_chat(running.entry(name), "desk-chat", "x", key=HANBIT_KEY)
+            for name in running.instances
+        )
+        for answer in await asyncio.gather(*asked):
+            assert answer.status in (502, 504)
+            assert answer.outcome == "unknown"
+        assert time.monotonic() - begun < DEADLINE_S + SLACK_S
+
+    asyncio.run(run())
     proxy_of(running).heal()
-    assert answer.status in (502, 504)
-    assert answer.outcome == "unknown"
-    assert time.monotonic() - begun < DEADLINE_S + SLACK_S
 
 
 def test_stream_longer_than_all_timeouts_is_never_cut(running: Deployment) -> None:
