Refuse contradicting announcements and deeply nested JSON with typed errors

Cause: a second backend server could announce the address of another one, and JSON nested 100,000 deep ended as a bare 500; both seen red in test_bad_input. Ruled out: letting the newer announcement win; two processes would take turns. Change: 409 while the other announcement is valid; nesting beyond the parser's limit is bad JSON.

--- a/figpaddle/daemon/_backends_port.py
+++ b/figpaddle/daemon/_backends_port.py
@@ -9,7 +9,7 @@
 
 from figpaddle.daemon._http import HttpBody, Receive, Scope, Send, send_json, send_problem
 from figpaddle.daemon._logs import Log
-from figpaddle.errors import InvalidRequestError, RequestError
+from figpaddle.errors import AnnouncementConflictError, InvalidRequestError, RequestError
 from figpaddle.routing import ANNOUNCEMENT_TTL_S, BackendTable
 from figpaddle.wire import BackendInfo
 
@@ -56,6 +56,10 @@
                 what=f"this instance stands in {self._region}",
                 mend=f"announce to an instance of {info.region}",
             )
+        holder = self._backends.conflict(info, now=self._clock())
+        if holder is not None:
+            self._log.warning("announcement_conflict", backend=info.name, holder=holder)
+            raise AnnouncementConflictError(name=info.name, address=info.address)
         new = self._backends.announce(info, now=self._clock())
         if new:
             if info.sequence == 1:
@@ -66,7 +70,7 @@
 def _parse(data: bytes) -> BackendInfo:
     try:
         return _INFO.validate_python(json.loads(data))
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise InvalidRequestError(
             what="not an announcement", mend="send the fields of an announcement as JSON"
         ) from error
--- a/figpaddle/daemon/_callers.py
+++ b/figpaddle/daemon/_callers.py
@@ -295,7 +295,7 @@
 def _model_name(data: bytes) -> str:
     try:
         plain: Any = json.loads(data)
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise InvalidRequestError(what="the body is not JSON", mend="send a JSON object") from error
     model = plain.get("model") if isinstance(plain, dict) else None
     if not isinstance(model, str):
--- a/figpaddle/errors/__init__.py
+++ b/figpaddle/errors/__init__.py
@@ -14,6 +14,7 @@
     WireError,
 )
 from figpaddle.errors._request import (
+    AnnouncementConflictError,
     BackendServerLostError,
     BodyTimeoutError,
     BodyTooLargeError,
@@ -35,6 +36,7 @@
 )
 
 __all__ = [
+    "AnnouncementConflictError",
     "BackendServerLostError",
     "BodyTimeoutError",
     "BodyTooLargeError",
--- a/figpaddle/errors/_request.py
+++ b/figpaddle/errors/_request.py
@@ -59,6 +59,19 @@
     problem = "invalid-request"
 
 
+class AnnouncementConflictError(RequestError):
+    """Another backend server's announcement that is still valid contradicts this one."""
+
+    status = 409
+    problem = "announcement-conflict"
+
+    def __init__(self, *, name: str, address: str) -> None:
+        super().__init__(
+            what=f"the name {name} or the address {address} is announced otherwise",
+            mend="give each backend server a name and an address of its own",
+        )
+
+
 class UnauthorizedError(RequestError):
     """The caller's key is missing or unknown."""
 
--- a/figpaddle/routing/_backends.py
+++ b/figpaddle/routing/_backends.py
@@ -62,6 +62,21 @@
         self._known[info.name] = KnownBackend(info=info, heard_at=now, in_flight=in_flight)
         return True
 
+    def conflict(self, info: BackendInfo, *, now: float) -> str | None:
+        """Return the backend server whose valid announcement contradicts ``info``, or None.
+
+        One address belongs to one name, and one incarnation of a name to one address.
+        """
+        for known in self.backends:
+            other = known.info
+            same_name = other.name == info.name
+            same_address = other.address == info.address
+            moved = same_name and not same_address and other.incarnation == info.incarnation
+            valid = now - known.heard_at <= ANNOUNCEMENT_TTL_S
+            if valid and (moved or (same_address and not same_name)):
+                return other.name
+        return None
+
     def expire(self, *, now: float) -> tuple[str, ...]:
         """Forget backend servers that were not renewed in time and return their names."""
         expired = [
--- a/tests/hostile.py
+++ b/tests/hostile.py
@@ -68,6 +68,10 @@
         self.received = 0
         self.cancelled = 0
 
+    def plain(self, name: str, **changes: object) -> dict[str, object]:
+        """Return an announcement of this address under ``name``."""
+        return {**self._plain, "name": name, "sequence": 1, **changes}
+
     async def _start(self) -> None:
         server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
         host, port = server.sockets[0].getsockname()
