--- /dev/null
+++ b/figpaddle/daemon/_log_file.py
@@ -0,0 +1,242 @@
+"""The replicated log's durable state in one file of checksummed records.
+
+The file is a sequence of records: a mark, the length and the CRC-32 of the content, and the
+content. One batch of changes is one record, so a batch is durable whole or not at all. A record
+at the end that was not written whole was never promised and is cut; a damaged record that others
+follow was, and the file is refused.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import dataclasses
+import errno
+import os
+import pathlib
+import secrets
+import struct
+import zlib
+from typing import Any
+
+import cbor2
+import pydantic
+
+from figpaddle.coordination import DurableState, LogStorage, Persist
+from figpaddle.errors import StorageCorruptError, StorageError, StorageFullError
+from figpaddle.wire import Peer
+
+#: Name of the file in its folder.
+LOG_FILE_NAME = "control.log"
+#: First bytes of each record.
+RECORD_MARK = b"\xf1gp\x01"
+#: Mark, length and checksum in front of the content.
+HEADER = struct.Struct(">4sII")
+#: Length of the random part of an identity, bytes.
+INCARNATION_BYTES = 8
+#: Errors that mean that there is no room.
+FULL_ERRORS = frozenset({errno.ENOSPC, errno.EDQUOT, errno.EFBIG})
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Record:
+    """Content of one record: a whole state, or changes of the state before."""
+
+    state: DurableState | None = None
+    changes: tuple[Persist, ...] = ()
+
+
+_RECORD = pydantic.TypeAdapter(_Record)
+
+
+def _encode_enum(encoder: cbor2.CBOREncoder, value: Any) -> None:
+    encoder.encode(value.value)
+
+
+def frame(content: bytes) -> bytes:
+    """Return the record that holds ``content``."""
+    return HEADER.pack(RECORD_MARK, len(content), zlib.crc32(content)) + content
+
+
+def read_frame(data: bytes, offset: int) -> bytes | None:
+    """Return the content of the record at ``offset``, or None where there is no whole one."""
+    if offset + HEADER.size > len(data):
+        return None
+    mark, length, checksum = HEADER.unpack_from(data, offset)
+    begin = offset + HEADER.size
+    content = data[begin : begin + length]
+    if mark != RECORD_MARK or len(content) < length or zlib.crc32(content) != checksum:
+        return None
+    return content
+
+
+def sync_folder(folder: pathlib.Path) -> None:
+    """Make new names in ``folder`` durable."""
+    descriptor = os.open(folder, os.O_RDONLY)
+    try:
+        os.fsync(descriptor)
+    finally:
+        os.close(descriptor)
+
+
+def replace_file(path: pathlib.Path, data: bytes) -> None:
+    """Put ``data`` in the place of ``path`` durably, whole or not at all."""
+    fresh = path.with_suffix(".new")
+    try:
+        with open(fresh, "wb") as file:
+            file.write(data)
+            file.flush()
+            os.fsync(file.fileno())
+        os.replace(fresh, path)
+        sync_folder(path.parent)
+    except OSError as error:
+        with contextlib.suppress(OSError):
+            fresh.unlink()
+        raise storage_error(error, path) from error
+
+
+def storage_error(error: OSError, path: pathlib.Path) -> StorageError:
+    """Return the typed form of ``error``."""
+    if error.errno in FULL_ERRORS:
+        return StorageFullError(what="the disk is full", where=str(path), mend="make room")
+    return StorageError(what=str(error), where=str(path), mend="check the disk")
+
+
+class FileLogStorage(LogStorage):
+    """Keeps a replica's durable state in one file of the data folder."""
+
+    def __init__(self, *, folder: pathlib.Path, name: str) -> None:
+        self._path = folder / LOG_FILE_NAME
+        self._name = name
+        self._descriptor: int | None = None
+        self._size = 0
+        self._state: DurableState | None = None
+        self._broken = False
+
+    @property
+    def size_bytes(self) -> int:
+        """Length of the file, bytes."""
+        return self._size
+
+    def load(self) -> DurableState:
+        """Return what is durable; an empty folder gets a new identity first."""
+        if self._state is None:
+            self._state = self._read() if self._path.exists() else self._create()
+        return self._state
+
+    def save(self, changes: tuple[Persist, ...]) -> None:
+        """Return once all ``changes`` are durable."""
+        if self._broken:
+            raise StorageError(what="an earlier write failed", where=str(self._path))
+        state = self.load()
+        for change in changes:
+            state = state.with_change(change)
+        if any(change.snapshot is not None for change in changes):
+            self._rewrite(state)
+        else:
+            self._append(_Record(changes=changes))
+        self._state = state
+
+    def close(self) -> None:
+        """Close the file."""
+        if self._descriptor is not None:
+            os.close(self._descriptor)
+            self._descriptor = None
+
+    def _create(self) -> DurableState:
+        self._path.parent.mkdir(parents=True, exist_ok=True)
+        incarnation = secrets.token_hex(INCARNATION_BYTES)
+        state = DurableState(peer=Peer(name=self._name, incarnation=incarnation))
+        self._rewrite(state)
+        return state
+
+    def _rewrite(self, state: DurableState) -> None:
+        data = frame(_encode(_Record(state=state)))
+        replace_file(self._path, data)
+        self.close()
+        self._size = len(data)
+        self._open()
+
+    def _open(self) -> None:
+        self._descriptor = os.open(self._path, os.O_WRONLY | os.O_APPEND)
+
+    def _append(self, record: _Record) -> None:
+        assert self._descriptor is not None
+        data = frame(_encode(record))
+        try:
+            written = os.write(self._descriptor, data)
+            if written < len(data):
+                raise OSError(errno.ENOSPC, "short write")
+        except OSError as error:
+            self._cut(self._size)
+            raise storage_error(error, self._path) from error
+        self._sync()
+        self._size += len(data)
+
+    def _sync(self) -> None:
+        assert self._descriptor is not None
+        try:
+            os.fsync(self._descriptor)
+        except OSError as error:
+            self._broken = True
+            raise StorageError(what=str(error), where=str(self._path)) from error
+
+    def _cut(self, size: int) -> None:
+        assert self._descriptor is not None
+        try:
+            os.ftruncate(self._descriptor, size)
+            os.fsync(self._descriptor)
+        except OSError as error:
+            self._broken = True
+            raise StorageError(what=str(error), where=str(self._path)) from error
+
+    def _read(self) -> DurableState:
+        data = self._path.read_bytes()
+        state: DurableState | None = None
+        offset = 0
+        while (content := read_frame(data, offset)) is not None:
+            state = _advance(state, content, self._path)
+            offset += HEADER.size + len(content)
+        if state is None or self._record_follows(data, offset + 1):
+            raise StorageCorruptError(
+                what=f"the record at byte {offset} is damaged",
+                where=str(self._path),
+                mend="empty the data folder; the instance then joins as a learner",
+            )
+        if state.peer.name != self._name:
+            raise StorageCorruptError(
+                what=f"it belongs to {state.peer.name}", where=str(self._path), mend="move it back"
+            )
+        self._open()
+        self._size = offset
+        if offset < len(data):
+            self._cut(offset)
+        return state
+
+    def _record_follows(self, data: bytes, offset: int) -> bool:
+        while (offset := data.find(RECORD_MARK, offset)) >= 0:
+            if read_frame(data, offset) is not None:
+                return True
+            offset += 1
+        return False
+
+
+def _encode(record: _Record) -> bytes:
+    return cbor2.dumps(_RECORD.dump_python(record), default=_encode_enum)
+
+
+def _advance(state: DurableState | None, content: bytes, path: pathlib.Path) -> DurableState:
+    try:
+        record = _RECORD.validate_python(cbor2.loads(content))
+    except (pydantic.ValidationError, cbor2.CBORDecodeError) as error:
+        raise StorageCorruptError(
+            what="a record has another format",
+            where=str(path),
+            mend="run the version that wrote it",
+        ) from error
+    if record.state is not None:
+        return record.state
+    if state is None:
+        raise StorageCorruptError(what="the first record is missing", where=str(path))
+    for change in record.changes:
+        state = state.with_change(change)
+    return state
