Keep the configuration on the log, spread it by relays and change it over the operators' port

Change: state machine with answers kept by member, voter, formation, distribution with anti-entropy, durable last configuration, PUT and GET /v1/configuration.

--- a/figpaddle/coordination/__init__.py
+++ b/figpaddle/coordination/__init__.py
@@ -23,6 +23,7 @@
     Send,
     Tick,
 )
+from figpaddle.coordination._relays import relays, sources, zone_of
 from figpaddle.coordination._replica import Replica, first_snapshot
 
 __all__ = [
@@ -50,4 +51,7 @@
     "Send",
     "Tick",
     "first_snapshot",
+    "relays",
+    "sources",
+    "zone_of",
 ]
--- a/figpaddle/coordination/_replica.py
+++ b/figpaddle/coordination/_replica.py
@@ -412,5 +412,8 @@
 
 
 def first_snapshot(membership: LogMembership, data: bytes = b"") -> Snapshot:
-    """Return the snapshot that a new log begins with."""
-    return Snapshot(index=0, term=0, membership=membership, data=data)
+    """Return the snapshot that a new log begins with.
+
+    It covers one entry, so a replica without a log asks for it instead of taking it for its own.
+    """
+    return Snapshot(index=1, term=0, membership=membership, data=data)
--- a/figpaddle/daemon/_callers.py
+++ b/figpaddle/daemon/_callers.py
@@ -99,6 +99,7 @@
         if self.closed:
             raise DrainingError(instance=self._directory.own.name)
         client = self._authenticate(scope)
+        self._configuration.require(instance=self._directory.own.name)
         path = scope["path"]
         if path == "/v1/entries":
             await self._entries(client, sink)
--- /dev/null
+++ b/figpaddle/daemon/_change_submitter.py
@@ -0,0 +1,80 @@
+"""Passes an operator's change on to whichever instance leads the log."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+import anyio
+
+from figpaddle.daemon._peers import PeerNetwork
+from figpaddle.daemon._voter import Voter
+from figpaddle.deployment import Change, ChangeAnswer
+from figpaddle.errors import ControlUnavailableError, Outcome, PeerUnreachableError
+from figpaddle.wire import ChangeReply, SubmitChange
+
+#: Longest time to find a leader and get its answer, seconds.
+SUBMIT_TIMEOUT_S = 8.0
+#: Timeout of one attempt, seconds.
+ATTEMPT_TIMEOUT_S = 3.5
+#: Pause between rounds over the voters, seconds.
+ROUND_S = 0.2
+
+
+class ChangeSubmitter:
+    """Finds the leader; an attempt may be repeated because the change has an id."""
+
+    def __init__(
+        self,
+        *,
+        voter: Voter | None,
+        own: str,
+        voters: tuple[str, ...],
+        network: PeerNetwork,
+        rng: random.Random,
+        clock: Callable[[], float],
+    ) -> None:
+        self._voter = voter
+        self._own = own
+        self._voters = voters
+        self._network = network
+        self._rng = rng
+        self._clock = clock
+        self._leader: str | None = None
+
+    async def submit(self, change: Change) -> ChangeAnswer:
+        """Return the answer; raises ControlUnavailableError if none came in time."""
+        if not self._voters:
+            raise ControlUnavailableError(outcome=Outcome.NOT_RUN)
+        deadline = self._clock() + SUBMIT_TIMEOUT_S
+        while self._clock() < deadline:
+            for name in self._candidates():
+                answer = await self._attempt(name, change)
+                if answer is not None:
+                    return answer
+                if self._clock() >= deadline:
+                    break
+            await anyio.sleep(ROUND_S)
+        raise ControlUnavailableError
+
+    def _candidates(self) -> tuple[str, ...]:
+        shuffled = list(self._voters)
+        self._rng.shuffle(shuffled)
+        known = self._voter.leader if self._voter is not None else self._leader
+        first = [known] if known is not None else []
+        return tuple(dict.fromkeys([*first, *shuffled]))
+
+    async def _attempt(self, name: str, change: Change) -> ChangeAnswer | None:
+        if name == self._own:
+            return None if self._voter is None else await self._voter.submit(change)
+        try:
+            reply = await self._network.request(
+                name, SubmitChange(change=change), timeout_s=ATTEMPT_TIMEOUT_S
+            )
+        except PeerUnreachableError:
+            self._leader = None
+            return None
+        if not isinstance(reply, ChangeReply):
+            return None
+        self._leader = reply.leader if reply.answer is None else name
+        return reply.answer
--- /dev/null
+++ b/figpaddle/daemon/_configuration_port.py
@@ -0,0 +1,171 @@
+"""The operators' paths for the configuration: read it, change it, see where it is in force."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import anyio
+
+from figpaddle.coordination import InstanceDirectory
+from figpaddle.daemon._change_submitter import ChangeSubmitter
+from figpaddle.daemon._configuration_state import ConfigurationState
+from figpaddle.daemon._distribution import Distribution
+from figpaddle.daemon._http import HttpBody, Receive, Scope, Send, problem_document, send_json
+from figpaddle.daemon._peers import PeerNetwork
+from figpaddle.daemon._settings import OperatorSettings
+from figpaddle.deployment import Change, Verdict, member_from_plain, member_to_plain
+from figpaddle.errors import (
+    ChangeConflictError,
+    CommandReusedError,
+    DocumentError,
+    ForbiddenError,
+    InvalidRequestError,
+    PeerUnreachableError,
+)
+from figpaddle.wire import InForce, InForceQuestion, InstanceInfo, InstanceState
+
+#: Path of the whole configuration; a member's name may follow.
+CONFIGURATION_PATH = "/v1/configuration"
+#: Path of the list of instances with what they have in force.
+INSTANCES_PATH = "/v1/configuration/instances"
+#: Largest body of a change, bytes.
+MAX_CHANGE_BYTES = 1024 * 1024
+#: Timeout of a question to another instance, seconds.
+QUESTION_TIMEOUT_S = 1.5
+
+
+class ConfigurationPort:
+    """Serves the configuration's paths to an operator who is already known."""
+
+    def __init__(
+        self,
+        *,
+        state: ConfigurationState,
+        distribution: Distribution,
+        submitter: ChangeSubmitter,
+        directory: InstanceDirectory,
+        network: PeerNetwork,
+    ) -> None:
+        self._state = state
+        self._distribution = distribution
+        self._submitter = submitter
+        self._directory = directory
+        self._network = network
+
+    async def serve(
+        self, scope: Scope, receive: Receive, send: Send, operator: OperatorSettings
+    ) -> None:
+        """Serve one request below ``CONFIGURATION_PATH``."""
+        call = (scope["method"], scope["path"])
+        if call == ("GET", CONFIGURATION_PATH):
+            await send_json(send, status=200, plain=self._page(operator))
+        elif call == ("GET", INSTANCES_PATH):
+            await send_json(send, status=200, plain=await self._instances(operator))
+        elif scope["method"] == "PUT" and scope["path"].startswith(CONFIGURATION_PATH + "/"):
+            await self._change(scope, receive, send, operator)
+        else:
+            raise InvalidRequestError(what="no such path", mend="see docs/OPERATORS.md")
+
+    def _page(self, operator: OperatorSettings) -> dict[str, Any]:
+        versioned = self._state.versioned
+        members = {
+            part.member.name: {
+                "revision": part.revision,
+                "digest": part.digest(),
+                "command_id": part.command_id,
+                "operator": part.operator,
+                "configuration": member_to_plain(part.member),
+            }
+            for part in versioned.parts
+            if operator.member in (None, part.member.name)
+        }
+        page: dict[str, Any] = {"instance": self._directory.own.name, "members": members}
+        if operator.member is None:
+            page["revision"] = versioned.revision
+            page["digest"] = versioned.configuration.digest()
+        return page
+
+    async def _instances(self, operator: OperatorSettings) -> list[dict[str, Any]]:
+        rows: list[dict[str, Any]] = []
+
+        async def ask(info: InstanceInfo) -> None:
+            rows.append(_row(info, await self._ask(info), operator.member))
+
+        async with anyio.create_task_group() as tasks:
+            for info in self._directory.instances:
+                if info.state is not InstanceState.GONE:
+                    tasks.start_soon(ask, info)
+        return sorted(rows, key=lambda row: str(row["instance"]))
+
+    async def _ask(self, info: InstanceInfo) -> InForce | None:
+        if info.name == self._directory.own.name:
+            return self._distribution.in_force()
+        try:
+            reply = await self._network.request(
+                info.name, InForceQuestion(), timeout_s=QUESTION_TIMEOUT_S
+            )
+        except PeerUnreachableError:
+            return None
+        return reply if isinstance(reply, InForce) else None
+
+    async def _change(
+        self, scope: Scope, receive: Receive, send: Send, operator: OperatorSettings
+    ) -> None:
+        name = scope["path"].removeprefix(CONFIGURATION_PATH + "/")
+        if operator.member not in (None, name):
+            raise ForbiddenError
+        body = await HttpBody(receive=receive, limit_bytes=MAX_CHANGE_BYTES).read()
+        change = _read_change(body, member=name, operator=operator.name)
+        answer = await self._submitter.submit(change)
+        if answer.verdict is Verdict.REUSED:
+            raise CommandReusedError(command_id=change.command_id)
+        result = {"member": name, "revision": answer.revision, "command_id": change.command_id}
+        if answer.verdict is Verdict.ACCEPTED:
+            await send_json(send, status=200, plain=result)
+            return
+        error = ChangeConflictError(
+            member=name, revision=answer.revision, winner=answer.winner, operator=answer.operator
+        )
+        document = problem_document(error, request_id="")
+        document |= {**result, "winner": answer.winner, "operator": answer.operator}
+        await send_json(send, status=error.status, plain=document)
+
+
+def _row(info: InstanceInfo, found: InForce | None, member: str | None) -> dict[str, Any]:
+    row: dict[str, Any] = {
+        "instance": info.name,
+        "region": info.region,
+        "zone": info.zone,
+        "reachable": found is not None,
+        "revision": None,
+        "digest": None,
+        "members": {},
+    }
+    if found is None:
+        return row
+    if member is None:
+        row["revision"], row["digest"] = found.revision, found.digest
+    row["members"] = {
+        part.member: part.revision for part in found.parts if member in (None, part.member)
+    }
+    return row
+
+
+def _read_change(body: bytes, *, member: str, operator: str) -> Change:
+    mend = "give command_id, base_revision and configuration"
+    try:
+        plain = json.loads(body)
+        command_id, base = plain["command_id"], plain["base_revision"]
+        configuration = member_from_plain(plain["configuration"], document="configuration")
+    except (ValueError, KeyError, TypeError) as error:
+        raise InvalidRequestError(what="the body is not a change", mend=mend) from error
+    except DocumentError as error:
+        raise InvalidRequestError(what=str(error), mend=mend) from error
+    if not isinstance(command_id, str) or not command_id or not isinstance(base, int):
+        raise InvalidRequestError(what="the body is not a change", mend=mend)
+    if configuration.name != member:
+        raise InvalidRequestError(what="the path and the body name different members", mend=mend)
+    return Change(
+        command_id=command_id, operator=operator, base_revision=base, member=configuration
+    )
--- /dev/null
+++ b/figpaddle/daemon/_control.py
@@ -0,0 +1,112 @@
+"""Wires the parts that keep, change and spread the configuration."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+from figpaddle.coordination import InstanceDirectory
+from figpaddle.daemon._change_submitter import ChangeSubmitter
+from figpaddle.daemon._component import Component
+from figpaddle.daemon._configuration_port import ConfigurationPort
+from figpaddle.daemon._configuration_state import ConfigurationState
+from figpaddle.daemon._distribution import Distribution
+from figpaddle.daemon._kept_configuration import KeptConfiguration
+from figpaddle.daemon._logs import Log
+from figpaddle.daemon._peers import PeerNetwork
+from figpaddle.daemon._settings import Settings, load_yaml
+from figpaddle.daemon._voter import Voter
+from figpaddle.deployment import Configuration, VersionedConfiguration, configuration_from_plain
+
+
+def bootstrap_configuration(settings: Settings) -> Configuration:
+    """Return the configuration in the settings' file, or the empty one."""
+    if settings.configuration is None:
+        return Configuration(revision=0, members=())
+    plain = load_yaml(settings.configuration)
+    return configuration_from_plain(plain, document=str(settings.configuration))
+
+
+def initial_configuration(settings: Settings) -> ConfigurationState:
+    """Return the state at the start of the process.
+
+    Without voters the file in the settings is in force. With voters it may be outdated, so only
+    what the data folder keeps is used, and an instance that has nothing asks its peers.
+    """
+    bootstrap = bootstrap_configuration(settings)
+    if not settings.control.voters:
+        state = ConfigurationState()
+        state.install(bootstrap)
+        return state
+    state = ConfigurationState(confirmed_by_quorum=True)
+    if settings.data_folder is not None:
+        kept = KeptConfiguration(folder=settings.data_folder).load()
+        if kept is not None:
+            state.install_versioned(kept)
+    return state
+
+
+class Control:
+    """The control parts of one process."""
+
+    def __init__(
+        self,
+        *,
+        settings: Settings,
+        state: ConfigurationState,
+        directory: InstanceDirectory,
+        network: PeerNetwork,
+        rng: random.Random,
+        clock: Callable[[], float],
+        log: Log,
+    ) -> None:
+        voters = settings.control.voters
+        folder = settings.data_folder
+        self._enabled = bool(voters)
+        self._voter: Voter | None = None
+        if folder is not None and settings.instance in voters:
+            self._voter = Voter(
+                name=settings.instance,
+                voters=voters,
+                folder=folder,
+                bootstrap=VersionedConfiguration.bootstrap(bootstrap_configuration(settings)),
+                network=network,
+                rng=rng,
+                clock=clock,
+                log=log,
+            )
+        self._distribution = Distribution(
+            state=state,
+            kept=None if folder is None else KeptConfiguration(folder=folder),
+            voter=self._voter,
+            voters=voters,
+            directory=directory,
+            network=network,
+            rng=rng,
+            clock=clock,
+            log=log,
+        )
+        submitter = ChangeSubmitter(
+            voter=self._voter,
+            own=settings.instance,
+            voters=voters,
+            network=network,
+            rng=rng,
+            clock=clock,
+        )
+        #: The operators' paths for the configuration.
+        self.port = ConfigurationPort(
+            state=state,
+            distribution=self._distribution,
+            submitter=submitter,
+            directory=directory,
+            network=network,
+        )
+
+    @property
+    def components(self) -> tuple[Component, ...]:
+        """Components to run; none where no voters are configured."""
+        if not self._enabled:
+            return ()
+        voter = () if self._voter is None else (self._voter,)
+        return (*voter, self._distribution)
--- /dev/null
+++ b/figpaddle/daemon/_formation.py
@@ -0,0 +1,109 @@
+"""How a first log comes to be, and never a second one by mistake.
+
+A voter without a log can't tell a first start from a lost disk. Only the first of the configured
+voters begins a log, and only once every other one has said that it has none either; as soon as
+one has, the voter joins that log as a learner.
+"""
+
+from __future__ import annotations
+
+import anyio
+import anyio.to_thread
+
+from figpaddle.coordination import DurableState, HardState, Persist, first_snapshot
+from figpaddle.daemon._log_file import FileLogStorage
+from figpaddle.daemon._logs import Log
+from figpaddle.daemon._peers import PeerNetwork
+from figpaddle.deployment import ChangeMachine, VersionedConfiguration
+from figpaddle.errors import PeerUnreachableError, StorageError
+from figpaddle.wire import FormationAnswer, FormationQuestion, LogMembership, Message, Peer
+
+#: Interval between rounds of questions, seconds.
+ROUND_S = 0.3
+#: Timeout of a question, seconds.
+QUESTION_TIMEOUT_S = 1.0
+
+
+class Formation:
+    """Begins the log at the first start of a deployment."""
+
+    def __init__(
+        self,
+        *,
+        voters: tuple[str, ...],
+        bootstrap: VersionedConfiguration,
+        storage: FileLogStorage,
+        network: PeerNetwork,
+        log: Log,
+    ) -> None:
+        self._voters = tuple(sorted(voters))
+        self._bootstrap = bootstrap
+        self._storage = storage
+        self._network = network
+        self._log = log
+        network.register(FormationQuestion, self._on_question)
+
+    async def begin(self, state: DurableState) -> DurableState:
+        """Return the state to start with: a first log, or the blank one to join with."""
+        if state.peer.name != self._voters[0]:
+            return state
+        while True:
+            answers = await self._ask_all()
+            if any(not answer.blank for answer in answers):
+                self._log.info("log_found")
+                return state
+            if len(answers) == len(self._voters) - 1 and self._agrees(answers):
+                return await self._form(state, answers)
+            await anyio.sleep(ROUND_S)
+
+    async def _ask_all(self) -> list[FormationAnswer]:
+        answers: list[FormationAnswer] = []
+
+        async def ask(name: str) -> None:
+            try:
+                reply = await self._network.request(
+                    name, FormationQuestion(), timeout_s=QUESTION_TIMEOUT_S
+                )
+            except PeerUnreachableError:
+                return
+            if isinstance(reply, FormationAnswer):
+                answers.append(reply)
+
+        async with anyio.create_task_group() as tasks:
+            for name in self._voters[1:]:
+                tasks.start_soon(ask, name)
+        return answers
+
+    def _agrees(self, answers: list[FormationAnswer]) -> bool:
+        own = self._answer(self._storage.load())
+        different = [
+            answer.peer.name
+            for answer in answers
+            if (answer.voters, answer.digest) != (own.voters, own.digest)
+        ]
+        if different:
+            self._log.error("settings_differ", what="voters or configuration", voters=different)
+        return not different
+
+    async def _form(self, state: DurableState, answers: list[FormationAnswer]) -> DurableState:
+        peers: list[Peer] = sorted([state.peer, *(answer.peer for answer in answers)])
+        machine = ChangeMachine(versioned=self._bootstrap)
+        snapshot = first_snapshot(LogMembership(voters=tuple(peers)), machine.snapshot())
+        change = Persist(hard=HardState(), snapshot=snapshot)
+        await anyio.to_thread.run_sync(self._storage.save, (change,))
+        self._log.info("log_formed", voters=[peer.name for peer in peers])
+        return self._storage.load()
+
+    def _answer(self, state: DurableState) -> FormationAnswer:
+        return FormationAnswer(
+            peer=state.peer,
+            blank=state.blank,
+            voters=self._voters,
+            digest=self._bootstrap.configuration.digest(),
+        )
+
+    async def _on_question(self, peer: str, item: FormationQuestion) -> Message | None:
+        try:
+            return self._answer(self._storage.load())
+        except StorageError:
+            return None
--- a/figpaddle/daemon/_gateway.py
+++ b/figpaddle/daemon/_gateway.py
@@ -14,6 +14,7 @@
 from figpaddle.daemon._logs import Log
 from figpaddle.daemon._regions import RegionView
 from figpaddle.errors import (
+    ConfigurationUnconfirmedError,
     DeadlineExceededError,
     NoBackendServerError,
     Outcome,
@@ -92,6 +93,9 @@
     async def _serve(self, head: RequestHead, body: BodySource, sink: AnswerSink) -> None:
         own = self._directory.own
         check_forward(instance=own.name, visited=head.visited, crossings=head.crossings)
+        self._configuration.require(instance=own.name)
+        if head.crossings and not self._configuration.may_cross(self._clock()):
+            raise ConfigurationUnconfirmedError(instance=own.name)
         service = permitted_service(
             self._configuration.current, member=head.member, service=head.service, region=own.region
         )
@@ -120,7 +124,8 @@
             for known in self._backends.candidates(head.offering, now=now)
             if known.info.name not in tried
         )
-        regions = () if head.crossings else self._regions.options(head.offering, allowed, now=now)
+        local = bool(head.crossings) or not self._configuration.may_cross(now)
+        regions = () if local else self._regions.options(head.offering, allowed, now=now)
         return self._policy.place(Options(backends=backends, regions=regions), now=now)
 
     async def _carry_out(
--- a/figpaddle/daemon/_instance.py
+++ b/figpaddle/daemon/_instance.py
@@ -19,7 +19,7 @@
 from figpaddle.daemon._backends_port import BackendsPort
 from figpaddle.daemon._callers import CallersPort
 from figpaddle.daemon._component import Component
-from figpaddle.daemon._configuration_state import ConfigurationState
+from figpaddle.daemon._control import Control, initial_configuration
 from figpaddle.daemon._forwarder import Forwarder, ForwardReceiver
 from figpaddle.daemon._gateway import Gateway
 from figpaddle.daemon._logs import Log
@@ -30,7 +30,7 @@
 from figpaddle.daemon._regions import RegionView
 from figpaddle.daemon._settings import Settings, load_yaml
 from figpaddle.daemon._sockets import Listener, listen, split_address
-from figpaddle.deployment import configuration_from_plain, read_directory
+from figpaddle.deployment import read_directory
 from figpaddle.routing import BackendTable, LeastLoadPolicy
 from figpaddle.wire import Handshake, InstanceInfo
 
@@ -52,7 +52,7 @@
         self._metrics = Metrics()
         self._stopping = anyio.Event()
         self._ports_closing = anyio.Event()
-        self._configuration = _initial_configuration(settings)
+        self._configuration = initial_configuration(settings)
         self._listeners = {
             name: listen(getattr(settings.listen, name))
             for name in ("callers", "backends", "operators", "peers")
@@ -81,6 +81,15 @@
             clock=self._clock,
             log=log,
         )
+        self._control = Control(
+            settings=settings,
+            state=self._configuration,
+            directory=self._directory,
+            network=self._network,
+            rng=self._rng,
+            clock=self._clock,
+            log=log,
+        )
         self._components = self._make_components()
         self._callers = self._make_callers_port()
         self._ports = {
@@ -97,6 +106,7 @@
                 dump=self.dump,
                 metrics=self._metrics,
                 stop=self._stopping.set,
+                configuration=self._control.port,
             ),
         }
         receiver = ForwardReceiver(serve=self._gateway.serve, clock=self._clock)
@@ -155,7 +165,7 @@
             join=self._settings.join,
             log=self._log,
         )
-        return (membership, self._watch)
+        return (membership, self._watch, *self._control.components)
 
     def dump(self, member: str | None) -> dict[str, Any]:
         """Return the state of the process without clients' data and keys.
@@ -237,11 +247,3 @@
         for component in self._components:
             await component.depart()
         await anyio.sleep(DRAIN_POLL_S)
-
-
-def _initial_configuration(settings: Settings) -> ConfigurationState:
-    state = ConfigurationState()
-    if settings.configuration is not None:
-        plain = load_yaml(settings.configuration)
-        state.install(configuration_from_plain(plain, document=str(settings.configuration)))
-    return state
--- a/figpaddle/daemon/_operators.py
+++ b/figpaddle/daemon/_operators.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from figpaddle.daemon._configuration_port import CONFIGURATION_PATH, ConfigurationPort
 from figpaddle.daemon._http import (
     Receive,
     Scope,
@@ -37,7 +38,9 @@
         dump: Callable[[str | None], dict[str, Any]],
         metrics: Metrics,
         stop: Callable[[], None],
+        configuration: ConfigurationPort,
     ) -> None:
+        self._configuration = configuration
         self._operators = operators
         self._dump = dump
         self._metrics = metrics
@@ -49,7 +52,10 @@
             return
         try:
             operator = self._authenticate(scope)
-            await self._route(scope, send, operator)
+            if scope["path"].startswith(CONFIGURATION_PATH):
+                await self._configuration.serve(scope, receive, send, operator)
+            else:
+                await self._route(scope, send, operator)
         except RequestError as error:
             await send_problem(send, error, request_id="")
 
--- a/figpaddle/daemon/_settings.py
+++ b/figpaddle/daemon/_settings.py
@@ -52,6 +52,13 @@
     member: Name | None = None
 
 
+class ControlSettings(_Section):
+    """Who keeps the configuration of the deployment."""
+
+    #: Names of the instances with a data folder that vote; the same list in all settings.
+    voters: tuple[Name, ...] = ()
+
+
 class LimitSettings(_Section):
     """Limits of the process."""
 
@@ -88,6 +95,8 @@
     data_folder: pathlib.Path | None = None
     #: Operators.
     operators: tuple[OperatorSettings, ...] = ()
+    #: Who keeps the configuration.
+    control: ControlSettings = ControlSettings()
     #: Limits.
     limits: LimitSettings = LimitSettings()
 
--- a/figpaddle/deployment/__init__.py
+++ b/figpaddle/deployment/__init__.py
@@ -1,5 +1,13 @@
 """Questionnaire, generated configuration, data rules and the directory of clients."""
 
+from figpaddle.deployment._changes import (
+    RETAINED_ANSWERS,
+    Change,
+    ChangeAnswer,
+    ChangeMachine,
+    Verdict,
+    encode_change,
+)
 from figpaddle.deployment._configuration import (
     Configuration,
     MemberConfiguration,
@@ -27,22 +35,34 @@
     generate,
     read_answers,
 )
+from figpaddle.deployment._versions import (
+    MemberPart,
+    VersionedConfiguration,
+)
 
 __all__ = [
+    "RETAINED_ANSWERS",
     "Answers",
+    "Change",
+    "ChangeAnswer",
+    "ChangeMachine",
     "Client",
     "ClientDirectory",
     "Configuration",
     "Explanation",
     "Generated",
     "MemberConfiguration",
+    "MemberPart",
     "PolicyWeights",
     "ServiceAnswers",
     "ServiceConfiguration",
     "ServiceKind",
     "StaticClientDirectory",
+    "Verdict",
+    "VersionedConfiguration",
     "configuration_from_plain",
     "configuration_to_plain",
+    "encode_change",
     "faults_of",
     "generate",
     "key_digest",
