--- a/figpaddle/daemon/_gateway.py
+++ b/figpaddle/daemon/_gateway.py
@@ -25,6 +25,7 @@
 from figpaddle.deployment import ServiceConfiguration
 from figpaddle.errors import (
     BackendServerLostError,
+    ConfigurationUnconfirmedError,
     DeadlineExceededError,
     NoBackendServerError,
     Outcome,
@@ -121,6 +122,9 @@
         """Return the service; raises RequestError if a request may not be served here."""
         own = self._directory.own
         check_forward(instance=own.name, visited=visited, crossings=crossings)
+        self._configuration.require(instance=own.name)
+        if crossings and not self._configuration.may_cross(self._clock()):
+            raise ConfigurationUnconfirmedError(instance=own.name)
         return permitted_service(
             self._configuration.current, member=member, service=service, region=own.region
         )
@@ -194,7 +198,8 @@
             for known in self._backends.candidates(head.offering, now=now)
             if known.info.name not in tried
         )
-        regions = () if head.crossings else self._regions.options(head.offering, allowed, now=now)
+        local = bool(head.crossings) or not self._configuration.may_cross(now)
+        regions = () if local else self._regions.options(head.offering, allowed, now=now)
         untried = tuple(option for option in regions if option.region not in tried)
         return self._policy.place(Options(backends=backends, regions=untried), now=now)
 
