--- a/figpaddle/daemon/_instance.py
+++ b/figpaddle/daemon/_instance.py
@@ -39,7 +39,7 @@
 #: Interval at which a stopping process looks whether requests are still in progress, seconds.
 DRAIN_POLL_S = 0.05
 #: Longest time for which a closing port sends what is left of its answers, seconds.
-PORT_CLOSE_TIMEOUT_S = 5.0
+PORT_CLOSE_TIMEOUT_S = 1.0
 #: Largest head of an HTTP request, bytes.
 MAX_HTTP_HEAD_BYTES = 32 * 1024
 
--- a/tests/fault_proxy.py
+++ b/tests/fault_proxy.py
@@ -251,8 +251,10 @@
         for connection in list(self._connections):
             for writer in connection.writers:
                 writer.transport.abort()
-        for task in list(self._tasks):
+        others = asyncio.all_tasks() - {asyncio.current_task()}
+        for task in others:
             task.cancel()
+        await asyncio.gather(*others, return_exceptions=True)
 
 
 def _matches(connection: _Connection, source: str, destination: str) -> bool:
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -171,7 +171,7 @@
     limits = {"leave_grace_s": 0.2}
     seoul = deployment.start_instance("seoul-1", "seoul", limits=limits)
     busan = deployment.start_instance("busan-1", "busan", limits=limits)
-    size = 8_000_000
+    size = 16_000_000
 
     async def answer(
         body: bytes, number: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -185,7 +185,7 @@
             await writer.drain()
 
     async def run() -> None:
-        upload = await RawConnection.open(deployment.entry("seoul-1"))
+        upload: RawConnection | None = await RawConnection.open(deployment.entry("seoul-1"))
         data = chat_bytes("draft", "uploaded", HANBIT_KEY)
         upload.writer.write(data[:-5])
         slow = []
@@ -198,13 +198,16 @@
             instance.signal(signal.SIGTERM)
         while not all("event=leaving" in "\n".join(one.lines) for one in (seoul, busan)):
             await asyncio.sleep(0.05)
-        await asyncio.sleep(1.0)
-        upload.writer.write(data[-5:])
-        assert (await upload.read_answer()).chat_text() == "uploaded"
         for connection in slow:
+            await asyncio.sleep(2.0)
             head = await connection.reader.readuntil(b"\r\n\r\n")
             assert f"content-length: {size}".encode() in head.lower()
             await connection.reader.readexactly(size)
+            if upload is not None:
+                await asyncio.sleep(2.0)
+                upload.writer.write(data[-5:])
+                assert (await upload.read_answer()).chat_text() == "uploaded"
+                upload = None
 
     with HostileBackend("flood", "seoul", ("hanbit/draft",), seoul.fields["backends"]) as backend:
         backend.behave(answer)
