--- a/tests/fault_proxy.py
+++ b/tests/fault_proxy.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import dataclasses
 import threading
 from collections.abc import Callable, Coroutine
@@ -147,7 +148,8 @@
 
     async def _listen(self, destination: str, key: str) -> str:
         async def accept(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-            await self._accept(reader, writer, destination, key)
+            with contextlib.suppress(asyncio.CancelledError):
+                await self._accept(reader, writer, destination, key)
 
         server = await asyncio.start_server(accept, "127.0.0.1", 0, limit=CHUNK_BYTES)
         self._servers.append(server)
