Place and admit requests by expected time, cache, links and the member's weights

Cause: the only policy took the backend server with the fewest requests and never left the region while one was there; nothing was refused in time, and first-token times were not known. Ruled out: KV export over the link. A token's cache is some 131 KB, its prefill 0.125 ms: one gigabit takes 1.05 ms for it and seventy megabits 15 ms, so moving it never pays at these sizes. Change: pure policies behind one base class (round robin, least reported load, least load, scored), admission by deadline, share and class, a cache belief, models of targets and services; a virtual run of fake engines around these modules; the daemon's Placer uses them, engine stand-ins report cache events, summaries carry the room left for other regions' work.

--- a/figpaddle/daemon/_backend_watch.py
+++ b/figpaddle/daemon/_backend_watch.py
@@ -29,6 +29,7 @@
         network: PeerNetwork,
         backends: BackendTable,
         regions: RegionView,
+        reported: Callable[[BackendInfo], None],
         clock: Callable[[], float],
         log: Log,
     ) -> None:
@@ -36,6 +37,7 @@
         self._network = network
         self._backends = backends
         self._regions = regions
+        self._reported = reported
         self._clock = clock
         self._log = log
         network.register(BackendsUpdate, self._on_backends)
@@ -55,7 +57,8 @@
         ]
 
     def publish(self, info: BackendInfo) -> None:
-        """Pass an announcement on to the other instances of the region."""
+        """Take in a new announcement and pass it on to the other instances of the region."""
+        self._reported(info)
         update = BackendsUpdate(backends=(info,))
         own_region = self._directory.own.region
         for peer in self._directory.peers():
@@ -80,8 +83,9 @@
 
     async def _on_backends(self, peer: str, item: BackendsUpdate) -> Message | None:
         for info in item.backends:
-            if info.region == self._directory.own.region:
-                self._backends.announce(info, now=self._clock())
+            own_region = info.region == self._directory.own.region
+            if own_region and self._backends.announce(info, now=self._clock()):
+                self._reported(info)
         return None
 
     async def _on_summary(self, peer: str, item: RegionSummary) -> Message | None:
--- a/figpaddle/daemon/_callers.py
+++ b/figpaddle/daemon/_callers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import json
 import uuid
 from collections.abc import Callable
@@ -36,6 +37,7 @@
 )
 from figpaddle.daemon._logs import Log
 from figpaddle.daemon._metrics import MeasuredSink, Metrics
+from figpaddle.daemon._prompts import shape_of_chat
 from figpaddle.deployment import Client, ClientDirectory, ServiceConfiguration, ServiceKind
 from figpaddle.errors import (
     DrainingError,
@@ -146,7 +148,8 @@
         service = self._service(client, _model_name(data))
         if service.kind is not ServiceKind.MODEL:
             raise ForbiddenError
-        head = self._head(scope, client, service, target=CHAT_PATH, request_id=request_id)
+        plain_head = self._head(scope, client, service, target=CHAT_PATH, request_id=request_id)
+        head = dataclasses.replace(plain_head, prompt=shape_of_chat(data))
         await self._serve_until_gone(head, BufferedBody(data=data), sink, receive)
 
     async def _application(
--- a/figpaddle/daemon/_exchange.py
+++ b/figpaddle/daemon/_exchange.py
@@ -6,6 +6,8 @@
 import dataclasses
 from collections.abc import AsyncIterator
 
+from figpaddle.wire import PromptShape
+
 Headers = tuple[tuple[str, str], ...]
 
 
@@ -39,6 +41,8 @@
     deadline_s: float
     #: Priority class within the member, 0 first.
     priority: int
+    #: What its placement may know of its prompt; empty for a service without one.
+    prompt: PromptShape = PromptShape()
     #: Instances that the request has passed.
     visited: tuple[str, ...] = ()
     #: How often it has crossed regions.
--- a/figpaddle/daemon/_forwarder.py
+++ b/figpaddle/daemon/_forwarder.py
@@ -137,6 +137,7 @@
             configuration_revision=self._configuration.current.revision,
             idempotent=head.idempotent,
             priority=head.priority,
+            prompt=head.prompt,
         )
 
 
@@ -185,6 +186,7 @@
             deadline_at=self._clock() + opened.deadline_s,
             deadline_s=opened.deadline_s,
             priority=opened.priority,
+            prompt=opened.prompt,
             visited=opened.visited,
             crossings=opened.crossings,
         )
--- a/figpaddle/daemon/_gateway.py
+++ b/figpaddle/daemon/_gateway.py
@@ -12,7 +12,7 @@
 from figpaddle.daemon._exchange import AnswerHead, AnswerSink, BodySource, RequestHead
 from figpaddle.daemon._forwarder import Forwarder
 from figpaddle.daemon._logs import Log
-from figpaddle.daemon._regions import RegionView
+from figpaddle.daemon._placer import Placer, ProgressSink
 from figpaddle.errors import (
     DeadlineExceededError,
     NoBackendServerError,
@@ -23,9 +23,7 @@
 from figpaddle.routing import (
     BackendTable,
     KnownBackend,
-    Options,
     Placement,
-    PlacementPolicy,
     check_forward,
     permitted_service,
 )
@@ -45,8 +43,7 @@
         directory: InstanceDirectory,
         configuration: ConfigurationState,
         backends: BackendTable,
-        regions: RegionView,
-        policy: PlacementPolicy,
+        placer: Placer,
         client: BackendClient,
         forwarder: Forwarder,
         clock: Callable[[], float],
@@ -55,8 +52,7 @@
         self._directory = directory
         self._configuration = configuration
         self._backends = backends
-        self._regions = regions
-        self._policy = policy
+        self._placer = placer
         self._client = client
         self._forwarder = forwarder
         self._clock = clock
@@ -97,7 +93,7 @@
         )
         tried: set[str] = set()
         for attempt in range(MAX_ATTEMPTS):
-            placement = self._place(head, service.regions, tried)
+            placement = self._placer.place(head, service.regions, tried)
             if placement is None:
                 break
             try:
@@ -107,29 +103,21 @@
                 last = attempt == MAX_ATTEMPTS - 1
                 if last or not _may_retry(head, body, sink, error):
                     raise
-            if placement.backend is not None:
-                tried.add(placement.backend.info.name)
+            tried.add(placement.target)
         raise NoBackendServerError(service=head.service, retry_after_s=NO_BACKEND_RETRY_S)
 
-    def _place(
-        self, head: RequestHead, allowed: tuple[str, ...], tried: set[str]
-    ) -> Placement | None:
-        now = self._clock()
-        backends = tuple(
-            known
-            for known in self._backends.candidates(head.offering, now=now)
-            if known.info.name not in tried
-        )
-        regions = () if head.crossings else self._regions.options(head.offering, allowed, now=now)
-        return self._policy.place(Options(backends=backends, regions=regions), now=now)
-
     async def _carry_out(
         self, head: RequestHead, body: BodySource, sink: AnswerSink, placement: Placement
     ) -> None:
-        if placement.backend is not None:
-            await self._send(head, body, sink, placement.backend)
-        elif placement.region is not None:
-            await self._forwarder.forward(head, body, sink, region=placement.region)
+        progress = self._placer.sent(head, placement)
+        told = ProgressSink(sink=sink, progress=progress)
+        try:
+            if placement.backend is not None:
+                await self._send(head, body, told, placement.backend)
+            elif placement.region is not None:
+                await self._forwarder.forward(head, body, told, region=placement.region)
+        finally:
+            progress.ended()
 
     async def _send(
         self, head: RequestHead, body: BodySource, sink: AnswerSink, backend: KnownBackend
--- a/figpaddle/daemon/_instance.py
+++ b/figpaddle/daemon/_instance.py
@@ -27,11 +27,12 @@
 from figpaddle.daemon._metrics import Metrics
 from figpaddle.daemon._operators import OperatorsPort
 from figpaddle.daemon._peers import PeerNetwork
+from figpaddle.daemon._placer import Placer
 from figpaddle.daemon._regions import RegionView
 from figpaddle.daemon._settings import Settings, load_yaml
 from figpaddle.daemon._sockets import Listener, listen, split_address
 from figpaddle.deployment import configuration_from_plain, read_directory
-from figpaddle.routing import BackendTable, LeastLoadPolicy
+from figpaddle.routing import Admission, BackendTable, make_policy
 from figpaddle.wire import Handshake, InstanceInfo
 
 #: Interval at which a stopping process looks whether requests are still in progress, seconds.
@@ -72,12 +73,14 @@
         self._client = BackendClient(
             own_ip=own_ip, region=settings.region, instance=settings.instance
         )
+        self._placer = self._make_placer()
         self._gateway = self._make_gateway()
         self._watch = BackendWatch(
             directory=self._directory,
             network=self._network,
             backends=self._backends,
             regions=self._regions,
+            reported=self._placer.reported,
             clock=self._clock,
             log=log,
         )
@@ -115,6 +118,17 @@
             incarnation=time.time_ns() // 1_000_000,
         )
 
+    def _make_placer(self) -> Placer:
+        return Placer(
+            directory=self._directory,
+            configuration=self._configuration,
+            backends=self._backends,
+            regions=self._regions,
+            policy=make_policy(self._settings.policy, rng=self._rng),
+            admission=Admission(rng=self._rng),
+            clock=self._clock,
+        )
+
     def _make_gateway(self) -> Gateway:
         forwarder = Forwarder(
             directory=self._directory,
@@ -127,8 +141,7 @@
             directory=self._directory,
             configuration=self._configuration,
             backends=self._backends,
-            regions=self._regions,
-            policy=LeastLoadPolicy(rng=self._rng),
+            placer=self._placer,
             client=self._client,
             forwarder=forwarder,
             clock=self._clock,
--- /dev/null
+++ b/figpaddle/daemon/_placer.py
@@ -0,0 +1,200 @@
+"""Placement and admission of requests with what the process knows at the moment."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from figpaddle.coordination import InstanceDirectory
+from figpaddle.daemon._configuration_state import ConfigurationState
+from figpaddle.daemon._exchange import AnswerHead, AnswerSink, RequestHead
+from figpaddle.daemon._regions import RegionView
+from figpaddle.deployment import PolicyWeights
+from figpaddle.routing import (
+    Admission,
+    BackendTable,
+    Demand,
+    Finished,
+    FirstToken,
+    Options,
+    Placement,
+    PlacementPolicy,
+    Reported,
+    Sent,
+)
+from figpaddle.wire import BackendInfo, InstanceState
+
+
+class Placer:
+    """Chooses where a request is served, and lets policy and admission learn from it."""
+
+    def __init__(
+        self,
+        *,
+        directory: InstanceDirectory,
+        configuration: ConfigurationState,
+        backends: BackendTable,
+        regions: RegionView,
+        policy: PlacementPolicy,
+        admission: Admission,
+        clock: Callable[[], float],
+    ) -> None:
+        self._directory = directory
+        self._configuration = configuration
+        self._backends = backends
+        self._regions = regions
+        self._policy = policy
+        self._admission = admission
+        self._clock = clock
+
+    def place(
+        self, head: RequestHead, allowed: tuple[str, ...], tried: set[str]
+    ) -> Placement | None:
+        """Return the admitted choice, or None; raises OverloadedError."""
+        now = self._clock()
+        demand = self._demand(head, now)
+        forwarded = head.crossings > 0
+        member = self._configuration.current.member(head.member)
+        options = Options(
+            backends=tuple(
+                known
+                for known in self._backends.candidates(head.offering, now=now)
+                if known.info.name not in tried
+            ),
+            regions=tuple(
+                option
+                for option in self._regions.options(head.offering, allowed, now=now)
+                if not forwarded and option.region not in tried
+            ),
+            weights=member.weights if member is not None else PolicyWeights(),
+            deciders=self._deciders(),
+        )
+        placement = self._policy.place(demand, options, now=now)
+        if placement is not None and placement.expected_s is not None:
+            summary = self._backends.summary(head.offering, now=now)
+            members = self._configuration.current.members
+            self._admission.admit(
+                demand,
+                placement,
+                shares={entry.name: entry.share for entry in members},
+                room=summary.room if forwarded else None,
+                now=now,
+            )
+        return placement
+
+    def sent(self, head: RequestHead, placement: Placement) -> Progress:
+        """Note that a request goes to its target and return where its progress is told."""
+        now = self._clock()
+        demand = self._demand(head, now)
+        self._policy.observe(Sent(demand=demand, target=placement.target), now=now)
+        return Progress(
+            demand=demand,
+            placement=placement,
+            policy=self._policy,
+            admission=self._admission,
+            clock=self._clock,
+        )
+
+    def reported(self, info: BackendInfo) -> None:
+        """Take in an announcement."""
+        self._policy.observe(Reported(info=info), now=self._clock())
+
+    def _deciders(self) -> int:
+        own = self._directory.own
+        return sum(
+            1
+            for info in self._directory.instances
+            if info.region == own.region and info.state is InstanceState.SERVING
+        )
+
+    def _demand(self, head: RequestHead, now: float) -> Demand:
+        return Demand(
+            request_id=head.request_id,
+            member=head.member,
+            service=head.offering,
+            priority=head.priority,
+            deadline_s=head.deadline_at - now,
+            prefixes=head.prompt.prefixes,
+            prompt_tokens=head.prompt.tokens,
+            output_tokens=head.prompt.output_tokens,
+            body_bytes=head.prompt.body_bytes,
+            streamed=head.prompt.streamed,
+            forwarded=head.crossings > 0,
+        )
+
+
+class Progress:
+    """The progress of one request at its target."""
+
+    def __init__(
+        self,
+        *,
+        demand: Demand,
+        placement: Placement,
+        policy: PlacementPolicy,
+        admission: Admission,
+        clock: Callable[[], float],
+    ) -> None:
+        self._demand = demand
+        self._placement = placement
+        self._policy = policy
+        self._admission = admission
+        self._clock = clock
+        self._tokens = 0
+        self._begun = False
+
+    def piece(self, *, streamed: bool) -> None:
+        """Note a piece of the answer; a streamed one counts as a token."""
+        now = self._clock()
+        if not self._begun:
+            self._begun = True
+            self._admission.served(
+                self._demand,
+                target=self._placement.target,
+                work_s=self._placement.work_s,
+                now=now,
+            )
+            if streamed:
+                event = FirstToken(demand=self._demand, target=self._placement.target)
+                self._policy.observe(event, now=now)
+        if streamed:
+            self._tokens += 1
+
+    def ended(self) -> None:
+        """Note the end of the request, with or without an answer."""
+        if not self._begun:
+            self._admission.failed(self._demand, target=self._placement.target)
+        self._policy.observe(
+            Finished(demand=self._demand, target=self._placement.target, tokens=self._tokens),
+            now=self._clock(),
+        )
+
+
+class ProgressSink(AnswerSink):
+    """Tells the pieces of an answer as they pass."""
+
+    def __init__(self, *, sink: AnswerSink, progress: Progress) -> None:
+        self._sink = sink
+        self._progress = progress
+        self._streamed = False
+
+    @property
+    def started(self) -> bool:
+        """Whether the head of the answer has been sent."""
+        return self._sink.started
+
+    async def start(self, head: AnswerHead) -> None:
+        """Send the head of the answer."""
+        self._streamed = any(
+            key == "content-type" and value.startswith("text/event-stream")
+            for key, value in head.headers
+        )
+        await self._sink.start(head)
+
+    async def write(self, data: bytes) -> None:
+        """Send a piece of the answer's body."""
+        self._progress.piece(streamed=self._streamed)
+        await self._sink.write(data)
+
+    async def finish(self) -> None:
+        """Send the end mark."""
+        await self._sink.finish()
--- a/figpaddle/daemon/_regions.py
+++ b/figpaddle/daemon/_regions.py
@@ -32,7 +32,12 @@
             if entry is None or region not in allowed or now - heard_at > SUMMARY_TTL_S:
                 continue
             option = RegionOption(
-                region=region, backends=entry.backends, slots=entry.slots, load=entry.load
+                region=region,
+                backends=entry.backends,
+                slots=entry.slots,
+                load=entry.load,
+                room=entry.room,
+                heard_at=heard_at,
             )
             found.append(option)
         return tuple(found)
--- a/figpaddle/daemon/_settings.py
+++ b/figpaddle/daemon/_settings.py
@@ -10,6 +10,7 @@
 
 from figpaddle.deployment import faults_of
 from figpaddle.errors import DocumentFault, SettingsError
+from figpaddle.routing import PolicyName
 
 Address = Annotated[str, pydantic.StringConstraints(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")]
 Name = Annotated[str, pydantic.StringConstraints(pattern=r"^[a-z][a-z0-9-]{0,62}$")]
@@ -88,6 +89,8 @@
     data_folder: pathlib.Path | None = None
     #: Operators.
     operators: tuple[OperatorSettings, ...] = ()
+    #: How requests are placed; the others serve to compare.
+    policy: PolicyName = "scored"
     #: Limits.
     limits: LimitSettings = LimitSettings()
 
--- a/figpaddle/routing/__init__.py
+++ b/figpaddle/routing/__init__.py
@@ -1,29 +1,70 @@
 """Decisions about requests: placement, entry lookup, limits and forwarding rules."""
 
-from figpaddle.routing._backends import ANNOUNCEMENT_TTL_S, BackendTable, KnownBackend
+from figpaddle.routing._admission import Admission
+from figpaddle.routing._backends import (
+    ANNOUNCEMENT_TTL_S,
+    SPILL_FILL,
+    BackendTable,
+    KnownBackend,
+)
+from figpaddle.routing._cache_belief import CacheBelief
+from figpaddle.routing._demand import (
+    CHARACTERS_PER_TOKEN,
+    DEFAULT_OUTPUT_TOKENS,
+    PREFIX_BLOCK_TOKENS,
+    Demand,
+    Finished,
+    FirstToken,
+    Reported,
+    Sent,
+    TargetEvent,
+    prompt_shape,
+)
 from figpaddle.routing._entries import ENTRY_TTL_S, EntryAnswer, rank_entries
 from figpaddle.routing._forwarding import MAX_CROSSINGS, check_forward, permitted_service
 from figpaddle.routing._policy import (
     LeastLoadPolicy,
+    LeastReportedLoadPolicy,
     Options,
     Placement,
     PlacementPolicy,
     RegionOption,
+    RoundRobinPolicy,
 )
+from figpaddle.routing._scored import Estimate, PolicyName, ScoredPolicy, make_policy
 
 __all__ = [
     "ANNOUNCEMENT_TTL_S",
+    "CHARACTERS_PER_TOKEN",
+    "DEFAULT_OUTPUT_TOKENS",
     "ENTRY_TTL_S",
     "MAX_CROSSINGS",
+    "PREFIX_BLOCK_TOKENS",
+    "SPILL_FILL",
+    "Admission",
     "BackendTable",
+    "CacheBelief",
+    "Demand",
     "EntryAnswer",
+    "Estimate",
+    "Finished",
+    "FirstToken",
     "KnownBackend",
     "LeastLoadPolicy",
+    "LeastReportedLoadPolicy",
     "Options",
     "Placement",
     "PlacementPolicy",
+    "PolicyName",
     "RegionOption",
+    "Reported",
+    "RoundRobinPolicy",
+    "ScoredPolicy",
+    "Sent",
+    "TargetEvent",
     "check_forward",
+    "make_policy",
     "permitted_service",
+    "prompt_shape",
     "rank_entries",
 ]
--- a/figpaddle/routing/_backends.py
+++ b/figpaddle/routing/_backends.py
@@ -8,6 +8,8 @@
 
 #: An announcement holds for this long unless renewed, seconds.
 ANNOUNCEMENT_TTL_S = 5.0
+#: Part of a region's slots up to which it takes work from other regions.
+SPILL_FILL = 0.85
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -88,15 +90,19 @@
     def summaries(self, *, now: float) -> tuple[ServiceSummary, ...]:
         """Return the state of each service in the own region."""
         services = sorted({name for known in self.backends for name in known.info.services})
-        return tuple(self._summary(service, now=now) for service in services)
+        return tuple(self.summary(service, now=now) for service in services)
 
-    def _summary(self, service: str, *, now: float) -> ServiceSummary:
+    def summary(self, service: str, *, now: float) -> ServiceSummary:
+        """Return the state of ``service`` in the own region."""
         serving = self.candidates(service, now=now)
+        slots = sum(known.info.slots for known in serving)
+        load = sum(known.info.running + known.info.waiting for known in serving)
         return ServiceSummary(
             service=service,
             backends=len(serving),
-            slots=sum(known.info.slots for known in serving),
-            load=sum(known.info.running + known.info.waiting for known in serving),
+            slots=slots,
+            load=load,
+            room=max(0, int(slots * SPILL_FILL) - load),
         )
 
     def _change_in_flight(self, name: str, change: int) -> None:
--- a/figpaddle/routing/_policy.py
+++ b/figpaddle/routing/_policy.py
@@ -1,4 +1,4 @@
-"""Placement policies: which backend server or region serves a request."""
+"""Placement policies: the interface and the simple ones."""
 
 from __future__ import annotations
 
@@ -6,7 +6,9 @@
 import dataclasses
 import random
 
+from figpaddle.deployment import PolicyWeights
 from figpaddle.routing._backends import KnownBackend
+from figpaddle.routing._demand import Demand, TargetEvent
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -21,6 +23,14 @@
     slots: int
     #: Requests there in all, as last reported.
     load: int
+    #: Slots there that work from other regions may take, as last reported.
+    room: int = 0
+    #: When the report was received, seconds.
+    heard_at: float = 0.0
+    #: Time to the region and back, seconds.
+    round_trip_s: float = 0.16
+    #: Bandwidth to the region, bytes a second.
+    bytes_per_s: float = 8_750_000.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -31,24 +41,77 @@
     backends: tuple[KnownBackend, ...]
     #: Other regions that may hold the request's data.
     regions: tuple[RegionOption, ...] = ()
+    #: What the member weighs.
+    weights: PolicyWeights = PolicyWeights()
+    #: Instances of the own region, which choose at the same time.
+    deciders: int = 1
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Placement:
-    """The choice for one request: exactly one of the two is given."""
+    """The choice for one request: exactly one of backend server and region is given."""
 
     #: Backend server of the own region.
     backend: KnownBackend | None = None
     #: Other region.
     region: str | None = None
+    #: Expected time to the first token, seconds; None if the policy doesn't estimate it.
+    expected_s: float | None = None
+    #: Work that the request brings, seconds of a backend server's slot.
+    work_s: float = 0.0
+
+    @property
+    def target(self) -> str:
+        """Name of the backend server or region."""
+        return self.backend.info.name if self.backend is not None else str(self.region)
 
 
 class PlacementPolicy(abc.ABC):
     """Chooses where a request is served."""
 
     @abc.abstractmethod
-    def place(self, options: Options, *, now: float) -> Placement | None:
+    def place(self, demand: Demand, options: Options, *, now: float) -> Placement | None:
+        """Return the choice, or None if there is nothing to choose from."""
+
+    def observe(self, event: TargetEvent, *, now: float) -> None:  # noqa: B027
+        """Learn from the progress of a request."""
+
+
+class RoundRobinPolicy(PlacementPolicy):
+    """Takes every backend server in turn; a region gets a turn for each of its own."""
+
+    def __init__(self) -> None:
+        self._turns: dict[str, int] = {}
+
+    def place(self, demand: Demand, options: Options, *, now: float) -> Placement | None:
+        """Return the choice, or None if there is nothing to choose from."""
+        choices = [Placement(backend=backend) for backend in options.backends]
+        for option in options.regions:
+            choices += [Placement(region=option.region)] * option.backends
+        if not choices:
+            return None
+        turn = self._turns.get(demand.service, 0)
+        self._turns[demand.service] = turn + 1
+        return choices[turn % len(choices)]
+
+
+class LeastReportedLoadPolicy(PlacementPolicy):
+    """Takes the backend server or region with the lowest reported load for each slot."""
+
+    def __init__(self, *, rng: random.Random) -> None:
+        self._rng = rng
+
+    def place(self, demand: Demand, options: Options, *, now: float) -> Placement | None:
         """Return the choice, or None if there is nothing to choose from."""
+        choices: list[tuple[float, float, Placement]] = []
+        for known in options.backends:
+            load = (known.info.running + known.info.waiting) / max(1, known.info.slots)
+            choices.append((load, self._rng.random(), Placement(backend=known)))
+        for option in options.regions:
+            if option.backends > 0:
+                load = option.load / max(1, option.slots)
+                choices.append((load, self._rng.random(), Placement(region=option.region)))
+        return min(choices, key=lambda choice: choice[:2])[2] if choices else None
 
 
 class LeastLoadPolicy(PlacementPolicy):
@@ -57,7 +120,7 @@
     def __init__(self, *, rng: random.Random) -> None:
         self._rng = rng
 
-    def place(self, options: Options, *, now: float) -> Placement | None:
+    def place(self, demand: Demand, options: Options, *, now: float) -> Placement | None:
         """Return the choice, or None if there is nothing to choose from."""
         if options.backends:
             backend = min(options.backends, key=self._load)
--- /dev/null
+++ b/figpaddle/routing/_service_model.py
@@ -0,0 +1,52 @@
+"""What one instance has learnt of a service from its own requests."""
+
+from __future__ import annotations
+
+#: Prefill before the first sample, seconds a token.
+INITIAL_PREFILL_S = 1 / 8000
+#: Time of a request at a backend server before the first sample, seconds.
+INITIAL_DURATION_S = 3.0
+#: Time between tokens before the first sample, seconds.
+INITIAL_TOKEN_S = 0.025
+#: Weight of a sample that is faster than the present estimate of the prefill.
+FASTER_WEIGHT = 0.1
+#: Weight of a sample that is slower.
+SLOWER_WEIGHT = 0.005
+#: Weight of a sample in the other averages.
+SAMPLE_WEIGHT = 0.05
+#: Shortest prefill that tells something of its speed, tokens.
+MIN_SAMPLE_TOKENS = 256
+
+
+class ServiceModel:
+    """Averages over all backend servers of a service.
+
+    The prefill time follows the fast samples, since waiting only ever adds to it.
+    """
+
+    def __init__(self) -> None:
+        #: Prefill without waiting, seconds a token.
+        self.prefill_s = INITIAL_PREFILL_S
+        #: Time of a request at a backend server, seconds.
+        self.duration_s = INITIAL_DURATION_S
+        #: Time between tokens, seconds.
+        self.token_s = INITIAL_TOKEN_S
+        #: Prefill of a usual request, seconds.
+        self.usual_prefill_s = 0.05
+
+    def sample_prefill(self, *, uncached_tokens: float, seconds: float) -> None:
+        """Take in the time to the first token of a request."""
+        self.usual_prefill_s += SAMPLE_WEIGHT * (
+            uncached_tokens * self.prefill_s - self.usual_prefill_s
+        )
+        if uncached_tokens < MIN_SAMPLE_TOKENS:
+            return
+        sample = seconds / uncached_tokens
+        weight = FASTER_WEIGHT if sample < self.prefill_s else SLOWER_WEIGHT
+        self.prefill_s += weight * (sample - self.prefill_s)
+
+    def sample_end(self, *, duration_s: float, token_s: float | None) -> None:
+        """Take in a finished request."""
+        self.duration_s += SAMPLE_WEIGHT * (duration_s - self.duration_s)
+        if token_s is not None:
+            self.token_s += SAMPLE_WEIGHT * (token_s - self.token_s)
--- /dev/null
+++ b/figpaddle/routing/tests/test_placement.py
@@ -0,0 +1,224 @@
+"""What the scored policy chooses, and what it learns from."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+
+import pytest
+
+from figpaddle.deployment import PolicyWeights
+from figpaddle.routing import (
+    Demand,
+    Finished,
+    FirstToken,
+    KnownBackend,
+    Options,
+    Placement,
+    RegionOption,
+    Reported,
+    RoundRobinPolicy,
+    ScoredPolicy,
+    Sent,
+)
+from figpaddle.wire import BackendInfo, CacheEvent, Prefix
+
+PROMPT = (Prefix(digest=1, tokens=2000), Prefix(digest=2, tokens=4000))
+
+
+def backend(name: str, *, running: int = 0, heard_at: float = 0.0, **fields: int) -> KnownBackend:
+    info = BackendInfo(
+        name=name,
+        address="",
+        region="seoul",
+        zone="",
+        services=("hanbit/draft",),
+        incarnation=fields.pop("incarnation", 1),
+        sequence=1,
+        slots=16,
+        running=running,
+        **fields,
+    )
+    return KnownBackend(info=info, heard_at=heard_at)
+
+
+def demand(number: int = 0, *, prompt: bool = False, **fields: object) -> Demand:
+    plain = Demand(
+        request_id=f"r{number}",
+        member="hanbit",
+        service="hanbit/draft",
+        priority=0,
+        deadline_s=10.0,
+        prefixes=PROMPT if prompt else (),
+        prompt_tokens=4000 if prompt else 100,
+        body_bytes=16_000,
+    )
+    return dataclasses.replace(plain, **fields)  # type: ignore[arg-type]
+
+
+def region(**fields: float) -> RegionOption:
+    plain = RegionOption(region="busan", backends=2, slots=32, load=0, room=27)
+    return dataclasses.replace(plain, **fields)  # type: ignore[arg-type]
+
+
+def place(policy: ScoredPolicy, asked: Demand, options: Options, *, now: float) -> Placement:
+    placement = policy.place(asked, options, now=now)
+    assert placement is not None
+    policy.observe(Sent(demand=asked, target=placement.target), now=now)
+    return placement
+
+
+def serve(policy: ScoredPolicy, asked: Demand, target: str, *, at: float, token_s: float) -> None:
+    policy.observe(FirstToken(demand=asked, target=target), now=at)
+    policy.observe(Finished(demand=asked, target=target, tokens=11), now=at + 10 * token_s)
+
+
+def scored() -> ScoredPolicy:
+    return ScoredPolicy(rng=random.Random(7))
+
+
+def test_session_returns_to_the_cache_until_its_engine_is_too_full() -> None:
+    policy = scored()
+    idle = Options(backends=(backend("a"), backend("b")))
+    first = place(policy, demand(prompt=True), idle, now=0.0).target
+    serve(policy, demand(prompt=True), first, at=0.5, token_s=0.02)
+    again = [place(policy, demand(n, prompt=True), idle, now=1.0).target for n in range(1, 4)]
+    assert again == [first] * 3
+    full = Options(
+        backends=tuple(backend(n, running=60 if n == first else 0, heard_at=2.0) for n in "ab")
+    )
+    assert place(policy, demand(9, prompt=True), full, now=2.0).target != first
+
+
+@pytest.mark.parametrize(("evicted", "kept"), [(False, True), (True, False)])
+def test_cache_events_decide_where_a_prompt_is_warm(evicted: bool, kept: bool) -> None:
+    policy = scored()
+    stored = tuple(CacheEvent(digest=prefix.digest, stored=True) for prefix in PROMPT)
+    dropped = tuple(dataclasses.replace(event, stored=False) for event in stored)
+    known = backend("b")
+    info = dataclasses.replace(known.info, cache_events=stored + (dropped if evicted else ()))
+    policy.observe(Reported(info=info), now=0.0)
+    options = Options(backends=(backend("a"), known))
+    chosen = [policy.place(demand(n, prompt=True), options, now=0.1) for n in range(20)]
+    assert all(one is not None and one.target == "b" for one in chosen) is kept
+
+
+def test_restarted_engine_counts_as_cold() -> None:
+    policy = scored()
+    place(policy, demand(prompt=True), Options(backends=(backend("a"),)), now=0.0)
+    serve(policy, demand(prompt=True), "a", at=0.5, token_s=0.02)
+    options = Options(backends=(backend("a", incarnation=2), backend("b")))
+    warm = policy.place(demand(1, prompt=True), Options(backends=(backend("a"),)), now=1.0)
+    cold = policy.place(
+        demand(2, prompt=True), dataclasses.replace(options, backends=options.backends[:1]), now=1.0
+    )
+    assert warm is not None and cold is not None
+    assert warm.expected_s is not None and cold.expected_s is not None
+    assert cold.expected_s > warm.expected_s + 0.1
+
+
+def test_tenfold_slow_engine_gets_less_than_a_fifteenth_of_the_work() -> None:
+    policy = scored()
+    options = Options(backends=tuple(backend(name) for name in "abcde"))
+    now, counts = 0.0, dict.fromkeys("abcde", 0)
+    for number in range(2000):
+        now += 0.05
+        target = place(policy, demand(number), options, now=now).target
+        slow = 10.0 if target == "c" else 1.0
+        serve(policy, demand(number), target, at=now + 0.1 * slow, token_s=0.02 * slow)
+        counts[target] += number >= 200
+    assert 0 < counts["c"] < 1800 / 15
+
+
+def test_overdue_first_tokens_show_a_slow_engine_before_any_answer() -> None:
+    policy = scored()
+    options = Options(backends=(backend("a"), backend("b")))
+    for number in range(4):
+        policy.place(demand(number), options, now=0.0)
+        policy.observe(Sent(demand=demand(number), target="a"), now=0.0)
+    later = [policy.place(demand(n), options, now=6.0) for n in range(10, 30)]
+    assert all(one is not None and one.target == "b" for one in later)
+
+
+def test_requests_sent_since_the_report_count_beside_it() -> None:
+    policy = scored()
+    options = Options(backends=(backend("a", running=2), backend("b", running=4)))
+    targets = [place(policy, demand(n), options, now=0.1).target for n in range(60)]
+    assert 24 <= targets.count("b") <= 36
+
+
+def test_stale_report_loses_to_own_requests() -> None:
+    policy = scored()
+    options = Options(backends=(backend("a", running=40), backend("b")))
+    fresh = [policy.place(demand(n), options, now=0.1) for n in range(20)]
+    assert {one.target for one in fresh if one is not None} == {"b"}
+    stale = [policy.place(demand(n), options, now=60.0) for n in range(40)]
+    assert {one.target for one in stale if one is not None} == {"a", "b"}
+
+
+def test_instances_that_do_not_see_each_other_spread_over_equal_engines() -> None:
+    options = Options(backends=tuple(backend(name) for name in "abcd"), deciders=8)
+    chosen = [
+        ScoredPolicy(rng=random.Random(seed)).place(demand(), options, now=0.0)
+        for seed in range(200)
+    ]
+    targets = [one.target for one in chosen if one is not None]
+    assert max(targets.count(name) for name in "abcd") < 80
+
+
+def test_returned_engine_is_ramped_up() -> None:
+    policy = scored()
+    one = Options(backends=(backend("a"),))
+    serve(policy, demand(), place(policy, demand(), one, now=0.0).target, at=0.1, token_s=0.02)
+    busy = tuple(backend(name, running=6, heard_at=100.0) for name in ("a", "new"))
+    young = [policy.place(demand(n), Options(backends=busy), now=100.0) for n in range(40)]
+    assert {one.target for one in young if one is not None} == {"a"}
+    busy = tuple(backend(name, running=6, heard_at=130.0) for name in ("a", "new"))
+    grown = [policy.place(demand(n), Options(backends=busy), now=130.0) for n in range(40)]
+    assert {one.target for one in grown if one is not None} == {"a", "new"}
+
+
+@pytest.mark.parametrize(
+    ("running", "room", "weights", "away"),
+    [
+        (2, 27, PolicyWeights(), False),
+        (60, 27, PolicyWeights(), True),
+        (60, 0, PolicyWeights(), False),
+        (18, 27, PolicyWeights(tail=2.0, sent_away=0.1), True),
+        (18, 27, PolicyWeights(tail=0.5, cost=1.0, sent_away=4.0), False),
+    ],
+)
+def test_leaving_the_region_is_weighed(
+    running: int, room: int, weights: PolicyWeights, away: bool
+) -> None:
+    options = Options(
+        backends=(backend("a", running=running),), regions=(region(room=room),), weights=weights
+    )
+    placement = scored().place(demand(), options, now=0.0)
+    assert placement is not None
+    assert (placement.region is not None) is away
+
+
+def test_spill_stops_when_the_room_that_was_reported_is_used_up() -> None:
+    policy = scored()
+    options = Options(backends=(backend("a", running=90),), regions=(region(room=6),), deciders=2)
+    away = [place(policy, demand(n), options, now=0.1).region for n in range(20)]
+    assert away.count("busan") == 3
+
+
+def test_thin_link_keeps_large_requests_at_home() -> None:
+    options = Options(
+        backends=(backend("a", running=24),), regions=(region(bytes_per_s=100_000.0),)
+    )
+    small = scored().place(demand(), options, now=0.0)
+    large = scored().place(demand(body_bytes=2_000_000), options, now=0.0)
+    assert small is not None and large is not None
+    assert (small.region, large.region) == ("busan", None)
+
+
+def test_round_robin_gives_a_region_a_turn_for_each_of_its_backend_servers() -> None:
+    policy = RoundRobinPolicy()
+    options = Options(backends=(backend("a"), backend("b")), regions=(region(),))
+    chosen = [policy.place(demand(n), options, now=0.0) for n in range(8)]
+    targets = [one.target for one in chosen if one is not None]
+    assert targets == ["a", "b", "busan", "busan"] * 2
--- a/figpaddle/standins/__init__.py
+++ b/figpaddle/standins/__init__.py
@@ -1,7 +1,26 @@
-"""Small stand-ins for the served systems: an engine and an application service."""
+"""Small stand-ins for the served systems: engines and an application service."""
 
 from figpaddle.standins._engine import Engine
 from figpaddle.standins._main import main
 from figpaddle.standins._records import RecordsService
+from figpaddle.standins._traffic import Arrival, ClassShape, Traffic, TrafficShape
+from figpaddle.standins._virtual_engine import EngineSpeed, Job, VirtualEngine
+from figpaddle.standins._virtual_run import VirtualRun
+from figpaddle.standins._virtual_settings import RunFault, RunResult, RunSettings
 
-__all__ = ["Engine", "RecordsService", "main"]
+__all__ = [
+    "Arrival",
+    "ClassShape",
+    "Engine",
+    "EngineSpeed",
+    "Job",
+    "RecordsService",
+    "RunFault",
+    "RunResult",
+    "RunSettings",
+    "Traffic",
+    "TrafficShape",
+    "VirtualEngine",
+    "VirtualRun",
+    "main",
+]
--- a/figpaddle/standins/_announcer.py
+++ b/figpaddle/standins/_announcer.py
@@ -11,7 +11,7 @@
 import httpx
 import pydantic
 
-from figpaddle.wire import BackendInfo, BackendState
+from figpaddle.wire import BackendInfo, BackendState, CacheEvent
 
 #: Interval of announcements, seconds.
 ANNOUNCE_INTERVAL_S = 1.0
@@ -23,11 +23,17 @@
     """Renews the announcement of one backend server until it has left."""
 
     def __init__(
-        self, *, info: BackendInfo, targets: tuple[str, ...], load: Callable[[], tuple[int, int]]
+        self,
+        *,
+        info: BackendInfo,
+        targets: tuple[str, ...],
+        load: Callable[[], tuple[int, int]],
+        cache_events: Callable[[], tuple[CacheEvent, ...]] = tuple,
     ) -> None:
         self._info = dataclasses.replace(info, incarnation=time.time_ns() // 1_000_000)
         self._targets = targets
         self._load = load
+        self._cache_events = cache_events
         self._client = httpx.AsyncClient(timeout=1.0, trust_env=False)
 
     async def run(self, stop: anyio.Event) -> None:
@@ -46,6 +52,8 @@
             state=state,
             running=running,
             waiting=waiting,
+            cache_sequence=self._info.cache_sequence + len(self._info.cache_events),
+            cache_events=self._cache_events(),
         )
         plain = _INFO.dump_python(self._info, mode="json")
         for target in self._targets:
--- a/figpaddle/standins/_engine.py
+++ b/figpaddle/standins/_engine.py
@@ -9,14 +9,13 @@
 
 import anyio
 
+from figpaddle.routing import prompt_shape
+from figpaddle.wire import CacheEvent
+
 Scope = MutableMapping[str, Any]
 Receive = Callable[[], Awaitable[MutableMapping[str, Any]]]
 Send = Callable[[MutableMapping[str, Any]], Awaitable[None]]
 
-#: Characters counted as one token.
-CHARACTERS_PER_TOKEN = 4
-#: Prompt tokens covered by one entry of the prefix cache.
-CACHE_BLOCK_TOKENS = 64
 #: Tokens generated where the request names no limit.
 DEFAULT_TOKENS = 16
 
@@ -39,6 +38,7 @@
         self._decode_s = decode_s
         self._cache_blocks = cache_blocks
         self._cache: OrderedDict[int, None] = OrderedDict()
+        self._cache_events: list[CacheEvent] = []
         self._running = 0
         self._waiting = 0
 
@@ -46,6 +46,12 @@
         """Return the requests running and waiting."""
         return self._running, self._waiting
 
+    def take_cache_events(self) -> tuple[CacheEvent, ...]:
+        """Return the changes of the cache since the last call."""
+        events = tuple(self._cache_events)
+        self._cache_events.clear()
+        return events
+
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one HTTP request."""
         if scope["type"] != "http":
@@ -85,18 +91,19 @@
 
     def _take_prompt(self, prompt: str) -> int:
         """Return the prompt's tokens that were not in the cache, and cache them."""
-        step = CACHE_BLOCK_TOKENS * CHARACTERS_PER_TOKEN
-        uncached = 0
-        for end in range(step, len(prompt) + step, step):
-            block = hash(prompt[:end])
-            if block in self._cache:
-                self._cache.move_to_end(block)
-                continue
-            uncached += CACHE_BLOCK_TOKENS
-            self._cache[block] = None
-            while len(self._cache) > self._cache_blocks:
-                self._cache.popitem(last=False)
-        return uncached
+        shape = prompt_shape(prompt, output_tokens=0, body_bytes=0, streamed=True)
+        cached = 0
+        for prefix in shape.prefixes:
+            if prefix.digest in self._cache:
+                cached = prefix.tokens
+            else:
+                self._cache[prefix.digest] = None
+                self._cache_events.append(CacheEvent(digest=prefix.digest, stored=True))
+            self._cache.move_to_end(prefix.digest)
+        while len(self._cache) > self._cache_blocks:
+            digest, _ = self._cache.popitem(last=False)
+            self._cache_events.append(CacheEvent(digest=digest, stored=False))
+        return max(1, shape.tokens - cached)
 
     async def _answer(self, request: dict[str, Any], prompt: str, tokens: int, send: Send) -> None:
         words = prompt.split() or ["(empty)"]
--- a/figpaddle/standins/_main.py
+++ b/figpaddle/standins/_main.py
@@ -89,7 +89,12 @@
         sequence=0,
         slots=slots,
     )
-    announcer = Announcer(info=info, targets=tuple(targets), load=application.load)
+    announcer = Announcer(
+        info=info,
+        targets=tuple(targets),
+        load=application.load,
+        cache_events=application.take_cache_events if isinstance(application, Engine) else tuple,
+    )
     print(f"event=ready name={name} address={listener.address}", flush=True)
     anyio.run(_serve, application, listener, announcer)
 
--- a/figpaddle/wire/_messages.py
+++ b/figpaddle/wire/_messages.py
@@ -116,6 +116,16 @@
     LEAVING = "leaving"
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class CacheEvent:
+    """A change of an engine's prefix cache."""
+
+    #: Digest of the prefix.
+    digest: int
+    #: Whether it was stored; otherwise it was evicted.
+    stored: bool
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class BackendInfo:
     """What a backend server announces of itself."""
@@ -144,6 +154,12 @@
     waiting: int = 0
     #: Whether it refuses orders under an old fencing number.
     checks_fencing: bool = False
+    #: Reported requests waiting in priority class 0, as of the announcement.
+    waiting_first: int = 0
+    #: Number of the first of ``cache_events`` since the start; a jump tells of lost ones.
+    cache_sequence: int = 0
+    #: Changes of the prefix cache since the last announcement.
+    cache_events: tuple[CacheEvent, ...] = ()
 
 
 @message("backends.update")
@@ -167,6 +183,8 @@
     slots: int
     #: Their requests running and waiting in all.
     load: int
+    #: Slots that work from other regions may take.
+    room: int = 0
 
 
 @message("backends.summary")
@@ -180,6 +198,32 @@
     services: tuple[ServiceSummary, ...]
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Prefix:
+    """A prefix of a prompt."""
+
+    #: Digest of the prefix.
+    digest: int
+    #: Its length, tokens.
+    tokens: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class PromptShape:
+    """What placement may know of a prompt."""
+
+    #: Prefixes of the prompt, shortest first.
+    prefixes: tuple[Prefix, ...] = ()
+    #: Length of the prompt, tokens.
+    tokens: int = 0
+    #: Tokens that the answer is expected to have.
+    output_tokens: int = 0
+    #: Size of the request, bytes.
+    body_bytes: int = 0
+    #: Whether the answer comes token by token.
+    streamed: bool = False
+
+
 @message("forward.open")
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class ForwardOpen(Message):
@@ -211,6 +255,8 @@
     idempotent: bool
     #: Priority class within the member.
     priority: int
+    #: What placement may know of its prompt.
+    prompt: PromptShape = PromptShape()
 
 
 @message("forward.body")
