--- a/figpaddle/routing/tests/test_admission.py
+++ b/figpaddle/routing/tests/test_admission.py
@@ -73,7 +73,7 @@
         for member in served:
             served[member] += ask(admission, demand(member), 1.0, now=10 + number / 10)
     assert served["hanbit"] > served["cumbre"]
-    late = {member: 0 for member in served}
+    late = dict.fromkeys(served, 0)
     for number in range(200):
         for member in late:
             late[member] += ask(admission, demand(member), 1.0, now=50 + number / 10)
