Expect to wait for a prefill of a later class that has begun

Cause: chat was sent to engines whose prefill of a dossier was running; it isn't interrupted. Ruled out: cold prompts of the chat itself, 737 tokens on average in the same requests. Change: what is left of the own later-class prefills counts as expected wait. Other instances' long prefills are still unseen.

--- a/figpaddle/routing/_scored.py
+++ b/figpaddle/routing/_scored.py
@@ -121,9 +121,12 @@
         ahead_s = max(
             model.pending_prefill_s(priority=demand.priority), waiting * service.usual_prefill_s
         )
+        sharing = 1 + min(1.0, load / slots)
+        blocked_s = model.blocking_prefill_s(priority=demand.priority, sharing=sharing, now=now)
         expected_s = slowdown * (
             _slot_wait(load, slots, service.duration_s)
-            + (ahead_s + prefill_s) * (1 + min(1.0, load / slots))
+            + blocked_s
+            + (ahead_s + prefill_s) * sharing
         )
         answer_s = demand.output_tokens * service.token_s * slowdown
         price = weights.tail * (expected_s + ANSWER_TIME_WEIGHT * answer_s)
--- a/figpaddle/routing/_target_model.py
+++ b/figpaddle/routing/_target_model.py
@@ -140,6 +140,18 @@
             if pending.streamed and pending.first_at is None and pending.priority <= priority
         )
 
+    def blocking_prefill_s(self, *, priority: int, sharing: float, now: float) -> float:
+        """Return what is left of a later class's prefill that has probably begun.
+
+        A prefill isn't interrupted for a request of an earlier class. ``sharing`` is the factor
+        by which running requests slow it down.
+        """
+        left = 0.0
+        for pending in self._pending.values():
+            if pending.streamed and pending.first_at is None and pending.priority > priority:
+                left = max(left, pending.prefill_s * sharing - (now - pending.sent_at))
+        return left
+
     def slowdown(self, usual_token_s: float | None, *, now: float) -> float:
         """Return how much slower than usual it is, at least 1."""
         found = max(1.0, self._lateness_now(now) / OVERDUE_FACTOR, self._overdue(now))
