Let the fake engine stop a cancelled prefill at once

Cause: a cancelled request's prefill ran to its end, although engines cancel streams; every policy paid for it. Ruled out: changing how prefill and priorities work together, which stays as it was.

--- a/figpaddle/standins/_virtual_engine.py
+++ b/figpaddle/standins/_virtual_engine.py
@@ -96,6 +96,14 @@
         heapq.heappush(self._queue, (job.demand.priority, self._sequence, job))
         self._fill()
 
+    def cancel(self, job: Job, *, now: float) -> None:
+        """Stop a job that has no first token yet; its slot is free at once."""
+        self.advance(now=now)
+        job.cancelled = True
+        if self._prefilling is job:
+            self._prefilling = None
+            self._fill()
+
     def clear(self) -> None:
         """Lose every job and the cache."""
         for _, _, job in [*self._queue, *self._decoding]:
--- a/figpaddle/standins/_virtual_run.py
+++ b/figpaddle/standins/_virtual_run.py
@@ -282,11 +282,16 @@
             region = self._engines[name].region
             self._at(self._now + self._settings.one_way_s, self._forward_refused, trip, region)
 
+    def _cancel(self, trip: Trip) -> None:
+        if trip.job is not None and trip.engine:
+            engine = self._engines[trip.engine]
+            engine.cancel(trip.job, now=self._now)
+            self._wake(engine)
+
     def _give_up(self, trip: Trip) -> None:
         if trip.ended or trip.first_at is not None:
             return
-        if trip.job is not None:
-            trip.job.cancelled = True
+        self._cancel(trip)
         self._end(trip, "late")
 
     def _answered(self, trip: Trip) -> None:
