Let cache beliefs last, since cache events correct them

Cause: every lost batch of cache events took a tenth of all beliefs' weight and four minutes took half, so warm engines looked cold. Change: half-life 240 -> 1800 s, weight after a gap 0.9 -> 0.99.

--- a/figpaddle/routing/_cache_belief.py
+++ b/figpaddle/routing/_cache_belief.py
@@ -9,9 +9,9 @@
 from figpaddle.wire import Prefix
 
 #: Time in which an unconfirmed belief loses half of its weight, seconds.
-HALF_LIFE_S = 240.0
+HALF_LIFE_S = 1800.0
 #: Weight that every belief keeps when cache events were lost.
-GAP_FACTOR = 0.9
+GAP_FACTOR = 0.99
 #: Most prefixes remembered for one backend server.
 MAX_PREFIXES = 4096
 
