Wait for reported prompt tokens, and don't count the sharing of an engine twice

Cause: the learned prefill time already holds the slowdown by running requests (learned 3,300 to 3,900 tokens/s at an engine of 8,000), and the policy doubled it again; waiting requests were taken at an average prefill, whatever their prompts. Change: announcements carry the prompt tokens still to process, in all and before class 0; they decay by the time since the report; the factor for sharing is gone.

--- a/figpaddle/routing/_scored.py
+++ b/figpaddle/routing/_scored.py
@@ -117,17 +117,8 @@
         slowdown = model.slowdown(service.token_s, now=now)
         uncached = self._uncached(demand, model, now)
         prefill_s = uncached * service.prefill_s
-        waiting = max(0, known.info.waiting_first if demand.priority == 0 else known.info.waiting)
-        ahead_s = max(
-            model.pending_prefill_s(priority=demand.priority), waiting * service.usual_prefill_s
-        )
-        sharing = 1 + min(1.0, load / slots)
-        blocked_s = model.blocking_prefill_s(priority=demand.priority, sharing=sharing, now=now)
-        expected_s = slowdown * (
-            _slot_wait(load, slots, service.duration_s)
-            + blocked_s
-            + (ahead_s + prefill_s) * sharing
-        )
+        ahead_s = _prefill_ahead_s(known, model, service, demand.priority, now)
+        expected_s = slowdown * (_slot_wait(load, slots, service.duration_s) + ahead_s + prefill_s)
         answer_s = demand.output_tokens * service.token_s * slowdown
         price = weights.tail * (expected_s + ANSWER_TIME_WEIGHT * answer_s)
         price += weights.cost * prefill_s
@@ -154,9 +145,7 @@
         slowdown = model.slowdown(service.token_s, now=now)
         prefill_s = self._uncached(demand, model, now) * service.prefill_s
         link_s = option.round_trip_s + self._transfer_s(demand, option, model, now)
-        expected_s = link_s + slowdown * (
-            _slot_wait(load, slots, service.duration_s) + prefill_s * (1 + min(1.0, load / slots))
-        )
+        expected_s = link_s + slowdown * (_slot_wait(load, slots, service.duration_s) + prefill_s)
         answer_s = demand.output_tokens * service.token_s * slowdown
         price = weights.tail * (expected_s + ANSWER_TIME_WEIGHT * answer_s)
         price += weights.cost * (prefill_s + CROSSING_COST_S)
@@ -267,6 +256,24 @@
     )
 
 
+def _prefill_ahead_s(
+    known: KnownBackend, model: TargetModel, service: ServiceModel, priority: int, now: float
+) -> float:
+    """Return the prefill that goes before a request of ``priority``, seconds.
+
+    What was reported has gone on since; what this instance sent after it comes on top. Own
+    requests alone give the least that there can be.
+    """
+    info = known.info
+    sampled_at = known.heard_at - REPORT_LAG_S
+    tokens = info.prefill_tokens_first if priority == 0 else info.prefill_tokens
+    reported_s = max(0.0, tokens * service.prefill_s - (now - sampled_at))
+    newer_s = model.pending_prefill_s(priority=priority, since=sampled_at)
+    own_s = model.pending_prefill_s(priority=priority)
+    blocked_s = model.blocking_prefill_s(priority=priority, now=now)
+    return max(own_s + blocked_s, reported_s + newer_s)
+
+
 def _slot_wait(load: float, slots: float, duration_s: float) -> float:
     return max(0.0, load + 1 - slots) / slots * duration_s
 
--- a/figpaddle/routing/_service_model.py
+++ b/figpaddle/routing/_service_model.py
@@ -31,14 +31,9 @@
         self.duration_s = INITIAL_DURATION_S
         #: Time between tokens, seconds.
         self.token_s = INITIAL_TOKEN_S
-        #: Prefill of a usual request, seconds.
-        self.usual_prefill_s = 0.05
 
     def sample_prefill(self, *, uncached_tokens: float, seconds: float) -> None:
         """Take in the time to the first token of a request."""
-        self.usual_prefill_s += SAMPLE_WEIGHT * (
-            uncached_tokens * self.prefill_s - self.usual_prefill_s
-        )
         if uncached_tokens < MIN_SAMPLE_TOKENS:
             return
         sample = seconds / uncached_tokens
--- a/figpaddle/routing/_target_model.py
+++ b/figpaddle/routing/_target_model.py
@@ -132,24 +132,26 @@
             count += 1
         return count
 
-    def pending_prefill_s(self, *, priority: int) -> float:
-        """Return the prefill of own requests without a first token that go before ``priority``."""
+    def pending_prefill_s(self, *, priority: int, since: float = float("-inf")) -> float:
+        """Return the prefill of own requests, sent after ``since``, that go before ``priority``."""
         return sum(
             pending.prefill_s
             for pending in self._pending.values()
-            if pending.streamed and pending.first_at is None and pending.priority <= priority
+            if pending.streamed
+            and pending.first_at is None
+            and pending.priority <= priority
+            and pending.sent_at > since
         )
 
-    def blocking_prefill_s(self, *, priority: int, sharing: float, now: float) -> float:
+    def blocking_prefill_s(self, *, priority: int, now: float) -> float:
         """Return what is left of a later class's prefill that has probably begun.
 
-        A prefill isn't interrupted for a request of an earlier class. ``sharing`` is the factor
-        by which running requests slow it down.
+        A prefill isn't interrupted for a request of an earlier class.
         """
         left = 0.0
         for pending in self._pending.values():
             if pending.streamed and pending.first_at is None and pending.priority > priority:
-                left = max(left, pending.prefill_s * sharing - (now - pending.sent_at))
+                left = max(left, pending.prefill_s - (now - pending.sent_at))
         return left
 
     def slowdown(self, usual_token_s: float | None, *, now: float) -> float:
--- a/figpaddle/standins/_virtual_engine.py
+++ b/figpaddle/standins/_virtual_engine.py
@@ -89,6 +89,14 @@
         """Waiting requests of priority class 0."""
         return sum(1 for first, _, job in self._queue if first == 0 and not job.cancelled)
 
+    def prefill_tokens(self, *, priority: int) -> int:
+        """Return the prompt tokens that a new request of ``priority`` would wait for."""
+        return int(self._prefill_left) + sum(
+            job.demand.prompt_tokens - self.cached_tokens(job.demand)
+            for first, _, job in self._queue
+            if first <= priority and not job.cancelled
+        )
+
     def submit(self, job: Job, *, now: float) -> None:
         """Take a job."""
         self.advance(now=now)
--- a/figpaddle/standins/_virtual_reports.py
+++ b/figpaddle/standins/_virtual_reports.py
@@ -14,6 +14,8 @@
 
 #: Least and most age of a load report when it arrives, seconds.
 REPORT_LAG_S = (0.2, 0.8)
+#: Last priority class.
+LAST_PRIORITY = 9
 #: Part of the cache event batches that are lost.
 CACHE_GAP_PART = 0.1
 #: Part of the reports that are lost while they go missing.
@@ -75,6 +77,8 @@
             running=engine.running,
             waiting=engine.waiting,
             waiting_first=engine.waiting_first,
+            prefill_tokens=engine.prefill_tokens(priority=LAST_PRIORITY),
+            prefill_tokens_first=engine.prefill_tokens(priority=0),
             cache_sequence=self._cache_sent[name],
             cache_events=events,
         )
--- a/figpaddle/wire/_messages.py
+++ b/figpaddle/wire/_messages.py
@@ -156,6 +156,10 @@
     checks_fencing: bool = False
     #: Reported requests waiting in priority class 0, as of the announcement.
     waiting_first: int = 0
+    #: Prompt tokens that it had still to process, as of the announcement.
+    prefill_tokens: int = 0
+    #: Those of them that a new request of priority class 0 would wait for.
+    prefill_tokens_first: int = 0
     #: Number of the first of ``cache_events`` since the start; a jump tells of lost ones.
     cache_sequence: int = 0
     #: Changes of the prefix cache since the last announcement.
