--- a/figpaddle/daemon/_forwarder.py
+++ b/figpaddle/daemon/_forwarder.py
@@ -150,6 +150,8 @@
             configuration_revision=self._configuration.current.revision,
             idempotent=head.idempotent,
             priority=head.priority,
+            prompt=head.prompt,
+            spilled=head.spilled,
         )
 
 
--- a/figpaddle/daemon/_gateway.py
+++ b/figpaddle/daemon/_gateway.py
@@ -19,7 +19,7 @@
 )
 from figpaddle.daemon._forwarder import Forwarder
 from figpaddle.daemon._logs import Log
-from figpaddle.daemon._regions import RegionView
+from figpaddle.daemon._placer import Placer, ProgressSink
 from figpaddle.daemon._retries import Attempts
 from figpaddle.errors import (
     ConfigurationUnconfirmedError,
@@ -32,9 +32,7 @@
 from figpaddle.routing import (
     BackendTable,
     KnownBackend,
-    Options,
     Placement,
-    PlacementPolicy,
     RetryBudget,
     check_forward,
     permitted_service,
@@ -55,8 +53,7 @@
         directory: InstanceDirectory,
         configuration: ConfigurationState,
         backends: BackendTable,
-        regions: RegionView,
-        policy: PlacementPolicy,
+        placer: Placer,
         client: BackendClient,
         forwarder: Forwarder,
         clock: Callable[[], float],
@@ -65,8 +62,7 @@
         self._directory = directory
         self._configuration = configuration
         self._backends = backends
-        self._regions = regions
-        self._policy = policy
+        self._placer = placer
         self._client = client
         self._forwarder = forwarder
         self._clock = clock
@@ -115,7 +111,10 @@
         failure: RequestError = NoBackendServerError(
             service=head.service, retry_after_s=NO_BACKEND_RETRY_S
         )
-        while (placement := self._place(head, service.regions, attempts.tried)) is not None:
+        while True:
+            placement = self._place(head, service.regions, attempts)
+            if placement is None:
+                raise failure
             try:
                 await self._carry_out(head, body, sink, placement, attempts.tried)
                 return
@@ -127,21 +126,15 @@
                     attempts.tried.add(placement.region)
                 self._log.info("retry", request_id=head.request_id, problem=error.problem)
                 failure = error
-        raise failure
 
     def _place(
-        self, head: RequestHead, allowed: tuple[str, ...], tried: set[str]
+        self, head: RequestHead, allowed: tuple[str, ...], attempts: Attempts
     ) -> Placement | None:
-        now = self._clock()
-        backends = tuple(
-            known
-            for known in self._backends.candidates(head.offering, now=now)
-            if known.info.name not in tried
-        )
-        local = bool(head.crossings) or not self._configuration.may_cross(now)
-        regions = () if local else self._regions.options(head.offering, allowed, now=now)
-        untried = tuple(option for option in regions if option.region not in tried)
-        return self._policy.place(Options(backends=backends, regions=untried), now=now)
+        try:
+            return self._placer.place(head, allowed, attempts.tried)
+        except RequestError as error:
+            attempts.note_failure(error)
+            raise
 
     async def _carry_out(
         self,
@@ -151,11 +144,20 @@
         placement: Placement,
         tried: set[str],
     ) -> None:
-        if placement.backend is not None:
-            tried.add(placement.backend.info.name)
-            await self._send(head, body, sink, placement.backend)
-        elif placement.region is not None:
-            await self._forwarder.forward(head, body, sink, region=placement.region, tried=tried)
+        progress = self._placer.sent(head, placement)
+        told = ProgressSink(sink=sink, progress=progress)
+        try:
+            if placement.backend is not None:
+                tried.add(placement.backend.info.name)
+                await self._send(head, body, told, placement.backend)
+            elif placement.region is not None:
+                spilled = self._backends.ever_offered(head.offering)
+                away = dataclasses.replace(head, spilled=spilled)
+                await self._forwarder.forward(
+                    away, body, told, region=placement.region, tried=tried
+                )
+        finally:
+            progress.ended()
 
     async def _send(
         self, head: RequestHead, body: BodySource, sink: AnswerSink, backend: KnownBackend
--- a/figpaddle/routing/_backends.py
+++ b/figpaddle/routing/_backends.py
@@ -8,6 +8,8 @@
 
 #: An announcement holds for this long unless renewed, seconds.
 ANNOUNCEMENT_TTL_S = 5.0
+#: Part of a region's slots up to which it takes work from other regions.
+SPILL_FILL = 0.85
 
 #: A backend server that refused this many connections in a row gets no work until it announces
 #: itself again; a single refusal may be the network's.
@@ -47,6 +49,7 @@
 
     def __init__(self) -> None:
         self._known: dict[str, KnownBackend] = {}
+        self._offered: set[str] = set()
 
     @property
     def backends(self) -> tuple[KnownBackend, ...]:
@@ -60,6 +63,7 @@
             return False
         in_flight = known.in_flight if known is not None else 0
         self._known[info.name] = KnownBackend(info=info, heard_at=now, in_flight=in_flight)
+        self._offered.update(info.services)
         return True
 
     def expire(self, *, now: float) -> tuple[str, ...]:
@@ -83,6 +87,10 @@
             and now - known.heard_at <= ANNOUNCEMENT_TTL_S
         )
 
+    def ever_offered(self, service: str) -> bool:
+        """Return whether a backend server of the own region has ever announced ``service``."""
+        return service in self._offered
+
     def started(self, name: str) -> None:
         """Count a request sent to the backend server ``name``."""
         self._change_in_flight(name, 1)
@@ -101,15 +109,19 @@
     def summaries(self, *, now: float) -> tuple[ServiceSummary, ...]:
         """Return the state of each service in the own region."""
         services = sorted({name for known in self.backends for name in known.info.services})
-        return tuple(self._summary(service, now=now) for service in services)
+        return tuple(self.summary(service, now=now) for service in services)
 
-    def _summary(self, service: str, *, now: float) -> ServiceSummary:
+    def summary(self, service: str, *, now: float) -> ServiceSummary:
+        """Return the state of ``service`` in the own region."""
         serving = self.candidates(service, now=now)
+        slots = sum(known.info.slots for known in serving)
+        load = sum(known.info.running + known.info.waiting for known in serving)
         return ServiceSummary(
             service=service,
             backends=len(serving),
-            slots=sum(known.info.slots for known in serving),
-            load=sum(known.info.running + known.info.waiting for known in serving),
+            slots=slots,
+            load=load,
+            room=max(0, int(slots * SPILL_FILL) - load),
         )
 
     def _change_in_flight(self, name: str, change: int) -> None:
