Record each non-idempotent request at its home region before it is sent

Cause: a non-idempotent request that is sent again, through the same or another instance, ran again; nothing remembered the first sending. Change: a write-once quorum register over a fixed list of slots a region. The entry instance asks the slots one after another and sends the request only after a majority recorded its attempt; the answer is recorded before its last byte is released, and a later sending gets it. A slot that lost its memory votes only after it has read enough other slots. Ruled out: asking all slots at once. With one slot losing its memory and recovering between two of the parallel questions, two attempts of one key get a majority; asked in turn, each question lists the votes given so far and the recovered slot's readers refuse. The tests' deployments now state a slot for each region; test_path waits for its vote.

--- a/figpaddle/daemon/_gateway.py
+++ b/figpaddle/daemon/_gateway.py
@@ -7,6 +7,7 @@
 import anyio
 
 from figpaddle.coordination import InstanceDirectory
+from figpaddle.daemon._at_most_once import AtMostOnce
 from figpaddle.daemon._backend_client import BackendClient
 from figpaddle.daemon._configuration_state import ConfigurationState
 from figpaddle.daemon._exchange import AnswerHead, AnswerSink, BodySource, RequestHead
@@ -49,6 +50,7 @@
         policy: PlacementPolicy,
         client: BackendClient,
         forwarder: Forwarder,
+        at_most_once: AtMostOnce,
         clock: Callable[[], float],
         log: Log,
     ) -> None:
@@ -59,6 +61,7 @@
         self._policy = policy
         self._client = client
         self._forwarder = forwarder
+        self._at_most_once = at_most_once
         self._clock = clock
         self._log = log
         self._in_progress = 0
@@ -72,7 +75,10 @@
         """Serve a request to its end; raises RequestError if it gets no answer of the service."""
         self._in_progress += 1
         try:
-            await self._serve(head, body, sink)
+            if head.idempotent or head.visited:
+                await self._serve(head, body, sink)
+            else:
+                await self._at_most_once.serve(head, body, sink, self._serve)
             self._log.info(
                 "request_done", request_id=head.request_id, service=head.service, member=head.member
             )
--- /dev/null
+++ b/figpaddle/daemon/_group_commit.py
@@ -0,0 +1,81 @@
+"""Many entries made durable by one write to the disk."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import anyio
+import anyio.to_thread
+
+from figpaddle.errors import StorageError
+from figpaddle.ledger import LedgerStorage
+from figpaddle.wire import Message
+
+#: A file is rewritten when it has grown by this factor since it was last written anew.
+REWRITE_FACTOR = 2
+#: A file is never rewritten below this size, bytes.
+REWRITE_MIN_BYTES = 4 * 1024 * 1024
+
+
+class GroupCommit:
+    """Collects entries while a write is under way and writes them together afterwards.
+
+    After a failed write nothing is promised any more: what the file holds is not known.
+    """
+
+    def __init__(
+        self, *, storage: LedgerStorage, snapshot: Callable[[], tuple[Message, ...]]
+    ) -> None:
+        self._storage = storage
+        self._snapshot = snapshot
+        self._pending: list[Message] = []
+        self._appended = 0
+        self._durable = 0
+        self._writing: anyio.Event | None = None
+        self._failure: StorageError | None = None
+        self._rewritten_bytes = 0
+
+    @property
+    def failed(self) -> bool:
+        """Whether a write has failed."""
+        return self._failure is not None
+
+    def append(self, entries: tuple[Message, ...]) -> None:
+        """Add ``entries`` to the next write."""
+        self._pending.extend(entries)
+        self._appended += len(entries)
+
+    async def commit(self) -> None:
+        """Return once all entries appended so far are durable; raises StorageError."""
+        target = self._appended
+        while self._durable < target:
+            if self._failure is not None:
+                raise self._failure
+            if self._writing is not None:
+                await self._writing.wait()
+            else:
+                await self._write()
+        if self._failure is not None:
+            raise self._failure
+
+    async def _write(self) -> None:
+        self._writing = anyio.Event()
+        batch, self._pending = tuple(self._pending), []
+        covered = self._appended
+        try:
+            with anyio.CancelScope(shield=True):
+                if self._must_rewrite():
+                    await anyio.to_thread.run_sync(self._storage.replace, self._snapshot())
+                    self._rewritten_bytes = self._storage.size_bytes
+                else:
+                    await anyio.to_thread.run_sync(self._storage.write, batch)
+            self._durable = covered
+        except StorageError as error:
+            self._failure = error
+        finally:
+            self._writing.set()
+            self._writing = None
+
+    def _must_rewrite(self) -> bool:
+        limit = max(REWRITE_MIN_BYTES, REWRITE_FACTOR * self._rewritten_bytes)
+        return self._storage.size_bytes > limit
--- a/figpaddle/daemon/_instance.py
+++ b/figpaddle/daemon/_instance.py
@@ -13,6 +13,7 @@
 from hypercorn.config import Config
 
 from figpaddle.coordination import InstanceDirectory
+from figpaddle.daemon._at_most_once import AtMostOnce
 from figpaddle.daemon._backend_client import BackendClient
 from figpaddle.daemon._backend_watch import BackendWatch
 from figpaddle.daemon._backends_port import BackendsPort
@@ -21,6 +22,9 @@
 from figpaddle.daemon._configuration_state import ConfigurationState
 from figpaddle.daemon._forwarder import Forwarder, ForwardReceiver
 from figpaddle.daemon._gateway import Gateway
+from figpaddle.daemon._ledger_client import LedgerClient
+from figpaddle.daemon._ledger_host import LedgerHost
+from figpaddle.daemon._ledger_storage import FileLedgerStorage
 from figpaddle.daemon._logs import Log
 from figpaddle.daemon._membership import Membership
 from figpaddle.daemon._operators import OperatorsPort
@@ -29,6 +33,7 @@
 from figpaddle.daemon._settings import Settings, load_yaml
 from figpaddle.daemon._sockets import Listener, listen, split_address
 from figpaddle.deployment import configuration_from_plain, read_directory
+from figpaddle.ledger import HolderSettings, LedgerStorage, NoStorage
 from figpaddle.routing import BackendTable, LeastLoadPolicy
 from figpaddle.wire import Handshake, InstanceInfo
 
@@ -68,6 +73,7 @@
         self._client = BackendClient(
             own_ip=own_ip, region=settings.region, instance=settings.instance
         )
+        self._ledger = self._make_ledger_host()
         self._gateway = self._make_gateway()
         self._watch = BackendWatch(
             directory=self._directory,
@@ -122,10 +128,56 @@
             policy=LeastLoadPolicy(rng=self._rng),
             client=self._client,
             forwarder=forwarder,
+            at_most_once=self._make_at_most_once(),
             clock=self._clock,
             log=self._log,
         )
 
+    def _make_at_most_once(self) -> AtMostOnce:
+        settings = self._settings
+        client = LedgerClient(
+            own_name=settings.instance,
+            holders=settings.ledger.holders,
+            host=self._ledger,
+            network=self._network,
+        )
+        return AtMostOnce(
+            client=client,
+            configuration=self._configuration,
+            own_region=settings.region,
+            answer_bytes=settings.ledger.answer_bytes,
+            clock=self._clock,
+            wall_clock=time.time,
+            log=self._log,
+        )
+
+    def _make_ledger_host(self) -> LedgerHost | None:
+        settings = self._settings
+        slots = settings.ledger.holders.get(settings.region, ())
+        if settings.instance not in slots:
+            return None
+        voting_from = settings.ledger.voting_from
+        holder = HolderSettings(
+            slot=settings.instance,
+            slots=slots,
+            retention_s=settings.ledger.retention_s,
+            voting_from=voting_from.timestamp() if voting_from is not None else None,
+        )
+        storage: LedgerStorage = NoStorage()
+        if settings.data_folder is not None:
+            storage = FileLedgerStorage(
+                folder=settings.data_folder, slot=settings.instance, slots=slots
+            )
+        return LedgerHost(
+            settings=holder,
+            storage=storage,
+            configuration=self._configuration,
+            region=settings.region,
+            network=self._network,
+            wall_clock=time.time,
+            log=self._log,
+        )
+
     def _make_callers_port(self) -> CallersPort:
         path = self._settings.directory
         return CallersPort(
@@ -145,7 +197,8 @@
             join=self._settings.join,
             log=self._log,
         )
-        return (membership, self._watch)
+        ledger = (self._ledger,) if self._ledger is not None else ()
+        return (membership, self._watch, *ledger)
 
     def dump(self) -> dict[str, Any]:
         """Return the state of the process without clients' data and keys."""
--- /dev/null
+++ b/figpaddle/daemon/_ledger_client.py
@@ -0,0 +1,86 @@
+"""How an entry instance reaches the ledger slots of every region."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+import anyio
+
+from figpaddle.daemon._ledger_host import LedgerHost
+from figpaddle.daemon._peers import PeerNetwork
+from figpaddle.errors import PeerUnreachableError, StorageError
+from figpaddle.ledger import Ask, Coordinator, Decision, majority
+from figpaddle.wire import LedgerFinish, LedgerKept, Message
+
+#: Longest wait for the vote of one slot, seconds.
+VOTE_TIMEOUT_S = 1.0
+#: Longest time that the end of an answer waits to be recorded, seconds.
+FINISH_TIMEOUT_S = 1.0
+
+
+class LedgerClient:
+    """Sends the messages of the ledger to slots, its own included."""
+
+    def __init__(
+        self,
+        *,
+        own_name: str,
+        holders: Mapping[str, tuple[str, ...]],
+        host: LedgerHost | None,
+        network: PeerNetwork,
+    ) -> None:
+        self._own_name = own_name
+        self._holders = holders
+        self._host = host
+        self._network = network
+
+    def slots(self, region: str) -> tuple[str, ...]:
+        """Return the slots of ``region`` in the order in which they are asked."""
+        return self._holders.get(region, ())
+
+    async def decide(self, coordinator: Coordinator) -> Decision:
+        """Ask slots until ``coordinator`` has decided."""
+        step = coordinator.start()
+        while True:
+            reply = await self._ask(step.slot, step.item, timeout_s=VOTE_TIMEOUT_S)
+            following = coordinator.handle(reply)
+            if not isinstance(following, Ask):
+                return following
+            step = following
+
+    async def finish(self, region: str, item: LedgerFinish) -> bool:
+        """Return whether a majority of ``region`` recorded the end within the timeout."""
+        slots = self.slots(region)
+        kept: list[str] = []
+        enough = anyio.Event()
+
+        async def tell(slot: str) -> None:
+            reply = await self._ask(slot, item, timeout_s=FINISH_TIMEOUT_S)
+            if isinstance(reply, LedgerKept) and reply.kept:
+                kept.append(slot)
+            if len(kept) >= majority(len(slots)):
+                enough.set()
+
+        async with anyio.create_task_group() as tasks:
+            for slot in slots:
+                tasks.start_soon(tell, slot)
+            with anyio.move_on_after(FINISH_TIMEOUT_S):
+                await enough.wait()
+            tasks.cancel_scope.cancel()
+        return enough.is_set()
+
+    async def tell(self, region: str, item: Message) -> None:
+        """Send ``item`` to all slots of ``region`` without waiting for those far away."""
+        for slot in self.slots(region):
+            if slot == self._own_name:
+                await self._ask(slot, item, timeout_s=VOTE_TIMEOUT_S)
+            else:
+                self._network.post(slot, item)
+
+    async def _ask(self, slot: str, item: Message, *, timeout_s: float) -> Message | None:
+        try:
+            if slot == self._own_name and self._host is not None:
+                return await self._host.handle(item)
+            return await self._network.request(slot, item, timeout_s=timeout_s)
+        except (PeerUnreachableError, StorageError):
+            return None
--- a/figpaddle/daemon/_main.py
+++ b/figpaddle/daemon/_main.py
@@ -12,7 +12,7 @@
 from figpaddle.daemon._instance import Instance
 from figpaddle.daemon._logs import make_log
 from figpaddle.daemon._settings import load_settings
-from figpaddle.errors import DocumentError
+from figpaddle.errors import DocumentError, StorageError
 
 #: Exit code for invalid settings or files.
 EXIT_INVALID = 2
@@ -30,6 +30,9 @@
         for fault in error.faults:
             print(f"{error.where}: {fault}", file=sys.stderr)
         raise typer.Exit(EXIT_INVALID) from error
+    except StorageError as error:
+        print(error, file=sys.stderr)
+        raise typer.Exit(EXIT_INVALID) from error
     anyio.run(instance.run)
 
 
--- a/figpaddle/daemon/_settings.py
+++ b/figpaddle/daemon/_settings.py
@@ -63,6 +63,20 @@
     leave_grace_s: Annotated[float, pydantic.Field(ge=0)] = 2.0
 
 
+class LedgerSettings(_Section):
+    """The ledger of non-idempotent requests; equal on all instances but for ``voting_from``."""
+
+    #: Instances that hold the records of each region, in the order in which they are asked.
+    holders: dict[Name, tuple[Name, ...]] = {}
+    #: How long a record is kept, seconds.
+    retention_s: Annotated[float, pydantic.Field(gt=0)] = 24 * 3600.0
+    #: This instance's slot gives no vote before this moment. One that started earlier can't have
+    #: forgotten any vote; one that starts later without its memory recovers it from the others.
+    voting_from: pydantic.AwareDatetime | None = None
+    #: Largest answer that is kept to be replayed, bytes.
+    answer_bytes: Annotated[int, pydantic.Field(ge=0, le=1024 * 1024)] = 64 * 1024
+
+
 class Settings(_Section):
     """All settings of one process."""
 
@@ -90,6 +104,8 @@
     operators: tuple[OperatorSettings, ...] = ()
     #: Limits.
     limits: LimitSettings = LimitSettings()
+    #: Ledger of non-idempotent requests.
+    ledger: LedgerSettings = LedgerSettings()
 
 
 def load_yaml(path: pathlib.Path) -> Any:
--- a/figpaddle/errors/__init__.py
+++ b/figpaddle/errors/__init__.py
@@ -13,6 +13,12 @@
     UnknownMessageError,
     WireError,
 )
+from figpaddle.errors._ledger import (
+    AnswerNotKeptError,
+    KeyReusedError,
+    LedgerUnavailableError,
+    OutcomeUnknownError,
+)
 from figpaddle.errors._request import (
     BackendServerLostError,
     BodyTooLargeError,
@@ -30,8 +36,16 @@
     RequestError,
     UnauthorizedError,
 )
+from figpaddle.errors._storage import CorruptFileError, ForeignFileError, StorageError
 
 __all__ = [
+    "AnswerNotKeptError",
+    "KeyReusedError",
+    "LedgerUnavailableError",
+    "OutcomeUnknownError",
+    "CorruptFileError",
+    "ForeignFileError",
+    "StorageError",
     "BackendServerLostError",
     "BodyTooLargeError",
     "DeadlineExceededError",
--- a/figpaddle/ledger/__init__.py
+++ b/figpaddle/ledger/__init__.py
@@ -1,1 +1,35 @@
-"""Outcome of each non-idempotent request."""
+"""At most one execution of each non-idempotent request, decided without input and output.
+
+A region has a fixed list of slots, each kept by a ``Holder``. An entry instance runs one
+``Coordinator`` for each request that it receives, and sends the request to a backend server only
+after ``Granted``.
+"""
+
+from figpaddle.ledger._coordinator import (
+    Ask,
+    Coordinator,
+    Decision,
+    Granted,
+    Settled,
+    Unavailable,
+)
+from figpaddle.ledger._holder import Holder, HolderSettings, RecoveredSlot, Step
+from figpaddle.ledger._quorum import majority, recovery_size
+from figpaddle.ledger._storage import LedgerStorage, NoStorage
+
+__all__ = [
+    "Ask",
+    "Coordinator",
+    "Decision",
+    "Granted",
+    "Holder",
+    "HolderSettings",
+    "LedgerStorage",
+    "NoStorage",
+    "RecoveredSlot",
+    "Settled",
+    "Step",
+    "Unavailable",
+    "majority",
+    "recovery_size",
+]
--- a/figpaddle/wire/__init__.py
+++ b/figpaddle/wire/__init__.py
@@ -11,6 +11,26 @@
     message,
 )
 from figpaddle.wire._handshake import NONCE_BYTES, Handshake
+from figpaddle.wire._ledger_messages import (
+    LedgerAbandon,
+    LedgerBegin,
+    LedgerFinish,
+    LedgerKept,
+    LedgerLook,
+    LedgerPage,
+    LedgerRecord,
+    LedgerRecover,
+    LedgerSeen,
+    LedgerVote,
+    RecordedAnswer,
+    RecordKey,
+    SlotVote,
+    StoredIncarnation,
+    StoredMemory,
+    StoredRecord,
+    StoredRelease,
+    Verdict,
+)
 from figpaddle.wire._messages import (
     BackendInfo,
     BackendState,
@@ -32,6 +52,24 @@
 )
 
 __all__ = [
+    "LedgerAbandon",
+    "LedgerBegin",
+    "LedgerFinish",
+    "LedgerKept",
+    "LedgerLook",
+    "LedgerPage",
+    "LedgerRecord",
+    "LedgerRecover",
+    "LedgerSeen",
+    "LedgerVote",
+    "RecordKey",
+    "RecordedAnswer",
+    "SlotVote",
+    "StoredIncarnation",
+    "StoredMemory",
+    "StoredRecord",
+    "StoredRelease",
+    "Verdict",
     "MAX_FRAME_BYTES",
     "NONCE_BYTES",
     "PROTOCOL_VERSION",
--- a/tests/calls.py
+++ b/tests/calls.py
@@ -49,6 +49,14 @@
     return httpx.get(url, headers=headers, timeout=CALL_TIMEOUT_S, trust_env=False).json()
 
 
+def wait_for_ledger(*instances: Process) -> None:
+    """Return once the ledger slots of ``instances`` vote."""
+    for instance in instances:
+        wait_until(
+            lambda one=instance: state(one)["ledger"]["voting"], what=f"{instance.name} votes"
+        )
+
+
 def wait_until(condition: Callable[[], bool], *, what: str, timeout_s: float = 15.0) -> float:
     """Return the seconds until ``condition`` held; raises ProcessError after ``timeout_s``."""
     begun = time.monotonic()
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import dataclasses
+import datetime
 import pathlib
 import queue
 import re
@@ -23,6 +24,9 @@
 PORTS = ("callers", "backends", "operators", "peers")
 READY_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 30.0
+REGIONS = ("seoul", "busan", "daejeon", "highlands", "guayaquil", "andes")
+#: Time allowed to a process between its start and the first vote of its ledger slot.
+LEDGER_START_S = 5.0
 
 
 class ProcessError(Exception):
@@ -106,6 +110,8 @@
         self._proxied: dict[tuple[str, str], str] = {}
         self.instances: dict[str, Process] = {}
         self.backends: dict[str, Process] = {}
+        self.holders = {region: [f"{region}-1"] for region in REGIONS}
+        self._voting_from: dict[str, datetime.datetime] = {}
         self.operators = [{"name": "root", "token_digest": key_digest(OPERATOR_TOKEN)}]
 
     def __enter__(self) -> Deployment:
@@ -152,6 +158,14 @@
             return self.address(name, "callers")
         return self.instances[name].fields["callers"]
 
+    def ledger_settings(self, name: str, **changes: object) -> dict[str, object]:
+        """Return the ledger's settings; a restart gets the same as the first start."""
+        first_vote = datetime.datetime.now(datetime.UTC) + datetime.timedelta(
+            seconds=LEDGER_START_S
+        )
+        voting_from = self._voting_from.setdefault(name, first_vote)
+        return {"holders": self.holders, "voting_from": voting_from, **changes}
+
     def start_instance(self, name: str, region: str, **settings: object) -> Process:
         """Start a figpaddled that joins by those already started."""
         host = self.host_of(name)
@@ -170,6 +184,7 @@
             "directory": "clients.yaml",
             "configuration": "configuration.yaml",
             "operators": self.operators,
+            "ledger": self.ledger_settings(name),
             **settings,
         }
         if self.proxy is not None:
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from tests.calls import call, chat, state, streamed_words, wait_until
+from tests.calls import call, chat, state, streamed_words, wait_for_ledger, wait_until
 from tests.conftest import CUMBRE_KEY, HANBIT_KEY, write_examples
 from tests.harness import Deployment
 
@@ -28,6 +28,7 @@
             and call(entry, "GET", "/services/intake-records/", key=HANBIT_KEY).is_success,
             what="both services answer",
         )
+        wait_for_ledger(deployment.instances["seoul-1"])
         yield deployment
 
 
