Specify the ledger's protocol for the model checker and mend a flaw that it found

Cause: a recovering slot learned the incarnations that other slots know of each other, and not those of the slots that it read. The checker's shortest trace: slots 1 and 2 lose their memories, each reads the other at a moment when the other's new incarnation is known to nobody else, and slot 2 then counts a vote of slot 1's lost memory. Change: a page of records names the incarnation of the slot that sends it.

--- a/figpaddle/ledger/_holder.py
+++ b/figpaddle/ledger/_holder.py
@@ -257,7 +257,7 @@
         return LedgerPage(
             intact=True,
             records=tuple(records),
-            known=self._known_votes(),
+            known=(*self._known_votes(), self._own_vote()),
             next_offset=None if last else offset,
         )
 
@@ -274,6 +274,9 @@
             SlotVote(slot=slot, incarnation=number) for slot, number in sorted(self._known.items())
         )
 
+    def _own_vote(self) -> SlotVote:
+        return SlotVote(slot=self._settings.slot, incarnation=self._incarnation)
+
     def _expire(self, now: float) -> None:
         oldest = now - self._settings.retention_s
         while self._records:
--- /dev/null
+++ b/figpaddle/ledger/tests/test_specification.py
@@ -0,0 +1,34 @@
+"""The specification holds over all interleavings, and each of its rules is needed."""
+
+from __future__ import annotations
+
+import pytest
+from minicheck import check_safety
+
+from figpaddle.ledger.tests.specification import Rules, protocol
+
+MAX_STATES = 3_000_000
+
+
+def test_no_interleaving_runs_a_request_twice() -> None:
+    result = check_safety(protocol(Rules()), max_states=MAX_STATES)
+    print(f"states={result['reachable_states']}")
+    assert result["exhaustive"]
+    assert result["properties"]["at_most_once"]["holds"]
+
+
+@pytest.mark.parametrize(
+    "mutation",
+    [
+        pytest.param(Rules(record_before_dispatch=False, losses=0), id="record_after_dispatch"),
+        pytest.param(Rules(votes_needed=1, losses=0), id="no_copies"),
+        pytest.param(Rules(refuse_after_amnesia=False, losses=1), id="no_refusal_after_amnesia"),
+        pytest.param(Rules(list_votes=False, losses=1), id="votes_of_lost_memories_count"),
+        pytest.param(Rules(report_own_incarnation=False), id="own_incarnation_not_reported"),
+    ],
+)
+def test_checker_finds_a_second_run_without_one_rule(mutation: Rules) -> None:
+    result = check_safety(protocol(mutation), max_states=MAX_STATES)
+    found = result["properties"]["at_most_once"]
+    assert found["holds"] is False
+    assert found["counterexample"]
