--- /dev/null
+++ b/figpaddle/daemon/tests/test_ledger_storage.py
@@ -0,0 +1,153 @@
+"""The ledger's file survives crashes and promises nothing that it can't keep."""
+
+from __future__ import annotations
+
+import errno
+import os
+import pathlib
+
+import anyio
+import pytest
+
+from figpaddle.daemon import _group_commit
+from figpaddle.daemon._group_commit import GroupCommit
+from figpaddle.daemon._ledger_storage import FileLedgerStorage
+from figpaddle.daemon._record_file import HEAD, RecordFile
+from figpaddle.errors import CorruptFileError, ForeignFileError, StorageError
+from figpaddle.ledger import LedgerStorage
+from figpaddle.wire import Message, RecordKey, StoredMemory, StoredRelease
+
+PAYLOADS = (b"first", b"second", b"third")
+
+
+def written(folder: pathlib.Path) -> pathlib.Path:
+    path = folder / "file.records"
+    file = RecordFile(path=path)
+    file.open()
+    file.append(PAYLOADS)
+    file.close()
+    return path
+
+
+@pytest.mark.parametrize("cut_bytes", [1, len(b"third"), len(b"third") + HEAD.size - 1])
+def test_torn_tail_is_cut_and_the_rest_kept(tmp_path: pathlib.Path, cut_bytes: int) -> None:
+    path = written(tmp_path)
+    os.truncate(path, path.stat().st_size - cut_bytes)
+    file = RecordFile(path=path)
+    assert file.open() == PAYLOADS[:2]
+    file.append([b"fourth"])
+    file.close()
+    assert RecordFile(path=path).open() == (*PAYLOADS[:2], b"fourth")
+
+
+@pytest.mark.parametrize("offset", [0, 5, 9, HEAD.size + 1], ids=["magic", "length", "sum", "data"])
+def test_damage_before_whole_records_is_refused(tmp_path: pathlib.Path, offset: int) -> None:
+    path = written(tmp_path)
+    data = bytearray(path.read_bytes())
+    data[offset] ^= 0xFF
+    path.write_bytes(data)
+    with pytest.raises(CorruptFileError):
+        RecordFile(path=path).open()
+
+
+def test_full_disk_gives_a_typed_failure(
+    tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    file = RecordFile(path=tmp_path / "file.records")
+    file.open()
+
+    def full(descriptor: int, data: object) -> int:
+        raise OSError(errno.ENOSPC, "No space left on device")
+
+    monkeypatch.setattr(os, "write", full)
+    with pytest.raises(StorageError):
+        file.append([b"x"])
+
+
+def test_replacement_holds_exactly_what_it_was_given(tmp_path: pathlib.Path) -> None:
+    path = written(tmp_path)
+    file = RecordFile(path=path)
+    file.open()
+    file.replace([b"only"])
+    file.append([b"later"])
+    assert RecordFile(path=path).open() == (b"only", b"later")
+
+
+def test_file_of_another_slot_is_refused(tmp_path: pathlib.Path) -> None:
+    storage = FileLedgerStorage(folder=tmp_path, slot="a", slots=("a", "b"))
+    storage.read()
+    storage.write((StoredMemory(slot="a", slots=("a", "b"), incarnation=1, voting=True),))
+    for slot, slots in (("b", ("a", "b")), ("a", ("a", "b", "c"))):
+        with pytest.raises(ForeignFileError):
+            FileLedgerStorage(folder=tmp_path, slot=slot, slots=slots).read()
+
+
+class SlowStorage(LedgerStorage):
+    """Counts writes; fails from a chosen one on."""
+
+    def __init__(self, *, fail_from: int | None = None) -> None:
+        self.batches: list[int] = []
+        self.replaced: list[tuple[Message, ...]] = []
+        self._fail_from = fail_from
+
+    @property
+    def size_bytes(self) -> int:
+        return sum(self.batches)
+
+    def read(self) -> tuple[Message, ...]:
+        return ()
+
+    def write(self, entries: tuple[Message, ...]) -> None:
+        if self._fail_from is not None and len(self.batches) >= self._fail_from:
+            raise StorageError(what="no space")
+        self.batches.append(len(entries))
+
+    def replace(self, entries: tuple[Message, ...]) -> None:
+        self.replaced.append(entries)
+        self.batches = [len(entries)]
+
+
+def entry(number: int) -> StoredRelease:
+    return StoredRelease(key=RecordKey(member="m", client="c", key=str(number)))
+
+
+async def commit_all(commits: GroupCommit, count: int) -> list[bool]:
+    kept: list[bool] = []
+
+    async def one(number: int) -> None:
+        commits.append((entry(number),))
+        try:
+            await commits.commit()
+            kept.append(True)
+        except StorageError:
+            kept.append(False)
+
+    async with anyio.create_task_group() as tasks:
+        for number in range(count):
+            tasks.start_soon(one, number)
+    return kept
+
+
+def test_many_records_share_one_write() -> None:
+    storage = SlowStorage()
+    commits = GroupCommit(storage=storage, snapshot=tuple)
+    assert anyio.run(commit_all, commits, 200) == [True] * 200
+    assert sum(storage.batches) == 200
+    assert len(storage.batches) <= 3
+
+
+def test_failed_write_acknowledges_nothing_then_or_later() -> None:
+    commits = GroupCommit(storage=SlowStorage(fail_from=0), snapshot=tuple)
+    assert anyio.run(commit_all, commits, 5) == [False] * 5
+    assert anyio.run(commit_all, commits, 1) == [False]
+    assert commits.failed
+
+
+def test_grown_file_is_written_anew_from_the_memory(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(_group_commit, "REWRITE_MIN_BYTES", 10)
+    storage = SlowStorage()
+    kept = (entry(1), entry(2))
+    commits = GroupCommit(storage=storage, snapshot=lambda: kept)
+    for _ in range(3):
+        anyio.run(commit_all, commits, 6)
+    assert storage.replaced == [kept]
