--- a/figpaddle/standins/_records.py
+++ b/figpaddle/standins/_records.py
@@ -4,9 +4,19 @@
 
 import hashlib
 import json
+import os
 from collections.abc import Awaitable, Callable, MutableMapping
 from typing import Any
 
+import anyio
+
+#: Header that delays the answer after the run, milliseconds.
+DELAY_HEADER = b"x-standin-delay-ms"
+#: Header that ends the process after the run.
+DIE_HEADER = b"x-standin-die"
+#: Header that makes the answer longer, bytes.
+PAD_HEADER = b"x-standin-pad-bytes"
+
 Scope = MutableMapping[str, Any]
 Receive = Callable[[], Awaitable[MutableMapping[str, Any]]]
 Send = Callable[[MutableMapping[str, Any]], Awaitable[None]]
@@ -46,9 +56,19 @@
             return
         key = digest.hexdigest()
         self._runs[key] = self._runs.get(key, 0) + 1
-        await _send_json(
-            send, 201, {"record": key[:12], "run": self._runs[key], "filed_by": self._name}
-        )
+        print(f"event=run body={key}", flush=True)
+        headers = dict(scope["headers"])
+        if DIE_HEADER in headers:
+            os._exit(1)
+        await anyio.sleep(int(headers.get(DELAY_HEADER, b"0")) / 1000)
+        plain: dict[str, Any] = {
+            "record": key[:12],
+            "run": self._runs[key],
+            "filed_by": self._name,
+        }
+        if PAD_HEADER in headers:
+            plain["padding"] = "x" * int(headers[PAD_HEADER])
+        await _send_json(send, 201, plain)
 
 
 async def _send_json(send: Send, status: int, plain: Any) -> None:
