--- a/figpaddle/daemon/_ledger_host.py
+++ b/figpaddle/daemon/_ledger_host.py
@@ -76,11 +76,16 @@
         """Key of its part in the state dump."""
         return "ledger"
 
-    def dump(self, *, now: float) -> Any:
-        """Return the slot's state without keys and answers."""
-        return {
+    def dump(self, *, now: float, member: str | None) -> Any:
+        """Return the slot's state without keys and answers; sizes only for the platform."""
+        votes = {
             "slot": self._settings.slot,
             "voting": self._holder.voting and not self._commits.failed,
+        }
+        if member is not None:
+            return votes
+        return {
+            **votes,
             "incarnation": self._holder.incarnation,
             "records": self._holder.records,
             "file_bytes": self._storage.size_bytes,
--- a/figpaddle/standins/_main.py
+++ b/figpaddle/standins/_main.py
@@ -10,7 +10,7 @@
 from hypercorn.asyncio import serve
 from hypercorn.config import Config
 
-from figpaddle.daemon._sockets import Listener, listen
+from figpaddle.daemon._sockets import Listener, hand_over, listen
 from figpaddle.standins._announcer import Announcer
 from figpaddle.standins._engine import Engine
 from figpaddle.standins._records import RecordsService
@@ -22,7 +22,9 @@
 app = typer.Typer(add_completion=False, no_args_is_help=True)
 
 NameOption = Annotated[str, typer.Option(help="Name of the backend server.")]
-ServiceOption = Annotated[list[str], typer.Option(help="Service that it runs; repeat for more.")]
+ServiceOption = Annotated[
+    list[str], typer.Option(help="Service that it runs, member/service; repeat for more.")
+]
 RegionOption = Annotated[str, typer.Option(help="Region it stands in.")]
 AnnounceOption = Annotated[list[str], typer.Option(help="Backends' port of an instance.")]
 ListenOption = Annotated[str, typer.Option(help="Address to listen on.")]
@@ -94,7 +96,7 @@
 
 async def _serve(application: Any, listener: Listener, announcer: Announcer) -> None:
     config = Config()
-    config.bind = [f"fd://{listener.socket.fileno()}"]
+    config.bind = [hand_over(listener)]
     config.accesslog = None
     config.errorlog = None
     leaving = anyio.Event()
--- a/figpaddle/wire/_ledger_messages.py
+++ b/figpaddle/wire/_ledger_messages.py
@@ -8,7 +8,7 @@
 from figpaddle.wire._codec import Message, message
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class RecordKey:
     """What a record is found by; the key of a client means nothing to another client."""
 
@@ -20,7 +20,7 @@
     key: str
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class RecordedAnswer:
     """A whole answer, kept to be replayed."""
 
@@ -38,7 +38,7 @@
     region: str
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class LedgerRecord:
     """What one holder knows of one request."""
 
@@ -56,7 +56,7 @@
     answer: RecordedAnswer | None = None
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class SlotVote:
     """A vote that an attempt already has."""
 
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -21,6 +21,7 @@
 
 DEPLOYMENT_KEY = "a key that all instances of this test share"
 OPERATOR_TOKEN = "operator-token"
+CUMBRE_TOKEN = "operator-token-of-cumbre"
 PORTS = ("callers", "backends", "operators", "peers")
 READY_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 30.0
@@ -112,7 +113,10 @@
         self.backends: dict[str, Process] = {}
         self.holders = {region: [f"{region}-1"] for region in REGIONS}
         self._voting_from: dict[str, datetime.datetime] = {}
-        self.operators = [{"name": "root", "token_digest": key_digest(OPERATOR_TOKEN)}]
+        self.operators: list[dict[str, str]] = [
+            {"name": "root", "token_digest": key_digest(OPERATOR_TOKEN)},
+            {"name": "rival", "token_digest": key_digest(CUMBRE_TOKEN), "member": "cumbre"},
+        ]
 
     def __enter__(self) -> Deployment:
         return self
@@ -203,10 +207,13 @@
     def start_backend(
         self, name: str, kind: str, region: str, services: tuple[str, ...], *options: str
     ) -> Process:
-        """Start a stand-in that announces itself to the region's instances."""
+        """Start a stand-in that announces itself to the region's instances.
+
+        A service without a member is Hanbit's.
+        """
         arguments = ["figpaddle.standins", kind, "--name", name, "--region", region]
         for service in services:
-            arguments += ["--service", service]
+            arguments += ["--service", service if "/" in service else f"hanbit/{service}"]
         for process in self.instances.values():
             if process.name.startswith(region):
                 arguments += ["--announce", process.fields["backends"]]
