Leave a request whose caller went away one second to end and be recorded

Cause: the exchange of a caller that goes away must be closed, and a filing whose answer is not recorded can never be answered to its resend. Ruled out: finishing the request whatever it takes; its work would never be cancelled. Ruled out: cancelling at once; every dropped connection would leave an unknown outcome.

--- a/figpaddle/daemon/_at_most_once.py
+++ b/figpaddle/daemon/_at_most_once.py
@@ -34,6 +34,8 @@
 
 #: Time to come back after when too few holders could vote, seconds.
 LEDGER_RETRY_S = 2.0
+#: Time that a request in progress has to end after its caller has gone away, seconds.
+CALLER_GONE_GRACE_S = 1.0
 #: Header of an answer that was given before.
 REPLAYED_HEADER = ("figpaddle-replayed", "true")
 
@@ -86,8 +88,9 @@
             raise LedgerUnavailableError(
                 home=head.home, outcome=Outcome.UNKNOWN, retry_after_s=LEDGER_RETRY_S
             )
-        with anyio.CancelScope(shield=True):
-            await self._run(head, BufferedBody(data=data), sink, dispatch, coordinator)
+        await _with_grace(
+            lambda: self._run(head, BufferedBody(data=data), sink, dispatch, coordinator)
+        )
 
     def _check_regions(self, head: RequestHead) -> None:
         for region in (self._own_region, head.home):
@@ -155,6 +158,29 @@
             self._log.warning("answer_not_recorded", request_id=head.request_id, home=head.home)
 
 
+async def _with_grace(work: Callable[[], Awaitable[None]]) -> None:
+    """Run ``work``; when the caller goes away, leave it some time to end and be recorded."""
+    failure: RequestError | None = None
+    shielded = anyio.CancelScope(shield=True)
+
+    async def limit_when_cancelled() -> None:
+        try:
+            await anyio.sleep_forever()
+        finally:
+            shielded.deadline = anyio.current_time() + CALLER_GONE_GRACE_S
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(limit_when_cancelled)
+        with shielded:
+            try:
+                await work()
+            except RequestError as error:
+                failure = error
+        tasks.cancel_scope.cancel()
+    if failure is not None:
+        raise failure
+
+
 def digest_of(head: RequestHead, data: bytes) -> bytes:
     """Return the digest that tells two requests under one key apart."""
     digest = hashlib.sha256()
--- a/tests/test_whole_answers.py
+++ b/tests/test_whole_answers.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from tests.calls import chat, state, wait_until
+from tests.calls import chat, state, wait_for_ledger, wait_until
 from tests.conftest import HANBIT_KEY, write_examples
 from tests.harness import Deployment
 from tests.hostile import Behaviour, HostileBackend, echo
@@ -26,6 +26,7 @@
         write_examples(deployment)
         for region in ("seoul", "busan"):
             deployment.start_instance(f"{region}-1", region)
+        wait_for_ledger(deployment.instances["seoul-1"])
         yield deployment
 
 
