--- a/figpaddle/daemon/_record_file.py
+++ b/figpaddle/daemon/_record_file.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+import errno
 import os
 import pathlib
 import struct
 import zlib
 from collections.abc import Iterable
 
-from figpaddle.errors import CorruptFileError, StorageError
+from figpaddle.errors import StorageCorruptError, StorageError, StorageFullError
 
 #: First bytes of each record.
 MAGIC = b"FPR1"
@@ -36,7 +37,7 @@
     def open(self) -> tuple[bytes, ...]:
         """Return all records and make the file ready for more.
 
-        Raises CorruptFileError if the file is damaged before its end, StorageError if it can't
+        Raises StorageCorruptError if the file is damaged before its end, StorageError if it can't
         be used.
         """
         try:
@@ -103,7 +104,7 @@
         later = data.find(MAGIC, offset + 1)
         while later >= 0:
             if _record_at(data, later) is not None:
-                raise CorruptFileError(
+                raise StorageCorruptError(
                     what=f"the record at byte {offset} is damaged and whole ones follow",
                     where=str(self._path),
                     mend="move the file away; the slot then recovers from the others",
@@ -111,7 +112,8 @@
             later = data.find(MAGIC, later + 1)
 
     def _failure(self, error: OSError) -> StorageError:
-        return StorageError(
+        kind = StorageFullError if error.errno == errno.ENOSPC else StorageError
+        return kind(
             what=error.strerror or type(error).__name__,
             where=str(self._path),
             mend="free space or repair the disk, then start the process again",
--- a/figpaddle/daemon/tests/test_ledger_storage.py
+++ b/figpaddle/daemon/tests/test_ledger_storage.py
@@ -13,7 +13,7 @@
 from figpaddle.daemon._group_commit import GroupCommit
 from figpaddle.daemon._ledger_storage import FileLedgerStorage
 from figpaddle.daemon._record_file import HEAD, RecordFile
-from figpaddle.errors import CorruptFileError, ForeignFileError, StorageError
+from figpaddle.errors import ForeignFileError, StorageCorruptError, StorageError, StorageFullError
 from figpaddle.ledger import LedgerStorage
 from figpaddle.wire import Message, RecordKey, StoredMemory, StoredRelease
 
@@ -46,7 +46,7 @@
     data = bytearray(path.read_bytes())
     data[offset] ^= 0xFF
     path.write_bytes(data)
-    with pytest.raises(CorruptFileError):
+    with pytest.raises(StorageCorruptError):
         RecordFile(path=path).open()
 
 
@@ -60,7 +60,7 @@
         raise OSError(errno.ENOSPC, "No space left on device")
 
     monkeypatch.setattr(os, "write", full)
-    with pytest.raises(StorageError):
+    with pytest.raises(StorageFullError):
         file.append([b"x"])
 
 
--- a/figpaddle/errors/_ledger.py
+++ b/figpaddle/errors/_ledger.py
@@ -2,9 +2,14 @@
 
 from __future__ import annotations
 
+from figpaddle.errors._coordination import StorageError
 from figpaddle.errors._request import Outcome, RequestError
 
 
+class ForeignFileError(StorageError):
+    """A file belongs to another slot or to another list of slots."""
+
+
 class KeyReusedError(RequestError):
     """The idempotency key was used before for another request."""
 
