--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -11,6 +11,7 @@
 
 import httpx
 
+from tests.calls import wait_for_ledger
 from tests.harness import Deployment, Process
 
 KEY = "hanbit-desk-key"
@@ -30,13 +31,15 @@
         generate(configuration)
         deployment.write_clients(("desk", "hanbit", "seoul", KEY))
         for region in REGIONS:
-            deployment.start_instance(f"{region}-1", region)
+            name = f"{region}-1"
+            deployment.start_instance(name, region, data_folder=str(deployment.folder / name))
         deployment.start_backend("engine-1", "engine", "seoul", ("draft", "desk-chat"))
         deployment.start_backend("engine-2", "engine", "busan", ("draft", "desk-chat"))
         deployment.start_backend("records-1", "records", "daejeon", ("intake-records",))
         entry = deployment.instances["seoul-1"].fields["callers"]
         wait_until_served(entry)
-        send_requests(entry)
+        wait_for_ledger(deployment.instances["seoul-1"])
+        send_requests(entry, other=deployment.instances["busan-1"].fields["callers"])
         stop_all([*deployment.instances.values(), *deployment.backends.values()])
     print("demo finished: every process stopped gracefully")
 
@@ -75,15 +78,21 @@
     return {"model": model, "messages": [{"role": "user", "content": text}], **options}
 
 
-def send_requests(entry: str) -> None:
-    """Send an intake form, a filing sent twice, and a chat; print each answer."""
+def send_requests(entry: str, *, other: str) -> None:
+    """Send an intake form, a filing to two entries, and a chat; print each answer."""
     form = chat("draft", INTAKE_FORM, stream=True, max_tokens=24)
     answer = call(entry, "POST", "/v1/chat/completions", json=form)
     show("intake form", answer, streamed_text(answer))
     filing = {"content": b'{"engagement": "2026-0117"}', "headers": {"idempotency-key": "f-0117"}}
-    for attempt in ("filing", "filing sent again"):
-        answer = call(entry, "POST", "/services/intake-records/filings", **filing)
-        show(attempt, answer, answer.text)
+    first, again = (
+        call(address, "POST", "/services/intake-records/filings", **filing)
+        for address in (entry, other)
+    )
+    show("filing", first, first.text)
+    show("filing sent again through another region", again, again.text)
+    if again.headers.get("figpaddle-replayed") != "true" or again.content != first.content:
+        sys.exit("the filing was not answered from its record")
+    print("    replayed from the record at home: it ran once")
     answer = call(entry, "POST", "/v1/chat/completions", json=chat("desk-chat", "안녕하세요"))
     show("chat", answer, answer.json()["choices"][0]["message"]["content"])
 
--- a/tests/calls.py
+++ b/tests/calls.py
@@ -18,11 +18,12 @@
 def call(entry: str, method: str, path: str, *, key: str, **options: Any) -> httpx.Response:
     """Send one request of a client."""
     headers = {"authorization": f"Bearer {key}", **options.pop("headers", {})}
+    timeout_s = options.pop("timeout", CALL_TIMEOUT_S)
     return httpx.request(
         method,
         f"http://{entry}{path}",
         headers=headers,
-        timeout=CALL_TIMEOUT_S,
+        timeout=timeout_s,
         trust_env=False,
         **options,
     )
--- a/tests/filings.py
+++ b/tests/filings.py
@@ -20,6 +20,7 @@
     *,
     body: bytes = b"",
     client: str = HANBIT_KEY,
+    timeout_s: float = CALL_TIMEOUT_S,
     **headers: str,
 ) -> httpx.Response:
     """Send the filing ``key`` through the instance called ``entry``."""
@@ -29,6 +30,7 @@
         "POST",
         f"/services/{SERVICE}/filings",
         key=client,
+        timeout=timeout_s,
         content=body or key.encode(),
         headers={"idempotency-key": key, **named},
     )
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -87,6 +87,14 @@
     assert runs(region, "twice") == 1
 
 
+def test_answer_is_recorded_although_the_caller_went_away(region: Deployment) -> None:
+    with pytest.raises(httpx.ReadTimeout):
+        file(region, "seoul-1", "gone", timeout_s=0.3, x_standin_delay_ms="600")
+    wait_until(lambda: file(region, "seoul-2", "gone").is_success, what="the answer is recorded")
+    assert file(region, "seoul-3", "gone").headers["figpaddle-replayed"] == "true"
+    assert runs(region, "gone") == 1
+
+
 def test_same_key_with_another_body_is_refused(region: Deployment) -> None:
     assert file(region, "seoul-1", "reused").status_code == 201
     other = file(region, "seoul-2", "reused", body=b"another body")
