--- a/figpaddle/daemon/_gateway.py
+++ b/figpaddle/daemon/_gateway.py
@@ -8,6 +8,7 @@
 import anyio
 
 from figpaddle.coordination import InstanceDirectory
+from figpaddle.daemon._at_most_once import AtMostOnce
 from figpaddle.daemon._backend_client import BackendClient
 from figpaddle.daemon._configuration_state import ConfigurationState
 from figpaddle.daemon._exchange import (
@@ -56,6 +57,7 @@
         placer: Placer,
         client: BackendClient,
         forwarder: Forwarder,
+        at_most_once: AtMostOnce,
         clock: Callable[[], float],
         log: Log,
     ) -> None:
@@ -65,6 +67,7 @@
         self._placer = placer
         self._client = client
         self._forwarder = forwarder
+        self._at_most_once = at_most_once
         self._clock = clock
         self._log = log
         self._in_progress = 0
@@ -79,7 +82,10 @@
         """Serve a request to its end; raises RequestError if it gets no answer of the service."""
         self._in_progress += 1
         try:
-            await self._serve(head, body, sink)
+            if head.idempotent or head.visited:
+                await self._serve(head, body, sink)
+            else:
+                await self._at_most_once.serve(head, body, sink, self._serve)
             self._log.info(
                 "request_done", request_id=head.request_id, service=head.service, member=head.member
             )
--- a/figpaddle/errors/__init__.py
+++ b/figpaddle/errors/__init__.py
@@ -26,6 +26,13 @@
     StorageError,
     StorageFullError,
 )
+from figpaddle.errors._ledger import (
+    AnswerNotKeptError,
+    ForeignFileError,
+    KeyReusedError,
+    LedgerUnavailableError,
+    OutcomeUnknownError,
+)
 from figpaddle.errors._request import (
     BackendServerLostError,
     BodyTimeoutError,
@@ -47,6 +54,11 @@
 )
 
 __all__ = [
+    "AnswerNotKeptError",
+    "KeyReusedError",
+    "LedgerUnavailableError",
+    "OutcomeUnknownError",
+    "ForeignFileError",
     "BackendServerLostError",
     "BodyTimeoutError",
     "BodyTooLargeError",
--- a/figpaddle/wire/__init__.py
+++ b/figpaddle/wire/__init__.py
@@ -23,6 +23,26 @@
 )
 from figpaddle.wire._forward_messages import ForwardAlive
 from figpaddle.wire._handshake import NONCE_BYTES, Handshake
+from figpaddle.wire._ledger_messages import (
+    LedgerAbandon,
+    LedgerBegin,
+    LedgerFinish,
+    LedgerKept,
+    LedgerLook,
+    LedgerPage,
+    LedgerRecord,
+    LedgerRecover,
+    LedgerSeen,
+    LedgerVote,
+    RecordedAnswer,
+    RecordKey,
+    SlotVote,
+    StoredIncarnation,
+    StoredMemory,
+    StoredRecord,
+    StoredRelease,
+    Verdict,
+)
 from figpaddle.wire._log_messages import (
     AppendReply,
     AppendRequest,
@@ -61,6 +81,24 @@
 )
 
 __all__ = [
+    "LedgerAbandon",
+    "LedgerBegin",
+    "LedgerFinish",
+    "LedgerKept",
+    "LedgerLook",
+    "LedgerPage",
+    "LedgerRecord",
+    "LedgerRecover",
+    "LedgerSeen",
+    "LedgerVote",
+    "RecordKey",
+    "RecordedAnswer",
+    "SlotVote",
+    "StoredIncarnation",
+    "StoredMemory",
+    "StoredRecord",
+    "StoredRelease",
+    "Verdict",
     "MAX_FRAME_BYTES",
     "NONCE_BYTES",
     "PROTOCOL_VERSION",
