Find dead instances by probes of constant cost

Cause: each instance exchanged its whole directory with the addresses to join by, and a dead instance was never noticed. Ruled out: heartbeats to all (cost grows with the group) and datagrams (a path that requests don't take).

--- /dev/null
+++ b/figpaddle/coordination/tests/memory_network.py
@@ -0,0 +1,171 @@
+"""Membership cores joined by an in-memory link with loss, delay, cuts and restarts."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import random
+
+from figpaddle.coordination import (
+    Call,
+    CallFinished,
+    MemberChanged,
+    Membership,
+    MembershipEffect,
+    MembershipEvent,
+    MembershipOptions,
+    RequestReceived,
+    Respond,
+    Tick,
+)
+from figpaddle.wire import InstanceInfo, InstanceState, Message, encode
+
+TICK_S = 0.2
+
+
+def instance_info(number: int, *, zones: int = 3, incarnation: int = 1) -> InstanceInfo:
+    zone = number % zones
+    return InstanceInfo(
+        name=f"instance-{number:03d}",
+        region=f"region-{zone // 3}",
+        zone=f"zone-{zone}",
+        peer_address=f"10.0.{number // 250}.{number % 250}:7000",
+        caller_address=f"10.0.{number // 250}.{number % 250}:8000",
+        incarnation=incarnation,
+    )
+
+
+class MemoryNetwork:
+    """Runs cores under a virtual clock; every exchange takes two delays."""
+
+    def __init__(
+        self,
+        *,
+        seed: int,
+        options: MembershipOptions | None = None,
+        loss: float = 0.0,
+        delay_s: float = 0.1,
+        measured: bool = False,
+    ) -> None:
+        self.now = 0.0
+        self.rng = random.Random(seed)
+        self.options = options or MembershipOptions()
+        self.loss = loss
+        self.delay_s = delay_s
+        self.measured = measured
+        self.cores: dict[str, Membership] = {}
+        self.frozen: set[str] = set()
+        self.sides: dict[str, int] = {}
+        self.messages = 0
+        self.bytes = 0
+        self.largest_bytes = 0
+        self.changes: list[tuple[float, str, InstanceInfo]] = []
+        self._addresses: dict[str, str] = {}
+        self._queue: list[tuple[float, int, str, Membership, MembershipEvent]] = []
+        self._order = itertools.count()
+        self._tokens = itertools.count(1)
+        self._callers: dict[int, tuple[str, Membership, int]] = {}
+
+    def start(self, info: InstanceInfo, *, join: tuple[str, ...] = ()) -> Membership:
+        core = Membership(
+            own=info,
+            join=join,
+            rng=random.Random(self.rng.random()),
+            options=self.options,
+        )
+        self.cores[info.name] = core
+        self._addresses[info.peer_address] = info.name
+        self._push(self.rng.uniform(0.0, TICK_S), info.name, core, Tick())
+        return core
+
+    def kill(self, name: str) -> None:
+        del self.cores[name]
+
+    def split(self, *names: str) -> None:
+        """Cut ``names`` off from all others."""
+        self.sides = dict.fromkeys(names, 1)
+
+    def heal(self) -> None:
+        self.sides = {}
+
+    def run(self, seconds: float) -> None:
+        end = self.now + seconds
+        while self._queue and self._queue[0][0] <= end:
+            at, _, name, core, event = heapq.heappop(self._queue)
+            self.now = at
+            if self.cores.get(name) is not core:
+                continue
+            if name in self.frozen:
+                self._push(0.05, name, core, event)
+                continue
+            for effect in core.handle(event, now=at):
+                self._apply(name, core, effect)
+            if isinstance(event, Tick):
+                self._push(TICK_S, name, core, event)
+        self.now = end
+
+    def run_until(self, condition: object, *, timeout_s: float) -> float:
+        """Return the virtual seconds until ``condition()`` holds."""
+        assert callable(condition)
+        begun = self.now
+        while not condition():
+            assert self.now - begun < timeout_s, f"not within {timeout_s} s"
+            self.run(0.1)
+        return self.now - begun
+
+    def live_seen_by(self, name: str) -> set[str]:
+        return {record.info.name for record in self.cores[name].records if not record.gone}
+
+    def agreed(self) -> bool:
+        running = set(self.cores)
+        return all(self.live_seen_by(name) == running for name in running)
+
+    def deaths(self) -> list[tuple[float, str, InstanceInfo]]:
+        return [change for change in self.changes if change[2].state is InstanceState.GONE]
+
+    def _push(self, wait_s: float, name: str, core: Membership, event: MembershipEvent) -> None:
+        item = (self.now + wait_s, next(self._order), name, core, event)
+        heapq.heappush(self._queue, item)
+
+    def _apply(self, name: str, core: Membership, effect: MembershipEffect) -> None:
+        if isinstance(effect, Call):
+            self._call(name, core, effect)
+        elif isinstance(effect, Respond):
+            self._respond(name, effect)
+        elif isinstance(effect, MemberChanged):
+            self.changes.append((self.now, name, effect.info))
+
+    def _call(self, name: str, core: Membership, call: Call) -> None:
+        self._count(call.item)
+        failure = CallFinished(call_id=call.call_id, reply=None)
+        self._push(call.timeout_s, name, core, failure)
+        target = self._addresses.get(call.address)
+        if target is None or target not in self.cores or self._lost(name, target):
+            return
+        token = next(self._tokens)
+        self._callers[token] = (name, core, call.call_id)
+        received = RequestReceived(token=token, item=call.item)
+        self._push(self._delay(), target, self.cores[target], received)
+
+    def _respond(self, name: str, effect: Respond) -> None:
+        self._count(effect.item)
+        caller, core, call_id = self._callers.pop(effect.token)
+        if not self._lost(name, caller):
+            self._push(
+                self._delay(), caller, core, CallFinished(call_id=call_id, reply=effect.item)
+            )
+
+    def _delay(self) -> float:
+        return self.delay_s * self.rng.uniform(0.2, 1.0)
+
+    def _lost(self, one: str, other: str) -> bool:
+        if self.sides.get(one, 0) != self.sides.get(other, 0):
+            return True
+        return self.rng.random() < self.loss
+
+    def _count(self, item: Message) -> None:
+        self.messages += 1
+        if self.measured:
+            size = len(encode(item))
+            self.bytes += size
+            self.largest_bytes = max(self.largest_bytes, size)
--- a/figpaddle/wire/__init__.py
+++ b/figpaddle/wire/__init__.py
@@ -11,6 +11,14 @@
     message,
 )
 from figpaddle.wire._handshake import NONCE_BYTES, Handshake
+from figpaddle.wire._membership_messages import (
+    Ack,
+    IndirectPing,
+    MemberNews,
+    Ping,
+    Sync,
+    SyncReply,
+)
 from figpaddle.wire._messages import (
     BackendInfo,
     BackendState,
@@ -35,6 +43,7 @@
     "MAX_FRAME_BYTES",
     "NONCE_BYTES",
     "PROTOCOL_VERSION",
+    "Ack",
     "BackendInfo",
     "BackendState",
     "BackendsUpdate",
@@ -47,13 +56,18 @@
     "Frame",
     "Handshake",
     "Hello",
+    "IndirectPing",
     "InstanceInfo",
     "InstanceState",
     "LinkPurpose",
+    "MemberNews",
     "Message",
+    "Ping",
     "Refused",
     "RegionSummary",
     "ServiceSummary",
+    "Sync",
+    "SyncReply",
     "Welcome",
     "decode",
     "decode_frame",
