Run the membership protocol in the daemon, one new connection an exchange

Cause: a dead instance stayed in the lookup for good. Ruled out: datagrams, for they tell nothing of the path that requests take, and probes on the control links, for an open connection can go silent. Change: the daemon drives the membership core; links follow the topology; a broken link is a hint. Found on the way: a probe that failed after a death raised a suspicion of the dead one again, so that it was probed for ever; mended with a test.

--- a/figpaddle/coordination/_directory.py
+++ b/figpaddle/coordination/_directory.py
@@ -59,6 +59,11 @@
             changed.append(info)
         return tuple(changed)
 
+    def forget(self, name: str) -> None:
+        """Keep nothing of another instance any more."""
+        if name != self._own_name:
+            self._known.pop(name, None)
+
 
 def _supersedes(new: InstanceInfo, known: InstanceInfo) -> bool:
     if new.incarnation != known.incarnation:
--- a/figpaddle/coordination/_membership.py
+++ b/figpaddle/coordination/_membership.py
@@ -116,7 +116,7 @@
         return len(self._calls)
 
     @property
-    def waiting_news(self) -> int:
+    def spreading_news(self) -> int:
         """Items of news that still spread."""
         return len(self._view.news)
 
@@ -289,7 +289,7 @@
 
     def _suspect(self, probe: _Probe, now: float) -> None:
         record = self._view.table.find(probe.target)
-        if record is None or record.info.incarnation != probe.incarnation:
+        if record is None or record.gone or record.info.incarnation != probe.incarnation:
             return
         if not record.suspected:
             self._take_news((MemberNews(info=record.info, suspected=True),), now)
--- a/figpaddle/coordination/tests/test_membership.py
+++ b/figpaddle/coordination/tests/test_membership.py
@@ -193,7 +193,7 @@
     assert network.agreed()
     for core in network.cores.values():
         assert len(core.records) == 5
-        assert core.waiting_news == 0
+        assert core.spreading_news == 0
         assert core.pending_calls < 10
 
 
@@ -294,3 +294,14 @@
     core = core_that_knows(1)
     give_news(core, MemberNews(info=instance_info(5).with_state(InstanceState.GONE)), now=1.0)
     assert "instance-005" not in states(core)
+
+
+def test_probe_that_fails_after_the_death_raises_no_further_suspicion() -> None:
+    core = core_that_knows(1, 2)
+    [probe] = core.handle(PeerDoubted(name="instance-001"), now=1.0)
+    assert isinstance(probe, Call)
+    [helped] = core.handle(CallFinished(call_id=probe.call_id, reply=None), now=1.1)
+    assert isinstance(helped, Call)
+    give_news(core, MemberNews(info=instance_info(1).with_state(InstanceState.GONE)), now=1.2)
+    core.handle(CallFinished(call_id=helped.call_id, reply=None), now=1.5)
+    assert not any(record.suspected for record in core.records)
--- /dev/null
+++ b/figpaddle/daemon/_exchanges.py
@@ -0,0 +1,102 @@
+"""Single messages between instances, each on a new connection to the peer port.
+
+The connection carries a GET request whose path holds the sealed message; the body of the answer
+is the sealed reply. Connections that have gone silent thus can't affect a later exchange, and the
+path to the peer port is tried as a forwarded request would use it.
+"""
+
+from __future__ import annotations
+
+import base64
+import binascii
+import secrets
+from collections.abc import Awaitable, Callable
+
+import anyio
+from websockets.asyncio.server import ServerConnection
+from websockets.datastructures import Headers
+from websockets.http11 import Request, Response
+
+from figpaddle.daemon._sockets import split_address
+from figpaddle.errors import FigpaddleError, HandshakeError, PeerUnreachableError
+from figpaddle.wire import SEAL_NONCE_BYTES, Message, Seal, decode, encode
+
+#: Path under which exchanges are served.
+EXCHANGE_PATH = "/exchange/"
+#: Largest answer read, bytes.
+MAX_ANSWER_BYTES = 64 * 1024
+
+ExchangeHandler = Callable[[Message], Awaitable[Message | None]]
+
+
+class ExchangeServer:
+    """Answers exchanges that arrive at the peer port."""
+
+    def __init__(self, *, key: bytes, handler: ExchangeHandler) -> None:
+        self._seal = Seal(key=key)
+        self._handler = handler
+
+    async def process_request(
+        self, connection: ServerConnection, request: Request
+    ) -> Response | None:
+        """Return the answer to an exchange, or None where the request opens a link."""
+        if not request.path.startswith(EXCHANGE_PATH):
+            return None
+        try:
+            body = await self._answer(request.path[len(EXCHANGE_PATH) :])
+        except FigpaddleError:
+            return _response(403, "Forbidden", b"")
+        if body is None:
+            return _response(503, "Service Unavailable", b"")
+        return _response(200, "OK", body)
+
+    async def _answer(self, encoded: str) -> bytes | None:
+        try:
+            sealed = base64.urlsafe_b64decode(encoded)
+        except (binascii.Error, ValueError) as error:
+            raise HandshakeError(what="not base64", where="exchange") from error
+        nonce, data = self._seal.open_request(sealed)
+        reply = await self._handler(decode(data))
+        return None if reply is None else self._seal.reply(nonce, encode(reply))
+
+
+class ExchangeClient:
+    """Sends exchanges, each on a new connection from the instance's own IP."""
+
+    def __init__(self, *, key: bytes, own_ip: str) -> None:
+        self._seal = Seal(key=key)
+        self._own_ip = own_ip
+
+    async def exchange(self, address: str, item: Message, *, timeout_s: float) -> Message:
+        """Return the reply to ``item``; raises PeerUnreachableError or another WireError."""
+        nonce = secrets.token_bytes(SEAL_NONCE_BYTES)
+        path = base64.urlsafe_b64encode(self._seal.request(nonce, encode(item))).decode()
+        head = f"GET {EXCHANGE_PATH}{path} HTTP/1.1\r\nHost: {address}\r\n\r\n"
+        try:
+            with anyio.fail_after(timeout_s):
+                answer = await self._converse(address, head.encode())
+        except (OSError, TimeoutError, anyio.BrokenResourceError) as error:
+            raise PeerUnreachableError(what=type(error).__name__, where=address) from error
+        status, _, body = answer.partition(b"\r\n\r\n")
+        if not status.startswith(b"HTTP/1.1 200 "):
+            raise PeerUnreachableError(what="no reply", where=address)
+        return decode(self._seal.open_reply(nonce, body))
+
+    async def _converse(self, address: str, request: bytes) -> bytes:
+        host, port = split_address(address)
+        answer = bytearray()
+        async with await anyio.connect_tcp(host, port, local_host=self._own_ip) as stream:
+            await stream.send(request)
+            while len(answer) < MAX_ANSWER_BYTES:
+                try:
+                    answer += await stream.receive()
+                except anyio.EndOfStream:
+                    break
+        return bytes(answer)
+
+
+def _response(status: int, reason: str, body: bytes) -> Response:
+    headers = Headers()
+    headers["Content-Length"] = str(len(body))
+    headers["Connection"] = "close"
+    return Response(status, reason, headers, body)
--- a/figpaddle/daemon/_instance.py
+++ b/figpaddle/daemon/_instance.py
@@ -154,6 +154,10 @@
             directory=self._directory,
             network=self._network,
             join=self._settings.join,
+            key=self._settings.deployment_key.encode(),
+            own_ip=split_address(self._listeners["peers"].address)[0],
+            rng=self._rng,
+            clock=self._clock,
             log=self._log,
         )
         return (membership, self._watch)
--- a/figpaddle/daemon/_membership.py
+++ b/figpaddle/daemon/_membership.py
@@ -1,27 +1,49 @@
-"""Keeps the directory of instances up to date and the links to them open."""
+"""Runs the membership protocol: its clock, its exchanges, the directory and the links."""
 
 from __future__ import annotations
 
-import contextlib
+import random
+from collections.abc import Callable
 from typing import Any
 
 import anyio
-
-from figpaddle.coordination import InstanceDirectory
+import anyio.abc
+
+from figpaddle.coordination import (
+    Call,
+    CallFinished,
+    InstanceDirectory,
+    MemberChanged,
+    MemberForgotten,
+    MembershipEffect,
+    MembershipEvent,
+    OwnStateChanged,
+    PeerDoubted,
+    RequestReceived,
+    Respond,
+    Tick,
+    Topology,
+)
+from figpaddle.coordination import Membership as MembershipCore
 from figpaddle.daemon._component import Component
+from figpaddle.daemon._exchanges import ExchangeClient, ExchangeServer
 from figpaddle.daemon._logs import Log
 from figpaddle.daemon._peers import PeerNetwork
-from figpaddle.errors import PeerUnreachableError
-from figpaddle.wire import DirectoryExchange, InstanceInfo, InstanceState, Message
+from figpaddle.errors import WireError
+from figpaddle.wire import InstanceState, Message
 
-#: Interval of directory exchanges with the instances to join by, seconds.
-JOIN_INTERVAL_S = 1.0
-#: Timeout of a directory exchange, seconds.
-JOIN_TIMEOUT_S = 1.0
+#: Interval at which the protocol looks at the time, seconds.
+TICK_INTERVAL_S = 0.2
+#: A stopping process spreads its departure for this long, seconds.
+DEPARTURE_S = 0.3
+#: Instances that a leaving one tells directly; news does the rest.
+SPREAD_PEERS = 8
+#: Longest time for an answer, which may need a probe of another instance, seconds.
+EXCHANGE_TIMEOUT_S = 3.0
 
 
 class Membership(Component):
-    """Joins the deployment and spreads news of instances."""
+    """Joins the deployment, watches the other instances and spreads news of them."""
 
     def __init__(
         self,
@@ -29,13 +51,24 @@
         directory: InstanceDirectory,
         network: PeerNetwork,
         join: tuple[str, ...],
+        key: bytes,
+        own_ip: str,
+        rng: random.Random,
+        clock: Callable[[], float],
         log: Log,
     ) -> None:
         self._directory = directory
         self._network = network
-        self._join = join
+        self._clock = clock
         self._log = log
-        network.register(DirectoryExchange, self._on_directory)
+        self._core = MembershipCore(own=directory.own, join=join, rng=rng)
+        self._client = ExchangeClient(key=key, own_ip=own_ip)
+        self._responses: dict[int, Callable[[Message], None]] = {}
+        self._last_token = 0
+        self._tasks: anyio.abc.TaskGroup | None = None
+        server = ExchangeServer(key=key, handler=self._on_exchange)
+        network.serve_exchanges(server.process_request)
+        network.watch_broken_links(self._on_broken_link)
 
     @property
     def name(self) -> str:
@@ -44,56 +77,112 @@
 
     def dump(self, *, now: float, member: str | None) -> Any:
         """Return the known instances and the open links."""
+        records = self._core.records
         return {
             "instances": [
-                {"name": info.name, "region": info.region, "state": info.state.value}
-                for info in self._directory.instances
+                {
+                    "name": record.info.name,
+                    "region": record.info.region,
+                    "state": record.info.state.value,
+                }
+                for record in records
             ],
+            "incarnations": {record.info.name: record.info.incarnation for record in records},
+            "suspected": [record.info.name for record in records if record.suspected],
             "links": list(self._network.open_links),
+            "spreading": self._core.spreading_news,
         }
 
     async def run(self) -> None:
-        """Exchange directories with the instances to join by until cancelled."""
-        while True:
-            for address in self._join:
-                with contextlib.suppress(PeerUnreachableError):
-                    await self._exchange(address)
-            await anyio.sleep(JOIN_INTERVAL_S)
+        """Drive the protocol until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            self._tasks = tasks
+            while True:
+                self._feed(Tick())
+                await anyio.sleep(TICK_INTERVAL_S)
 
     async def leave(self) -> None:
-        """Tell the peers that this instance takes no new work."""
-        self._announce_state(InstanceState.LEAVING)
+        """Spread that this instance takes no new work."""
+        self._change_own_state(InstanceState.LEAVING)
 
     async def depart(self) -> None:
-        """Tell the peers that this instance has left."""
-        self._announce_state(InstanceState.GONE)
-
-    def _announce_state(self, state: InstanceState) -> None:
-        own = self._directory.own.with_state(state)
-        self._directory.merge((own,))
-        for peer in self._directory.peers():
-            self._network.post(peer.name, DirectoryExchange(instances=(own,)))
-
-    async def _exchange(self, address: str) -> None:
-        if address in {peer.peer_address for peer in self._directory.peers()}:
-            return
-        question = DirectoryExchange(instances=self._directory.instances)
-        reply = await self._network.ask(address, question, timeout_s=JOIN_TIMEOUT_S)
-        if isinstance(reply, DirectoryExchange):
-            self._take(reply.instances)
-
-    async def _on_directory(self, peer: str, item: DirectoryExchange) -> Message | None:
-        self._take(item.instances)
-        return DirectoryExchange(instances=self._directory.instances)
-
-    def _take(self, infos: tuple[InstanceInfo, ...]) -> None:
-        changed = self._directory.merge(infos)
-        if not changed:
-            return
-        for info in changed:
-            self._log.info("instance_seen", peer=info.name, state=info.state.value)
+        """Spread that this instance has left."""
+        self._change_own_state(InstanceState.GONE)
+        await anyio.sleep(DEPARTURE_S)
+
+    def _change_own_state(self, state: InstanceState) -> None:
+        self._feed(OwnStateChanged(state=state))
+        for peer in self._directory.peers()[:SPREAD_PEERS]:
+            self._feed(PeerDoubted(name=peer.name))
+
+    def _feed(self, event: MembershipEvent) -> None:
+        for effect in self._core.handle(event, now=self._clock()):
+            self._apply(effect)
+
+    def _apply(self, effect: MembershipEffect) -> None:
+        if isinstance(effect, Call):
+            if self._tasks is not None:
+                self._tasks.start_soon(self._call, effect)
+        elif isinstance(effect, Respond):
+            self._responses.pop(effect.token, _ignore)(effect.item)
+        elif isinstance(effect, MemberChanged):
+            self._on_changed(effect)
+        else:
+            self._on_forgotten(effect)
+
+    async def _call(self, call: Call) -> None:
+        reply: Message | None
+        try:
+            reply = await self._client.exchange(call.address, call.item, timeout_s=call.timeout_s)
+        except WireError:
+            reply = None
+        self._feed(CallFinished(call_id=call.call_id, reply=reply))
+
+    async def _on_exchange(self, item: Message) -> Message | None:
+        self._last_token += 1
+        token = self._last_token
+        answered = anyio.Event()
+        replies: list[Message] = []
+
+        def respond(reply: Message) -> None:
+            replies.append(reply)
+            answered.set()
+
+        self._responses[token] = respond
+        try:
+            self._feed(RequestReceived(token=token, item=item))
+            with anyio.move_on_after(EXCHANGE_TIMEOUT_S):
+                await answered.wait()
+        finally:
+            self._responses.pop(token, None)
+        return replies[0] if replies else None
+
+    def _on_broken_link(self, peer: str) -> None:
+        self._feed(PeerDoubted(name=peer))
+
+    def _on_changed(self, change: MemberChanged) -> None:
+        info = change.info
+        self._directory.merge((info,))
+        self._log.info(
+            "instance_changed",
+            peer=info.name,
+            state=info.state.value,
+            incarnation=info.incarnation,
+        )
+        self._update_links()
+
+    def _on_forgotten(self, forgotten: MemberForgotten) -> None:
+        self._directory.forget(forgotten.name)
+        self._log.info("instance_forgotten", peer=forgotten.name)
+
+    def _update_links(self) -> None:
         peers = self._directory.peers()
-        self._network.set_addresses({peer.name: peer.peer_address for peer in peers})
-        news = DirectoryExchange(instances=changed)
-        for peer in peers:
-            self._network.post(peer.name, news)
+        topology = Topology(instances=self._directory.instances)
+        self._network.set_addresses(
+            {peer.name: peer.peer_address for peer in peers},
+            linked=topology.links_of(self._directory.own.name),
+        )
+
+
+def _ignore(item: Message) -> None:
+    """Drop a response that nobody waits for any more."""
--- a/figpaddle/daemon/_peers.py
+++ b/figpaddle/daemon/_peers.py
@@ -12,7 +12,7 @@
 import dataclasses
 import random
 import secrets
-from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
+from collections.abc import AsyncIterator, Awaitable, Callable, Collection, Mapping
 from typing import Any
 
 import anyio
@@ -21,6 +21,7 @@
 from websockets.asyncio.client import ClientConnection, connect
 from websockets.asyncio.server import ServerConnection, serve
 from websockets.exceptions import ConnectionClosed, WebSocketException
+from websockets.http11 import Request, Response
 
 from figpaddle.daemon._channel import Channel
 from figpaddle.daemon._logs import Log
@@ -63,6 +64,7 @@
 IDLE_FORWARD_S = 10.0
 
 Handler = Callable[[str, Any], Awaitable[Message | None]]
+ProcessRequest = Callable[[ServerConnection, Request], Awaitable[Response | None]]
 ForwardHandler = Callable[[str, Channel], Awaitable[None]]
 
 
@@ -107,6 +109,8 @@
         self._next_correlation = 1
         self._idle: dict[str, list[Channel]] = {}
         self._tasks: anyio.abc.TaskGroup | None = None
+        self._process_request: ProcessRequest | None = None
+        self._link_watcher: Callable[[str], None] | None = None
 
     @property
     def open_links(self) -> tuple[str, ...]:
@@ -121,16 +125,30 @@
         """Hand each forwarded request to ``handler``."""
         self._forward_handler = handler
 
-    def set_addresses(self, addresses: Mapping[str, str]) -> None:
-        """Keep control links to exactly these peers, given as name and ``ip:port``."""
-        for name in set(self._links) - set(addresses):
+    def serve_exchanges(self, process_request: ProcessRequest) -> None:
+        """Let ``process_request`` answer HTTP requests that open no link."""
+        self._process_request = process_request
+
+    def watch_broken_links(self, watcher: Callable[[str], None]) -> None:
+        """Tell ``watcher`` the name of a peer whose link has broken."""
+        self._link_watcher = watcher
+
+    def set_addresses(
+        self, addresses: Mapping[str, str], *, linked: Collection[str] | None = None
+    ) -> None:
+        """Set the peers that can be reached, given as name and ``ip:port``.
+
+        Control links are kept to exactly those in ``linked``, or to all if it is None.
+        """
+        wanted = set(addresses) if linked is None else set(linked) & set(addresses)
+        for name in set(self._links) - wanted:
             self._links.pop(name).scope.cancel()
-        for name, address in addresses.items():
-            if name in self._links and self._addresses.get(name) != address:
+        for name in set(self._links):
+            if self._addresses.get(name) != addresses[name]:
                 self._links.pop(name).scope.cancel()
-            self._addresses[name] = address
-            if name not in self._links:
-                self._start_link(name, address)
+        self._addresses = dict(addresses)
+        for name in sorted(wanted - set(self._links)):
+            self._start_link(name, addresses[name])
 
     def post(self, peer: str, item: Message) -> bool:
         """Send ``item`` without reply; return False where it could not even be queued."""
@@ -232,6 +250,7 @@
                 ping_timeout=PING_TIMEOUT_S,
                 compression=None,
                 close_timeout=1.0,
+                process_request=self._process_request,
             ):
                 task_status.started()
                 await anyio.sleep_forever()
@@ -265,6 +284,7 @@
                         link.open = True
                         self._log.info("link_open", peer=name)
                         await self._use_link(socket, link)
+                        self._report_broken(name)
                 except (OSError, TimeoutError, WebSocketException, FigpaddleError) as error:
                     if link.open:
                         self._log.info("link_closed", peer=name, error=type(error).__name__)
@@ -273,6 +293,10 @@
                 await anyio.sleep(pause * self._rng.uniform(0.5, 1.0))
                 pause = min(BACKOFF_MAX_S, pause * 2)
 
+    def _report_broken(self, name: str) -> None:
+        if self._link_watcher is not None:
+            self._link_watcher(name)
+
     async def _use_link(self, socket: ClientConnection, link: _Link) -> None:
         while True:
             try:
--- a/figpaddle/wire/__init__.py
+++ b/figpaddle/wire/__init__.py
@@ -25,7 +25,6 @@
     BackendState,
     BackendsUpdate,
     Challenge,
-    DirectoryExchange,
     ForwardBody,
     ForwardFailed,
     ForwardHead,
@@ -39,17 +38,18 @@
     ServiceSummary,
     Welcome,
 )
+from figpaddle.wire._sealed import SEAL_NONCE_BYTES, Seal
 
 __all__ = [
     "MAX_FRAME_BYTES",
     "NONCE_BYTES",
     "PROTOCOL_VERSION",
+    "SEAL_NONCE_BYTES",
     "Ack",
     "BackendInfo",
     "BackendState",
     "BackendsUpdate",
     "Challenge",
-    "DirectoryExchange",
     "ForwardAlive",
     "ForwardBody",
     "ForwardFailed",
@@ -67,6 +67,7 @@
     "Ping",
     "Refused",
     "RegionSummary",
+    "Seal",
     "ServiceSummary",
     "Sync",
     "SyncReply",
--- a/figpaddle/wire/_messages.py
+++ b/figpaddle/wire/_messages.py
@@ -98,15 +98,6 @@
         return dataclasses.replace(self, state=state)
 
 
-@message("directory.exchange")
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class DirectoryExchange(Message):
-    """What the sender knows of the instances; the reply is the receiver's own view."""
-
-    #: Known instances, the sender among them.
-    instances: tuple[InstanceInfo, ...]
-
-
 class BackendState(enum.Enum):
     """Whether a backend server takes new work."""
 
