--- a/figpaddle/coordination/_membership.py
+++ b/figpaddle/coordination/_membership.py
@@ -12,10 +12,10 @@
     CallFinished,
     MembershipEffect,
     MembershipEvent,
+    MembershipTick,
     PeerDoubted,
     RequestReceived,
     Respond,
-    Tick,
 )
 from figpaddle.coordination._membership_options import MembershipOptions
 from figpaddle.wire import (
@@ -73,7 +73,7 @@
     ...     caller_address="127.0.0.1:2", incarnation=1,
     ... )
     >>> alone = Membership(own=info, join=("127.0.0.1:9",), rng=random.Random(1))
-    >>> [effect] = alone.handle(Tick(), now=0.0)
+    >>> [effect] = alone.handle(MembershipTick(), now=0.0)
     >>> effect.address, type(effect.item).__name__
     ('127.0.0.1:9', 'Sync')
     """
@@ -123,7 +123,7 @@
     def handle(self, event: MembershipEvent, *, now: float) -> tuple[MembershipEffect, ...]:
         """Take in ``event`` and return what is to be done, in order."""
         self._notice_lapse(now)
-        if isinstance(event, Tick):
+        if isinstance(event, MembershipTick):
             self._on_tick(now)
         elif isinstance(event, CallFinished):
             self._on_call_finished(event, now)
--- a/figpaddle/coordination/_membership_events.py
+++ b/figpaddle/coordination/_membership_events.py
@@ -8,7 +8,7 @@
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
-class Tick:
+class MembershipTick:
     """Time has passed; due several times in a probe interval."""
 
 
@@ -48,7 +48,7 @@
     name: str
 
 
-MembershipEvent = Tick | CallFinished | RequestReceived | OwnStateChanged | PeerDoubted
+MembershipEvent = MembershipTick | CallFinished | RequestReceived | OwnStateChanged | PeerDoubted
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/figpaddle/coordination/tests/memory_network.py
+++ b/figpaddle/coordination/tests/memory_network.py
@@ -14,9 +14,9 @@
     MembershipEffect,
     MembershipEvent,
     MembershipOptions,
+    MembershipTick,
     RequestReceived,
     Respond,
-    Tick,
 )
 from figpaddle.wire import InstanceInfo, InstanceState, Message, encode
 
@@ -75,7 +75,7 @@
         )
         self.cores[info.name] = core
         self._addresses[info.peer_address] = info.name
-        self._push(self.rng.uniform(0.0, TICK_S), info.name, core, Tick())
+        self._push(self.rng.uniform(0.0, TICK_S), info.name, core, MembershipTick())
         return core
 
     def kill(self, name: str) -> None:
@@ -100,7 +100,7 @@
                 continue
             for effect in core.handle(event, now=at):
                 self._apply(name, core, effect)
-            if isinstance(event, Tick):
+            if isinstance(event, MembershipTick):
                 self._push(TICK_S, name, core, event)
         self.now = end
 
--- a/figpaddle/coordination/tests/test_membership.py
+++ b/figpaddle/coordination/tests/test_membership.py
@@ -14,11 +14,11 @@
     CallFinished,
     Membership,
     MembershipOptions,
+    MembershipTick,
     OwnStateChanged,
     PeerDoubted,
     RequestReceived,
     Respond,
-    Tick,
 )
 from figpaddle.coordination.tests.memory_network import MemoryNetwork, instance_info
 from figpaddle.wire import Ack, IndirectPing, InstanceState, MemberNews, Message, Ping
@@ -257,12 +257,12 @@
 
 def test_suspicion_does_not_expire_while_the_process_stood_still() -> None:
     core = core_that_knows(1, 2)
-    core.handle(Tick(), now=0.1)
+    core.handle(MembershipTick(), now=0.1)
     give_news(core, MemberNews(info=instance_info(2), suspected=True), now=0.1)
-    core.handle(Tick(), now=100.0)
+    core.handle(MembershipTick(), now=100.0)
     assert states(core)["instance-002"] is InstanceState.SERVING
     for step in range(1, 20):
-        core.handle(Tick(), now=100.0 + step * 0.5)
+        core.handle(MembershipTick(), now=100.0 + step * 0.5)
     assert states(core)["instance-002"] is InstanceState.GONE
 
 
--- a/figpaddle/daemon/_exchanges.py
+++ b/figpaddle/daemon/_exchanges.py
@@ -66,17 +66,26 @@
     def __init__(self, *, key: bytes, own_ip: str) -> None:
         self._seal = Seal(key=key)
         self._own_ip = own_ip
+        #: Exchanges begun.
+        self.exchanges = 0
+        #: Bytes sent, without those of TCP and IP.
+        self.bytes_sent = 0
+        #: Bytes received, without those of TCP and IP.
+        self.bytes_received = 0
 
     async def exchange(self, address: str, item: Message, *, timeout_s: float) -> Message:
         """Return the reply to ``item``; raises PeerUnreachableError or another WireError."""
         nonce = secrets.token_bytes(SEAL_NONCE_BYTES)
         path = base64.urlsafe_b64encode(self._seal.request(nonce, encode(item))).decode()
         head = f"GET {EXCHANGE_PATH}{path} HTTP/1.1\r\nHost: {address}\r\n\r\n"
+        self.exchanges += 1
+        self.bytes_sent += len(head)
         try:
             with anyio.fail_after(timeout_s):
                 answer = await self._converse(address, head.encode())
         except (OSError, TimeoutError, anyio.BrokenResourceError) as error:
             raise PeerUnreachableError(what=type(error).__name__, where=address) from error
+        self.bytes_received += len(answer)
         status, _, body = answer.partition(b"\r\n\r\n")
         if not status.startswith(b"HTTP/1.1 200 "):
             raise PeerUnreachableError(what="no reply", where=address)
--- a/figpaddle/daemon/_membership.py
+++ b/figpaddle/daemon/_membership.py
@@ -17,12 +17,11 @@
     MemberForgotten,
     MembershipEffect,
     MembershipEvent,
+    MembershipTick,
     OwnStateChanged,
     PeerDoubted,
     RequestReceived,
     Respond,
-    Tick,
-    Topology,
 )
 from figpaddle.coordination import Membership as MembershipCore
 from figpaddle.daemon._component import Component
@@ -91,6 +90,11 @@
             "suspected": [record.info.name for record in records if record.suspected],
             "links": list(self._network.open_links),
             "spreading": self._core.spreading_news,
+            "exchanges": {
+                "begun": self._client.exchanges,
+                "bytes_sent": self._client.bytes_sent,
+                "bytes_received": self._client.bytes_received,
+            },
         }
 
     async def run(self) -> None:
@@ -98,7 +102,7 @@
         async with anyio.create_task_group() as tasks:
             self._tasks = tasks
             while True:
-                self._feed(Tick())
+                self._feed(MembershipTick())
                 await anyio.sleep(TICK_INTERVAL_S)
 
     async def leave(self) -> None:
@@ -177,11 +181,7 @@
 
     def _update_links(self) -> None:
         peers = self._directory.peers()
-        topology = Topology(instances=self._directory.instances)
-        self._network.set_addresses(
-            {peer.name: peer.peer_address for peer in peers},
-            linked=topology.links_of(self._directory.own.name),
-        )
+        self._network.set_addresses({peer.name: peer.peer_address for peer in peers})
 
 
 def _ignore(item: Message) -> None:
--- a/figpaddle/daemon/_peers.py
+++ b/figpaddle/daemon/_peers.py
@@ -12,7 +12,7 @@
 import dataclasses
 import random
 import secrets
-from collections.abc import AsyncIterator, Awaitable, Callable, Collection, Mapping
+from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
 from typing import Any
 
 import anyio
@@ -133,21 +133,13 @@
         """Tell ``watcher`` the name of a peer whose link has broken."""
         self._link_watcher = watcher
 
-    def set_addresses(
-        self, addresses: Mapping[str, str], *, linked: Collection[str] | None = None
-    ) -> None:
-        """Set the peers that can be reached, given as name and ``ip:port``.
-
-        Control links are kept to exactly those in ``linked``, or to all if it is None.
-        """
-        wanted = set(addresses) if linked is None else set(linked) & set(addresses)
-        for name in set(self._links) - wanted:
-            self._links.pop(name).scope.cancel()
+    def set_addresses(self, addresses: Mapping[str, str]) -> None:
+        """Keep control links to exactly these peers, given as name and ``ip:port``."""
         for name in set(self._links):
-            if self._addresses.get(name) != addresses[name]:
+            if self._addresses.get(name) != addresses.get(name):
                 self._links.pop(name).scope.cancel()
         self._addresses = dict(addresses)
-        for name in sorted(wanted - set(self._links)):
+        for name in sorted(set(addresses) - set(self._links)):
             self._start_link(name, addresses[name])
 
     def post(self, peer: str, item: Message) -> bool:
@@ -180,16 +172,6 @@
             raise PeerUnreachableError(what=f"refused: {reply.error}: {reply.what}", where=peer)
         return reply
 
-    async def ask(self, address: str, item: Message, *, timeout_s: float) -> Message:
-        """Send ``item`` to an instance known by address only and return the reply."""
-        try:
-            with anyio.fail_after(timeout_s):
-                async with self._dial(address, LinkPurpose.CONTROL) as (socket, _):
-                    await socket.send(encode(item, correlation=1))
-                    return decode(await socket.recv(decode=False))
-        except (OSError, TimeoutError, WebSocketException) as error:
-            raise PeerUnreachableError(what=type(error).__name__, where=address) from error
-
     @contextlib.asynccontextmanager
     async def forward_channel(self, peer: str) -> AsyncIterator[Channel]:
         """Yield a connection for one forwarded request.
