--- a/figpaddle/errors/_base.py
+++ b/figpaddle/errors/_base.py
@@ -49,6 +49,15 @@
     """A peer did not answer within the timeout, or no link to it is open."""
 
 
+class LeaseLostError(FigpaddleError):
+    """This instance doesn't hold the lease, or not any more."""
+
+    def __init__(self, *, holder: str) -> None:
+        super().__init__(
+            what=f"the lease is over; last held by {holder or 'nobody'}", where="lease"
+        )
+
+
 class DocumentError(FigpaddleError):
     """A file that a person wrote has faults; all of them are listed.
 
