--- a/figpaddle/daemon/_configuration_state.py
+++ b/figpaddle/daemon/_configuration_state.py
@@ -24,6 +24,8 @@
         self._current = self._versioned.configuration
         self._confirmed_by_quorum = confirmed_by_quorum
         self._confirmed_at: float | None = None
+        self._digest_of: Configuration | None = None
+        self._digest = ""
 
     @property
     def current(self) -> Configuration:
@@ -40,6 +42,14 @@
         """When a quorum last confirmed that nothing newer was committed, seconds."""
         return self._confirmed_at
 
+    @property
+    def digest(self) -> str:
+        """Digest of the configuration in force."""
+        if self._digest_of is not self._current:
+            self._digest_of = self._current
+            self._digest = self._current.digest()
+        return self._digest
+
     def install(self, configuration: Configuration) -> bool:
         """Put ``configuration`` in force if it is newer; return whether it was."""
         return self.install_versioned(VersionedConfiguration.bootstrap(configuration))
--- a/figpaddle/daemon/_placer.py
+++ b/figpaddle/daemon/_placer.py
@@ -101,6 +101,12 @@
             clock=self._clock,
         )
 
+    def withdraw(self, head: RequestHead, placement: Placement) -> None:
+        """Give back an admitted choice that is not carried out."""
+        demand = self._demand(head, self._clock())
+        if placement.expected_s is not None:
+            self._admission.failed(demand, target=placement.target)
+
     def reported(self, info: BackendInfo) -> None:
         """Take in an announcement."""
         self._policy.observe(Reported(info=info), now=self._clock())
--- a/figpaddle/errors/_request.py
+++ b/figpaddle/errors/_request.py
@@ -59,6 +59,19 @@
     problem = "invalid-request"
 
 
+class AnnouncementConflictError(RequestError):
+    """Another backend server's announcement that is still valid contradicts this one."""
+
+    status = 409
+    problem = "announcement-conflict"
+
+    def __init__(self, *, name: str, address: str) -> None:
+        super().__init__(
+            what=f"the name {name} or the address {address} is announced otherwise",
+            mend="give each backend server a name and an address of its own",
+        )
+
+
 class UnauthorizedError(RequestError):
     """The caller's key is missing or unknown."""
 
@@ -191,6 +204,20 @@
         )
 
 
+class RequestQuarantinedError(RequestError):
+    """The request is refused because backend servers died while they ran it."""
+
+    status = 422
+    problem = "request-quarantined"
+
+    def __init__(self, *, retry_after_s: float) -> None:
+        super().__init__(
+            what="backend servers died while they ran this request",
+            mend="change the request, or ask an operator to lift the quarantine",
+            retry_after_s=retry_after_s,
+        )
+
+
 class DeadlineExceededError(RequestError):
     """The deadline of the request passed."""
 
--- a/figpaddle/routing/__init__.py
+++ b/figpaddle/routing/__init__.py
@@ -31,6 +31,7 @@
     RegionOption,
     RoundRobinPolicy,
 )
+from figpaddle.routing._quarantine import LOSS_TTL_S, Quarantine, SuspectSlots, Verdict
 from figpaddle.routing._retry_budget import RetryBudget
 from figpaddle.routing._scored import Estimate, PolicyName, ScoredPolicy, make_policy
 
@@ -39,6 +40,7 @@
     "CHARACTERS_PER_TOKEN",
     "DEFAULT_OUTPUT_TOKENS",
     "ENTRY_TTL_S",
+    "LOSS_TTL_S",
     "MAX_CROSSINGS",
     "PREFIX_BLOCK_TOKENS",
     "SPILL_FILL",
@@ -57,13 +59,16 @@
     "Placement",
     "PlacementPolicy",
     "PolicyName",
+    "Quarantine",
     "RegionOption",
-    "RetryBudget",
     "Reported",
+    "RetryBudget",
     "RoundRobinPolicy",
     "ScoredPolicy",
     "Sent",
+    "SuspectSlots",
     "TargetEvent",
+    "Verdict",
     "check_forward",
     "make_policy",
     "permitted_service",
--- a/figpaddle/wire/__init__.py
+++ b/figpaddle/wire/__init__.py
@@ -21,7 +21,7 @@
     PartInForce,
     SubmitChange,
 )
-from figpaddle.wire._forward_messages import ForwardAlive
+from figpaddle.wire._forward_messages import ForwardAlive, ForwardAsk
 from figpaddle.wire._handshake import NONCE_BYTES, Handshake
 from figpaddle.wire._ledger_messages import (
     LedgerAbandon,
@@ -79,6 +79,13 @@
     ServiceSummary,
     Welcome,
 )
+from figpaddle.wire._quarantine_messages import (
+    BackendLoss,
+    SuspectNews,
+    SuspectRecord,
+    SuspectSlot,
+    SuspectSlotReply,
+)
 from figpaddle.wire._sealed import SEAL_NONCE_BYTES, Seal
 
 __all__ = [
@@ -90,6 +97,7 @@
     "AppendReply",
     "AppendRequest",
     "BackendInfo",
+    "BackendLoss",
     "BackendState",
     "BackendsUpdate",
     "CacheEvent",
@@ -102,6 +110,7 @@
     "FormationAnswer",
     "FormationQuestion",
     "ForwardAlive",
+    "ForwardAsk",
     "ForwardBody",
     "ForwardFailed",
     "ForwardHead",
@@ -149,6 +158,10 @@
     "StoredRecord",
     "StoredRelease",
     "SubmitChange",
+    "SuspectNews",
+    "SuspectRecord",
+    "SuspectSlot",
+    "SuspectSlotReply",
     "Sync",
     "SyncReply",
     "Verdict",
