--- a/figpaddle/daemon/_change_submitter.py
+++ b/figpaddle/daemon/_change_submitter.py
@@ -14,9 +14,9 @@
 from figpaddle.wire import ChangeReply, SubmitChange
 
 #: Longest time to find a leader and get its answer, seconds.
-SUBMIT_TIMEOUT_S = 8.0
+SUBMIT_TIMEOUT_S = 6.0
 #: Timeout of one attempt, seconds.
-ATTEMPT_TIMEOUT_S = 3.5
+ATTEMPT_TIMEOUT_S = 2.5
 #: Pause between rounds over the voters, seconds.
 ROUND_S = 0.2
 
--- a/figpaddle/daemon/_voter.py
+++ b/figpaddle/daemon/_voter.py
@@ -65,7 +65,7 @@
 #: Changes of one member that may be on their way; further ones of this member wait.
 MAX_PENDING_CHANGES = 64
 #: Longest wait for a change to be committed, seconds.
-COMMIT_TIMEOUT_S = 3.0
+COMMIT_TIMEOUT_S = 2.0
 #: Pause after a write that found the disk full, seconds.
 FULL_DISK_PAUSE_S = 1.0
 
--- a/tests/control.py
+++ b/tests/control.py
@@ -42,14 +42,20 @@
 
 
 def request(
-    process: Process, method: str, path: str, *, token: str = OPERATOR_TOKEN, plain: Any = None
+    process: Process,
+    method: str,
+    path: str,
+    *,
+    token: str = OPERATOR_TOKEN,
+    plain: Any = None,
+    timeout_s: float = CALL_TIMEOUT_S,
 ) -> httpx.Response:
     return httpx.request(
         method,
         f"http://{process.fields['operators']}/v1/configuration{path}",
         headers={"authorization": f"Bearer {token}"},
         json=plain,
-        timeout=CALL_TIMEOUT_S,
+        timeout=timeout_s,
         trust_env=False,
     )
 
@@ -64,6 +70,7 @@
     *,
     base: int,
     member: str = "hanbit",
+    timeout_s: float = CALL_TIMEOUT_S,
     command_id: str | None = None,
     token: str = OPERATOR_TOKEN,
     **fields: Any,
@@ -75,7 +82,7 @@
         "base_revision": base,
         "configuration": configuration,
     }
-    return request(process, "PUT", f"/{member}", token=token, plain=plain)
+    return request(process, "PUT", f"/{member}", token=token, plain=plain, timeout_s=timeout_s)
 
 
 def accepted(process: Process, **fields: Any) -> int:
--- /dev/null
+++ b/tests/test_control.py
@@ -0,0 +1,197 @@
+"""Changes of the configuration under races, partitions and kills, on one deployment."""
+
+from __future__ import annotations
+
+import json
+import pathlib
+import re
+import signal
+from collections.abc import Iterator
+
+import httpx
+import pytest
+
+from tests.calls import wait_until
+from tests.conftest import EXAMPLES, write_examples
+from tests.control import (
+    VOTERS,
+    accepted,
+    at_once,
+    change,
+    leader,
+    part,
+    request,
+    start,
+    start_voters,
+    wait_in_force,
+)
+from tests.fault_proxy import FaultProxy
+from tests.harness import CUMBRE_TOKEN, OPERATOR_TOKEN, Deployment, Process
+from tests.test_tool import run as run_tool
+
+RELAYED = ("seoul-2", "busan-2")
+ALL = (*VOTERS, *RELAYED)
+
+
+@pytest.fixture(scope="module")
+def running(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Deployment]:
+    folder: pathlib.Path = tmp_path_factory.mktemp("control")
+    with Deployment(folder, proxy=FaultProxy()) as deployment:
+        write_examples(deployment)
+        start_voters(deployment, others=RELAYED)
+        yield deployment
+        for process in deployment.instances.values():
+            assert_revisions_rise(process)
+
+
+def processes(deployment: Deployment, names: tuple[str, ...] = ALL) -> list[Process]:
+    return [deployment.instances[name] for name in names]
+
+
+def assert_revisions_rise(process: Process) -> None:
+    text = "\n".join(process.lines)
+    found = [int(number) for number in re.findall(r"in_force.* revision=(\d+)", text)]
+    assert found == sorted(set(found))
+
+
+def cut_off(deployment: Deployment, name: str) -> None:
+    assert deployment.proxy is not None
+    deployment.proxy.cut(name, "*")
+
+
+def heal(deployment: Deployment) -> None:
+    assert deployment.proxy is not None
+    deployment.proxy.heal()
+
+
+def test_change_is_in_force_everywhere_and_shown(running: Deployment) -> None:
+    revision = accepted(running.instances["busan-2"], share=0.31)
+    wait_in_force(processes(running), revision)
+    rows = request(running.instances["seoul-2"], "GET", "/instances").json()
+    assert sorted(row["instance"] for row in rows) == sorted(ALL)
+    assert len({row["digest"] for row in rows}) == 1
+    assert all(row["reachable"] and row["members"]["hanbit"] == revision for row in rows)
+
+
+def test_tool_applies_answers_and_names_what_it_cannot_reach(running: Deployment) -> None:
+    instance = running.instances["seoul-2"]
+    target = ["--instance", instance.fields["operators"], "--token", OPERATOR_TOKEN]
+    answers = str(EXAMPLES / "hanbit.answers.yaml")
+    running.instances["busan-2"].signal(signal.SIGSTOP)
+    try:
+        applied = run_tool("apply", *target, "--answers", answers, "--output", "json")
+    finally:
+        running.instances["busan-2"].signal(signal.SIGCONT)
+    assert applied.returncode == 0, applied.stderr
+    states = {row["instance"]: row["state"] for row in json.loads(applied.stdout)}
+    assert states == dict.fromkeys(ALL, "in force") | {"busan-2": "unreachable"}
+    conflict = run_tool("apply", *target, "--answers", answers, "--base", "1")
+    assert conflict.returncode == 5 and "configuration-conflict" in conflict.stderr
+    shown = run_tool("configuration", *target)
+    assert shown.returncode == 0 and len(shown.stdout.splitlines()) == 1 + len(ALL)
+
+
+def test_of_two_equal_changes_one_wins_and_the_other_learns_which(running: Deployment) -> None:
+    base = part(running.instances["seoul-1"])["revision"]
+    answers = at_once(
+        [
+            lambda n=name: change(running.instances[n], base=base, command_id=f"race-{n}-{base}")
+            for name in ("seoul-2", "busan-2", "daejeon-1")
+        ]
+    )
+    won = [answer.json() for answer in answers if answer.status_code == 200]
+    lost = [answer.json() for answer in answers if answer.status_code == 409]
+    assert (len(won), len(lost)) == (1, 2)
+    assert {answer["winner"] for answer in lost} == {won[0]["command_id"]}
+
+
+def test_member_can_touch_only_its_own_part(running: Deployment) -> None:
+    instance = running.instances["seoul-2"]
+    page = request(instance, "GET", "", token=CUMBRE_TOKEN).json()
+    assert set(page) == {"instance", "members"} and set(page["members"]) == {"cumbre"}
+    rows = request(instance, "GET", "/instances", token=CUMBRE_TOKEN).json()
+    assert {(row["revision"], *row["members"]) for row in rows} == {(None, "cumbre")}
+    before = part(instance)
+    stolen = change(instance, base=before["revision"], token=CUMBRE_TOKEN)
+    assert stolen.status_code == 403
+
+    own = part(instance, "cumbre")["revision"]
+    accepted(instance, share=0.33)
+    answer = change(instance, base=own, member="cumbre", token=CUMBRE_TOKEN)
+    assert answer.status_code == 200 and answer.json()["revision"] == own + 1
+
+
+@pytest.mark.parametrize("role", ["leader", "follower"])
+def test_kill_of_a_voter_stops_no_change_and_it_catches_up(running: Deployment, role: str) -> None:
+    leading = leader(running)
+    name = leading if role == "leader" else next(one for one in VOTERS if one != leading)
+    running.instances[name].signal(signal.SIGKILL)
+    running.instances[name].popen.wait()
+    share = 0.41 if role == "leader" else 0.42
+    revision = accepted(running.instances["busan-2"], share=share)
+    others = tuple(one for one in ALL if one != name)
+    wait_in_force(processes(running, others), revision)
+    start(running, name, disk=True)
+    wait_in_force(processes(running), revision)
+    assert part(running.instances[name])["configuration"]["share"] == share
+
+
+def test_operators_race_across_a_partition_and_the_isolated_leader_undoes_nothing(
+    running: Deployment,
+) -> None:
+    isolated = leader(running)
+    rest = tuple(name for name in VOTERS if name != isolated)
+    base = part(running.instances[isolated])["revision"]
+    cut_off(running, isolated)
+    answers = at_once(
+        [
+            lambda: change(
+                running.instances[isolated], base=base, command_id="isolated", share=0.51
+            ),
+            lambda: accepted(running.instances[rest[0]], share=0.52),
+        ]
+    )
+    assert answers[0].status_code == 503 and answers[0].json()["outcome"] == "unknown"
+    assert answers[1] == base + 1
+    leader(running, rest)
+    assert part(running.instances[isolated])["revision"] == base
+    heal(running)
+    wait_in_force(processes(running), base + 1)
+    assert [part(process)["configuration"]["share"] for process in processes(running)] == [
+        0.52
+    ] * len(ALL)
+    again = change(running.instances[isolated], base=base, command_id="isolated", share=0.51)
+    assert again.status_code == 409 and again.json()["revision"] == base + 1
+
+
+def test_resend_after_a_lost_answer_gets_the_first_answer_also_from_the_next_leader(
+    running: Deployment,
+) -> None:
+    assert running.proxy is not None
+    base = accepted(running.instances["busan-2"], share=0.60)
+    wait_in_force(processes(running), base)
+    running.proxy.cut("*", "busan-2", both=False)
+    with pytest.raises(httpx.ReadTimeout):
+        change(
+            running.instances["busan-2"], base=base, command_id="lost", share=0.61, timeout_s=1.0
+        )
+    heal(running)
+    wait_in_force(processes(running), base + 1)
+    later = accepted(running.instances["seoul-2"], share=0.62)
+    assert later == base + 2
+
+    def resend() -> tuple[int, int]:
+        answer = change(running.instances["seoul-2"], base=base, command_id="lost", share=0.61)
+        return answer.status_code, answer.json().get("revision", 0)
+
+    assert resend() == (200, base + 1)
+    killed = leader(running)
+    running.instances[killed].signal(signal.SIGKILL)
+    running.instances[killed].popen.wait()
+    wait_until(lambda: resend()[0] != 503, what="another leader answers", timeout_s=30)
+    assert resend() == (200, base + 1)
+    other = change(running.instances["seoul-2"], base=base, command_id="lost", share=0.99)
+    assert other.status_code == 422
+    assert part(running.instances["seoul-2"])["configuration"]["share"] == 0.62
+    start(running, killed, disk=True)
+    wait_in_force(processes(running), later)
