--- a/figpaddle/daemon/_instance.py
+++ b/figpaddle/daemon/_instance.py
@@ -20,7 +20,8 @@
 from figpaddle.daemon._callers import CallersPort
 from figpaddle.daemon._component import Component
 from figpaddle.daemon._control import Control, initial_configuration
-from figpaddle.daemon._forwarder import Forwarder, ForwardReceiver
+from figpaddle.daemon._forward_receiver import ForwardReceiver
+from figpaddle.daemon._forwarder import Forwarder
 from figpaddle.daemon._gateway import Gateway
 from figpaddle.daemon._logs import Log
 from figpaddle.daemon._membership import Membership
@@ -29,7 +30,7 @@
 from figpaddle.daemon._peers import PeerNetwork
 from figpaddle.daemon._regions import RegionView
 from figpaddle.daemon._settings import Settings, load_yaml
-from figpaddle.daemon._sockets import Listener, listen, split_address
+from figpaddle.daemon._sockets import Listener, hand_over, listen, split_address
 from figpaddle.deployment import read_directory
 from figpaddle.routing import BackendTable, LeastLoadPolicy
 from figpaddle.wire import Handshake, InstanceInfo
@@ -217,7 +218,7 @@
 
     async def _serve_port(self, application: Any, listener: Listener) -> None:
         config = Config()
-        config.bind = [f"fd://{listener.socket.fileno()}"]
+        config.bind = [hand_over(listener)]
         config.accesslog = None
         config.errorlog = None
         config.graceful_timeout = 0.5
--- a/figpaddle/errors/__init__.py
+++ b/figpaddle/errors/__init__.py
@@ -28,12 +28,14 @@
 )
 from figpaddle.errors._request import (
     BackendServerLostError,
+    BodyTimeoutError,
     BodyTooLargeError,
     DeadlineExceededError,
     DrainingError,
     ForbiddenError,
     ForwardingLoopError,
     ForwardRefusedError,
+    InvalidAnswerError,
     InvalidRequestError,
     NoBackendServerError,
     Outcome,
@@ -46,6 +48,7 @@
 
 __all__ = [
     "BackendServerLostError",
+    "BodyTimeoutError",
     "BodyTooLargeError",
     "ChangeConflictError",
     "CommandReusedError",
@@ -63,6 +66,7 @@
     "ForwardRefusedError",
     "ForwardingLoopError",
     "HandshakeError",
+    "InvalidAnswerError",
     "InvalidRequestError",
     "LogConflictError",
     "MalformedMessageError",
--- a/figpaddle/wire/__init__.py
+++ b/figpaddle/wire/__init__.py
@@ -21,6 +21,7 @@
     PartInForce,
     SubmitChange,
 )
+from figpaddle.wire._forward_messages import ForwardAlive
 from figpaddle.wire._handshake import NONCE_BYTES, Handshake
 from figpaddle.wire._log_messages import (
     AppendReply,
@@ -70,6 +71,7 @@
     "ConfigurationNews",
     "ConfigurationQuestion",
     "DirectoryExchange",
+    "ForwardAlive",
     "Entry",
     "EntryKind",
     "FormationAnswer",
