--- a/figpaddle/coordination/_leadership.py
+++ b/figpaddle/coordination/_leadership.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
+import dataclasses
 from typing import TYPE_CHECKING
 
 from figpaddle.coordination._log import Log
-from figpaddle.coordination._log_types import LogTiming, ReadReady
+from figpaddle.coordination._log_types import LogSettings, ReadReady
 from figpaddle.coordination._progress import Progress, Progresses
 from figpaddle.errors import CoordinationError
 from figpaddle.wire import (
@@ -35,13 +36,13 @@
         *,
         replica: Replica,
         log: Log,
-        timing: LogTiming,
+        settings: LogSettings,
         eligible: tuple[str, ...],
         now: float,
     ) -> None:
         self._replica = replica
         self._log = log
-        self._timing = timing
+        self._settings = settings
         self._eligible = eligible
         self._followers = Progresses(own=replica.peer, now=now)
         self._heartbeat_due = now
@@ -75,7 +76,7 @@
     def has_lost_quorum(self, now: float) -> bool:
         """Return whether no quorum has answered for an election timeout."""
         alone = self._membership.is_quorum({self._replica.peer})
-        return not alone and now - self.quorum_contact() > self._timing.election_s
+        return not alone and now - self.quorum_contact() > self._settings.election_s
 
     def tick(self, now: float) -> None:
         """Send heartbeats if they are due."""
@@ -130,7 +131,10 @@
             return
         progress.round = max(progress.round, reply.round)
         progress.in_flight = False
-        if reply.accepted:
+        if self._takes_snapshot(reply, progress):
+            progress.snapshot_offset = reply.snapshot_offset
+            progress.snapshot_due = now
+        elif reply.accepted:
             progress.match_index = max(progress.match_index, reply.match_index)
             progress.next_index = max(progress.next_index, progress.match_index + 1)
         else:
@@ -142,6 +146,10 @@
         if not reply.accepted or progress.next_index <= self._log.last_index:
             self._send_to(reply.sender, progress, now)
 
+    def _takes_snapshot(self, reply: AppendReply, progress: Progress) -> bool:
+        sent = reply.snapshot_index == progress.snapshot_index == self._log.snapshot.index
+        return not reply.accepted and reply.snapshot_index > 0 and sent
+
     def _append(
         self, kind: EntryKind, *, data: bytes = b"", membership: LogMembership | None = None
     ) -> None:
@@ -163,7 +171,7 @@
         self._advance_commit(now)
 
     def _broadcast(self, now: float) -> None:
-        self._heartbeat_due = now + self._timing.heartbeat_s
+        self._heartbeat_due = now + self._settings.heartbeat_s
         self._followers.next_round(now)
         for peer in self._membership.peers:
             progress = self._followers.of(peer)
@@ -176,7 +184,7 @@
         if previous_term is None:
             self._send_snapshot(peer, progress, now)
             return
-        entries = self._log.after(previous, limit=MAX_BATCH_ENTRIES)
+        entries = self._batch(previous)
         progress.in_flight = bool(entries)
         self._replica.send(
             AppendRequest(
@@ -191,17 +199,33 @@
             )
         )
 
+    def _batch(self, previous: int) -> tuple[Entry, ...]:
+        entries = self._log.after(previous, limit=MAX_BATCH_ENTRIES)
+        size = 0
+        for count, entry in enumerate(entries):
+            size += len(entry.data)
+            if count and size > self._settings.batch_bytes:
+                return entries[:count]
+        return entries
+
     def _send_snapshot(self, peer: Peer, progress: Progress, now: float) -> None:
-        if now < progress.snapshot_due:
+        snapshot = self._log.snapshot
+        if progress.snapshot_index != snapshot.index:
+            progress.snapshot_index, progress.snapshot_offset = snapshot.index, 0
+        elif now < progress.snapshot_due:
             return
+        offset = progress.snapshot_offset
+        end = offset + self._settings.chunk_bytes
         progress.in_flight = True
-        progress.snapshot_due = now + self._timing.election_s
+        progress.snapshot_due = now + self._settings.election_s
         self._replica.send(
             SnapshotRequest(
                 term=self._replica.term,
                 sender=self._replica.peer,
                 receiver=peer,
-                snapshot=self._log.snapshot,
+                snapshot=dataclasses.replace(snapshot, data=snapshot.data[offset:end]),
+                offset=offset,
+                last=end >= len(snapshot.data),
                 round=self._followers.round,
             )
         )
--- a/figpaddle/coordination/_log_types.py
+++ b/figpaddle/coordination/_log_types.py
@@ -29,8 +29,8 @@
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
-class LogTiming:
-    """Intervals of a replica."""
+class LogSettings:
+    """Intervals and sizes of a replica."""
 
     #: Interval of heartbeats, seconds.
     heartbeat_s: float = 0.25
@@ -38,6 +38,10 @@
     election_s: float = 1.5
     #: Interval at which a replica outside the membership asks to join, seconds.
     join_s: float = 0.5
+    #: Most bytes of commands in one message, unless a single one is larger.
+    batch_bytes: int = 512 * 1024
+    #: Bytes of a snapshot in one message.
+    chunk_bytes: int = 256 * 1024
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/figpaddle/coordination/_progress.py
+++ b/figpaddle/coordination/_progress.py
@@ -19,7 +19,10 @@
     in_flight: bool = False
     #: Last heartbeat round that it answered.
     round: int = 0
-    #: When a snapshot may be sent again, seconds.
+    #: Snapshot that is being sent, by its last entry, and the bytes known to have arrived.
+    snapshot_index: int = 0
+    snapshot_offset: int = 0
+    #: When a piece of the snapshot may be sent again, seconds.
     snapshot_due: float = float("-inf")
 
 
--- a/figpaddle/coordination/_replica.py
+++ b/figpaddle/coordination/_replica.py
@@ -8,6 +8,7 @@
 
 import random
 
+from figpaddle.coordination._followership import Followership
 from figpaddle.coordination._leadership import Leadership
 from figpaddle.coordination._log import Log
 from figpaddle.coordination._log_types import (
@@ -18,7 +19,7 @@
     Effect,
     Event,
     HardState,
-    LogTiming,
+    LogSettings,
     Persist,
     Propose,
     Read,
@@ -56,7 +57,7 @@
     >>> one = Peer(name="one", incarnation="a")
     >>> state = DurableState(peer=one, snapshot=first_snapshot(LogMembership(voters=(one,))))
     >>> replica = Replica(
-    ...     state=state, timing=LogTiming(), eligible=("one",), rng=random.Random(1), now=0.0
+    ...     state=state, settings=LogSettings(), eligible=("one",), rng=random.Random(1), now=0.0
     ... )
     >>> effects = replica.handle(Tick(), 5.0)
     >>> replica.role.value, replica.term
@@ -67,13 +68,13 @@
         self,
         *,
         state: DurableState,
-        timing: LogTiming,
+        settings: LogSettings,
         eligible: tuple[str, ...],
         rng: random.Random,
         now: float,
     ) -> None:
         self._peer = state.peer
-        self._timing = timing
+        self._settings = settings
         self._eligible = eligible
         self._rng = rng
         self._hard = state.hard
@@ -89,6 +90,7 @@
         self._saved = self._hard
         self._unsaved_from: int | None = None
         self._unsaved_snapshot: Snapshot | None = None
+        self._followership = Followership(replica=self, log=self._log)
         self._reset_election_timer(now)
 
     @property
@@ -203,7 +205,7 @@
         self._reset_election_timer(now)
 
     def _reset_election_timer(self, now: float) -> None:
-        shortest = self._timing.election_s
+        shortest = self._settings.election_s
         self._election_due = now + self._rng.uniform(shortest, 2 * shortest)
 
     def _follow(self, term: int, leader: Peer | None, now: float) -> None:
@@ -233,7 +235,7 @@
     def _ask_to_join(self, now: float) -> None:
         if now < self._join_due:
             return
-        self._join_due = now + self._timing.join_s
+        self._join_due = now + self._settings.join_s
         for name in self._eligible:
             if name != self._peer.name:
                 self._effects.append(Send(receiver=name, message=JoinRequest(peer=self._peer)))
@@ -278,7 +280,7 @@
         self._leadership = Leadership(
             replica=self,
             log=self._log,
-            timing=self._timing,
+            settings=self._settings,
             eligible=self._eligible,
             now=now,
         )
@@ -307,7 +309,7 @@
     def _hears_leader(self, now: float) -> bool:
         if self._leadership is not None:
             return True
-        return self._leader is not None and now < self._leader_contact + self._timing.election_s
+        return self._leader is not None and now < self._leader_contact + self._settings.election_s
 
     def _is_up_to_date(self, message: VoteRequest) -> bool:
         theirs = (message.last_term, message.last_index)
@@ -362,53 +364,21 @@
 
     def _on_leader_message(self, message: AppendRequest | SnapshotRequest, now: float) -> None:
         if message.term < self._hard.term:
-            self._reply_append(message, accepted=False, match_index=0)
+            self._followership.refuse(message)
             return
         self._follow(message.term, message.sender, now)
         if isinstance(message, SnapshotRequest):
-            self._on_snapshot(message)
+            self._followership.on_snapshot(message)
         else:
-            self._on_append(message)
-
-    def _on_append(self, message: AppendRequest) -> None:
-        previous = message.previous_index
-        base = self._log.snapshot.index
-        if previous >= base and self._log.term_at(previous) != message.previous_term:
-            hint = max(self._commit, min(self._log.last_index, previous - 1))
-            self._reply_append(message, accepted=False, match_index=hint)
-            return
-        for entry in message.entries:
-            if entry.index > base and self._log.term_at(entry.index) != entry.term:
-                self.append(entry)
-        match_index = previous + len(message.entries)
-        self.commit(min(message.commit, match_index))
-        self._reply_append(message, accepted=True, match_index=match_index)
-
-    def _on_snapshot(self, message: SnapshotRequest) -> None:
-        snapshot = message.snapshot
-        if self._log.term_at(snapshot.index) == snapshot.term:
-            self.commit(snapshot.index)
-        elif snapshot.index > self._commit:
-            self._log.reset(snapshot)
-            self._commit = snapshot.index
-            self._unsaved_snapshot = snapshot
-            self._unsaved_from = None
-            self._effects.append(Restore(snapshot=snapshot))
-        self._reply_append(message, accepted=True, match_index=snapshot.index)
-
-    def _reply_append(
-        self, message: AppendRequest | SnapshotRequest, *, accepted: bool, match_index: int
-    ) -> None:
-        self.send(
-            AppendReply(
-                term=self._hard.term,
-                sender=self._peer,
-                receiver=message.sender,
-                accepted=accepted,
-                match_index=match_index,
-                round=message.round,
-            )
-        )
+            self._followership.on_append(message)
+
+    def restore(self, snapshot: Snapshot) -> None:
+        """Replace the log and the machine by ``snapshot``."""
+        self._log.reset(snapshot)
+        self._commit = snapshot.index
+        self._unsaved_snapshot = snapshot
+        self._unsaved_from = None
+        self._effects.append(Restore(snapshot=snapshot))
 
 
 def first_snapshot(membership: LogMembership, data: bytes = b"") -> Snapshot:
--- a/figpaddle/coordination/tests/cluster.py
+++ b/figpaddle/coordination/tests/cluster.py
@@ -11,7 +11,7 @@
     DurableState,
     Effect,
     Event,
-    LogTiming,
+    LogSettings,
     Persist,
     Propose,
     Received,
@@ -25,7 +25,7 @@
 from figpaddle.errors import CoordinationError
 from figpaddle.wire import EntryKind, LogMembership, Peer, VoteReply
 
-TIMING = LogTiming(heartbeat_s=1.0, election_s=5.0, join_s=3.0)
+TIMING = LogSettings(heartbeat_s=1.0, election_s=5.0, join_s=3.0, batch_bytes=8, chunk_bytes=32)
 COMPACT_AFTER = 6
 
 
@@ -82,7 +82,7 @@
 
     def _node(self, name: str, disk: DurableState) -> Node:
         replica = self.replica(
-            state=disk, timing=TIMING, eligible=self.names, rng=self.rng, now=self.now
+            state=disk, settings=TIMING, eligible=self.names, rng=self.rng, now=self.now
         )
         node = Node(name=name, disk=disk, replica=replica)
         self._restore(node, disk.snapshot.data, disk.snapshot.index)
--- a/figpaddle/coordination/tests/test_replica.py
+++ b/figpaddle/coordination/tests/test_replica.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import random
 
 import pytest
@@ -11,12 +12,13 @@
     DurableState,
     Effect,
     HardState,
-    LogTiming,
+    LogSettings,
     Propose,
     Read,
     ReadReady,
     Received,
     Replica,
+    Restore,
     Role,
     Send,
     Tick,
@@ -39,7 +41,7 @@
 
 A, B, C = (Peer(name=name, incarnation="1") for name in "abc")
 ALL = LogMembership(voters=(A, B, C))
-TIMING = LogTiming(heartbeat_s=1.0, election_s=5.0, join_s=2.0)
+TIMING = LogSettings(heartbeat_s=1.0, election_s=5.0, join_s=2.0)
 MUCH_LATER = 20.0
 
 
@@ -57,7 +59,7 @@
         entries=entries,
     )
     return Replica(
-        state=state, timing=TIMING, eligible=("a", "b", "c"), rng=random.Random(1), now=now
+        state=state, settings=TIMING, eligible=("a", "b", "c"), rng=random.Random(1), now=now
     )
 
 
@@ -109,11 +111,55 @@
 def test_late_snapshot_keeps_entries_acknowledged_after_it() -> None:
     one = replica(terms=(1, 1, 1, 1))
     snapshot = Snapshot(index=2, term=1, membership=ALL, data=b"")
-    request = SnapshotRequest(term=1, sender=B, receiver=A, snapshot=snapshot, round=1)
+    request = SnapshotRequest(
+        term=1, sender=B, receiver=A, snapshot=snapshot, offset=0, last=True, round=1
+    )
     one.handle(Received(message=request), 1.0)
     assert (one.commit_index, one.log.last_index) == (2, 4)
 
 
+def test_snapshot_is_taken_only_whole_and_in_order() -> None:
+    one = replica()
+    snapshot = Snapshot(index=5, term=1, membership=ALL, data=b"")
+    received = []
+    for offset, data, last in [(0, b"ab", False), (4, b"ef", True), (2, b"cd", False)]:
+        piece = dataclasses.replace(snapshot, data=data)
+        request = SnapshotRequest(
+            term=1, sender=B, receiver=A, snapshot=piece, offset=offset, last=last, round=1
+        )
+        (reply,) = sent(one.handle(Received(message=request), 1.0))
+        assert isinstance(reply, AppendReply) and not reply.accepted
+        received.append(reply.snapshot_offset)
+    assert (received, one.commit_index) == ([2, 2, 4], 0)
+    end = SnapshotRequest(
+        term=1,
+        sender=B,
+        receiver=A,
+        snapshot=dataclasses.replace(snapshot, data=b"ef"),
+        offset=4,
+        last=True,
+        round=1,
+    )
+    effects = one.handle(Received(message=end), 1.0)
+    assert Restore(snapshot=dataclasses.replace(snapshot, data=b"abcdef")) in effects
+    assert one.commit_index == 5
+
+
+def test_large_entries_travel_in_several_messages() -> None:
+    one = leader()
+    accept(one, B, 1, MUCH_LATER)
+    for _ in range(5):
+        one.handle(Propose(data=b"x" * 400_000), MUCH_LATER)
+    sizes = []
+    index = 2
+    while index < 6:
+        (message,) = sent(accept(one, B, index, MUCH_LATER))
+        assert isinstance(message, AppendRequest)
+        sizes.append(sum(len(entry.data) for entry in message.entries))
+        index += len(message.entries)
+    assert max(sizes) <= 512 * 1024
+
+
 def test_entry_of_an_earlier_term_is_committed_only_below_one_of_the_own_term() -> None:
     one = replica(term=1, terms=(1, 1))
     for trial in (True, False):
--- a/figpaddle/coordination/tests/test_schedules.py
+++ b/figpaddle/coordination/tests/test_schedules.py
@@ -10,7 +10,7 @@
 from figpaddle.coordination.tests.cluster import Cluster, InvariantViolatedError
 
 STEPS = 3000
-SEEDS = range(12)
+SEEDS = range(60)
 
 
 def run(
--- a/figpaddle/daemon/_configuration_port.py
+++ b/figpaddle/daemon/_configuration_port.py
@@ -83,7 +83,7 @@
         page: dict[str, Any] = {"instance": self._directory.own.name, "members": members}
         if operator.member is None:
             page["revision"] = versioned.revision
-            page["digest"] = versioned.configuration.digest()
+            page["digest"] = versioned.digest
         return page
 
     async def _instances(self, operator: OperatorSettings) -> list[dict[str, Any]]:
--- a/figpaddle/daemon/_distribution.py
+++ b/figpaddle/daemon/_distribution.py
@@ -137,7 +137,7 @@
             revision=newest.revision,
             since=since,
             parts=newest.parts_since(since),
-            digest=newest.configuration.digest(),
+            digest=newest.digest,
             confirmed_s=confirmed_s,
         )
 
@@ -161,7 +161,7 @@
         versioned = self._state.versioned
         return InForce(
             revision=versioned.revision,
-            digest=versioned.configuration.digest(),
+            digest=versioned.digest,
             parts=tuple(
                 PartInForce(member=part.member.name, revision=part.revision, digest=part.digest())
                 for part in versioned.parts
@@ -176,7 +176,7 @@
             self._ask_now.set()
             return
         merged = base.merged(news.revision, news.parts)
-        if merged.configuration.digest() != news.digest:
+        if merged.digest != news.digest:
             self._log.warning("configuration_digest_differs", revision=news.revision)
             self._ask_for_all = True
             self._ask_now.set()
--- a/figpaddle/daemon/_formation.py
+++ b/figpaddle/daemon/_formation.py
@@ -99,7 +99,7 @@
             peer=state.peer,
             blank=state.blank,
             voters=self._voters,
-            digest=self._bootstrap.configuration.digest(),
+            digest=self._bootstrap.digest,
         )
 
     async def _on_question(self, peer: str, item: FormationQuestion) -> Message | None:
--- a/figpaddle/daemon/_voter.py
+++ b/figpaddle/daemon/_voter.py
@@ -16,7 +16,7 @@
     DurableState,
     Effect,
     Event,
-    LogTiming,
+    LogSettings,
     Persist,
     Propose,
     Received,
@@ -236,7 +236,7 @@
     def _start(self, state: DurableState) -> None:
         self._replica = Replica(
             state=state,
-            timing=LogTiming(),
+            settings=LogSettings(),
             eligible=self._voters,
             rng=self._rng,
             now=self._clock(),
--- a/figpaddle/deployment/_changes.py
+++ b/figpaddle/deployment/_changes.py
@@ -16,6 +16,8 @@
 
 #: Answers kept for each member; a resend that comes later gets a conflict, never a second run.
 RETAINED_ANSWERS = 1024
+#: Answers kept for all members; beyond it the member with the most loses its oldest one.
+RETAINED_ANSWERS_IN_ALL = 16384
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -108,7 +110,8 @@
 class ChangeMachine:
     """Applies changes in the order of the log; every replica reaches the same state.
 
-    Answers are kept by member, so one member's changes never push out another's. Once an answer
+    Answers are kept by member, and where there are too many in all, the member with the most loses
+    one, so a flood pushes out its own member's answers only. Once an answer
     is no longer kept, the base revision still guards: it is lower than the member's revision,
     so a resend gets a conflict and changes nothing.
     """
@@ -116,6 +119,7 @@
     def __init__(self, *, versioned: VersionedConfiguration) -> None:
         self._versioned = versioned
         self._answers: dict[str, dict[tuple[str, str], _Kept]] = {}
+        self._kept_in_all = 0
 
     @property
     def versioned(self) -> VersionedConfiguration:
@@ -150,6 +154,7 @@
         """Replace the state by a snapshot; an empty one leaves nothing."""
         if not data:
             self._versioned, self._answers = VersionedConfiguration(), {}
+            self._kept_in_all = 0
             return
         state = _SNAPSHOT.validate_python(cbor2.loads(data))
         self._versioned = state.versioned
@@ -157,6 +162,7 @@
             name: {(one.operator, one.command_id): one for one in kept}
             for name, kept in state.answers.items()
         }
+        self._kept_in_all = sum(len(kept) for kept in self._answers.values())
 
     def _decide(self, change: Change) -> ChangeAnswer:
         part = self._versioned.part(change.member.name)
@@ -192,5 +198,13 @@
             digest=change.digest(),
             answer=answer,
         )
+        self._kept_in_all += 1
         while len(kept) > RETAINED_ANSWERS:
-            del kept[next(iter(kept))]
+            self._drop_oldest(kept)
+        while self._kept_in_all > RETAINED_ANSWERS_IN_ALL:
+            most = max(sorted(self._answers), key=lambda name: len(self._answers[name]))
+            self._drop_oldest(self._answers[most])
+
+    def _drop_oldest(self, kept: dict[tuple[str, str], _Kept]) -> None:
+        del kept[next(iter(kept))]
+        self._kept_in_all -= 1
--- a/figpaddle/deployment/_versions.py
+++ b/figpaddle/deployment/_versions.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import functools
 import hashlib
 import json
 
@@ -67,7 +68,12 @@
         ]
         return cls(revision=revision, parts=_ordered(parts))
 
-    @property
+    @functools.cached_property
+    def digest(self) -> str:
+        """A short digest of the content, equal for equal configurations."""
+        return self.configuration.digest()
+
+    @functools.cached_property
     def configuration(self) -> Configuration:
         """What is in force at this revision."""
         return Configuration(
--- a/figpaddle/deployment/tests/test_changes.py
+++ b/figpaddle/deployment/tests/test_changes.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -95,6 +96,20 @@
     assert machine.answer_to(own) == first
 
 
+def test_too_many_answers_in_all_cost_the_member_with_the_most(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr("figpaddle.deployment._changes.RETAINED_ANSWERS_IN_ALL", 6)
+    machine = ChangeMachine(versioned=BOOTSTRAP)
+    modest = [make(f"m{number}", 2 + number, member="cumbre") for number in range(2)]
+    greedy = [make(f"g{number}", 2 + number) for number in range(10)]
+    for change in (*modest, *greedy):
+        apply(machine, change)
+    for one in (machine, restored(machine)):
+        assert [one.answer_to(change) is not None for change in modest] == [True] * 2
+        assert [one.answer_to(change) is not None for change in greedy] == [False] * 6 + [True] * 4
+
+
 STEPS = st.lists(
     st.tuples(st.sampled_from(["hanbit", "cumbre", "new"]), st.integers(0, 5), st.integers(0, 3)),
     max_size=30,
--- a/figpaddle/wire/_log_messages.py
+++ b/figpaddle/wire/_log_messages.py
@@ -168,15 +168,23 @@
     match_index: int
     #: Round of the request.
     round: int
+    #: Last entry of the snapshot that is being received, 0 for none.
+    snapshot_index: int = 0
+    #: Bytes of that snapshot received so far.
+    snapshot_offset: int = 0
 
 
 @message("log.snapshot_request")
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class SnapshotRequest(LogMessage):
-    """The leader's snapshot for a replica that needs entries which are no longer kept."""
+    """A piece of the leader's snapshot, for a replica that needs entries no longer kept."""
 
-    #: The snapshot.
+    #: The snapshot, of its data only the bytes from ``offset`` on that fit.
     snapshot: Snapshot
+    #: Where the piece begins in the data.
+    offset: int
+    #: Whether the data ends with it.
+    last: bool
     #: Number of the leader's heartbeat round.
     round: int
 
--- a/scripts/measure_control.py
+++ b/scripts/measure_control.py
@@ -7,6 +7,7 @@
 
 import concurrent.futures
 import datetime
+import os
 import pathlib
 import random
 import re
@@ -21,7 +22,7 @@
     Apply,
     DurableState,
     HardState,
-    LogTiming,
+    LogSettings,
     Persist,
     Propose,
     Received,
@@ -47,7 +48,10 @@
 from tests.harness import OPERATOR_TOKEN, Deployment, Process
 
 VOTERS = ("seoul-1", "busan-1", "daejeon-1")
-OTHERS = tuple(f"{region}-{n}" for region in ("seoul", "busan", "daejeon") for n in (2, 3))
+OTHERS = tuple(f"{region}-{n}" for n in range(2, 10) for region in ("seoul", "busan", "daejeon"))
+NODES = 9
+SIZES = (3, 9, 27)
+SETTLE_S = 2.0
 CHANGES = 200
 CLIENTS = 16
 LOAD_S = 5.0
@@ -100,13 +104,13 @@
 def measure_spread(deployment: Deployment, prefix: str, changes: int) -> None:
     """Time from the operator's request, and from its answer, to the last of nine processes."""
     processes = list(deployment.instances.values())
-    entry = deployment.instances["busan-3"]
+    entry = processes[-1]
     first = revision(entry)
     sent, answered = {}, {}
     with httpx.Client(headers=HEADERS, trust_env=False) as client:
         for number in range(changes):
             sent[first + 1 + number] = time.time()
-            assert put(client, entry, "spread", number, 0.1) == 200
+            assert put(client, entry, prefix.replace("_", "-"), number, 0.1) == 200
             answered[first + 1 + number] = time.time()
             time.sleep(0.02)
     last = first + changes
@@ -198,39 +202,56 @@
     show("recovery_worst_s", max(times))
 
 
-def measure_traffic() -> None:
-    """Bytes between the processes: idle, and for each change."""
+def processor_s(processes: list[Process]) -> float:
+    """Return the processor time that the processes have used, seconds."""
+    ticks = 0
+    for process in processes:
+        fields = pathlib.Path(f"/proc/{process.popen.pid}/stat").read_text().split()
+        ticks += int(fields[13]) + int(fields[14])
+    return ticks / os.sysconf("SC_CLK_TCK")
+
+
+def measure_traffic(size: int, *, wide: bool) -> None:
+    """Bytes and processor time of ``size`` processes: idle, and for each change."""
     folder = pathlib.Path(tempfile.mkdtemp())
+    names = (*VOTERS, *OTHERS)[:size]
     with Deployment(folder, proxy=FaultProxy()) as deployment:
         write_examples(deployment)
-        start_voters(deployment, voters=VOTERS, others=OTHERS)
+        start_voters(deployment, voters=VOTERS, others=names[len(VOTERS) :])
         assert deployment.proxy is not None
-        names = (*VOTERS, *OTHERS)
+        proxy = deployment.proxy
+        processes = list(deployment.instances.values())
 
         def recorded() -> int:
-            data = deployment.proxy.recorded()
+            data = proxy.recorded()
             return sum(len(b) for (a, z), b in data.items() if a in names and z in names)
 
-        deployment.proxy.record()
+        time.sleep(SETTLE_S)
+        proxy.record()
+        spent = processor_s(processes)
         time.sleep(IDLE_S)
         idle = recorded() / IDLE_S
-        deployment.proxy.record()
+        show(f"nodes_{size}_idle_peer_bytes_per_s_per_node", idle / size, 0)
+        busy = (processor_s(processes) - spent) / IDLE_S / size
+        show(f"nodes_{size}_idle_core_percent_per_node", busy * 100, 2)
+        proxy.record()
         begun = time.monotonic()
         with httpx.Client(headers=HEADERS, trust_env=False) as client:
             process = deployment.instances[leader(deployment)]
             for number in range(RECORDED_CHANGES):
                 assert put(client, process, "traffic", number, 0.1) == 200
         elapsed = time.monotonic() - begun
-        changed = recorded() - idle * elapsed
-        for one in names:
-            for other in names:
-                if one.split("-")[0] != other.split("-")[0]:
-                    deployment.proxy.delay(one, other, LINK_DELAY_S, both=False)
-        time.sleep(2.0)
-        measure_spread(deployment, "wide", WIDE_CHANGES)
-    show("idle_peer_bytes_per_s_per_node", idle / len(names), 0)
-    show("peer_bytes_per_change", changed / RECORDED_CHANGES, 0)
-    show("peer_bytes_per_change_per_node", changed / RECORDED_CHANGES / len(names), 0)
+        changed = (recorded() - idle * elapsed) / RECORDED_CHANGES
+        show(f"nodes_{size}_peer_bytes_per_change", changed, 0)
+        show(f"nodes_{size}_peer_bytes_per_change_per_node", changed / size, 0)
+        measure_spread(deployment, f"nodes_{size}", RECORDED_CHANGES)
+        if wide:
+            for one in names:
+                for other in names:
+                    if one.split("-")[0] != other.split("-")[0]:
+                        proxy.delay(one, other, LINK_DELAY_S, both=False)
+            time.sleep(SETTLE_S)
+            measure_spread(deployment, f"nodes_{size}_80ms", WIDE_CHANGES)
 
 
 def command(number: int) -> bytes:
@@ -271,7 +292,7 @@
     replicas = {
         peer.name: Replica(
             state=DurableState(peer=peer, snapshot=snapshot),
-            timing=LogTiming(),
+            settings=LogSettings(),
             eligible=(),
             rng=random.Random(number),
             now=0.0,
@@ -311,12 +332,13 @@
     folder = pathlib.Path(tempfile.mkdtemp())
     with Deployment(folder) as deployment:
         write_examples(deployment)
-        start_voters(deployment, voters=VOTERS, others=OTHERS)
+        start_voters(deployment, voters=VOTERS, others=OTHERS[: NODES - len(VOTERS)])
         measure_spread(deployment, "local", CHANGES)
         measure_flood(deployment)
         measure_rate(deployment)
         measure_recovery(deployment)
-    measure_traffic()
+    for size in SIZES:
+        measure_traffic(size, wide=size == NODES)
     for changes in (500, 5000):
         measure_replay(changes)
     for voters in (3, 5, 9, 23):
--- a/tests/test_control_disks.py
+++ b/tests/test_control_disks.py
@@ -85,18 +85,19 @@
     first = accepted(running.instances["seoul-1"], share=0.21)
     wait_in_force(list(running.instances.values()), first)
     in_force = revision(running.instances["daejeon-1"])
-    kill(running, "seoul-1", "busan-1")
-    alone = running.instances["daejeon-1"]
+    left = leader(running)
+    dead = [name for name in VOTERS if name != left]
+    kill(running, *dead)
     with pytest.raises(httpx.ReadTimeout):
-        change(alone, base=first, command_id="alone", share=0.9, timeout_s=2.0)
-    kill(running, "daejeon-1")
-    alone = start(running, "daejeon-1", disk=True)
+        change(running.instances[left], base=first, command_id="alone", share=0.9, timeout_s=2.0)
+    kill(running, left)
+    alone = start(running, left, disk=True)
     assert revision(alone) == in_force
     rows = request(alone, "GET", "/instances").json()
-    assert not {"seoul-1", "busan-1"} & {row["instance"] for row in rows if row["reachable"]}
-    start(running, "busan-1", disk=True)
-    assert accepted(running.instances["busan-1"], share=0.22) > first
-    start(running, "seoul-1", disk=True)
+    assert not {row["instance"] for row in rows if row["reachable"]}.intersection(dead)
+    start(running, dead[0], disk=True)
+    assert accepted(running.instances[dead[0]], share=0.22) > first
+    start(running, dead[1], disk=True)
 
 
 def test_500_changes_survive_a_kill_of_all_voters(running: Deployment) -> None:
