--- a/figpaddle/daemon/_configuration_state.py
+++ b/figpaddle/daemon/_configuration_state.py
@@ -32,14 +32,6 @@
         """The configuration in force."""
         return self._current
 
-    @property
-    def digest(self) -> str:
-        """Digest of the configuration in force."""
-        if self._digest_of is not self._current:
-            self._digest_of = self._current
-            self._digest = self._current.digest()
-        return self._digest
-
     @property
     def versioned(self) -> VersionedConfiguration:
         """The configuration in force with the origin of its parts."""
@@ -50,6 +42,14 @@
         """When a quorum last confirmed that nothing newer was committed, seconds."""
         return self._confirmed_at
 
+    @property
+    def digest(self) -> str:
+        """Digest of the configuration in force."""
+        if self._digest_of is not self._current:
+            self._digest_of = self._current
+            self._digest = self._current.digest()
+        return self._digest
+
     def install(self, configuration: Configuration) -> bool:
         """Put ``configuration`` in force if it is newer; return whether it was."""
         return self.install_versioned(VersionedConfiguration.bootstrap(configuration))
--- a/figpaddle/daemon/_forward_receiver.py
+++ b/figpaddle/daemon/_forward_receiver.py
@@ -122,6 +122,8 @@
             deadline_at=self._clock() + opened.deadline_s,
             deadline_s=opened.deadline_s,
             priority=opened.priority,
+            prompt=opened.prompt,
+            spilled=opened.spilled,
             visited=opened.visited,
             crossings=opened.crossings,
         )
--- a/figpaddle/daemon/_forwarder.py
+++ b/figpaddle/daemon/_forwarder.py
@@ -168,6 +168,8 @@
             configuration_revision=self._configuration.current.revision,
             idempotent=head.idempotent,
             priority=head.priority,
+            prompt=head.prompt,
+            spilled=head.spilled,
         )
 
 
--- a/figpaddle/daemon/_gateway.py
+++ b/figpaddle/daemon/_gateway.py
@@ -8,6 +8,7 @@
 import anyio
 
 from figpaddle.coordination import InstanceDirectory
+from figpaddle.daemon._at_most_once import AtMostOnce
 from figpaddle.daemon._backend_client import BackendClient
 from figpaddle.daemon._configuration_state import ConfigurationState
 from figpaddle.daemon._exchange import (
@@ -19,8 +20,8 @@
 )
 from figpaddle.daemon._forwarder import Forwarder
 from figpaddle.daemon._logs import Log
+from figpaddle.daemon._placer import Placer, ProgressSink
 from figpaddle.daemon._quarantine import QuarantineKeeper
-from figpaddle.daemon._regions import RegionView
 from figpaddle.daemon._retries import Attempts
 from figpaddle.deployment import ServiceConfiguration
 from figpaddle.errors import (
@@ -36,9 +37,7 @@
 from figpaddle.routing import (
     BackendTable,
     KnownBackend,
-    Options,
     Placement,
-    PlacementPolicy,
     RetryBudget,
     Verdict,
     check_forward,
@@ -68,10 +67,10 @@
         directory: InstanceDirectory,
         configuration: ConfigurationState,
         backends: BackendTable,
-        regions: RegionView,
-        policy: PlacementPolicy,
+        placer: Placer,
         client: BackendClient,
         forwarder: Forwarder,
+        at_most_once: AtMostOnce,
         quarantine: QuarantineKeeper,
         clock: Callable[[], float],
         log: Log,
@@ -79,10 +78,10 @@
         self._directory = directory
         self._configuration = configuration
         self._backends = backends
-        self._regions = regions
-        self._policy = policy
+        self._placer = placer
         self._client = client
         self._forwarder = forwarder
+        self._at_most_once = at_most_once
         self._quarantine = quarantine
         self._clock = clock
         self._log = log
@@ -99,7 +98,10 @@
         """Serve a request to its end; raises RequestError if it gets no answer of the service."""
         self._in_progress += 1
         try:
-            await self._serve(head, body, sink)
+            if head.idempotent or head.visited:
+                await self._serve(head, body, sink)
+            else:
+                await self._at_most_once.serve(head, body, sink, self._serve)
             self._log.info(
                 "request_done", request_id=head.request_id, service=head.service, member=head.member
             )
@@ -141,7 +143,10 @@
         )
         digest = self._quarantine.digest(head, body)
         await self._wait_for_announcements(head)
-        while placement := await self._place_apart(head, service.regions, attempts, digest):
+        while True:
+            placement = await self._place_apart(head, service.regions, attempts, digest)
+            if placement is None:
+                raise failure
             try:
                 await self._carry_out(head, body, sink, placement, attempts.tried, digest)
                 return
@@ -153,7 +158,6 @@
                     attempts.tried.add(placement.region)
                 self._log.info("retry", request_id=head.request_id, problem=error.problem)
                 failure = error
-        raise failure
 
     async def _wait_for_announcements(self, head: RequestHead) -> None:
         """Let the first announcements reach an instance that has just started."""
@@ -176,13 +180,14 @@
             attempts.settle(error)
             raise
         if verdict is Verdict.CLEAR:
-            return self._place(head, allowed, attempts.tried)
+            return self._place(head, allowed, attempts, attempts.tried)
         while self._clock() < head.deadline_at:
             denied = set(attempts.tried)
-            while placement := self._place(head, allowed, denied):
+            while placement := self._place(head, allowed, attempts, denied):
                 name = placement.backend.info.name if placement.backend is not None else None
                 if name is None or await self._quarantine.take_slot(name, digest):
                     return placement
+                self._placer.withdraw(head, placement)
                 denied.add(name)
             if denied == attempts.tried:
                 return None
@@ -190,18 +195,13 @@
         return None
 
     def _place(
-        self, head: RequestHead, allowed: tuple[str, ...], tried: set[str]
+        self, head: RequestHead, allowed: tuple[str, ...], attempts: Attempts, denied: set[str]
     ) -> Placement | None:
-        now = self._clock()
-        backends = tuple(
-            known
-            for known in self._backends.candidates(head.offering, now=now)
-            if known.info.name not in tried
-        )
-        local = bool(head.crossings) or not self._configuration.may_cross(now)
-        regions = () if local else self._regions.options(head.offering, allowed, now=now)
-        untried = tuple(option for option in regions if option.region not in tried)
-        return self._policy.place(Options(backends=backends, regions=untried), now=now)
+        try:
+            return self._placer.place(head, allowed, denied)
+        except RequestError as error:
+            attempts.settle(error)
+            raise
 
     async def _carry_out(
         self,
@@ -212,11 +212,20 @@
         tried: set[str],
         digest: bytes,
     ) -> None:
-        if placement.backend is not None:
-            tried.add(placement.backend.info.name)
-            await self._send(head, body, sink, placement.backend, digest)
-        elif placement.region is not None:
-            await self._forwarder.forward(head, body, sink, region=placement.region, tried=tried)
+        progress = self._placer.sent(head, placement)
+        told = ProgressSink(sink=sink, progress=progress)
+        try:
+            if placement.backend is not None:
+                tried.add(placement.backend.info.name)
+                await self._send(head, body, told, placement.backend, digest)
+            elif placement.region is not None:
+                spilled = self._backends.ever_offered(head.offering)
+                away = dataclasses.replace(head, spilled=spilled)
+                await self._forwarder.forward(
+                    away, body, told, region=placement.region, tried=tried
+                )
+        finally:
+            progress.ended()
 
     async def _send(
         self,
--- a/figpaddle/daemon/_instance.py
+++ b/figpaddle/daemon/_instance.py
@@ -14,6 +14,7 @@
 
 from figpaddle.charts import LifeCycle
 from figpaddle.coordination import InstanceDirectory
+from figpaddle.daemon._at_most_once import AtMostOnce
 from figpaddle.daemon._backend_client import BackendClient
 from figpaddle.daemon._backend_watch import BackendWatch
 from figpaddle.daemon._backends_port import BackendsPort
@@ -23,17 +24,22 @@
 from figpaddle.daemon._forward_receiver import ForwardReceiver
 from figpaddle.daemon._forwarder import Forwarder
 from figpaddle.daemon._gateway import Gateway
+from figpaddle.daemon._ledger_client import LedgerClient
+from figpaddle.daemon._ledger_host import LedgerHost
+from figpaddle.daemon._ledger_storage import FileLedgerStorage
 from figpaddle.daemon._logs import Log
 from figpaddle.daemon._membership import Membership
 from figpaddle.daemon._metrics import Metrics
 from figpaddle.daemon._operators import OperatorsPort
 from figpaddle.daemon._peers import PeerNetwork
+from figpaddle.daemon._placer import Placer
 from figpaddle.daemon._quarantine import QuarantineKeeper
 from figpaddle.daemon._regions import RegionView
 from figpaddle.daemon._settings import Settings, load_yaml
 from figpaddle.daemon._sockets import Listener, hand_over, listen, split_address
 from figpaddle.deployment import read_directory
-from figpaddle.routing import BackendTable, LeastLoadPolicy
+from figpaddle.ledger import HolderSettings, LedgerStorage, NoStorage
+from figpaddle.routing import Admission, BackendTable, make_policy
 from figpaddle.wire import Handshake, InstanceInfo
 
 #: Interval at which a stopping process looks whether requests are still in progress, seconds.
@@ -76,6 +82,8 @@
         self._client = BackendClient(
             own_ip=own_ip, region=settings.region, instance=settings.instance
         )
+        self._placer = self._make_placer()
+        self._ledger = self._make_ledger_host()
         self._quarantine = self._make_quarantine()
         self._gateway = self._make_gateway()
         self._watch = BackendWatch(
@@ -83,6 +91,7 @@
             network=self._network,
             backends=self._backends,
             regions=self._regions,
+            reported=self._placer.reported,
             clock=self._clock,
             log=log,
         )
@@ -111,8 +120,8 @@
                 dump=self.dump,
                 metrics=self._metrics,
                 stop=self._stopping.set,
-                lift=self._quarantine.lift,
                 configuration=self._control.port,
+                lift=self._quarantine.lift,
             ),
         }
         self._receiver = ForwardReceiver(
@@ -136,6 +145,17 @@
             incarnation=time.time_ns() // 1_000_000,
         )
 
+    def _make_placer(self) -> Placer:
+        return Placer(
+            directory=self._directory,
+            configuration=self._configuration,
+            backends=self._backends,
+            regions=self._regions,
+            policy=make_policy(self._settings.policy, rng=self._rng),
+            admission=Admission(rng=self._rng),
+            clock=self._clock,
+        )
+
     def _make_quarantine(self) -> QuarantineKeeper:
         return QuarantineKeeper(
             directory=self._directory,
@@ -158,15 +178,60 @@
             directory=self._directory,
             configuration=self._configuration,
             backends=self._backends,
-            regions=self._regions,
-            policy=LeastLoadPolicy(rng=self._rng),
+            placer=self._placer,
             client=self._client,
             forwarder=forwarder,
+            at_most_once=self._make_at_most_once(),
             quarantine=self._quarantine,
             clock=self._clock,
             log=self._log,
         )
 
+    def _make_at_most_once(self) -> AtMostOnce:
+        settings = self._settings
+        client = LedgerClient(
+            own_name=settings.instance,
+            holders=settings.ledger.holders,
+            host=self._ledger,
+            network=self._network,
+        )
+        return AtMostOnce(
+            client=client,
+            configuration=self._configuration,
+            own_region=settings.region,
+            answer_bytes=settings.ledger.answer_bytes,
+            clock=self._clock,
+            wall_clock=time.time,
+            log=self._log,
+        )
+
+    def _make_ledger_host(self) -> LedgerHost | None:
+        settings = self._settings
+        slots = settings.ledger.holders.get(settings.region, ())
+        if settings.instance not in slots:
+            return None
+        voting_from = settings.ledger.voting_from
+        holder = HolderSettings(
+            slot=settings.instance,
+            slots=slots,
+            retention_s=settings.ledger.retention_s,
+            voting_from=voting_from.timestamp() if voting_from is not None else None,
+        )
+        storage: LedgerStorage = NoStorage()
+        if settings.data_folder is not None:
+            storage = FileLedgerStorage(
+                folder=settings.data_folder, slot=settings.instance, slots=slots
+            )
+        return LedgerHost(
+            settings=holder,
+            storage=storage,
+            configuration=self._configuration,
+            region=settings.region,
+            network=self._network,
+            wall_clock=time.time,
+            log=self._log,
+        )
+
     def _make_callers_port(self) -> CallersPort:
         path = self._settings.directory
         return CallersPort(
@@ -186,9 +251,15 @@
             directory=self._directory,
             network=self._network,
             join=self._settings.join,
+            key=self._settings.deployment_key.encode(),
+            own_ip=split_address(self._listeners["peers"].address)[0],
+            rng=self._rng,
+            clock=self._clock,
             log=self._log,
         )
-        return (membership, self._watch, self._quarantine, *self._control.components)
+        ledger = (self._ledger,) if self._ledger is not None else ()
+        control = self._control.components
+        return (membership, self._watch, self._quarantine, *control, *ledger)
 
     def dump(self, member: str | None) -> dict[str, Any]:
         """Return the state of the process without clients' data and keys.
--- a/figpaddle/daemon/_operators.py
+++ b/figpaddle/daemon/_operators.py
@@ -39,8 +39,8 @@
         dump: Callable[[str | None], dict[str, Any]],
         metrics: Metrics,
         stop: Callable[[], None],
-        lift: Callable[[str | None, bytes], bool],
         configuration: ConfigurationPort,
+        lift: Callable[[str | None, bytes], bool],
     ) -> None:
         self._configuration = configuration
         self._operators = operators
--- a/figpaddle/errors/__init__.py
+++ b/figpaddle/errors/__init__.py
@@ -6,6 +6,7 @@
     DocumentFault,
     FigpaddleError,
     HandshakeError,
+    LeaseLostError,
     MalformedMessageError,
     PeerUnreachableError,
     QuestionnaireError,
@@ -26,6 +27,13 @@
     StorageError,
     StorageFullError,
 )
+from figpaddle.errors._ledger import (
+    AnswerNotKeptError,
+    ForeignFileError,
+    KeyReusedError,
+    LedgerUnavailableError,
+    OutcomeUnknownError,
+)
 from figpaddle.errors._request import (
     AnnouncementConflictError,
     BackendServerLostError,
@@ -50,6 +58,7 @@
 
 __all__ = [
     "AnnouncementConflictError",
+    "AnswerNotKeptError",
     "BackendServerLostError",
     "BodyTimeoutError",
     "BodyTooLargeError",
@@ -66,16 +75,21 @@
     "DrainingError",
     "FigpaddleError",
     "ForbiddenError",
+    "ForeignFileError",
     "ForwardRefusedError",
     "ForwardingLoopError",
     "HandshakeError",
     "InvalidAnswerError",
     "InvalidRequestError",
+    "KeyReusedError",
+    "LeaseLostError",
+    "LedgerUnavailableError",
     "LogConflictError",
     "MalformedMessageError",
     "NoBackendServerError",
     "NotLeaderError",
     "Outcome",
+    "OutcomeUnknownError",
     "OverloadedError",
     "PeerLostError",
     "PeerUnreachableError",
--- a/tests/hostile.py
+++ b/tests/hostile.py
@@ -12,6 +12,8 @@
 import httpx
 
 START_TIMEOUT_S = 10.0
+#: Requests that it claims to run at once, so that admission lets every test request reach it.
+SLOTS = 512
 ANNOUNCE_INTERVAL_S = 1.0
 
 #: Gets the request's body, the number of the request and the connection's ends.
@@ -40,6 +42,7 @@
             "region": region,
             "zone": f"{region}-a",
             "services": services,
+            "slots": SLOTS,
             "incarnation": time.time_ns() // 1_000_000,
         }
         self._targets = targets
