Hold a loss only against requests sent before it was noticed, and send a lost backend server no work

Ruled out: counting only losses without any other cause; a death has no visible cause. Change: the time at which a death was first noticed bounds the requests that it counts against; a backend server that closes a new connection gets no work until it announces itself again.

--- a/figpaddle/daemon/_gateway.py
+++ b/figpaddle/daemon/_gateway.py
@@ -238,7 +238,8 @@
         name = backend.info.name
         self._backends.started(name)
         timed = DeadlineSink(sink=sink)
-        remaining = head.deadline_at - self._clock()
+        sent_at = self._clock()
+        remaining = head.deadline_at - sent_at
         try:
             with anyio.CancelScope(deadline=anyio.current_time() + remaining) as scope:
                 timed.scope = scope
@@ -251,7 +252,8 @@
             self._backends.note_connection(name, opened=False)
             raise
         except BackendServerLostError:
-            await self._quarantine.note_broken(head, digest, backend)
+            if await self._quarantine.note_broken(head, digest, backend, sent_at=sent_at):
+                self._backends.note_lost(name)
             raise
         finally:
             self._backends.finished(name)
--- a/figpaddle/daemon/_quarantine.py
+++ b/figpaddle/daemon/_quarantine.py
@@ -121,20 +121,26 @@
         """Clear a suspect that got its whole answer."""
         self._pardon(digest)
 
-    async def note_broken(self, head: RequestHead, digest: bytes, backend: KnownBackend) -> None:
-        """Hold the loss of ``backend`` against the request if a new connection shows it."""
-        if not digest or await _is_alive(backend.info.address):
-            return
-        news = self._quarantine.note_loss(
+    async def note_broken(
+        self, head: RequestHead, digest: bytes, backend: KnownBackend, *, sent_at: float
+    ) -> bool:
+        """Return whether a new connection shows that ``backend`` is lost.
+
+        The loss is held against the request, which had been sent to it at ``sent_at``.
+        """
+        if await _is_alive(backend.info.address):
+            return False
+        if digest and self._quarantine.note_loss(
             head.member,
             digest,
             backend=backend.info.name,
             incarnation=backend.info.incarnation,
+            sent_at=sent_at,
             now=self._clock(),
-        )
-        if news:
+        ):
             self._log.info("backend_lost", backend=backend.info.name, request_id=head.request_id)
             self._spread(digest)
+        return True
 
     async def take_slot(self, backend: str, digest: bytes) -> bool:
         """Return whether a suspect may run on ``backend`` now.
--- a/figpaddle/routing/_backends.py
+++ b/figpaddle/routing/_backends.py
@@ -114,6 +114,12 @@
         """Count a request at the backend server ``name`` as ended."""
         self._change_in_flight(name, -1)
 
+    def note_lost(self, name: str) -> None:
+        """Send the backend server ``name`` no work until it announces itself again."""
+        known = self._known.get(name)
+        if known is not None:
+            self._known[name] = dataclasses.replace(known, refused=MAX_REFUSED)
+
     def note_connection(self, name: str, *, opened: bool) -> None:
         """Count a connection to the backend server ``name`` that was opened or refused."""
         known = self._known.get(name)
--- a/figpaddle/routing/_quarantine.py
+++ b/figpaddle/routing/_quarantine.py
@@ -48,7 +48,9 @@
     pardoned. Instances that exchange records in any order thus come to the same verdicts.
 
     >>> quarantine = Quarantine()
-    >>> quarantine.note_loss("hanbit", b"d", backend="e1", incarnation=1, now=0.0)
+    >>> quarantine.note_loss(
+    ...     "hanbit", b"d", backend="e1", incarnation=1, sent_at=0.0, now=0.1
+    ... )
     True
     >>> quarantine.verdict(b"d", now=1.0)
     <Verdict.SUSPECT: 'suspect'>
@@ -57,6 +59,8 @@
     def __init__(self, *, max_records: int = MAX_RECORDS) -> None:
         self._max_records = max_records
         self._suspects: dict[bytes, _Suspect] = {}
+        #: When the own instance first noticed the death of a process of a backend server.
+        self._deaths: dict[tuple[str, int], float] = {}
 
     def verdict(self, digest: bytes, *, now: float) -> Verdict:
         """Return how the request with ``digest`` is treated."""
@@ -73,9 +77,21 @@
         return times[-MAX_LOSSES] + LOSS_TTL_S - now
 
     def note_loss(
-        self, member: str, digest: bytes, *, backend: str, incarnation: int, now: float
+        self,
+        member: str,
+        digest: bytes,
+        *,
+        backend: str,
+        incarnation: int,
+        sent_at: float,
+        now: float,
     ) -> bool:
-        """Hold the loss of a backend server against a request; return whether it is news."""
+        """Hold the loss of a backend server against a request; return whether it is news.
+
+        A request that was sent after the death had been noticed can't have caused it.
+        """
+        if sent_at > self._deaths.setdefault((backend, incarnation), now):
+            return False
         loss = _Loss(at=now, pardoned=False)
         changed = self._add(member, digest, (backend, incarnation), loss)
         self._shrink()
@@ -127,6 +143,9 @@
         return known is None or known.pardoned is not loss.pardoned
 
     def _expire(self, now: float) -> None:
+        for key, noticed_at in list(self._deaths.items()):
+            if now - noticed_at >= LOSS_TTL_S:
+                del self._deaths[key]
         for digest, suspect in list(self._suspects.items()):
             for key, loss in list(suspect.losses.items()):
                 if now - loss.at >= LOSS_TTL_S:
--- a/figpaddle/routing/tests/test_quarantine.py
+++ b/figpaddle/routing/tests/test_quarantine.py
@@ -12,7 +12,9 @@
 
 
 def lose(quarantine: Quarantine, backend: str, digest: bytes = b"d", now: float = 0.0) -> bool:
-    return quarantine.note_loss("hanbit", digest, backend=backend, incarnation=1, now=now)
+    return quarantine.note_loss(
+        "hanbit", digest, backend=backend, incarnation=1, sent_at=now, now=now
+    )
 
 
 @pytest.mark.parametrize(
@@ -32,6 +34,16 @@
     assert quarantine.verdict(b"another", now=1.0) is Verdict.CLEAR
 
 
+def test_request_sent_after_the_death_was_noticed_is_no_suspect() -> None:
+    quarantine = Quarantine()
+    for digest, sent_at in ((b"before", 0.0), (b"after", 0.2)):
+        quarantine.note_loss(
+            "hanbit", digest, backend="e1", incarnation=1, sent_at=sent_at, now=sent_at + 0.1
+        )
+    assert quarantine.verdict(b"before", now=1.0) is Verdict.SUSPECT
+    assert quarantine.verdict(b"after", now=1.0) is Verdict.CLEAR
+
+
 def test_refusal_ends_when_its_losses_expire() -> None:
     quarantine = Quarantine()
     lose(quarantine, "e1", now=0.0)
@@ -58,9 +70,9 @@
 
 def test_one_members_records_push_out_only_its_own() -> None:
     quarantine = Quarantine(max_records=10)
-    quarantine.note_loss("cumbre", b"kept", backend="e", incarnation=1, now=0.0)
+    quarantine.note_loss("cumbre", b"kept", backend="e", incarnation=1, sent_at=0.0, now=0.0)
     for number in range(50):
-        lose(quarantine, "e", digest=b"%d" % number, now=float(number))
+        lose(quarantine, f"e{number}", digest=b"%d" % number, now=float(number))
     kept = {record.digest for record in quarantine.records(now=50.0)}
     assert kept == {b"kept"} | {b"%d" % number for number in range(41, 50)}
 
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -128,3 +128,32 @@
         what="every instance has lifted it",
         timeout_s=EVERYWHERE_S,
     )
+
+
+def test_engines_that_die_one_after_another_put_no_request_in_quarantine(
+    proxied: Deployment,
+) -> None:
+    """Behind the proxy a dead engine's connections are accepted and then closed."""
+    start_all(proxied)
+    entries = [proxied.entry(name) for name in proxied.instances]
+    answers: list[RawAnswer] = []
+
+    async def call(number: int) -> None:
+        text = f"innocent-{number}"
+        entry = entries[number % len(entries)]
+        answers.append(await raw_chat(entry, "draft", text, key=HANBIT_KEY, max_tokens=4))
+
+    async def run() -> None:
+        calls = []
+        for number in range(240):
+            if number in (60, 150):
+                proxied.backends[f"seoul-engine-{number // 100}"].kill()
+            calls.append(asyncio.create_task(call(number)))
+            await asyncio.sleep(0.02)
+        await asyncio.gather(*calls)
+
+    asyncio.run(run())
+    assert [answer.body for answer in answers if answer.status == 422] == []
+    for instance in proxied.instances.values():
+        assert "refused" not in verdicts(instance).values()
+    assert sum(answer.chat_text() is not None for answer in answers) >= 0.97 * len(answers)
