Give the engines of the data rules' and silence tests room for their bursts

Ruled out: taking a refusal for an answer; the assertions stay as they were. Change: those engines have 64 slots.

--- a/tests/test_data_rules.py
+++ b/tests/test_data_rules.py
@@ -92,14 +92,14 @@
     write_configuration(proxied, "restricted.yaml", ALLOWED)
     start_regions(proxied)
     for region in REGIONS:
-        proxied.start_backend(f"{region}-engine", "engine", region, ("draft",))
+        proxied.start_backend(f"{region}-engine", "engine", region, ("draft",), "--slots", "64")
     for region in REGIONS:
         wait_until(
             lambda r=region: heard_of_engines(proxied, f"{r}-1", 1), what="engines are known"
         )
 
     home = make_markers("home")
-    assert all(answer.chat_text() for answer in ask_all(proxied, "seoul-1", home))
+    assert [a.body for a in ask_all(proxied, "seoul-1", home) if not a.chat_text()] == []
     outside = make_markers("outside")
     for answer in ask_all(proxied, "busan-1", outside):
         assert (answer.status, answer.problem, answer.outcome) == (
--- a/tests/test_silent_connections.py
+++ b/tests/test_silent_connections.py
@@ -48,7 +48,11 @@
                 f"{region}-1", region, limits={"caller_idle_s": CALLER_IDLE_S}
             )
         deployment.start_backend(
-            "busan-engine", "engine", "busan", ("desk-chat",), "--decode-ms", "100"
+            "busan-engine",
+            "engine",
+            "busan",
+            ("desk-chat",),
+            *("--decode-ms", "100", "--slots", "64"),
         )
         entry = deployment.entry("seoul-1")
         wait_until(lambda: chat(entry, "desk-chat", "x", key=HANBIT_KEY).is_success, what="serving")
