--- a/figpaddle/standins/_engine.py
+++ b/figpaddle/standins/_engine.py
@@ -37,6 +37,7 @@
         self._prefill_tokens_per_s = prefill_tokens_per_s
         self._decode_s = decode_s
         self._cache_blocks = cache_blocks
+        self._prefilling = anyio.Lock()
         self._cache: OrderedDict[int, None] = OrderedDict()
         self._cache_events: list[CacheEvent] = []
         self._running = 0
@@ -82,8 +83,9 @@
             self._waiting -= 1
         self._running += 1
         try:
-            uncached = self._take_prompt(prompt)
-            await anyio.sleep(uncached / self._prefill_tokens_per_s)
+            async with self._prefilling:
+                uncached = self._take_prompt(prompt)
+                await anyio.sleep(uncached / self._prefill_tokens_per_s)
             await self._answer(request, prompt, tokens, send)
         finally:
             self._running -= 1
--- a/figpaddle/standins/_traffic.py
+++ b/figpaddle/standins/_traffic.py
@@ -137,7 +137,7 @@
         caller = rng.randrange(1 << 30)
         popular = min(rng.randrange(self._shape.workspaces), rng.randrange(self._shape.workspaces))
         workspace = f"{region}/{popular}"
-        if at >= hot_from and rng.random() < self._hot_part:
+        if self._hot_part and at >= hot_from and rng.random() < self._hot_part:
             workspace = "hot"
         prefixes = self._opening(shape, workspace)
         arrival = self._arrival(at, region, caller, shape, prefixes)
--- a/scripts/measure_policy.py
+++ b/scripts/measure_policy.py
@@ -17,8 +17,11 @@
 
 from figpaddle.deployment import PolicyWeights
 from figpaddle.routing import (
+    Demand,
     LeastLoadPolicy,
     LeastReportedLoadPolicy,
+    Options,
+    Placement,
     RoundRobinPolicy,
     ScoredPolicy,
 )
@@ -41,16 +44,39 @@
 WARM_UP_S = 60.0
 #: Length of a run, seconds.
 DURATION_S = 240.0
+#: Length of a run with a fault, seconds.
+FAULT_DURATION_S = 290.0
 #: Begin and end of a fault, seconds.
 FAULT_S = (100.0, 160.0)
 #: Jobs kept at the engine while its capacity is measured, for each slot.
 CAPACITY_JOBS_PER_SLOT = 2
 
+#: Ends the name of a policy that runs the same seeds without the fault.
+NO_FAULT = "_no_fault"
+
 SPEED = EngineSpeed()
+
+
+class PreviousPolicy(ScoredPolicy):
+    """The policy before announcements told the prompt tokens still to process."""
+
+    def place(self, demand: Demand, options: Options, *, now: float) -> Placement | None:
+        """Return the choice, or None if there is nothing to choose from."""
+        blind = tuple(
+            dataclasses.replace(
+                known,
+                info=dataclasses.replace(known.info, prefill_tokens=0, prefill_tokens_first=0),
+            )
+            for known in options.backends
+        )
+        return super().place(demand, dataclasses.replace(options, backends=blind), now=now)
+
+
 POLICIES: dict[str, Callable[[random.Random], object] | None] = {
     "round_robin": lambda rng: RoundRobinPolicy(),
     "least_reported": lambda rng: LeastReportedLoadPolicy(rng=rng),
-    "previous": lambda rng: LeastLoadPolicy(rng=rng),
+    "first": lambda rng: LeastLoadPolicy(rng=rng),
+    "previous": lambda rng: PreviousPolicy(rng=rng),
     "present": lambda rng: ScoredPolicy(rng=rng),
     "oracle": None,
 }
@@ -167,7 +193,7 @@
     "reports_missing": Experiment(load=0.8, fault="reports missing"),
     "calm": Experiment(load=0.3),
     "hot_prefix": Experiment(load=0.8, hot_part=0.4),
-    "partition": Experiment(load=0.6, fault="partition"),
+    "partition": Experiment(load=0.8, fault="partition"),
 }
 
 
@@ -218,10 +244,14 @@
 
 
 def fault_of(experiment: Experiment, member: Member) -> tuple[RunFault, ...]:
-    """Return the fault of an experiment, at the member's second region."""
+    """Return the fault of an experiment.
+
+    A partition cuts off the first region, which is at its peak and sends work away; other faults
+    befall the second.
+    """
     if experiment.fault is None:
         return ()
-    region = member.shape.regions[1]
+    region = member.shape.regions[0 if experiment.fault == "partition" else 1]
     target = f"{region}-e0" if experiment.fault == "engine slow" else region
     if experiment.fault == "reports missing":
         target = "*"
@@ -231,7 +261,8 @@
 
 def run_one(task: tuple[str, str, str, int, Capacity]) -> list[RunResult]:
     """Run one policy on one seed."""
-    member_name, experiment_name, policy, seed, capacity = task
+    member_name, experiment_name, name, seed, capacity = task
+    policy = name.removesuffix(NO_FAULT)
     member = MEMBERS[member_name]
     experiment = EXPERIMENTS[experiment_name]
     settings = RunSettings(
@@ -243,10 +274,10 @@
         one_way_s=0.08,
         weights=member.weights,
         rate_per_s=experiment.load * capacity.requests_per_s,
-        duration_s=DURATION_S,
+        duration_s=DURATION_S if experiment.fault is None else FAULT_DURATION_S,
         seed=seed,
         policy=POLICIES[policy],  # type: ignore[arg-type]
-        faults=fault_of(experiment, member),
+        faults=() if name.endswith(NO_FAULT) else fault_of(experiment, member),
         hot_part=experiment.hot_part,
     )
     return VirtualRun(settings=settings).run()
@@ -302,7 +333,8 @@
     return {
         "before.": (WARM_UP_S, begins),
         "during.": (begins, ends),
-        "after.": (ends, min(DURATION_S, ends + 60.0)),
+        "after.": (ends, ends + 60.0),
+        "recovered.": (ends + 60.0, ends + 120.0),
     }
 
 
@@ -328,6 +360,8 @@
 def measure(pool, member_name: str, name: str, options, capacity: Capacity) -> None:  # type: ignore
     """Run one experiment and print its figures."""
     policies = options.policies.split(",")
+    if EXPERIMENTS[name].fault is not None and "present" in policies:
+        policies.append(f"present{NO_FAULT}")
     tasks = [
         (member_name, name, policy, seed, capacity)
         for policy in policies
