--- a/figpaddle/daemon/_callers.py
+++ b/figpaddle/daemon/_callers.py
@@ -29,6 +29,7 @@
     Scope,
     Send,
     bearer,
+    check_body_length,
     encode_headers,
     header,
     problem_document,
@@ -43,6 +44,7 @@
     DrainingError,
     ForbiddenError,
     InvalidRequestError,
+    RegionNotAllowedError,
     RequestError,
     UnauthorizedError,
 )
@@ -54,8 +56,10 @@
 SERVICES_PREFIX = "/services/"
 #: Methods that never change anything at the service.
 SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
+#: Header that names the service of a chat outside of its body.
+SERVICE_HEADER = "figpaddle-service"
 #: Headers of the caller that are for figpaddle only.
-OWN_HEADERS = frozenset({"authorization", "content-length", "x-request-id"})
+OWN_HEADERS = frozenset({"authorization", "content-length", "x-request-id", SERVICE_HEADER})
 
 
 class CallersPort:
@@ -101,6 +105,7 @@
         if self.closed:
             raise DrainingError(instance=self._directory.own.name)
         client = self._authenticate(scope)
+        self._configuration.require(instance=self._directory.own.name)
         path = scope["path"]
         if path == "/v1/entries":
             await self._entries(client, sink)
@@ -144,6 +149,8 @@
     async def _chat(
         self, scope: Scope, receive: Receive, sink: HttpSink, client: Client, request_id: str
     ) -> None:
+        self._check_chat_region(client, header(scope, SERVICE_HEADER))
+        check_body_length(scope, limit_bytes=self._body_limit_bytes)
         data = await HttpBody(receive=receive, limit_bytes=self._body_limit_bytes).read()
         service = self._service(client, _model_name(data))
         if service.kind is not ServiceKind.MODEL:
@@ -152,6 +159,23 @@
         head = dataclasses.replace(plain_head, prompt=shape_of_chat(data))
         await self._serve_until_gone(head, BufferedBody(data=data), sink, receive)
 
+    def _check_chat_region(self, client: Client, named: str | None) -> None:
+        """Raise RegionNotAllowedError before a body is read that this region may not hold.
+
+        The body of a chat names its service, so all model services of the member must be allowed
+        here unless a header names the one that is meant.
+        """
+        member = self._configuration.current.member(client.member)
+        services = member.services if member is not None else ()
+        meant = [
+            service
+            for service in services
+            if service.kind is ServiceKind.MODEL and named in (None, service.name)
+        ]
+        own_region = self._directory.own.region
+        if any(own_region not in service.regions for service in meant):
+            raise RegionNotAllowedError(region=own_region)
+
     async def _application(
         self, scope: Scope, receive: Receive, sink: HttpSink, client: Client, request_id: str
     ) -> None:
@@ -159,6 +183,9 @@
         service = self._service(client, name)
         if service.kind is not ServiceKind.APPLICATION:
             raise ForbiddenError
+        if self._directory.own.region not in service.regions:
+            raise RegionNotAllowedError(region=self._directory.own.region)
+        check_body_length(scope, limit_bytes=self._body_limit_bytes)
         query = scope["query_string"].decode("latin-1")
         target = f"/{rest}" + (f"?{query}" if query else "")
         head = self._head(scope, client, service, target=target, request_id=request_id)
@@ -210,8 +237,7 @@
             clock=self._clock,
         )
         async with anyio.create_task_group() as tasks:
-            if isinstance(body, BufferedBody):
-                tasks.start_soon(self._watch_caller, receive, tasks.cancel_scope, head.request_id)
+            tasks.start_soon(self._watch_caller, body, receive, sink, tasks.cancel_scope)
             try:
                 await self._gateway.serve(head, body, measured)
             except (RequestError, CallerGoneError) as failure:
@@ -223,13 +249,17 @@
             raise error
 
     async def _watch_caller(
-        self, receive: Receive, scope: anyio.CancelScope, request_id: str
+        self, body: BodySource, receive: Receive, sink: HttpSink, scope: anyio.CancelScope
     ) -> None:
+        """Cancel the exchange when the caller goes away after its request was read."""
+        if isinstance(body, HttpBody):
+            await body.wait_ended()
         while True:
             event = await receive()
             if event["type"] == "http.disconnect":
-                self._log.info("caller_gone", request_id=request_id)
-                scope.cancel()
+                if not sink.finished:
+                    self._log.info("caller_gone", request_id=sink.request_id)
+                    scope.cancel()
                 return
 
 
@@ -262,7 +292,9 @@
 
     def __init__(self, *, send: Send, request_id: str, closing: Callable[[], bool]) -> None:
         self._send = send
-        self._request_id = request_id
+        self._finished = False
+        #: Identifier of the request.
+        self.request_id = request_id
         self._closing = closing
         self._started = False
         self._is_event_stream = False
@@ -272,6 +304,11 @@
         """Whether the head of the answer has been sent."""
         return self._started
 
+    @property
+    def finished(self) -> bool:
+        """Whether the end mark has been sent."""
+        return self._finished
+
     async def start(self, head: AnswerHead) -> None:
         """Send the head of the answer with where it was served."""
         self._started = True
@@ -279,7 +316,7 @@
             (key.encode(), value.encode("latin-1", "replace")) for key, value in head.headers
         ]
         own = {
-            "figpaddle-request-id": self._request_id,
+            "figpaddle-request-id": self.request_id,
             "figpaddle-instance": head.instance,
             "figpaddle-region": head.region,
             "figpaddle-backend": head.backend,
@@ -303,6 +340,7 @@
 
     async def finish(self) -> None:
         """Send the end mark."""
+        self._finished = True
         await self._send({"type": "http.response.body", "body": b"", "more_body": False})
 
     async def send_plain(self, plain: Any) -> None:
@@ -314,11 +352,11 @@
         """End the answer with ``error``; raises it again if the answer had begun."""
         if not self._started:
             await send_problem(
-                self._send, error, request_id=self._request_id, extra=self._connection()
+                self._send, error, request_id=self.request_id, extra=self._connection()
             )
             return
         if self._is_event_stream:
-            document = json.dumps(problem_document(error, request_id=self._request_id))
+            document = json.dumps(problem_document(error, request_id=self.request_id))
             await self.write(f"event: error\ndata: {document}\n\n".encode())
         raise error
 
--- a/figpaddle/daemon/_placer.py
+++ b/figpaddle/daemon/_placer.py
@@ -53,6 +53,7 @@
         now = self._clock()
         demand = self._demand(head, now)
         forwarded = head.crossings > 0
+        may_leave = not forwarded and self._configuration.may_cross(now)
         member = self._configuration.current.member(head.member)
         options = Options(
             backends=tuple(
@@ -63,7 +64,7 @@
             regions=tuple(
                 option
                 for option in self._regions.options(head.offering, allowed, now=now)
-                if not forwarded and option.region not in tried
+                if may_leave and option.region not in tried
             ),
             weights=member.weights if member is not None else PolicyWeights(),
             deciders=self._deciders(),
@@ -76,7 +77,7 @@
                 demand,
                 placement,
                 shares={entry.name: entry.share for entry in members},
-                room=summary.room if forwarded else None,
+                room=summary.room if forwarded and demand.prompt_tokens else None,
                 now=now,
             )
         return placement
--- a/figpaddle/daemon/_settings.py
+++ b/figpaddle/daemon/_settings.py
@@ -53,6 +53,13 @@
     member: Name | None = None
 
 
+class ControlSettings(_Section):
+    """Who keeps the configuration of the deployment."""
+
+    #: Names of the instances with a data folder that vote; the same list in all settings.
+    voters: tuple[Name, ...] = ()
+
+
 class LimitSettings(_Section):
     """Limits of the process."""
 
@@ -91,6 +98,8 @@
     operators: tuple[OperatorSettings, ...] = ()
     #: How requests are placed; the others serve to compare.
     policy: PolicyName = "scored"
+    #: Who keeps the configuration.
+    control: ControlSettings = ControlSettings()
     #: Limits.
     limits: LimitSettings = LimitSettings()
 
--- a/figpaddle/routing/__init__.py
+++ b/figpaddle/routing/__init__.py
@@ -31,6 +31,7 @@
     RegionOption,
     RoundRobinPolicy,
 )
+from figpaddle.routing._retry_budget import RetryBudget
 from figpaddle.routing._scored import Estimate, PolicyName, ScoredPolicy, make_policy
 
 __all__ = [
@@ -62,6 +63,7 @@
     "ScoredPolicy",
     "Sent",
     "TargetEvent",
+    "RetryBudget",
     "check_forward",
     "make_policy",
     "permitted_service",
