--- a/figpaddle/standins/_engine.py
+++ b/figpaddle/standins/_engine.py
@@ -42,6 +42,7 @@
         self._decode_s = decode_s
         self._cache_blocks = cache_blocks
         self._crash_on = crash_on
+        self._prefilling = anyio.Lock()
         self._cache: OrderedDict[int, None] = OrderedDict()
         self._cache_events: list[CacheEvent] = []
         self._running = 0
@@ -87,8 +88,9 @@
             self._waiting -= 1
         self._running += 1
         try:
-            uncached = self._take_prompt(prompt)
-            await anyio.sleep(uncached / self._prefill_tokens_per_s)
+            async with self._prefilling:
+                uncached = self._take_prompt(prompt)
+                await anyio.sleep(uncached / self._prefill_tokens_per_s)
             if self._crash_on is not None and self._crash_on in prompt:
                 os._exit(CRASH_EXIT_CODE)
             await self._answer(request, prompt, tokens, send)
