--- a/figpaddle/coordination/_leadership.py
+++ b/figpaddle/coordination/_leadership.py
@@ -48,6 +48,11 @@
         self._heartbeat_due = now
         self._reads: list[tuple[int, int, int]] = []
 
+    @property
+    def heartbeat_due(self) -> float:
+        """When the next heartbeat is due, seconds."""
+        return self._heartbeat_due
+
     @property
     def _membership(self) -> LogMembership:
         membership = self._log.membership
--- a/figpaddle/coordination/_log.py
+++ b/figpaddle/coordination/_log.py
@@ -12,6 +12,7 @@
     def __init__(self, *, state: DurableState) -> None:
         self._snapshot = state.snapshot
         self._entries = list(state.entries)
+        self._changes = [entry for entry in state.entries if entry.membership is not None]
 
     @property
     def snapshot(self) -> Snapshot:
@@ -31,20 +32,17 @@
     @property
     def membership(self) -> LogMembership | None:
         """The newest membership, committed or not; None where none is known."""
-        return self.membership_at(self.last_index)
+        return self._changes[-1].membership if self._changes else self._snapshot.membership
 
     @property
     def membership_index(self) -> int:
         """Index of the entry that gave the newest membership, at least the snapshot's."""
-        for entry in reversed(self._entries):
-            if entry.membership is not None:
-                return entry.index
-        return self._snapshot.index
+        return self._changes[-1].index if self._changes else self._snapshot.index
 
     def membership_at(self, index: int) -> LogMembership | None:
         """Return the membership after the entry at ``index``."""
-        for entry in reversed(self._entries[: max(0, index - self._snapshot.index)]):
-            if entry.membership is not None:
+        for entry in reversed(self._changes):
+            if entry.index <= index:
                 return entry.membership
         return self._snapshot.membership
 
@@ -71,6 +69,10 @@
         """Put ``entry`` at its index and drop all that followed there."""
         del self._entries[entry.index - self._snapshot.index - 1 :]
         self._entries.append(entry)
+        while self._changes and self._changes[-1].index >= entry.index:
+            self._changes.pop()
+        if entry.membership is not None:
+            self._changes.append(entry)
 
     def compact(self, index: int, data: bytes) -> None:
         """Replace the entries up to ``index`` by a snapshot."""
@@ -80,8 +82,10 @@
         kept = list(self.after(index))
         self._snapshot = Snapshot(index=index, term=term, membership=membership, data=data)
         self._entries = kept
+        self._changes = [entry for entry in self._changes if entry.index > index]
 
     def reset(self, snapshot: Snapshot) -> None:
         """Replace everything by ``snapshot``."""
         self._snapshot = snapshot
         self._entries = []
+        self._changes = []
--- a/figpaddle/coordination/_replica.py
+++ b/figpaddle/coordination/_replica.py
@@ -128,6 +128,16 @@
         """The newest membership in its log."""
         return self._log.membership
 
+    @property
+    def next_due(self) -> float:
+        """When it needs a tick at the latest, seconds."""
+        if self._leadership is not None:
+            return self._leadership.heartbeat_due
+        membership = self._log.membership
+        if membership is None or self._peer not in membership.peers:
+            return self._join_due
+        return self._election_due
+
     def quorum_contact(self) -> float | None:
         """Return when a quorum last confirmed this leader, seconds, or None for a follower."""
         if self._leadership is None:
--- a/figpaddle/coordination/tests/test_replica.py
+++ b/figpaddle/coordination/tests/test_replica.py
@@ -192,6 +192,15 @@
     assert one.term == 1
 
 
+def test_each_role_says_when_it_needs_a_tick() -> None:
+    follower, leading = replica(), leader()
+    assert TIMING.election_s <= follower.next_due <= 2 * TIMING.election_s
+    follower.handle(append(1, (0, 0)), 3.0)
+    assert follower.next_due >= 3.0 + TIMING.election_s
+    assert leading.next_due == MUCH_LATER + TIMING.heartbeat_s
+    assert replica(Peer(name="c", incarnation="2")).next_due == 0.0
+
+
 def test_trial_never_raises_the_term() -> None:
     one = replica(term=3)
     for now in (10.0, 20.0, 30.0):
--- a/figpaddle/daemon/_voter.py
+++ b/figpaddle/daemon/_voter.py
@@ -54,8 +54,9 @@
     VoteRequest,
 )
 
-#: Interval of the replica's ticks, seconds.
-TICK_S = 0.05
+#: Shortest and longest pause between two ticks of the replica, seconds.
+MIN_TICK_S = 0.01
+MAX_TICK_S = 0.5
 #: Events that may wait; further ones are dropped, as the network may drop them.
 INBOX_LENGTH = 4096
 #: Most events that share one write.
@@ -248,8 +249,10 @@
         self._applied = index
 
     async def _next_events(self) -> list[Event]:
+        assert self._replica is not None
         events: list[Event] = []
-        with anyio.move_on_after(TICK_S):
+        pause = min(MAX_TICK_S, self._replica.next_due - self._clock())
+        with anyio.move_on_after(max(MIN_TICK_S, pause)):
             events.append(await self._events.receive())
         while len(events) < MAX_BATCH_EVENTS:
             try:
--- a/scripts/measure_control.py
+++ b/scripts/measure_control.py
@@ -56,7 +56,7 @@
 CLIENTS = 16
 LOAD_S = 5.0
 KILLS = 5
-IDLE_S = 5.0
+IDLE_S = 10.0
 RECORDED_CHANGES = 100
 WIDE_CHANGES = 100
 LINK_DELAY_S = 0.08
@@ -105,7 +105,8 @@
     """Time from the operator's request, and from its answer, to the last of nine processes."""
     processes = list(deployment.instances.values())
     entry = processes[-1]
-    first = revision(entry)
+    first = max(revision(one) for one in processes)
+    wait_until(lambda: all(revision(one) == first for one in processes), what="the same start")
     sent, answered = {}, {}
     with httpx.Client(headers=HEADERS, trust_env=False) as client:
         for number in range(changes):
@@ -211,6 +212,27 @@
     return ticks / os.sysconf("SC_CLK_TCK")
 
 
+def measure_without_control() -> None:
+    """Processor time and bytes at rest of as many processes without voters."""
+    folder = pathlib.Path(tempfile.mkdtemp())
+    names = (*VOTERS, *OTHERS)[:NODES]
+    with Deployment(folder, proxy=FaultProxy()) as deployment:
+        write_examples(deployment)
+        for name in names:
+            deployment.start_instance(name, name.rsplit("-", 1)[0])
+        assert deployment.proxy is not None
+        time.sleep(SETTLE_S)
+        processes = list(deployment.instances.values())
+        deployment.proxy.record()
+        spent = processor_s(processes)
+        time.sleep(IDLE_S)
+        busy = (processor_s(processes) - spent) / IDLE_S / NODES
+        show(f"nodes_{NODES}_without_control_core_percent_per_node", busy * 100, 2)
+        data = deployment.proxy.recorded()
+    size = sum(len(piece) for (a, z), piece in data.items() if a in names and z in names)
+    show(f"nodes_{NODES}_without_control_peer_bytes_per_s_per_node", size / IDLE_S / NODES, 0)
+
+
 def measure_traffic(size: int, *, wide: bool) -> None:
     """Bytes and processor time of ``size`` processes: idle, and for each change."""
     folder = pathlib.Path(tempfile.mkdtemp())
@@ -228,12 +250,15 @@
 
         time.sleep(SETTLE_S)
         proxy.record()
-        spent = processor_s(processes)
+        spent = [processor_s([process]) for process in processes]
         time.sleep(IDLE_S)
         idle = recorded() / IDLE_S
+        used = [processor_s([one]) - before for one, before in zip(processes, spent, strict=True)]
         show(f"nodes_{size}_idle_peer_bytes_per_s_per_node", idle / size, 0)
-        busy = (processor_s(processes) - spent) / IDLE_S / size
-        show(f"nodes_{size}_idle_core_percent_per_node", busy * 100, 2)
+        for kind, part_used in (("voter", used[: len(VOTERS)]), ("other", used[len(VOTERS) :])):
+            if part_used:
+                percent = sum(part_used) / len(part_used) / IDLE_S * 100
+                show(f"nodes_{size}_idle_core_percent_per_{kind}", percent, 2)
         proxy.record()
         begun = time.monotonic()
         with httpx.Client(headers=HEADERS, trust_env=False) as client:
@@ -337,6 +362,7 @@
         measure_flood(deployment)
         measure_rate(deployment)
         measure_recovery(deployment)
+    measure_without_control()
     for size in SIZES:
         measure_traffic(size, wide=size == NODES)
     for changes in (500, 5000):
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -136,6 +136,17 @@
     assert part(running.instances[name])["configuration"]["share"] == share
 
 
+def test_change_reaches_a_zone_whose_relay_is_frozen(running: Deployment) -> None:
+    running.instances["busan-1"].signal(signal.SIGSTOP)
+    try:
+        revision = accepted(running.instances["seoul-2"], share=0.45)
+        others = tuple(name for name in ALL if name != "busan-1")
+        wait_in_force(processes(running, others), revision)
+    finally:
+        running.instances["busan-1"].signal(signal.SIGCONT)
+    wait_in_force(processes(running), revision)
+
+
 def test_operators_race_across_a_partition_and_the_isolated_leader_undoes_nothing(
     running: Deployment,
 ) -> None:
