--- a/figpaddle/daemon/_callers.py
+++ b/figpaddle/daemon/_callers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import json
 import uuid
 from collections.abc import Callable
@@ -13,8 +14,6 @@
 from figpaddle.daemon._backend_client import HOP_HEADERS
 from figpaddle.daemon._configuration_state import ConfigurationState
 from figpaddle.daemon._exchange import (
-    AnswerHead,
-    AnswerSink,
     BodySource,
     BufferedBody,
     Headers,
@@ -29,16 +28,16 @@
     Send,
     bearer,
     check_body_length,
-    encode_headers,
     header,
-    problem_document,
-    send_json,
-    send_problem,
+    query_value,
 )
+from figpaddle.daemon._http_sink import HttpSink
 from figpaddle.daemon._logs import Log
 from figpaddle.daemon._metrics import MeasuredSink, Metrics
+from figpaddle.daemon._prompts import shape_of_chat
 from figpaddle.deployment import Client, ClientDirectory, ServiceConfiguration, ServiceKind
 from figpaddle.errors import (
+    BodyTimeoutError,
     DrainingError,
     ForbiddenError,
     InvalidRequestError,
@@ -71,6 +70,7 @@
         configuration: ConfigurationState,
         clients: ClientDirectory,
         body_limit_bytes: int,
+        caller_idle_s: float,
         metrics: Metrics,
         clock: Callable[[], float],
         log: Log,
@@ -81,23 +81,38 @@
         self._configuration = configuration
         self._clients = clients
         self._body_limit_bytes = body_limit_bytes
+        self._caller_idle_s = caller_idle_s
         self._clock = clock
         self._log = log
+        #: Set when callers should go elsewhere; requests are still taken.
+        self.leaving = False
         #: Set when the instance takes no more requests.
         self.closed = False
+        #: Requests whose answer has not ended, those that are still being received included.
+        self.in_progress = 0
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one HTTP request."""
         if scope["type"] != "http":
             return
         request_id = uuid.uuid4().hex
-        sink = HttpSink(send=send, request_id=request_id, closing=lambda: self.closed)
+        sink = HttpSink(
+            send=send,
+            request_id=request_id,
+            idle_s=self._caller_idle_s,
+            closing=lambda: self.leaving,
+        )
+        self.in_progress += 1
         try:
             await self._route(scope, receive, sink, request_id)
         except CallerGoneError:
             self._log.info("caller_gone", request_id=request_id)
         except RequestError as error:
+            if isinstance(error, BodyTimeoutError):
+                self._log.info("caller_silent", request_id=request_id)
             await sink.fail(error)
+        finally:
+            self.in_progress -= 1
 
     async def _route(self, scope: Scope, receive: Receive, sink: HttpSink, request_id: str) -> None:
         if self.closed:
@@ -106,7 +121,7 @@
         self._configuration.require(instance=self._directory.own.name)
         path = scope["path"]
         if path == "/v1/entries":
-            await self._entries(client, sink)
+            await self._entries(scope, client, sink)
         elif path == CHAT_PATH and scope["method"] == "POST":
             await self._chat(scope, receive, sink, client, request_id)
         elif path.startswith(SERVICES_PREFIX):
@@ -121,10 +136,16 @@
             raise UnauthorizedError
         return client
 
-    async def _entries(self, client: Client, sink: HttpSink) -> None:
+    async def _entries(self, scope: Scope, client: Client, sink: HttpSink) -> None:
+        """Answer which entry instances may take this client's requests.
+
+        Without the name of a service these are the ones that may take those of all its services.
+        """
         member = self._configuration.current.member(client.member)
         services = member.services if member is not None else ()
-        allowed = tuple(sorted({region for service in services for region in service.regions}))
+        named = query_value(scope, "service")
+        meant = [set(service.regions) for service in services if named in (None, service.name)]
+        allowed = tuple(sorted(set.intersection(*meant))) if meant else ()
         answer = rank_entries(
             self._directory.instances,
             preferred_region=client.home,
@@ -137,6 +158,11 @@
         ]
         await sink.send_plain({"entries": entries, "ttl_s": answer.ttl_s})
 
+    def _body(self, receive: Receive) -> HttpBody:
+        return HttpBody(
+            receive=receive, limit_bytes=self._body_limit_bytes, idle_s=self._caller_idle_s
+        )
+
     def _service(self, client: Client, name: str) -> ServiceConfiguration:
         member = self._configuration.current.member(client.member)
         service = member.service(name) if member is not None else None
@@ -149,11 +175,12 @@
     ) -> None:
         self._check_chat_region(client, header(scope, SERVICE_HEADER))
         check_body_length(scope, limit_bytes=self._body_limit_bytes)
-        data = await HttpBody(receive=receive, limit_bytes=self._body_limit_bytes).read()
+        data = await self._body(receive).read()
         service = self._service(client, _model_name(data))
         if service.kind is not ServiceKind.MODEL:
             raise ForbiddenError
-        head = self._head(scope, client, service, target=CHAT_PATH, request_id=request_id)
+        plain_head = self._head(scope, client, service, target=CHAT_PATH, request_id=request_id)
+        head = dataclasses.replace(plain_head, prompt=shape_of_chat(data))
         await self._serve_until_gone(head, BufferedBody(data=data), sink, receive)
 
     def _check_chat_region(self, client: Client, named: str | None) -> None:
@@ -186,7 +213,7 @@
         query = scope["query_string"].decode("latin-1")
         target = f"/{rest}" + (f"?{query}" if query else "")
         head = self._head(scope, client, service, target=target, request_id=request_id)
-        body = HttpBody(receive=receive, limit_bytes=self._body_limit_bytes)
+        body = self._body(receive)
         await self._serve_until_gone(head, body, sink, receive)
 
     def _head(
@@ -272,90 +299,9 @@
 def _model_name(data: bytes) -> str:
     try:
         plain: Any = json.loads(data)
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise InvalidRequestError(what="the body is not JSON", mend="send a JSON object") from error
     model = plain.get("model") if isinstance(plain, dict) else None
     if not isinstance(model, str):
         raise InvalidRequestError(what="the body names no model", mend="add 'model'")
     return model
-
-
-class HttpSink(AnswerSink):
-    """Sends an answer to the caller.
-
-    A stream that breaks after its head ends as an error that the caller sees as one: an SSE
-    ``error`` event and a connection closed without the end mark.
-    """
-
-    def __init__(self, *, send: Send, request_id: str, closing: Callable[[], bool]) -> None:
-        self._send = send
-        self._finished = False
-        #: Identifier of the request.
-        self.request_id = request_id
-        self._closing = closing
-        self._started = False
-        self._is_event_stream = False
-
-    @property
-    def started(self) -> bool:
-        """Whether the head of the answer has been sent."""
-        return self._started
-
-    @property
-    def finished(self) -> bool:
-        """Whether the end mark has been sent."""
-        return self._finished
-
-    async def start(self, head: AnswerHead) -> None:
-        """Send the head of the answer with where it was served."""
-        self._started = True
-        headers = [
-            (key.encode(), value.encode("latin-1", "replace")) for key, value in head.headers
-        ]
-        own = {
-            "figpaddle-request-id": self.request_id,
-            "figpaddle-instance": head.instance,
-            "figpaddle-region": head.region,
-            "figpaddle-backend": head.backend,
-            **self._connection(),
-        }
-        self._is_event_stream = any(
-            key == "content-type" and value.startswith("text/event-stream")
-            for key, value in head.headers
-        )
-        await self._send(
-            {
-                "type": "http.response.start",
-                "status": head.status,
-                "headers": [*headers, *encode_headers(own)],
-            }
-        )
-
-    async def write(self, data: bytes) -> None:
-        """Send a piece of the answer."""
-        await self._send({"type": "http.response.body", "body": data, "more_body": True})
-
-    async def finish(self) -> None:
-        """Send the end mark."""
-        self._finished = True
-        await self._send({"type": "http.response.body", "body": b"", "more_body": False})
-
-    async def send_plain(self, plain: Any) -> None:
-        """Send ``plain`` as JSON."""
-        self._started = True
-        await send_json(self._send, status=200, plain=plain, extra=self._connection())
-
-    async def fail(self, error: RequestError) -> None:
-        """End the answer with ``error``; raises it again if the answer had begun."""
-        if not self._started:
-            await send_problem(
-                self._send, error, request_id=self.request_id, extra=self._connection()
-            )
-            return
-        if self._is_event_stream:
-            document = json.dumps(problem_document(error, request_id=self.request_id))
-            await self.write(f"event: error\ndata: {document}\n\n".encode())
-        raise error
-
-    def _connection(self) -> dict[str, str]:
-        return {"connection": "close"} if self._closing() else {}
--- a/figpaddle/daemon/_settings.py
+++ b/figpaddle/daemon/_settings.py
@@ -10,6 +10,7 @@
 
 from figpaddle.deployment import faults_of
 from figpaddle.errors import DocumentFault, SettingsError
+from figpaddle.routing import PolicyName
 
 Address = Annotated[str, pydantic.StringConstraints(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")]
 Name = Annotated[str, pydantic.StringConstraints(pattern=r"^[a-z][a-z0-9-]{0,62}$")]
@@ -64,10 +65,26 @@
 
     #: Largest body of a request, bytes.
     body_bytes: Annotated[int, pydantic.Field(gt=0)] = 8 * 1024 * 1024
+    #: A caller that neither sends its body nor takes its answer for this long is gone, seconds.
+    caller_idle_s: Annotated[float, pydantic.Field(gt=0)] = 30.0
     #: Longest time that a planned stop waits for requests in progress, seconds.
     drain_s: Annotated[float, pydantic.Field(gt=0)] = 120.0
     #: Time during which a leaving instance still takes requests, seconds.
-    leave_grace_s: Annotated[float, pydantic.Field(ge=0)] = 2.0
+    leave_grace_s: Annotated[float, pydantic.Field(ge=0)] = 6.0
+
+
+class LedgerSettings(_Section):
+    """The ledger of non-idempotent requests; equal on all instances but for ``voting_from``."""
+
+    #: Instances that hold the records of each region, in the order in which they are asked.
+    holders: dict[Name, tuple[Name, ...]] = {}
+    #: How long a record is kept, seconds.
+    retention_s: Annotated[float, pydantic.Field(gt=0)] = 24 * 3600.0
+    #: This instance's slot gives no vote before this moment. One that started earlier can't have
+    #: forgotten any vote; one that starts later without its memory recovers it from the others.
+    voting_from: pydantic.AwareDatetime | None = None
+    #: Largest answer that is kept to be replayed, bytes.
+    answer_bytes: Annotated[int, pydantic.Field(ge=0, le=1024 * 1024)] = 64 * 1024
 
 
 class Settings(_Section):
@@ -97,8 +114,12 @@
     operators: tuple[OperatorSettings, ...] = ()
     #: Who keeps the configuration.
     control: ControlSettings = ControlSettings()
+    #: How requests are placed; the others serve to compare.
+    policy: PolicyName = "scored"
     #: Limits.
     limits: LimitSettings = LimitSettings()
+    #: Ledger of non-idempotent requests.
+    ledger: LedgerSettings = LedgerSettings()
 
 
 def load_yaml(path: pathlib.Path) -> Any:
--- a/figpaddle/standins/_engine.py
+++ b/figpaddle/standins/_engine.py
@@ -3,20 +3,22 @@
 from __future__ import annotations
 
 import json
+import os
 from collections import OrderedDict
 from collections.abc import Awaitable, Callable, MutableMapping
 from typing import Any
 
 import anyio
 
+from figpaddle.routing import prompt_shape
+from figpaddle.wire import CacheEvent
+
 Scope = MutableMapping[str, Any]
 Receive = Callable[[], Awaitable[MutableMapping[str, Any]]]
 Send = Callable[[MutableMapping[str, Any]], Awaitable[None]]
 
-#: Characters counted as one token.
-CHARACTERS_PER_TOKEN = 4
-#: Prompt tokens covered by one entry of the prefix cache.
-CACHE_BLOCK_TOKENS = 64
+#: Exit code of an engine that met the text that it crashes on.
+CRASH_EXIT_CODE = 70
 #: Tokens generated where the request names no limit.
 DEFAULT_TOKENS = 16
 
@@ -32,13 +34,16 @@
         prefill_tokens_per_s: float,
         decode_s: float,
         cache_blocks: int,
+        crash_on: str | None = None,
     ) -> None:
         self._name = name
         self._slots = anyio.Semaphore(slots)
         self._prefill_tokens_per_s = prefill_tokens_per_s
         self._decode_s = decode_s
         self._cache_blocks = cache_blocks
+        self._crash_on = crash_on
         self._cache: OrderedDict[int, None] = OrderedDict()
+        self._cache_events: list[CacheEvent] = []
         self._running = 0
         self._waiting = 0
 
@@ -46,6 +51,12 @@
         """Return the requests running and waiting."""
         return self._running, self._waiting
 
+    def take_cache_events(self) -> tuple[CacheEvent, ...]:
+        """Return the changes of the cache since the last call."""
+        events = tuple(self._cache_events)
+        self._cache_events.clear()
+        return events
+
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one HTTP request."""
         if scope["type"] != "http":
@@ -78,6 +89,8 @@
         try:
             uncached = self._take_prompt(prompt)
             await anyio.sleep(uncached / self._prefill_tokens_per_s)
+            if self._crash_on is not None and self._crash_on in prompt:
+                os._exit(CRASH_EXIT_CODE)
             await self._answer(request, prompt, tokens, send)
         finally:
             self._running -= 1
@@ -85,18 +98,19 @@
 
     def _take_prompt(self, prompt: str) -> int:
         """Return the prompt's tokens that were not in the cache, and cache them."""
-        step = CACHE_BLOCK_TOKENS * CHARACTERS_PER_TOKEN
-        uncached = 0
-        for end in range(step, len(prompt) + step, step):
-            block = hash(prompt[:end])
-            if block in self._cache:
-                self._cache.move_to_end(block)
-                continue
-            uncached += CACHE_BLOCK_TOKENS
-            self._cache[block] = None
-            while len(self._cache) > self._cache_blocks:
-                self._cache.popitem(last=False)
-        return uncached
+        shape = prompt_shape(prompt, output_tokens=0, body_bytes=0, streamed=True)
+        cached = 0
+        for prefix in shape.prefixes:
+            if prefix.digest in self._cache:
+                cached = prefix.tokens
+            else:
+                self._cache[prefix.digest] = None
+                self._cache_events.append(CacheEvent(digest=prefix.digest, stored=True))
+            self._cache.move_to_end(prefix.digest)
+        while len(self._cache) > self._cache_blocks:
+            digest, _ = self._cache.popitem(last=False)
+            self._cache_events.append(CacheEvent(digest=digest, stored=False))
+        return max(1, shape.tokens - cached)
 
     async def _answer(self, request: dict[str, Any], prompt: str, tokens: int, send: Send) -> None:
         words = prompt.split() or ["(empty)"]
