Refuse empty and overlong idempotency keys, and read each slot once in a recovery

Cause: an empty key was taken for none and protected nothing; and a recovering slot that found too few intact ones read the first of them again every quarter of a second. Change: 1 to 255 characters; what was read of a slot is kept for the life of the memory, which the specification allows, since the slot has noted the new incarnation.

--- a/figpaddle/daemon/_at_most_once.py
+++ b/figpaddle/daemon/_at_most_once.py
@@ -22,6 +22,7 @@
 from figpaddle.errors import (
     AnswerNotKeptError,
     DeadlineExceededError,
+    InvalidRequestError,
     KeyReusedError,
     LedgerUnavailableError,
     Outcome,
@@ -36,6 +37,8 @@
 LEDGER_RETRY_S = 2.0
 #: Time that a request in progress has to end after its caller has gone away, seconds.
 CALLER_GONE_GRACE_S = 1.0
+#: Longest idempotency key, characters.
+MAX_KEY_CHARACTERS = 255
 #: Header of an answer that was given before.
 REPLAYED_HEADER = ("figpaddle-replayed", "true")
 
@@ -75,9 +78,10 @@
 
         Raises RequestError if the request gets no answer of the service.
         """
+        key = _checked_key(head)
         self._check_regions(head)
         data = b"".join([chunk async for chunk in body.chunks()])
-        coordinator = self._coordinator(head, data)
+        coordinator = self._coordinator(head, key, data)
         decision = await self._decide(head, coordinator)
         if isinstance(decision, Settled):
             await self._client.tell(head.home, coordinator.abandonment())
@@ -105,13 +109,10 @@
                 home=head.home, outcome=Outcome.NOT_RUN, retry_after_s=None
             )
 
-    def _coordinator(self, head: RequestHead, data: bytes) -> Coordinator:
-        key = RecordKey(
-            member=head.member, client=head.client, key=head.idempotency_key or head.request_id
-        )
+    def _coordinator(self, head: RequestHead, key: str, data: bytes) -> Coordinator:
         return Coordinator(
             slots=self._client.slots(head.home),
-            key=key,
+            key=RecordKey(member=head.member, client=head.client, key=key),
             service=head.service,
             digest=digest_of(head, data),
             attempt=uuid.uuid4().hex,
@@ -158,6 +159,16 @@
             self._log.warning("answer_not_recorded", request_id=head.request_id, home=head.home)
 
 
+def _checked_key(head: RequestHead) -> str:
+    key = head.idempotency_key or ""
+    if not 0 < len(key) <= MAX_KEY_CHARACTERS:
+        raise InvalidRequestError(
+            what="the idempotency key is empty or too long",
+            mend=f"send between 1 and {MAX_KEY_CHARACTERS} characters",
+        )
+    return key
+
+
 async def _with_grace(work: Callable[[], Awaitable[None]]) -> None:
     """Run ``work``; when the caller goes away, leave it some time to end and be recorded."""
     failure: RequestError | None = None
--- a/figpaddle/daemon/_ledger_host.py
+++ b/figpaddle/daemon/_ledger_host.py
@@ -60,6 +60,7 @@
         self._network = network
         self._wall_clock = wall_clock
         self._log = log
+        self._sources: dict[str, RecoveredSlot] = {}
         now = wall_clock()
         self._holder = Holder(settings=settings, incarnation=int(now * 1e6), started_at=now)
         self._holder.load(storage.read())
@@ -118,15 +119,16 @@
             self._log.info("ledger_votes", records=self._holder.records)
 
     async def _recover(self) -> None:
-        sources = []
+        """Read slots that were not read yet; a slot read earlier stays good for this memory."""
         for slot in self._settings.slots:
-            if slot == self._settings.slot:
+            if slot == self._settings.slot or slot in self._sources:
                 continue
             source = await self._read_slot(slot)
             if source is not None:
-                sources.append(source)
-            if len(sources) >= recovery_size(len(self._settings.slots)):
-                await self._store(self._holder.adopt(tuple(sources)))
+                self._sources[slot] = source
+            if len(self._sources) >= recovery_size(len(self._settings.slots)):
+                await self._store(self._holder.adopt(tuple(self._sources.values())))
+                self._sources.clear()
                 return
 
     async def _read_slot(self, slot: str) -> RecoveredSlot | None:
@@ -152,6 +154,7 @@
         if isinstance(page, LedgerPage):
             for vote in page.known:
                 if vote.slot == self._settings.slot:
+                    self._sources.clear()
                     self._holder.raise_incarnation(vote.incarnation + 1)
 
     async def _store(self, step: Step) -> None:
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -103,6 +103,13 @@
     assert runs(region, b"another body") == 0
 
 
+@pytest.mark.parametrize("length", [0, 256])
+def test_key_that_is_empty_or_too_long_is_refused(region: Deployment, length: int) -> None:
+    refused = file(region, "seoul-1", "x" * length, body=b"no key")
+    assert problem(refused) == ("invalid-request", "not run")
+    assert runs(region, b"no key") == 0
+
+
 def test_entries_that_get_one_key_at_the_same_moment_run_it_once(region: Deployment) -> None:
     keys = [f"race-{number}" for number in range(20)]
     with concurrent.futures.ThreadPoolExecutor(len(SLOTS)) as pool:
