--- a/figpaddle/coordination/__init__.py
+++ b/figpaddle/coordination/__init__.py
@@ -1,6 +1,7 @@
 """Coordination parts without input or output: membership, replicated log, leases."""
 
 from figpaddle.coordination._directory import InstanceDirectory
+from figpaddle.coordination._lease import Lease, LeaseClaim, LeaseTiming
 from figpaddle.coordination._log import Log
 from figpaddle.coordination._log_storage import LogStorage, MemoryLogStorage
 from figpaddle.coordination._log_types import (
@@ -11,7 +12,7 @@
     Effect,
     Event,
     HardState,
-    LogTiming,
+    LogSettings,
     Persist,
     Propose,
     Read,
@@ -23,11 +24,30 @@
     Send,
     Tick,
 )
+from figpaddle.coordination._member_table import MemberRecord
+from figpaddle.coordination._membership import Membership
+from figpaddle.coordination._membership_events import (
+    Call,
+    CallFinished,
+    MemberChanged,
+    MemberForgotten,
+    MembershipEffect,
+    MembershipEvent,
+    MembershipTick,
+    OwnStateChanged,
+    PeerDoubted,
+    RequestReceived,
+    Respond,
+)
+from figpaddle.coordination._membership_options import MembershipOptions
 from figpaddle.coordination._relays import relays, sources, zone_of
 from figpaddle.coordination._replica import Replica, first_snapshot
+from figpaddle.coordination._topology import Topology
 
 __all__ = [
     "Apply",
+    "Call",
+    "CallFinished",
     "ChangeMembership",
     "Compact",
     "DurableState",
@@ -35,21 +55,37 @@
     "Event",
     "HardState",
     "InstanceDirectory",
+    "Lease",
+    "LeaseClaim",
+    "LeaseTiming",
     "Log",
     "LogStorage",
-    "LogTiming",
+    "MemberChanged",
+    "MemberForgotten",
+    "MemberRecord",
+    "Membership",
+    "MembershipEffect",
+    "MembershipEvent",
+    "MembershipOptions",
+    "MembershipTick",
+    "LogSettings",
     "MemoryLogStorage",
+    "OwnStateChanged",
+    "PeerDoubted",
     "Persist",
     "Propose",
     "Read",
     "ReadReady",
     "Received",
     "Replica",
+    "RequestReceived",
+    "Respond",
     "Restore",
     "Role",
     "RoleChanged",
     "Send",
     "Tick",
+    "Topology",
     "first_snapshot",
     "relays",
     "sources",
--- a/figpaddle/daemon/_gateway.py
+++ b/figpaddle/daemon/_gateway.py
@@ -21,26 +21,39 @@
 from figpaddle.daemon._forwarder import Forwarder
 from figpaddle.daemon._logs import Log
 from figpaddle.daemon._placer import Placer, ProgressSink
+from figpaddle.daemon._quarantine import QuarantineKeeper
 from figpaddle.daemon._retries import Attempts
+from figpaddle.deployment import ServiceConfiguration
 from figpaddle.errors import (
+    BackendServerLostError,
     ConfigurationUnconfirmedError,
     DeadlineExceededError,
     NoBackendServerError,
     Outcome,
     PeerLostError,
     RequestError,
+    RequestQuarantinedError,
 )
 from figpaddle.routing import (
     BackendTable,
     KnownBackend,
     Placement,
     RetryBudget,
+    Verdict,
     check_forward,
     permitted_service,
 )
 
-#: Shortest silence within an answer that counts as its end, seconds.
-MIN_IDLE_S = 2.0
+#: An answer that is silent for this many deadlines of its service is given up.
+IDLE_DEADLINES = 2.0
+#: Shortest silence after which an answer is given up, seconds.
+MIN_IDLE_S = 5.0
+#: An instance hears of its region's backend servers within this after its start, seconds.
+WARM_UP_S = 1.5
+#: Interval at which a request looks for them, seconds.
+WARM_UP_POLL_S = 0.05
+#: Interval at which a suspect looks for a free backend server, seconds.
+SLOT_POLL_S = 0.05
 #: Time to come back after when no backend server is known, seconds.
 NO_BACKEND_RETRY_S = 2.0
 
@@ -58,6 +71,7 @@
         client: BackendClient,
         forwarder: Forwarder,
         at_most_once: AtMostOnce,
+        quarantine: QuarantineKeeper,
         clock: Callable[[], float],
         log: Log,
     ) -> None:
@@ -68,10 +82,12 @@
         self._client = client
         self._forwarder = forwarder
         self._at_most_once = at_most_once
+        self._quarantine = quarantine
         self._clock = clock
         self._log = log
         self._in_progress = 0
         self._retry_budget = RetryBudget()
+        self._warm_at = clock() + WARM_UP_S
 
     @property
     def in_progress(self) -> int:
@@ -102,27 +118,37 @@
         finally:
             self._in_progress -= 1
 
-    async def _serve(self, head: RequestHead, body: BodySource, sink: AnswerSink) -> None:
+    def check(
+        self, member: str, service: str, visited: tuple[str, ...], crossings: int
+    ) -> ServiceConfiguration:
+        """Return the service; raises RequestError if a request may not be served here."""
         own = self._directory.own
-        check_forward(instance=own.name, visited=head.visited, crossings=head.crossings)
+        check_forward(instance=own.name, visited=visited, crossings=crossings)
         self._configuration.require(instance=own.name)
-        if head.crossings and not self._configuration.may_cross(self._clock()):
+        if crossings and not self._configuration.may_cross(self._clock()):
             raise ConfigurationUnconfirmedError(instance=own.name)
-        service = permitted_service(
-            self._configuration.current, member=head.member, service=head.service, region=own.region
+        return permitted_service(
+            self._configuration.current, member=member, service=service, region=own.region
+        )
+
+    async def _serve(self, head: RequestHead, body: BodySource, sink: AnswerSink) -> None:
+        service = self.check(head.member, head.service, head.visited, head.crossings)
+        head = dataclasses.replace(
+            head, idle_s=max(MIN_IDLE_S, IDLE_DEADLINES * service.deadline_s)
         )
-        head = dataclasses.replace(head, idle_s=max(MIN_IDLE_S, service.deadline_s))
         body = await hold_small(body)
         attempts = Attempts(head=head, budget=self._retry_budget, clock=self._clock)
         failure: RequestError = NoBackendServerError(
             service=head.service, retry_after_s=NO_BACKEND_RETRY_S
         )
+        digest = self._quarantine.digest(head, body)
+        await self._wait_for_announcements(head)
         while True:
-            placement = self._place(head, service.regions, attempts)
+            placement = await self._place_apart(head, service.regions, attempts, digest)
             if placement is None:
                 raise failure
             try:
-                await self._carry_out(head, body, sink, placement, attempts.tried)
+                await self._carry_out(head, body, sink, placement, attempts.tried, digest)
                 return
             except RequestError as error:
                 attempts.note_failure(error)
@@ -133,13 +159,48 @@
                 self._log.info("retry", request_id=head.request_id, problem=error.problem)
                 failure = error
 
+    async def _wait_for_announcements(self, head: RequestHead) -> None:
+        """Let the first announcements reach an instance that has just started."""
+        until = min(self._warm_at, head.deadline_at)
+        while (now := self._clock()) < until:
+            if self._backends.candidates(head.offering, now=now):
+                return
+            await anyio.sleep(WARM_UP_POLL_S)
+
+    async def _place_apart(
+        self, head: RequestHead, allowed: tuple[str, ...], attempts: Attempts, digest: bytes
+    ) -> Placement | None:
+        """Return the choice; that of a suspect runs no other suspect.
+
+        Raises RequestQuarantinedError for a request that may not run any more.
+        """
+        try:
+            verdict = self._quarantine.check(digest)
+        except RequestQuarantinedError as error:
+            attempts.settle(error)
+            raise
+        if verdict is Verdict.CLEAR:
+            return self._place(head, allowed, attempts, attempts.tried)
+        while self._clock() < head.deadline_at:
+            denied = set(attempts.tried)
+            while placement := self._place(head, allowed, attempts, denied):
+                name = placement.backend.info.name if placement.backend is not None else None
+                if name is None or await self._quarantine.take_slot(name, digest):
+                    return placement
+                self._placer.withdraw(head, placement)
+                denied.add(name)
+            if denied == attempts.tried:
+                return None
+            await anyio.sleep(SLOT_POLL_S)
+        return None
+
     def _place(
-        self, head: RequestHead, allowed: tuple[str, ...], attempts: Attempts
+        self, head: RequestHead, allowed: tuple[str, ...], attempts: Attempts, denied: set[str]
     ) -> Placement | None:
         try:
-            return self._placer.place(head, allowed, attempts.tried)
+            return self._placer.place(head, allowed, denied)
         except RequestError as error:
-            attempts.note_failure(error)
+            attempts.settle(error)
             raise
 
     async def _carry_out(
@@ -149,13 +210,14 @@
         sink: AnswerSink,
         placement: Placement,
         tried: set[str],
+        digest: bytes,
     ) -> None:
         progress = self._placer.sent(head, placement)
         told = ProgressSink(sink=sink, progress=progress)
         try:
             if placement.backend is not None:
                 tried.add(placement.backend.info.name)
-                await self._send(head, body, told, placement.backend)
+                await self._send(head, body, told, placement.backend, digest)
             elif placement.region is not None:
                 spilled = self._backends.ever_offered(head.offering)
                 away = dataclasses.replace(head, spilled=spilled)
@@ -166,7 +228,12 @@
             progress.ended()
 
     async def _send(
-        self, head: RequestHead, body: BodySource, sink: AnswerSink, backend: KnownBackend
+        self,
+        head: RequestHead,
+        body: BodySource,
+        sink: AnswerSink,
+        backend: KnownBackend,
+        digest: bytes,
     ) -> None:
         name = backend.info.name
         self._backends.started(name)
@@ -177,13 +244,18 @@
                 timed.scope = scope
                 await self._client.send(head, body, backend, timed)
                 self._backends.note_connection(name, opened=True)
+                self._quarantine.note_answered(digest)
             if scope.cancelled_caught:
                 raise DeadlineExceededError(deadline_s=head.deadline_s, outcome=Outcome.UNKNOWN)
         except NoBackendServerError:
             self._backends.note_connection(name, opened=False)
             raise
+        except BackendServerLostError:
+            await self._quarantine.note_broken(head, digest, backend)
+            raise
         finally:
             self._backends.finished(name)
+            self._quarantine.release_slot(name, digest)
 
 
 class DeadlineSink(AnswerSink):
--- /dev/null
+++ b/figpaddle/daemon/_http_sink.py
@@ -0,0 +1,111 @@
+"""The answer to a caller over HTTP."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable, MutableMapping
+from typing import Any
+
+import anyio
+
+from figpaddle.daemon._exchange import AnswerHead, AnswerSink
+from figpaddle.daemon._http import (
+    CallerGoneError,
+    Send,
+    encode_headers,
+    problem_document,
+    send_json,
+    send_problem,
+)
+from figpaddle.errors import RequestError
+
+
+class HttpSink(AnswerSink):
+    """Sends an answer to the caller.
+
+    A stream that breaks after its head ends as an error that the caller sees as one: an SSE
+    ``error`` event and a connection closed without the end mark.
+    """
+
+    def __init__(
+        self, *, send: Send, request_id: str, idle_s: float, closing: Callable[[], bool]
+    ) -> None:
+        self._unlimited_send = send
+        self._idle_s = idle_s
+        self._finished = False
+        #: Identifier of the request.
+        self.request_id = request_id
+        self._closing = closing
+        self._started = False
+        self._is_event_stream = False
+
+    @property
+    def started(self) -> bool:
+        """Whether the head of the answer has been sent."""
+        return self._started
+
+    @property
+    def finished(self) -> bool:
+        """Whether the end mark has been sent."""
+        return self._finished
+
+    async def _send(self, event: MutableMapping[str, Any]) -> None:
+        try:
+            with anyio.fail_after(self._idle_s):
+                await self._unlimited_send(event)
+        except TimeoutError as error:
+            raise CallerGoneError from error
+
+    async def start(self, head: AnswerHead) -> None:
+        """Send the head of the answer with where it was served."""
+        self._started = True
+        headers = [
+            (key.encode(), value.encode("latin-1", "replace")) for key, value in head.headers
+        ]
+        own = {
+            "figpaddle-request-id": self.request_id,
+            "figpaddle-instance": head.instance,
+            "figpaddle-region": head.region,
+            "figpaddle-backend": head.backend,
+            **self._connection(),
+        }
+        self._is_event_stream = any(
+            key == "content-type" and value.startswith("text/event-stream")
+            for key, value in head.headers
+        )
+        await self._send(
+            {
+                "type": "http.response.start",
+                "status": head.status,
+                "headers": [*headers, *encode_headers(own)],
+            }
+        )
+
+    async def write(self, data: bytes) -> None:
+        """Send a piece of the answer."""
+        await self._send({"type": "http.response.body", "body": data, "more_body": True})
+
+    async def finish(self) -> None:
+        """Send the end mark."""
+        self._finished = True
+        await self._send({"type": "http.response.body", "body": b"", "more_body": False})
+
+    async def send_plain(self, plain: Any) -> None:
+        """Send ``plain`` as JSON."""
+        self._started = True
+        await send_json(self._send, status=200, plain=plain, extra=self._connection())
+
+    async def fail(self, error: RequestError) -> None:
+        """End the answer with ``error``; raises it again if the answer had begun."""
+        if not self._started:
+            await send_problem(
+                self._send, error, request_id=self.request_id, extra=self._connection()
+            )
+            return
+        if self._is_event_stream:
+            document = json.dumps(problem_document(error, request_id=self.request_id))
+            await self.write(f"event: error\ndata: {document}\n\n".encode())
+        raise error
+
+    def _connection(self) -> dict[str, str]:
+        return {"connection": "close"} if self._closing() else {}
--- a/figpaddle/daemon/_instance.py
+++ b/figpaddle/daemon/_instance.py
@@ -30,6 +30,7 @@
 from figpaddle.daemon._operators import OperatorsPort
 from figpaddle.daemon._peers import PeerNetwork
 from figpaddle.daemon._placer import Placer
+from figpaddle.daemon._quarantine import QuarantineKeeper
 from figpaddle.daemon._regions import RegionView
 from figpaddle.daemon._settings import Settings, load_yaml
 from figpaddle.daemon._sockets import Listener, hand_over, listen, split_address
@@ -39,6 +40,8 @@
 
 #: Interval at which a stopping process looks whether requests are still in progress, seconds.
 DRAIN_POLL_S = 0.05
+#: Longest time for which a closing port sends what is left of its answers, seconds.
+PORT_CLOSE_TIMEOUT_S = 5.0
 #: Largest head of an HTTP request, bytes.
 MAX_HTTP_HEAD_BYTES = 32 * 1024
 
@@ -79,6 +82,7 @@
         self._ledger = make_ledger_host(
             settings, configuration=self._configuration, network=self._network, log=log
         )
+        self._quarantine = self._make_quarantine()
         self._gateway = self._make_gateway()
         self._watch = BackendWatch(
             directory=self._directory,
@@ -115,10 +119,16 @@
                 metrics=self._metrics,
                 stop=self._stopping.set,
                 configuration=self._control.port,
+                lift=self._quarantine.lift,
             ),
         }
-        receiver = ForwardReceiver(serve=self._gateway.serve, clock=self._clock)
-        self._network.register_forward(receiver.handle)
+        self._receiver = ForwardReceiver(
+            serve=self._gateway.serve,
+            check=self._gateway.check,
+            configuration=self._configuration,
+            clock=self._clock,
+        )
+        self._network.register_forward(self._receiver.handle)
 
     def _own_info(self) -> InstanceInfo:
         settings = self._settings
@@ -144,6 +154,16 @@
             clock=self._clock,
         )
 
+    def _make_quarantine(self) -> QuarantineKeeper:
+        return QuarantineKeeper(
+            directory=self._directory,
+            network=self._network,
+            key=self._settings.deployment_key.encode(),
+            rng=self._rng,
+            clock=self._clock,
+            log=self._log,
+        )
+
     def _make_gateway(self) -> Gateway:
         forwarder = Forwarder(
             directory=self._directory,
@@ -167,6 +187,7 @@
                 clock=self._clock,
                 log=self._log,
             ),
+            quarantine=self._quarantine,
             clock=self._clock,
             log=self._log,
         )
@@ -179,6 +200,7 @@
             configuration=self._configuration,
             clients=read_directory(load_yaml(path), document=str(path)),
             body_limit_bytes=self._settings.limits.body_bytes,
+            caller_idle_s=self._settings.limits.caller_idle_s,
             metrics=self._metrics,
             clock=self._clock,
             log=self._log,
@@ -189,10 +211,15 @@
             directory=self._directory,
             network=self._network,
             join=self._settings.join,
+            key=self._settings.deployment_key.encode(),
+            own_ip=split_address(self._listeners["peers"].address)[0],
+            rng=self._rng,
+            clock=self._clock,
             log=self._log,
         )
         ledger = (self._ledger,) if self._ledger is not None else ()
-        return (membership, self._watch, *self._control.components, *ledger)
+        control = self._control.components
+        return (membership, self._watch, self._quarantine, *control, *ledger)
 
     def dump(self, member: str | None) -> dict[str, Any]:
         """Return the state of the process without clients' data and keys.
@@ -247,7 +274,7 @@
         config.bind = [hand_over(listener)]
         config.accesslog = None
         config.errorlog = None
-        config.graceful_timeout = 0.5
+        config.graceful_timeout = PORT_CLOSE_TIMEOUT_S
         config.keep_alive_timeout = 30.0
         config.h11_max_incomplete_size = MAX_HTTP_HEAD_BYTES
         await serve_http(application, config, shutdown_trigger=self._ports_closing.wait)
@@ -262,13 +289,14 @@
         limits = self._settings.limits
         self._life_cycle.handle("stop")
         self._log.info("leaving", in_progress=self._gateway.in_progress)
+        self._callers.leaving = True
         for component in self._components:
             await component.leave()
         await anyio.sleep(limits.leave_grace_s)
         self._life_cycle.handle("grace_over")
         self._callers.closed = True
         with anyio.move_on_after(limits.drain_s) as waiting:
-            while self._gateway.in_progress:
+            while self._callers.in_progress or self._receiver.in_progress:
                 await anyio.sleep(DRAIN_POLL_S)
         self._life_cycle.handle("drain_timeout" if waiting.cancelled_caught else "idle")
         for component in self._components:
