--- a/figpaddle/daemon/_instance.py
+++ b/figpaddle/daemon/_instance.py
@@ -14,7 +14,6 @@
 
 from figpaddle.charts import LifeCycle
 from figpaddle.coordination import InstanceDirectory
-from figpaddle.daemon._at_most_once import AtMostOnce
 from figpaddle.daemon._backend_client import BackendClient
 from figpaddle.daemon._backend_watch import BackendWatch
 from figpaddle.daemon._backends_port import BackendsPort
@@ -24,9 +23,7 @@
 from figpaddle.daemon._forward_receiver import ForwardReceiver
 from figpaddle.daemon._forwarder import Forwarder
 from figpaddle.daemon._gateway import Gateway
-from figpaddle.daemon._ledger_client import LedgerClient
-from figpaddle.daemon._ledger_host import LedgerHost
-from figpaddle.daemon._ledger_storage import FileLedgerStorage
+from figpaddle.daemon._ledger_parts import make_at_most_once, make_ledger_host
 from figpaddle.daemon._logs import Log
 from figpaddle.daemon._membership import Membership
 from figpaddle.daemon._metrics import Metrics
@@ -38,7 +35,6 @@
 from figpaddle.daemon._settings import Settings, load_yaml
 from figpaddle.daemon._sockets import Listener, hand_over, listen, split_address
 from figpaddle.deployment import read_directory
-from figpaddle.ledger import HolderSettings, LedgerStorage, NoStorage
 from figpaddle.routing import Admission, BackendTable, make_policy
 from figpaddle.wire import Handshake, InstanceInfo
 
@@ -83,7 +79,9 @@
             own_ip=own_ip, region=settings.region, instance=settings.instance
         )
         self._placer = self._make_placer()
-        self._ledger = self._make_ledger_host()
+        self._ledger = make_ledger_host(
+            settings, configuration=self._configuration, network=self._network, log=log
+        )
         self._quarantine = self._make_quarantine()
         self._gateway = self._make_gateway()
         self._watch = BackendWatch(
@@ -181,57 +179,19 @@
             placer=self._placer,
             client=self._client,
             forwarder=forwarder,
-            at_most_once=self._make_at_most_once(),
+            at_most_once=make_at_most_once(
+                self._settings,
+                configuration=self._configuration,
+                network=self._network,
+                host=self._ledger,
+                clock=self._clock,
+                log=self._log,
+            ),
             quarantine=self._quarantine,
             clock=self._clock,
             log=self._log,
         )
 
-    def _make_at_most_once(self) -> AtMostOnce:
-        settings = self._settings
-        client = LedgerClient(
-            own_name=settings.instance,
-            holders=settings.ledger.holders,
-            host=self._ledger,
-            network=self._network,
-        )
-        return AtMostOnce(
-            client=client,
-            configuration=self._configuration,
-            own_region=settings.region,
-            answer_bytes=settings.ledger.answer_bytes,
-            clock=self._clock,
-            wall_clock=time.time,
-            log=self._log,
-        )
-
-    def _make_ledger_host(self) -> LedgerHost | None:
-        settings = self._settings
-        slots = settings.ledger.holders.get(settings.region, ())
-        if settings.instance not in slots:
-            return None
-        voting_from = settings.ledger.voting_from
-        holder = HolderSettings(
-            slot=settings.instance,
-            slots=slots,
-            retention_s=settings.ledger.retention_s,
-            voting_from=voting_from.timestamp() if voting_from is not None else None,
-        )
-        storage: LedgerStorage = NoStorage()
-        if settings.data_folder is not None:
-            storage = FileLedgerStorage(
-                folder=settings.data_folder, slot=settings.instance, slots=slots
-            )
-        return LedgerHost(
-            settings=holder,
-            storage=storage,
-            configuration=self._configuration,
-            region=settings.region,
-            network=self._network,
-            wall_clock=time.time,
-            log=self._log,
-        )
-
     def _make_callers_port(self) -> CallersPort:
         path = self._settings.directory
         return CallersPort(
