--- a/figpaddle/coordination/_lease.py
+++ b/figpaddle/coordination/_lease.py
@@ -16,6 +16,9 @@
 
     #: Name of the instance that claims.
     holder: str
+    #: Number of the holder's run, raised at each start, so that a claim proposed before a restart
+    #: is never taken for one proposed after it.
+    incarnation: int
     #: Fencing number of the lease that the claim replaces.
     replaces: int
 
@@ -48,7 +51,7 @@
     as long as their rates differ by less than the bound. An instance that restarts counts anew
     from its start.
 
-    >>> one = Lease(own="one", now=0.0)
+    >>> one = Lease(own="one", incarnation=1, now=0.0)
     >>> claim = one.claim(now=5.0)
     >>> one.committed(claim, now=5.2)
     >>> one.check(now=8.9)
@@ -59,11 +62,13 @@
         self,
         *,
         own: str,
+        incarnation: int,
         now: float,
         last: LeaseClaim | None = None,
         timing: LeaseTiming | None = None,
     ) -> None:
         self._own = own
+        self._incarnation = incarnation
         self._timing = timing or LeaseTiming()
         self._last = last
         self._free_at = now + self._timing.wait_out_s
@@ -80,7 +85,7 @@
         if not self._is_holder and now < self._free_at:
             return None
         replaces = self._last.fencing if self._last is not None else 0
-        claim = LeaseClaim(holder=self._own, replaces=replaces)
+        claim = LeaseClaim(holder=self._own, incarnation=self._incarnation, replaces=replaces)
         self._claimed.setdefault(claim, now)
         return claim
 
