--- a/figpaddle/daemon/_exchange.py
+++ b/figpaddle/daemon/_exchange.py
@@ -6,6 +6,8 @@
 import dataclasses
 from collections.abc import AsyncIterator
 
+from figpaddle.wire import PromptShape
+
 Headers = tuple[tuple[str, str], ...]
 
 #: Largest body of a request that is held in memory to be sent again, bytes.
@@ -42,10 +44,14 @@
     deadline_s: float
     #: Priority class within the member, 0 first.
     priority: int
+    #: What its placement may know of its prompt; empty for a service without one.
+    prompt: PromptShape = PromptShape()
     #: Instances that the request has passed.
     visited: tuple[str, ...] = ()
     #: How often it has crossed regions.
     crossings: int = 0
+    #: Whether it left a region that has the service itself; such work leaves room for others.
+    spilled: bool = False
     #: Longest silence within an answer, seconds.
     idle_s: float = 30.0
 
--- a/figpaddle/daemon/_instance.py
+++ b/figpaddle/daemon/_instance.py
@@ -14,6 +14,7 @@
 
 from figpaddle.charts import LifeCycle
 from figpaddle.coordination import InstanceDirectory
+from figpaddle.daemon._at_most_once import AtMostOnce
 from figpaddle.daemon._backend_client import BackendClient
 from figpaddle.daemon._backend_watch import BackendWatch
 from figpaddle.daemon._backends_port import BackendsPort
@@ -23,20 +24,28 @@
 from figpaddle.daemon._forward_receiver import ForwardReceiver
 from figpaddle.daemon._forwarder import Forwarder
 from figpaddle.daemon._gateway import Gateway
+from figpaddle.daemon._ledger_client import LedgerClient
+from figpaddle.daemon._ledger_host import LedgerHost
+from figpaddle.daemon._ledger_storage import FileLedgerStorage
 from figpaddle.daemon._logs import Log
 from figpaddle.daemon._membership import Membership
 from figpaddle.daemon._metrics import Metrics
 from figpaddle.daemon._operators import OperatorsPort
 from figpaddle.daemon._peers import PeerNetwork
+from figpaddle.daemon._placer import Placer
+from figpaddle.daemon._quarantine import QuarantineKeeper
 from figpaddle.daemon._regions import RegionView
 from figpaddle.daemon._settings import Settings, load_yaml
 from figpaddle.daemon._sockets import Listener, hand_over, listen, split_address
 from figpaddle.deployment import read_directory
-from figpaddle.routing import BackendTable, LeastLoadPolicy
+from figpaddle.ledger import HolderSettings, LedgerStorage, NoStorage
+from figpaddle.routing import Admission, BackendTable, make_policy
 from figpaddle.wire import Handshake, InstanceInfo
 
 #: Interval at which a stopping process looks whether requests are still in progress, seconds.
 DRAIN_POLL_S = 0.05
+#: Longest time for which a closing port sends what is left of its answers, seconds.
+PORT_CLOSE_TIMEOUT_S = 5.0
 #: Largest head of an HTTP request, bytes.
 MAX_HTTP_HEAD_BYTES = 32 * 1024
 
@@ -73,12 +82,16 @@
         self._client = BackendClient(
             own_ip=own_ip, region=settings.region, instance=settings.instance
         )
+        self._placer = self._make_placer()
+        self._ledger = self._make_ledger_host()
+        self._quarantine = self._make_quarantine()
         self._gateway = self._make_gateway()
         self._watch = BackendWatch(
             directory=self._directory,
             network=self._network,
             backends=self._backends,
             regions=self._regions,
+            reported=self._placer.reported,
             clock=self._clock,
             log=log,
         )
@@ -108,10 +121,16 @@
                 metrics=self._metrics,
                 stop=self._stopping.set,
                 configuration=self._control.port,
+                lift=self._quarantine.lift,
             ),
         }
-        receiver = ForwardReceiver(serve=self._gateway.serve, clock=self._clock)
-        self._network.register_forward(receiver.handle)
+        self._receiver = ForwardReceiver(
+            serve=self._gateway.serve,
+            check=self._gateway.check,
+            configuration=self._configuration,
+            clock=self._clock,
+        )
+        self._network.register_forward(self._receiver.handle)
 
     def _own_info(self) -> InstanceInfo:
         settings = self._settings
@@ -126,6 +145,27 @@
             incarnation=time.time_ns() // 1_000_000,
         )
 
+    def _make_placer(self) -> Placer:
+        return Placer(
+            directory=self._directory,
+            configuration=self._configuration,
+            backends=self._backends,
+            regions=self._regions,
+            policy=make_policy(self._settings.policy, rng=self._rng),
+            admission=Admission(rng=self._rng),
+            clock=self._clock,
+        )
+
+    def _make_quarantine(self) -> QuarantineKeeper:
+        return QuarantineKeeper(
+            directory=self._directory,
+            network=self._network,
+            key=self._settings.deployment_key.encode(),
+            rng=self._rng,
+            clock=self._clock,
+            log=self._log,
+        )
+
     def _make_gateway(self) -> Gateway:
         forwarder = Forwarder(
             directory=self._directory,
@@ -138,11 +178,57 @@
             directory=self._directory,
             configuration=self._configuration,
             backends=self._backends,
-            regions=self._regions,
-            policy=LeastLoadPolicy(rng=self._rng),
+            placer=self._placer,
             client=self._client,
             forwarder=forwarder,
+            at_most_once=self._make_at_most_once(),
+            quarantine=self._quarantine,
+            clock=self._clock,
+            log=self._log,
+        )
+
+    def _make_at_most_once(self) -> AtMostOnce:
+        settings = self._settings
+        client = LedgerClient(
+            own_name=settings.instance,
+            holders=settings.ledger.holders,
+            host=self._ledger,
+            network=self._network,
+        )
+        return AtMostOnce(
+            client=client,
+            configuration=self._configuration,
+            own_region=settings.region,
+            answer_bytes=settings.ledger.answer_bytes,
             clock=self._clock,
+            wall_clock=time.time,
+            log=self._log,
+        )
+
+    def _make_ledger_host(self) -> LedgerHost | None:
+        settings = self._settings
+        slots = settings.ledger.holders.get(settings.region, ())
+        if settings.instance not in slots:
+            return None
+        voting_from = settings.ledger.voting_from
+        holder = HolderSettings(
+            slot=settings.instance,
+            slots=slots,
+            retention_s=settings.ledger.retention_s,
+            voting_from=voting_from.timestamp() if voting_from is not None else None,
+        )
+        storage: LedgerStorage = NoStorage()
+        if settings.data_folder is not None:
+            storage = FileLedgerStorage(
+                folder=settings.data_folder, slot=settings.instance, slots=slots
+            )
+        return LedgerHost(
+            settings=holder,
+            storage=storage,
+            configuration=self._configuration,
+            region=settings.region,
+            network=self._network,
+            wall_clock=time.time,
             log=self._log,
         )
 
@@ -154,6 +240,7 @@
             configuration=self._configuration,
             clients=read_directory(load_yaml(path), document=str(path)),
             body_limit_bytes=self._settings.limits.body_bytes,
+            caller_idle_s=self._settings.limits.caller_idle_s,
             metrics=self._metrics,
             clock=self._clock,
             log=self._log,
@@ -170,7 +257,9 @@
             clock=self._clock,
             log=self._log,
         )
-        return (membership, self._watch, *self._control.components)
+        ledger = (self._ledger,) if self._ledger is not None else ()
+        control = self._control.components
+        return (membership, self._watch, self._quarantine, *control, *ledger)
 
     def dump(self, member: str | None) -> dict[str, Any]:
         """Return the state of the process without clients' data and keys.
@@ -225,7 +314,7 @@
         config.bind = [hand_over(listener)]
         config.accesslog = None
         config.errorlog = None
-        config.graceful_timeout = 0.5
+        config.graceful_timeout = PORT_CLOSE_TIMEOUT_S
         config.keep_alive_timeout = 30.0
         config.h11_max_incomplete_size = MAX_HTTP_HEAD_BYTES
         await serve_http(application, config, shutdown_trigger=self._ports_closing.wait)
@@ -240,13 +329,14 @@
         limits = self._settings.limits
         self._life_cycle.handle("stop")
         self._log.info("leaving", in_progress=self._gateway.in_progress)
+        self._callers.leaving = True
         for component in self._components:
             await component.leave()
         await anyio.sleep(limits.leave_grace_s)
         self._life_cycle.handle("grace_over")
         self._callers.closed = True
         with anyio.move_on_after(limits.drain_s) as waiting:
-            while self._gateway.in_progress:
+            while self._callers.in_progress or self._receiver.in_progress:
                 await anyio.sleep(DRAIN_POLL_S)
         self._life_cycle.handle("drain_timeout" if waiting.cancelled_caught else "idle")
         for component in self._components:
