--- a/figpaddle/daemon/_voter.py
+++ b/figpaddle/daemon/_voter.py
@@ -16,7 +16,7 @@
     DurableState,
     Effect,
     Event,
-    LogTiming,
+    LogSettings,
     Persist,
     Propose,
     Received,
@@ -65,7 +65,7 @@
 #: Changes of one member that may be on their way; further ones of this member wait.
 MAX_PENDING_CHANGES = 64
 #: Longest wait for a change to be committed, seconds.
-COMMIT_TIMEOUT_S = 3.0
+COMMIT_TIMEOUT_S = 2.0
 #: Pause after a write that found the disk full, seconds.
 FULL_DISK_PAUSE_S = 1.0
 
@@ -236,7 +236,7 @@
     def _start(self, state: DurableState) -> None:
         self._replica = Replica(
             state=state,
-            timing=LogTiming(),
+            settings=LogSettings(),
             eligible=self._voters,
             rng=self._rng,
             now=self._clock(),
