--- a/figpaddle/daemon/_exchange.py
+++ b/figpaddle/daemon/_exchange.py
@@ -50,6 +50,8 @@
     visited: tuple[str, ...] = ()
     #: How often it has crossed regions.
     crossings: int = 0
+    #: Whether it left a region that has the service itself; such work leaves room for others.
+    spilled: bool = False
     #: Longest silence within an answer, seconds.
     idle_s: float = 30.0
 
--- a/figpaddle/daemon/_placer.py
+++ b/figpaddle/daemon/_placer.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 from collections.abc import Callable
 
 from figpaddle.coordination import InstanceDirectory
@@ -23,6 +24,10 @@
 )
 from figpaddle.wire import BackendInfo, InstanceState
 
+#: Requests for each slot that a service without backend servers in the own region may have in
+#: another region; its deadline limits them first.
+UNLIMITED = 1_000_000
+
 
 class Placer:
     """Chooses where a request is served, and lets policy and admission learn from it."""
@@ -53,7 +58,8 @@
         now = self._clock()
         demand = self._demand(head, now)
         forwarded = head.crossings > 0
-        may_leave = not forwarded and self._configuration.may_cross(now)
+        homeless = not self._backends.ever_offered(head.offering)
+        local = forwarded or not self._configuration.may_cross(now)
         member = self._configuration.current.member(head.member)
         options = Options(
             backends=tuple(
@@ -62,9 +68,9 @@
                 if known.info.name not in tried
             ),
             regions=tuple(
-                option
+                dataclasses.replace(option, room=option.slots * UNLIMITED) if homeless else option
                 for option in self._regions.options(head.offering, allowed, now=now)
-                if may_leave and option.region not in tried
+                if not local and option.region not in tried
             ),
             weights=member.weights if member is not None else PolicyWeights(),
             deciders=self._deciders(),
@@ -77,7 +83,7 @@
                 demand,
                 placement,
                 shares={entry.name: entry.share for entry in members},
-                room=summary.room if forwarded and demand.prompt_tokens else None,
+                room=summary.room if head.spilled else None,
                 now=now,
             )
         return placement
@@ -95,6 +101,12 @@
             clock=self._clock,
         )
 
+    def withdraw(self, head: RequestHead, placement: Placement) -> None:
+        """Give back an admitted choice that is not carried out."""
+        demand = self._demand(head, self._clock())
+        if placement.expected_s is not None:
+            self._admission.failed(demand, target=placement.target)
+
     def reported(self, info: BackendInfo) -> None:
         """Take in an announcement."""
         self._policy.observe(Reported(info=info), now=self._clock())
--- a/figpaddle/routing/_backends.py
+++ b/figpaddle/routing/_backends.py
@@ -50,6 +50,7 @@
 
     def __init__(self) -> None:
         self._known: dict[str, KnownBackend] = {}
+        self._offered: set[str] = set()
 
     @property
     def backends(self) -> tuple[KnownBackend, ...]:
@@ -63,8 +64,24 @@
             return False
         in_flight = known.in_flight if known is not None else 0
         self._known[info.name] = KnownBackend(info=info, heard_at=now, in_flight=in_flight)
+        self._offered.update(info.services)
         return True
 
+    def conflict(self, info: BackendInfo, *, now: float) -> str | None:
+        """Return the backend server whose valid announcement contradicts ``info``, or None.
+
+        One address belongs to one name, and one incarnation of a name to one address.
+        """
+        for known in self.backends:
+            other = known.info
+            same_name = other.name == info.name
+            same_address = other.address == info.address
+            moved = same_name and not same_address and other.incarnation == info.incarnation
+            valid = now - known.heard_at <= ANNOUNCEMENT_TTL_S
+            if valid and (moved or (same_address and not same_name)):
+                return other.name
+        return None
+
     def expire(self, *, now: float) -> tuple[str, ...]:
         """Forget backend servers that were not renewed in time and return their names."""
         expired = [
@@ -86,6 +103,10 @@
             and now - known.heard_at <= ANNOUNCEMENT_TTL_S
         )
 
+    def ever_offered(self, service: str) -> bool:
+        """Return whether a backend server of the own region has ever announced ``service``."""
+        return service in self._offered
+
     def started(self, name: str) -> None:
         """Count a request sent to the backend server ``name``."""
         self._change_in_flight(name, 1)
--- a/figpaddle/standins/_engine.py
+++ b/figpaddle/standins/_engine.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import os
 from collections import OrderedDict
 from collections.abc import Awaitable, Callable, MutableMapping
 from typing import Any
@@ -16,6 +17,8 @@
 Receive = Callable[[], Awaitable[MutableMapping[str, Any]]]
 Send = Callable[[MutableMapping[str, Any]], Awaitable[None]]
 
+#: Exit code of an engine that met the text that it crashes on.
+CRASH_EXIT_CODE = 70
 #: Tokens generated where the request names no limit.
 DEFAULT_TOKENS = 16
 
@@ -31,12 +34,14 @@
         prefill_tokens_per_s: float,
         decode_s: float,
         cache_blocks: int,
+        crash_on: str | None = None,
     ) -> None:
         self._name = name
         self._slots = anyio.Semaphore(slots)
         self._prefill_tokens_per_s = prefill_tokens_per_s
         self._decode_s = decode_s
         self._cache_blocks = cache_blocks
+        self._crash_on = crash_on
         self._prefilling = anyio.Lock()
         self._cache: OrderedDict[int, None] = OrderedDict()
         self._cache_events: list[CacheEvent] = []
@@ -86,6 +91,8 @@
             async with self._prefilling:
                 uncached = self._take_prompt(prompt)
                 await anyio.sleep(uncached / self._prefill_tokens_per_s)
+            if self._crash_on is not None and self._crash_on in prompt:
+                os._exit(CRASH_EXIT_CODE)
             await self._answer(request, prompt, tokens, send)
         finally:
             self._running -= 1
--- a/figpaddle/wire/_messages.py
+++ b/figpaddle/wire/_messages.py
@@ -98,15 +98,6 @@
         return dataclasses.replace(self, state=state)
 
 
-@message("directory.exchange")
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class DirectoryExchange(Message):
-    """What the sender knows of the instances; the reply is the receiver's own view."""
-
-    #: Known instances, the sender among them.
-    instances: tuple[InstanceInfo, ...]
-
-
 class BackendState(enum.Enum):
     """Whether a backend server takes new work."""
 
@@ -261,6 +252,8 @@
     priority: int
     #: What placement may know of its prompt.
     prompt: PromptShape = PromptShape()
+    #: Whether it left a region that has the service itself.
+    spilled: bool = False
 
 
 @message("forward.body")
--- a/tests/calls.py
+++ b/tests/calls.py
@@ -18,11 +18,12 @@
 def call(entry: str, method: str, path: str, *, key: str, **options: Any) -> httpx.Response:
     """Send one request of a client."""
     headers = {"authorization": f"Bearer {key}", **options.pop("headers", {})}
+    timeout_s = options.pop("timeout", CALL_TIMEOUT_S)
     return httpx.request(
         method,
         f"http://{entry}{path}",
         headers=headers,
-        timeout=CALL_TIMEOUT_S,
+        timeout=timeout_s,
         trust_env=False,
         **options,
     )
@@ -49,6 +50,14 @@
     return httpx.get(url, headers=headers, timeout=CALL_TIMEOUT_S, trust_env=False).json()
 
 
+def wait_for_ledger(*instances: Process) -> None:
+    """Return once the ledger slots of ``instances`` vote."""
+    for instance in instances:
+        wait_until(
+            lambda one=instance: state(one)["ledger"]["voting"], what=f"{instance.name} votes"
+        )
+
+
 def wait_until(condition: Callable[[], bool], *, what: str, timeout_s: float = 15.0) -> float:
     """Return the seconds until ``condition`` held; raises ProcessError after ``timeout_s``."""
     begun = time.monotonic()
