--- a/figpaddle/routing/_backends.py
+++ b/figpaddle/routing/_backends.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 
 from figpaddle.wire import BackendInfo, BackendState, ServiceSummary
 
@@ -142,7 +143,7 @@
             backends=len(serving),
             slots=slots,
             load=load,
-            room=max(0, int(slots * SPILL_FILL) - load),
+            room=max(0, math.ceil(slots * SPILL_FILL) - load),
         )
 
     def _change_in_flight(self, name: str, change: int) -> None:
--- a/figpaddle/routing/_scored.py
+++ b/figpaddle/routing/_scored.py
@@ -79,7 +79,9 @@
             for known in options.backends
         ]
         for option in options.regions:
-            if option.backends > 0 and self._has_room(option, options, now=now):
+            if option.backends == 0:
+                continue
+            if not options.backends or self._has_room(option, options, now=now):
                 estimates.append(self.estimate_region(demand, option, options, weights, now=now))
         if not estimates:
             return None
@@ -244,7 +246,7 @@
         if event.tokens > 1:
             token_s = (now - pending.first_at) / (event.tokens - 1)
         self._service(event.demand.service).sample_end(
-            duration_s=now - pending.sent_at, token_s=token_s
+            duration_s=now - pending.first_at + pending.prefill_s, token_s=token_s
         )
 
 
--- a/figpaddle/routing/_service_model.py
+++ b/figpaddle/routing/_service_model.py
@@ -4,8 +4,6 @@
 
 #: Prefill before the first sample, seconds a token.
 INITIAL_PREFILL_S = 1 / 8000
-#: Time of a request at a backend server before the first sample, seconds.
-INITIAL_DURATION_S = 3.0
 #: Time between tokens before the first sample, seconds.
 INITIAL_TOKEN_S = 0.025
 #: Weight of a sample that is faster than the present estimate of the prefill.
@@ -27,8 +25,9 @@
     def __init__(self) -> None:
         #: Prefill without waiting, seconds a token.
         self.prefill_s = INITIAL_PREFILL_S
-        #: Time of a request at a backend server, seconds.
-        self.duration_s = INITIAL_DURATION_S
+        #: Time that a request holds a slot, seconds; 0 before the first sample, so that nothing
+        #: is refused on a guess.
+        self.duration_s = 0.0
         #: Time between tokens, seconds.
         self.token_s = INITIAL_TOKEN_S
 
@@ -42,6 +41,7 @@
 
     def sample_end(self, *, duration_s: float, token_s: float | None) -> None:
         """Take in a finished request."""
-        self.duration_s += SAMPLE_WEIGHT * (duration_s - self.duration_s)
+        weight = SAMPLE_WEIGHT if self.duration_s else 1.0
+        self.duration_s += weight * (duration_s - self.duration_s)
         if token_s is not None:
             self.token_s += SAMPLE_WEIGHT * (token_s - self.token_s)
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import base64
 from collections.abc import Iterator
 
 import httpx
@@ -11,11 +12,13 @@
 from websockets.exceptions import ConnectionClosed
 
 from figpaddle.wire import (
+    SEAL_NONCE_BYTES,
     Challenge,
     InstanceInfo,
     LinkPurpose,
     MemberNews,
     Message,
+    Seal,
     Sync,
     decode,
     encode,
@@ -173,3 +176,16 @@
         what="both refusals are logged",
     )
     assert state(instance)["membership"] == before
+
+
+def test_exchange_sealed_with_another_key_learns_and_changes_nothing(running: Deployment) -> None:
+    instance = running.instances["seoul-1"]
+    before = state(instance)["membership"]["instances"]
+    seal = Seal(key=b"another deployment's key" * 2)
+    sealed = seal.request(b"n" * SEAL_NONCE_BYTES, encode(INTRUSION))
+    path = base64.urlsafe_b64encode(sealed).decode()
+    answer = httpx.get(
+        f"http://{instance.fields['peers']}/exchange/{path}", trust_env=False, timeout=10
+    )
+    assert (answer.status_code, answer.content) == (403, b"")
+    assert state(instance)["membership"]["instances"] == before
