Bound what placement and admission remember

Cause: a choice that admission refused stayed in memory for good, and accounts of engines that are gone were never dropped. Change: the oldest of 1024 unsent choices goes first; above 4096 accounts those with nothing in progress are dropped. Both tests seen red with the bound taken out. Conclusion: memory no longer grows with refusals and replaced engines.

--- a/figpaddle/routing/_admission.py
+++ b/figpaddle/routing/_admission.py
@@ -21,6 +21,8 @@
 LATER_CLASSES_PART = 0.1
 #: A member may exceed its share by this factor before it is refused for another's sake.
 SHARE_TOLERANCE = 1.1
+#: Accounts above which those with nothing in progress are dropped.
+MAX_ACCOUNTS = 4096
 #: Shortest time to come back after, seconds.
 MIN_RETRY_S = 0.25
 #: Most time to come back after, seconds.
@@ -104,6 +106,8 @@
         own.waiting = max(0, own.waiting - 1)
 
     def _of(self, demand: Demand, target: str) -> _Work:
+        if len(self._work) > MAX_ACCOUNTS:
+            self._work = {key: work for key, work in self._work.items() if work.waiting}
         key = (target, demand.member, demand.priority)
         return self._work.setdefault(key, _Work())
 
--- a/figpaddle/routing/_scored.py
+++ b/figpaddle/routing/_scored.py
@@ -39,6 +39,8 @@
 HERD_NOISE_S = 0.005
 #: Part of the time for the whole answer that counts beside the time to its first token.
 ANSWER_TIME_WEIGHT = 0.2
+#: Most choices remembered that are not sent yet; refused ones never will be.
+MAX_UNSENT = 1024
 #: Time in which a load report that isn't renewed loses half of its weight, seconds.
 STALE_HALF_LIFE_S = 3.0
 
@@ -86,7 +88,7 @@
         if not estimates:
             return None
         chosen = self._choose(estimates, deciders=options.deciders)
-        self._estimates[demand.request_id] = chosen
+        self._keep(demand, chosen)
         return chosen.placement
 
     def observe(self, event: TargetEvent, *, now: float) -> None:
@@ -170,6 +172,11 @@
         chances = [math.exp(-(estimate.score - best) / noise) for estimate in estimates]
         return self._rng.choices(estimates, weights=chances)[0]
 
+    def _keep(self, demand: Demand, chosen: Estimate) -> None:
+        self._estimates[demand.request_id] = chosen
+        if len(self._estimates) > MAX_UNSENT:
+            del self._estimates[next(iter(self._estimates))]
+
     def _load(
         self, known: KnownBackend, model: TargetModel, deciders: int, priority: int, *, now: float
     ) -> float:
--- a/figpaddle/routing/tests/test_admission.py
+++ b/figpaddle/routing/tests/test_admission.py
@@ -11,6 +11,7 @@
 
 from figpaddle.errors import OverloadedError
 from figpaddle.routing import Admission, Demand, Placement
+from figpaddle.routing._admission import MAX_ACCOUNTS
 
 SHARES = {"hanbit": 0.5, "cumbre": 0.5}
 
@@ -116,6 +117,16 @@
     assert not ask(admission, demand(), 1.5, now=5.1)
 
 
+def test_accounts_of_targets_that_are_gone_are_dropped() -> None:
+    admission = Admission(rng=random.Random(1))
+    for number in range(MAX_ACCOUNTS + 10):
+        target = f"engine-{number}"
+        placement = Placement(region=target, expected_s=0.1, work_s=1.0)
+        admission.admit(demand(), placement, shares=SHARES, now=float(number))
+        admission.served(demand(), target=target, work_s=1.0, now=float(number))
+    assert len(admission._work) < MAX_ACCOUNTS
+
+
 @settings(derandomize=True, deadline=None, max_examples=50)
 @given(
     marks=st.lists(st.integers(0, 2), min_size=60, max_size=60),
--- a/figpaddle/routing/tests/test_placement.py
+++ b/figpaddle/routing/tests/test_placement.py
@@ -21,6 +21,7 @@
     ScoredPolicy,
     Sent,
 )
+from figpaddle.routing._scored import MAX_UNSENT
 from figpaddle.wire import BackendInfo, CacheEvent, Prefix
 
 PROMPT = (Prefix(digest=1, tokens=2000), Prefix(digest=2, tokens=4000))
@@ -234,6 +235,13 @@
     assert (fresh.expected_s or 0.0) < 1.0 < 10.0 < (informed.expected_s or 0.0)
 
 
+def test_refused_choices_are_not_remembered_for_ever() -> None:
+    policy = scored()
+    for number in range(MAX_UNSENT + 50):
+        policy.place(demand(number), Options(backends=(backend("a"),)), now=0.0)
+    assert len(policy._estimates) == MAX_UNSENT
+
+
 def test_thin_link_keeps_large_requests_at_home() -> None:
     options = Options(
         backends=(backend("a", running=24),), regions=(region(bytes_per_s=100_000.0),)
