Let nonsense on a link close that link alone, and split the peer network by its sides

Cause: found on reading. A frame that could not be read raised inside a task group, so the failure left it wrapped in a group that nobody caught: on a dialled link it ended the whole process, on an accepted one the HTTP library logged a traceback. A refusal of an unknown type carried no correlation, so its asker waited for its timeout. Ruled out: catching exception groups at the top, which would hide other failures. Change: the loops that read frames hand the failure out of the task group themselves; refusals carry the correlation.

--- a/figpaddle/daemon/_peers.py
+++ b/figpaddle/daemon/_peers.py
@@ -11,50 +11,41 @@
 import contextlib
 import dataclasses
 import random
-import secrets
-from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
-from typing import Any
+from collections.abc import AsyncIterator, Callable, Mapping
 
 import anyio
 import anyio.abc
 from anyio.streams.memory import MemoryObjectReceiveStream, MemoryObjectSendStream
-from websockets.asyncio.client import ClientConnection, connect
-from websockets.asyncio.server import ServerConnection, serve
+from websockets.asyncio.client import ClientConnection
 from websockets.exceptions import ConnectionClosed, WebSocketException
-from websockets.http11 import Request, Response
 
 from figpaddle.daemon._channel import Channel
+from figpaddle.daemon._dialler import OPEN_TIMEOUT_S, Dialler
+from figpaddle.daemon._link_server import (
+    ForwardHandler,
+    Handler,
+    LinkServer,
+    ProcessRequest,
+    as_bytes,
+)
 from figpaddle.daemon._logs import Log
-from figpaddle.daemon._sockets import Listener, split_address
+from figpaddle.daemon._sockets import Listener
 from figpaddle.errors import (
     FigpaddleError,
     HandshakeError,
-    MalformedMessageError,
     PeerUnreachableError,
-    UnknownMessageError,
+    WireError,
 )
 from figpaddle.wire import (
-    MAX_FRAME_BYTES,
-    NONCE_BYTES,
-    Challenge,
     Frame,
     Handshake,
-    Hello,
     LinkPurpose,
     Message,
     Refused,
-    Welcome,
-    decode,
     decode_frame,
     encode,
 )
 
-#: Interval of pings on an open link, seconds.
-PING_INTERVAL_S = 1.0
-#: A link whose ping is not answered within this is closed, seconds.
-PING_TIMEOUT_S = 3.0
-#: Longest time to open a link, seconds.
-OPEN_TIMEOUT_S = 3.0
 #: Messages that may wait for a link; further ones are dropped.
 QUEUE_LENGTH = 1024
 #: First and longest pause between attempts to dial, seconds.
@@ -63,10 +54,6 @@
 #: An idle forward connection is closed after this, seconds.
 IDLE_FORWARD_S = 10.0
 
-Handler = Callable[[str, Any], Awaitable[Message | None]]
-ProcessRequest = Callable[[ServerConnection, Request], Awaitable[Response | None]]
-ForwardHandler = Callable[[str, Channel], Awaitable[None]]
-
 
 @dataclasses.dataclass(kw_only=True)
 class _Link:
@@ -95,23 +82,25 @@
         log: Log,
         clock: Callable[[], float],
     ) -> None:
-        self._name = name
-        self._handshake = handshake
-        self._listener = listener
+        self._dialler = Dialler(name=name, handshake=handshake, own_address=listener.address)
+        self._server = LinkServer(name=name, handshake=handshake, listener=listener, log=log)
+        self._address = listener.address
         self._rng = rng
         self._log = log
         self._clock = clock
-        self._handlers: dict[type[Message], Handler] = {}
-        self._forward_handler: ForwardHandler | None = None
         self._links: dict[str, _Link] = {}
         self._addresses: dict[str, str] = {}
         self._replies: dict[int, MemoryObjectSendStream[Message]] = {}
         self._next_correlation = 1
         self._idle: dict[str, list[Channel]] = {}
         self._tasks: anyio.abc.TaskGroup | None = None
-        self._process_request: ProcessRequest | None = None
         self._link_watcher: Callable[[str], None] | None = None
 
+    @property
+    def address(self) -> str:
+        """Where peers reach this instance, ``ip:port``."""
+        return self._address
+
     @property
     def open_links(self) -> tuple[str, ...]:
         """Peers whose dialled control link is open."""
@@ -119,15 +108,15 @@
 
     def register(self, message_type: type[Message], handler: Handler) -> None:
         """Hand received messages of ``message_type`` to ``handler``; what it returns is the reply."""
-        self._handlers[message_type] = handler
+        self._server.register(message_type, handler)
 
     def register_forward(self, handler: ForwardHandler) -> None:
         """Hand each forwarded request to ``handler``."""
-        self._forward_handler = handler
+        self._server.forward_handler = handler
 
     def serve_exchanges(self, process_request: ProcessRequest) -> None:
         """Let ``process_request`` answer HTTP requests that open no link."""
-        self._process_request = process_request
+        self._server.process_request = process_request
 
     def watch_broken_links(self, watcher: Callable[[str], None]) -> None:
         """Tell ``watcher`` the name of a peer whose link has broken."""
@@ -214,7 +203,7 @@
             raise PeerUnreachableError(what="its address is not known", where=peer)
         try:
             with anyio.fail_after(OPEN_TIMEOUT_S):
-                context = self._dial(address, LinkPurpose.FORWARD)
+                context = self._dialler.dial(address, LinkPurpose.FORWARD)
                 socket, _ = await context.__aenter__()
         except (OSError, TimeoutError, WebSocketException) as error:
             raise PeerUnreachableError(what=type(error).__name__, where=peer) from error
@@ -224,18 +213,12 @@
         """Accept and dial links until cancelled."""
         async with anyio.create_task_group() as tasks:
             self._tasks = tasks
-            async with serve(
-                self._accept,
-                sock=self._listener.socket,
-                max_size=MAX_FRAME_BYTES,
-                ping_interval=PING_INTERVAL_S,
-                ping_timeout=PING_TIMEOUT_S,
-                compression=None,
-                close_timeout=1.0,
-                process_request=self._process_request,
-            ):
-                task_status.started()
-                await anyio.sleep_forever()
+            await tasks.start(self._run_server)
+            task_status.started()
+            await anyio.sleep_forever()
+
+    async def _run_server(self, *, task_status: anyio.abc.TaskStatus[None]) -> None:
+        await self._server.run(task_status=task_status)
 
     def _enqueue(self, peer: str, data: bytes) -> bool:
         link = self._links.get(peer)
@@ -259,7 +242,7 @@
         with link.scope:
             while True:
                 try:
-                    async with self._dial(address, LinkPurpose.CONTROL) as (socket, peer):
+                    async with self._dialler.dial(address, LinkPurpose.CONTROL) as (socket, peer):
                         if peer != name:
                             raise HandshakeError(what=f"{peer} answered", where=name)
                         pause = BACKOFF_FIRST_S
@@ -285,12 +268,21 @@
                 link.source.receive_nowait()
             except anyio.WouldBlock:
                 break
+        nonsense: WireError | None = None
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._send_queue, socket, link, tasks.cancel_scope)
-            with contextlib.suppress(ConnectionClosed):
-                async for data in socket:
-                    self._deliver_reply(decode_frame(_as_bytes(data)))
+            try:
+                await self._take_replies(socket)
+            except WireError as error:
+                nonsense = error
             tasks.cancel_scope.cancel()
+        if nonsense is not None:
+            raise nonsense
+
+    async def _take_replies(self, socket: ClientConnection) -> None:
+        with contextlib.suppress(ConnectionClosed):
+            async for data in socket:
+                self._deliver_reply(decode_frame(as_bytes(data)))
 
     async def _send_queue(
         self, socket: ClientConnection, link: _Link, scope: anyio.CancelScope
@@ -305,108 +297,3 @@
         if waiting is not None:
             with contextlib.suppress(anyio.WouldBlock):
                 waiting.send_nowait(frame.item)
-
-    @contextlib.asynccontextmanager
-    async def _dial(
-        self, address: str, purpose: LinkPurpose
-    ) -> AsyncIterator[tuple[ClientConnection, str]]:
-        own_ip, _ = split_address(self._listener.address)
-        socket = await connect(
-            f"ws://{address}",
-            max_size=MAX_FRAME_BYTES,
-            ping_interval=PING_INTERVAL_S,
-            ping_timeout=PING_TIMEOUT_S,
-            open_timeout=OPEN_TIMEOUT_S,
-            close_timeout=1.0,
-            compression=None,
-            proxy=None,
-            local_addr=(own_ip, 0),
-        )
-        kept = False
-        try:
-            peer = await self._prove(socket, purpose)
-            kept = purpose is LinkPurpose.FORWARD
-            yield socket, peer
-        finally:
-            if not kept:
-                socket.transport.abort()
-
-    async def _prove(self, socket: ClientConnection, purpose: LinkPurpose) -> str:
-        with anyio.fail_after(OPEN_TIMEOUT_S):
-            challenge = decode(await socket.recv(decode=False))
-            if not isinstance(challenge, Challenge):
-                raise HandshakeError(what="no challenge", where="handshake")
-            nonce = secrets.token_bytes(NONCE_BYTES)
-            hello = self._handshake.hello(
-                challenge, sender=self._name, purpose=purpose, nonce=nonce
-            )
-            await socket.send(encode(hello))
-            welcome = decode(await socket.recv(decode=False))
-        if not isinstance(welcome, Welcome):
-            raise HandshakeError(what="not welcome", where="handshake")
-        self._handshake.check_welcome(challenge, hello, welcome)
-        return welcome.sender
-
-    async def _accept(self, socket: ServerConnection) -> None:
-        try:
-            with anyio.fail_after(OPEN_TIMEOUT_S):
-                hello = await self._admit(socket)
-            if hello.purpose is LinkPurpose.FORWARD:
-                await self._serve_forwards(socket, hello.sender)
-            else:
-                await self._serve_control(socket, hello.sender)
-        except (FigpaddleError, TimeoutError) as error:
-            self._log.warning("link_refused", error=type(error).__name__, what=str(error))
-        except ConnectionClosed:
-            pass
-
-    async def _admit(self, socket: ServerConnection) -> Hello:
-        challenge = Challenge(nonce=secrets.token_bytes(NONCE_BYTES))
-        await socket.send(encode(challenge))
-        hello = decode(await socket.recv(decode=False))
-        if not isinstance(hello, Hello):
-            raise HandshakeError(what="no hello", where="handshake")
-        welcome = self._handshake.welcome(challenge, hello, sender=self._name)
-        await socket.send(encode(welcome))
-        return hello
-
-    async def _serve_control(self, socket: ServerConnection, peer: str) -> None:
-        async with anyio.create_task_group() as tasks:
-            with contextlib.suppress(ConnectionClosed):
-                async for data in socket:
-                    try:
-                        frame = decode_frame(_as_bytes(data))
-                    except UnknownMessageError as error:
-                        refusal = Refused(error=type(error).__name__, what=error.what)
-                        await socket.send(encode(refusal))
-                        continue
-                    tasks.start_soon(self._handle, socket, peer, frame)
-            tasks.cancel_scope.cancel()
-
-    async def _handle(self, socket: ServerConnection, peer: str, frame: Frame) -> None:
-        handler = self._handlers.get(type(frame.item))
-        reply: Message | None
-        if handler is None:
-            reply = Refused(error="UnknownMessageError", what=frame.item.wire_name)
-        else:
-            try:
-                reply = await handler(peer, frame.item)
-            except FigpaddleError as error:
-                reply = Refused(error=type(error).__name__, what=str(error))
-        if reply is not None and frame.correlation:
-            with contextlib.suppress(ConnectionClosed):
-                await socket.send(encode(reply, correlation=frame.correlation))
-
-    async def _serve_forwards(self, socket: ServerConnection, peer: str) -> None:
-        channel = Channel(socket=socket, peer=peer)
-        if self._forward_handler is None:
-            raise UnknownMessageError(what="forwards are not served here")
-        with contextlib.suppress(PeerUnreachableError):
-            while True:
-                await self._forward_handler(peer, channel)
-
-
-def _as_bytes(data: str | bytes) -> bytes:
-    if isinstance(data, str):
-        raise MalformedMessageError(what="a text frame", where="link")
-    return data
--- a/figpaddle/errors/_base.py
+++ b/figpaddle/errors/_base.py
@@ -40,6 +40,11 @@
 class UnknownMessageError(WireError):
     """The version or the type of a message is not known here."""
 
+    def __init__(self, *, what: str, where: str = "", mend: str = "", correlation: int = 0) -> None:
+        super().__init__(what=what, where=where, mend=mend)
+        #: Number that pairs the refusal with the message; 0 where it can't be told.
+        self.correlation = correlation
+
 
 class HandshakeError(WireError):
     """A peer could not prove that it belongs to this deployment."""
--- a/figpaddle/wire/_codec.py
+++ b/figpaddle/wire/_codec.py
@@ -90,15 +90,17 @@
         version, name, correlation, fields = decoded
     except (cbor2.CBORDecodeError, ValueError, TypeError) as error:
         raise MalformedMessageError(what="not a CBOR frame", where="frame") from error
+    if not isinstance(correlation, int):
+        raise MalformedMessageError(what="the correlation is not a number", where=str(name))
     if version != PROTOCOL_VERSION:
         raise UnknownMessageError(
-            what=f"protocol version {version!r}", mend=f"speak version {PROTOCOL_VERSION}"
+            what=f"protocol version {version!r}",
+            mend=f"speak version {PROTOCOL_VERSION}",
+            correlation=correlation,
         )
     cls = _REGISTRY.get(name) if isinstance(name, str) else None
     if cls is None:
-        raise UnknownMessageError(what=f"message type {name!r}")
-    if not isinstance(correlation, int):
-        raise MalformedMessageError(what="the correlation is not a number", where=str(name))
+        raise UnknownMessageError(what=f"message type {name!r}", correlation=correlation)
     try:
         return Frame(item=_adapter(cls).validate_python(fields), correlation=correlation)
     except pydantic.ValidationError as error:
