Answer a failure of our own with an outcome

Cause: found on reading. A failure that is no RequestError (a full disk, a message out of order) left the callers' port as a bare 500 without outcome or time to come back. Change: it becomes the problem 'internal', outcome unknown, and one log line; what failed is not told to the caller.

--- a/figpaddle/daemon/_callers.py
+++ b/figpaddle/daemon/_callers.py
@@ -23,6 +23,7 @@
 from figpaddle.daemon._http import (
     CallerGoneError,
     HttpBody,
+    InternalError,
     Receive,
     Scope,
     Send,
@@ -39,6 +40,7 @@
 from figpaddle.errors import (
     BodyTimeoutError,
     DrainingError,
+    FigpaddleError,
     ForbiddenError,
     InvalidRequestError,
     RegionNotAllowedError,
@@ -111,6 +113,11 @@
             if isinstance(error, BodyTimeoutError):
                 self._log.info("caller_silent", request_id=request_id)
             await sink.fail(error)
+        except FigpaddleError as error:
+            self._log.error(
+                "internal_fault", request_id=request_id, error=type(error).__name__, what=str(error)
+            )
+            await sink.fail(InternalError())
         finally:
             self.in_progress -= 1
 
@@ -251,7 +258,7 @@
     async def _serve_until_gone(
         self, head: RequestHead, body: BodySource, sink: HttpSink, receive: Receive
     ) -> None:
-        error: RequestError | CallerGoneError | None = None
+        error: FigpaddleError | None = None
         measured = MeasuredSink(
             sink=sink,
             metrics=self._metrics,
@@ -264,12 +271,11 @@
             tasks.start_soon(self._watch_caller, body, receive, sink, tasks.cancel_scope)
             try:
                 await self._gateway.serve(head, body, measured)
-            except (RequestError, CallerGoneError) as failure:
+            except FigpaddleError as failure:
                 error = failure
             tasks.cancel_scope.cancel()
         if error is not None:
-            result = error.problem if isinstance(error, RequestError) else "caller-gone"
-            self._metrics.count(head.offering, result)
+            self._metrics.count(head.offering, _result(error))
             raise error
 
     async def _watch_caller(
@@ -287,6 +293,12 @@
                 return
 
 
+def _result(error: FigpaddleError) -> str:
+    if isinstance(error, RequestError):
+        return error.problem
+    return "caller-gone" if isinstance(error, CallerGoneError) else InternalError.problem
+
+
 def _passed_headers(scope: Scope) -> Headers:
     left_out = HOP_HEADERS | OWN_HEADERS
     return tuple(
