--- a/conftest.py
+++ b/conftest.py
@@ -1,4 +1,4 @@
-"""Reads KNOWN-RED.txt: tests that fail for a real fault which is not mended yet.
+"""Prints what tests recorded, and reads KNOWN-RED.txt: tests that fail for a real fault which is not mended yet.
 
 Each entry begins with ``test: <test id>``; those tests are left out of the verdict and printed.
 ``--known-red`` runs just them.
@@ -35,5 +35,8 @@
 
 
 def pytest_terminal_summary(terminalreporter: pytest.TerminalReporter) -> None:
+    for report in terminalreporter.getreports("passed"):
+        for name, value in report.user_properties:
+            terminalreporter.write_line(f"{report.nodeid}: {name}={value}")
     for name in sorted(known_red()):
         terminalreporter.write_line(f"known red: {name}")
--- a/figpaddle/coordination/tests/test_lease.py
+++ b/figpaddle/coordination/tests/test_lease.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Callable
 
 import pytest
 from minicheck import check_safety
@@ -14,10 +15,9 @@
 MAX_STATES = 1_000_000
 
 
-def test_invariants_hold_in_every_state(capsys: pytest.CaptureFixture[str]) -> None:
+def test_invariants_hold_in_every_state(record_property: Callable[[str, object], None]) -> None:
     result = check_safety(lease_protocol(LeaseRules()), max_states=MAX_STATES)
-    with capsys.disabled():
-        print(f" lease_protocol states={result['reachable_states']}", end=" ")
+    record_property("states", result["reachable_states"])
     assert result["exhaustive"] is True
     for name, verdict in result["properties"].items():
         assert verdict["holds"] is True, (name, verdict["counterexample"])
--- a/figpaddle/coordination/tests/test_specification.py
+++ b/figpaddle/coordination/tests/test_specification.py
@@ -14,11 +14,10 @@
 
 @pytest.mark.parametrize("protocol", [log_protocol, spread_protocol])
 def test_invariants_hold_in_every_state(
-    protocol: Callable[[Rules], Protocol], capsys: pytest.CaptureFixture[str]
+    protocol: Callable[[Rules], Protocol], record_property: Callable[[str, object], None]
 ) -> None:
     result = check_safety(protocol(Rules()), max_states=MAX_STATES)
-    with capsys.disabled():
-        print(f" {protocol.__name__} states={result['reachable_states']}", end=" ")
+    record_property("states", result["reachable_states"])
     assert result["exhaustive"] is True
     for name, verdict in result["properties"].items():
         assert verdict["holds"] is True, (name, verdict["counterexample"])
--- a/figpaddle/ledger/tests/test_specification.py
+++ b/figpaddle/ledger/tests/test_specification.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import pytest
 from minicheck import check_safety
 
@@ -10,9 +12,11 @@
 MAX_STATES = 3_000_000
 
 
-def test_no_interleaving_runs_a_request_twice() -> None:
+def test_no_interleaving_runs_a_request_twice(
+    record_property: Callable[[str, object], None],
+) -> None:
     result = check_safety(protocol(Rules()), max_states=MAX_STATES)
-    print(f"states={result['reachable_states']}")
+    record_property("states", result["reachable_states"])
     assert result["exhaustive"]
     assert result["properties"]["at_most_once"]["holds"]
 
--- a/tests/test_silent_connections.py
+++ b/tests/test_silent_connections.py
@@ -150,6 +150,8 @@
 def test_callers_that_go_silent_in_their_requests_are_given_up(running: Deployment) -> None:
     instance = running.instances["seoul-1"]
     number = 5
+    proxy = proxy_of(running)
+    proxy.record()
 
     async def run() -> None:
         body = chat_body("desk-chat", "x" * 1000)
@@ -159,8 +161,12 @@
                 connection = await RawConnection.open(running.entry("seoul-1"))
                 stack.callback(connection.abort)
                 connection.writer.write(head + body[:500])
+            while len(proxy.recorded().get(("outside", "seoul-1"), b"")) < number * (
+                len(head) + 500
+            ):
+                await asyncio.sleep(0.01)
             silent_at = time.monotonic()
-            assert proxy_of(running).silence_open("outside", "seoul-1") >= number
+            assert proxy.silence_open("outside", "seoul-1") >= number
             while sum("event=caller_silent" in line for line in instance.lines) < number:
                 assert time.monotonic() - silent_at < CALLER_IDLE_S + SLACK_S
                 await asyncio.sleep(0.05)
