--- a/figpaddle/coordination/__init__.py
+++ b/figpaddle/coordination/__init__.py
@@ -1,6 +1,8 @@
 """Coordination parts without input or output: membership, replicated log, leases."""
 
 from figpaddle.coordination._directory import InstanceDirectory
+from figpaddle.coordination._founding import Founder, Voters
+from figpaddle.coordination._heartbeats import SILENT_AFTER_S, Beat, Heard, HeartbeatTable
 from figpaddle.coordination._lease import Lease, LeaseClaim, LeaseTiming
 from figpaddle.coordination._log import Log
 from figpaddle.coordination._log_storage import LogStorage, MemoryLogStorage
@@ -40,11 +42,39 @@
     Respond,
 )
 from figpaddle.coordination._membership_options import MembershipOptions
+from figpaddle.coordination._register import (
+    NO_BALLOT,
+    Acceptance,
+    Ballot,
+    Promise,
+    Voter,
+    VoterState,
+    is_settled,
+    majority,
+    newest_value,
+    recovery_quorum,
+)
 from figpaddle.coordination._relays import relays, sources, zone_of
 from figpaddle.coordination._replica import Replica, first_snapshot
 from figpaddle.coordination._topology import Topology
 
 __all__ = [
+    "NO_BALLOT",
+    "SILENT_AFTER_S",
+    "Acceptance",
+    "Ballot",
+    "Beat",
+    "Founder",
+    "Heard",
+    "HeartbeatTable",
+    "Promise",
+    "Voter",
+    "VoterState",
+    "Voters",
+    "is_settled",
+    "majority",
+    "newest_value",
+    "recovery_quorum",
     "Apply",
     "Call",
     "CallFinished",
--- a/figpaddle/daemon/_at_most_once.py
+++ b/figpaddle/daemon/_at_most_once.py
@@ -18,7 +18,6 @@
     RequestHead,
 )
 from figpaddle.daemon._ledger_client import LedgerClient
-from figpaddle.daemon._logs import Log
 from figpaddle.errors import (
     AnswerNotKeptError,
     DeadlineExceededError,
@@ -31,6 +30,7 @@
 )
 from figpaddle.ledger import Coordinator, Decision, Granted, Settled
 from figpaddle.routing import permitted_service
+from figpaddle.telemetry import Log
 from figpaddle.wire import LedgerFinish, LedgerRecord, RecordedAnswer, RecordKey
 
 #: Time to come back after when too few holders could vote, seconds.
--- a/figpaddle/daemon/_backend_watch.py
+++ b/figpaddle/daemon/_backend_watch.py
@@ -9,10 +9,10 @@
 
 from figpaddle.coordination import InstanceDirectory
 from figpaddle.daemon._component import Component
-from figpaddle.daemon._logs import Log
 from figpaddle.daemon._peers import PeerNetwork
 from figpaddle.daemon._regions import RegionView
 from figpaddle.routing import BackendTable, KnownBackend
+from figpaddle.telemetry import Log
 from figpaddle.wire import BackendInfo, BackendsUpdate, Message, RegionSummary
 
 #: Interval of region summaries, seconds.
--- a/figpaddle/daemon/_backends_port.py
+++ b/figpaddle/daemon/_backends_port.py
@@ -8,9 +8,9 @@
 import pydantic
 
 from figpaddle.daemon._http import HttpBody, Receive, Scope, Send, send_json, send_problem
-from figpaddle.daemon._logs import Log
 from figpaddle.errors import AnnouncementConflictError, InvalidRequestError, RequestError
 from figpaddle.routing import ANNOUNCEMENT_TTL_S, BackendTable
+from figpaddle.telemetry import Log
 from figpaddle.wire import BackendInfo
 
 #: Largest announcement, bytes.
--- a/figpaddle/daemon/_callers.py
+++ b/figpaddle/daemon/_callers.py
@@ -33,7 +33,6 @@
     query_value,
 )
 from figpaddle.daemon._http_sink import HttpSink
-from figpaddle.daemon._logs import Log
 from figpaddle.daemon._metrics import MeasuredSink, Metrics
 from figpaddle.daemon._prompts import shape_of_chat
 from figpaddle.deployment import Client, ClientDirectory, ServiceConfiguration, ServiceKind
@@ -48,6 +47,7 @@
     UnauthorizedError,
 )
 from figpaddle.routing import rank_entries
+from figpaddle.telemetry import Log
 
 #: Path of chat completions, here and at the engines.
 CHAT_PATH = "/v1/chat/completions"
--- a/figpaddle/daemon/_control.py
+++ b/figpaddle/daemon/_control.py
@@ -12,11 +12,11 @@
 from figpaddle.daemon._configuration_state import ConfigurationState
 from figpaddle.daemon._distribution import Distribution
 from figpaddle.daemon._kept_configuration import KeptConfiguration
-from figpaddle.daemon._logs import Log
 from figpaddle.daemon._peers import PeerNetwork
 from figpaddle.daemon._settings import Settings, load_yaml
 from figpaddle.daemon._voter import Voter
 from figpaddle.deployment import Configuration, VersionedConfiguration, configuration_from_plain
+from figpaddle.telemetry import Log
 
 
 def bootstrap_configuration(settings: Settings) -> Configuration:
--- a/figpaddle/daemon/_distribution.py
+++ b/figpaddle/daemon/_distribution.py
@@ -14,11 +14,11 @@
 from figpaddle.daemon._component import Component
 from figpaddle.daemon._configuration_state import ConfigurationState
 from figpaddle.daemon._kept_configuration import KeptConfiguration
-from figpaddle.daemon._logs import Log
 from figpaddle.daemon._peers import PeerNetwork
 from figpaddle.daemon._voter import Voter
 from figpaddle.deployment import VersionedConfiguration
 from figpaddle.errors import PeerUnreachableError, StorageError
+from figpaddle.telemetry import Log
 from figpaddle.wire import (
     ConfigurationNews,
     ConfigurationQuestion,
--- a/figpaddle/daemon/_formation.py
+++ b/figpaddle/daemon/_formation.py
@@ -12,10 +12,10 @@
 
 from figpaddle.coordination import DurableState, HardState, Persist, first_snapshot
 from figpaddle.daemon._log_file import FileLogStorage
-from figpaddle.daemon._logs import Log
 from figpaddle.daemon._peers import PeerNetwork
 from figpaddle.deployment import ChangeMachine, VersionedConfiguration
 from figpaddle.errors import PeerUnreachableError, StorageError
+from figpaddle.telemetry import Log
 from figpaddle.wire import FormationAnswer, FormationQuestion, LogMembership, Message, Peer
 
 #: Interval between rounds of questions, seconds.
--- a/figpaddle/daemon/_gateway.py
+++ b/figpaddle/daemon/_gateway.py
@@ -19,7 +19,6 @@
     hold_small,
 )
 from figpaddle.daemon._forwarder import Forwarder
-from figpaddle.daemon._logs import Log
 from figpaddle.daemon._placer import Placer, ProgressSink
 from figpaddle.daemon._quarantine import QuarantineKeeper
 from figpaddle.daemon._retries import Attempts
@@ -43,6 +42,7 @@
     check_forward,
     permitted_service,
 )
+from figpaddle.telemetry import Log
 
 #: An answer that is silent for this many deadlines of its service is given up.
 IDLE_DEADLINES = 2.0
--- a/figpaddle/daemon/_instance.py
+++ b/figpaddle/daemon/_instance.py
@@ -24,7 +24,6 @@
 from figpaddle.daemon._forwarder import Forwarder
 from figpaddle.daemon._gateway import Gateway
 from figpaddle.daemon._ledger_parts import make_at_most_once, make_ledger_host
-from figpaddle.daemon._logs import Log
 from figpaddle.daemon._membership import Membership
 from figpaddle.daemon._metrics import Metrics
 from figpaddle.daemon._operators import OperatorsPort
@@ -36,6 +35,7 @@
 from figpaddle.daemon._sockets import Listener, hand_over, listen, split_address
 from figpaddle.deployment import read_directory
 from figpaddle.routing import Admission, BackendTable, make_policy
+from figpaddle.telemetry import Log
 from figpaddle.wire import Handshake, InstanceInfo
 
 #: Interval at which a stopping process looks whether requests are still in progress, seconds.
--- a/figpaddle/daemon/_ledger_host.py
+++ b/figpaddle/daemon/_ledger_host.py
@@ -10,7 +10,6 @@
 from figpaddle.daemon._component import Component
 from figpaddle.daemon._configuration_state import ConfigurationState
 from figpaddle.daemon._group_commit import GroupCommit
-from figpaddle.daemon._logs import Log
 from figpaddle.daemon._peers import PeerNetwork
 from figpaddle.errors import PeerUnreachableError, StorageError
 from figpaddle.ledger import (
@@ -22,6 +21,7 @@
     recovery_size,
 )
 from figpaddle.routing import permitted_service
+from figpaddle.telemetry import Log
 from figpaddle.wire import (
     LedgerAbandon,
     LedgerBegin,
--- a/figpaddle/daemon/_ledger_parts.py
+++ b/figpaddle/daemon/_ledger_parts.py
@@ -10,10 +10,10 @@
 from figpaddle.daemon._ledger_client import LedgerClient
 from figpaddle.daemon._ledger_host import LedgerHost
 from figpaddle.daemon._ledger_storage import FileLedgerStorage
-from figpaddle.daemon._logs import Log
 from figpaddle.daemon._peers import PeerNetwork
 from figpaddle.daemon._settings import Settings
 from figpaddle.ledger import HolderSettings, LedgerStorage, NoStorage
+from figpaddle.telemetry import Log
 
 
 def make_ledger_host(
--- a/figpaddle/daemon/_ledger_storage.py
+++ b/figpaddle/daemon/_ledger_storage.py
@@ -4,9 +4,9 @@
 
 import pathlib
 
-from figpaddle.daemon._record_file import RecordFile
 from figpaddle.errors import ForeignFileError
 from figpaddle.ledger import LedgerStorage
+from figpaddle.storage import RecordFile
 from figpaddle.wire import Message, StoredMemory, decode, encode
 
 #: Name of the file in the data folder.
--- a/figpaddle/daemon/_link_server.py
+++ b/figpaddle/daemon/_link_server.py
@@ -20,7 +20,6 @@
     PING_INTERVAL_S,
     PING_TIMEOUT_S,
 )
-from figpaddle.daemon._logs import Log
 from figpaddle.daemon._sockets import Listener
 from figpaddle.errors import (
     FigpaddleError,
@@ -29,6 +28,7 @@
     PeerUnreachableError,
     UnknownMessageError,
 )
+from figpaddle.telemetry import Log
 from figpaddle.wire import (
     MAX_FRAME_BYTES,
     NONCE_BYTES,
--- a/figpaddle/daemon/_main.py
+++ b/figpaddle/daemon/_main.py
@@ -10,9 +10,9 @@
 import typer
 
 from figpaddle.daemon._instance import Instance
-from figpaddle.daemon._logs import make_log
 from figpaddle.daemon._settings import load_settings
 from figpaddle.errors import DocumentError, StorageError
+from figpaddle.telemetry import make_log
 
 #: Exit code for invalid settings or files.
 EXIT_INVALID = 2
--- a/figpaddle/daemon/_membership.py
+++ b/figpaddle/daemon/_membership.py
@@ -26,9 +26,9 @@
 from figpaddle.coordination import Membership as MembershipCore
 from figpaddle.daemon._component import Component
 from figpaddle.daemon._exchanges import ExchangeClient, ExchangeServer
-from figpaddle.daemon._logs import Log
 from figpaddle.daemon._peers import PeerNetwork
 from figpaddle.errors import WireError
+from figpaddle.telemetry import Log
 from figpaddle.wire import InstanceState, Message
 
 #: Interval at which the protocol looks at the time, seconds.
--- a/figpaddle/daemon/_peers.py
+++ b/figpaddle/daemon/_peers.py
@@ -28,7 +28,6 @@
     ProcessRequest,
     as_bytes,
 )
-from figpaddle.daemon._logs import Log
 from figpaddle.daemon._sockets import Listener
 from figpaddle.errors import (
     FigpaddleError,
@@ -36,6 +35,7 @@
     PeerUnreachableError,
     WireError,
 )
+from figpaddle.telemetry import Log
 from figpaddle.wire import (
     Frame,
     Handshake,
--- a/figpaddle/daemon/_quarantine.py
+++ b/figpaddle/daemon/_quarantine.py
@@ -15,11 +15,11 @@
 from figpaddle.coordination import InstanceDirectory
 from figpaddle.daemon._component import Component
 from figpaddle.daemon._exchange import BodySource, BufferedBody, RequestHead
-from figpaddle.daemon._logs import Log
 from figpaddle.daemon._peers import PeerNetwork
 from figpaddle.daemon._sockets import split_address
 from figpaddle.errors import PeerUnreachableError, RequestQuarantinedError
 from figpaddle.routing import KnownBackend, Quarantine, SuspectSlots, Verdict
+from figpaddle.telemetry import Log
 from figpaddle.wire import (
     InstanceState,
     Message,
--- a/figpaddle/daemon/_voter.py
+++ b/figpaddle/daemon/_voter.py
@@ -30,7 +30,6 @@
 from figpaddle.daemon._component import Component
 from figpaddle.daemon._formation import Formation
 from figpaddle.daemon._log_file import FileLogStorage
-from figpaddle.daemon._logs import Log
 from figpaddle.daemon._peers import PeerNetwork
 from figpaddle.deployment import (
     Change,
@@ -40,6 +39,7 @@
     encode_change,
 )
 from figpaddle.errors import CoordinationError, NotLeaderError, StorageError, StorageFullError
+from figpaddle.telemetry import Log
 from figpaddle.wire import (
     AppendReply,
     AppendRequest,
--- a/figpaddle/daemon/tests/test_ledger_host.py
+++ b/figpaddle/daemon/tests/test_ledger_host.py
@@ -10,10 +10,10 @@
 
 from figpaddle.daemon._configuration_state import ConfigurationState
 from figpaddle.daemon._ledger_host import LedgerHost
-from figpaddle.daemon._logs import make_log
 from figpaddle.daemon._peers import PeerNetwork
 from figpaddle.errors import StorageError
 from figpaddle.ledger import HolderSettings, LedgerStorage
+from figpaddle.telemetry import make_log
 from figpaddle.wire import (
     LedgerBegin,
     LedgerVote,
--- a/figpaddle/daemon/tests/test_ledger_storage.py
+++ b/figpaddle/daemon/tests/test_ledger_storage.py
@@ -12,9 +12,9 @@
 from figpaddle.daemon import _group_commit
 from figpaddle.daemon._group_commit import GroupCommit
 from figpaddle.daemon._ledger_storage import FileLedgerStorage
-from figpaddle.daemon._record_file import HEAD, RecordFile
 from figpaddle.errors import ForeignFileError, StorageCorruptError, StorageError, StorageFullError
 from figpaddle.ledger import LedgerStorage
+from figpaddle.storage import HEAD, RecordFile
 from figpaddle.wire import Message, RecordKey, StoredMemory, StoredRelease
 
 PAYLOADS = (b"first", b"second", b"third")
--- a/figpaddle/deployment/__init__.py
+++ b/figpaddle/deployment/__init__.py
@@ -8,6 +8,12 @@
     Verdict,
     encode_change,
 )
+from figpaddle.deployment._cluster_state import (
+    EMPTY_STATE,
+    ClusterState,
+    decode_state,
+    encode_state,
+)
 from figpaddle.deployment._configuration import (
     Configuration,
     MemberConfiguration,
@@ -27,6 +33,13 @@
     key_digest,
     read_directory,
 )
+from figpaddle.deployment._gateway_routes import (
+    GatewayConfiguration,
+    GatewayLimits,
+    GatewayRoute,
+    GatewayService,
+    Repeat,
+)
 from figpaddle.deployment._questionnaire import (
     Answers,
     Explanation,
@@ -41,6 +54,15 @@
 )
 
 __all__ = [
+    "EMPTY_STATE",
+    "ClusterState",
+    "GatewayConfiguration",
+    "GatewayLimits",
+    "GatewayRoute",
+    "GatewayService",
+    "Repeat",
+    "decode_state",
+    "encode_state",
     "RETAINED_ANSWERS",
     "Answers",
     "Change",
--- a/figpaddle/errors/__init__.py
+++ b/figpaddle/errors/__init__.py
@@ -22,6 +22,7 @@
     ControlUnavailableError,
     CoordinationError,
     LogConflictError,
+    NoMajorityError,
     NotLeaderError,
     StorageCorruptError,
     StorageError,
@@ -55,8 +56,20 @@
     RequestQuarantinedError,
     UnauthorizedError,
 )
+from figpaddle.errors._transport import (
+    ConnectFailedError,
+    ConnectionLostError,
+    MalformedAnswerError,
+    MalformedRequestError,
+    TransportError,
+)
 
 __all__ = [
+    "ConnectFailedError",
+    "ConnectionLostError",
+    "MalformedAnswerError",
+    "MalformedRequestError",
+    "TransportError",
     "AnnouncementConflictError",
     "AnswerNotKeptError",
     "BackendServerLostError",
@@ -87,6 +100,7 @@
     "LogConflictError",
     "MalformedMessageError",
     "NoBackendServerError",
+    "NoMajorityError",
     "NotLeaderError",
     "Outcome",
     "OutcomeUnknownError",
--- a/figpaddle/errors/_coordination.py
+++ b/figpaddle/errors/_coordination.py
@@ -23,6 +23,10 @@
     """A message contradicts a committed entry: two logs have met."""
 
 
+class NoMajorityError(CoordinationError):
+    """A majority of the voters did not confirm; a change may or may not take effect."""
+
+
 class StorageError(CoordinationError):
     """Durable state could not be read or written; nothing may be promised any more."""
 
--- /dev/null
+++ b/figpaddle/regional/_control_process.py
@@ -0,0 +1,97 @@
+"""The process that keeps durable state."""
+
+from __future__ import annotations
+
+import anyio
+import anyio.abc
+
+from figpaddle.errors import SettingsError
+from figpaddle.http1 import HttpRequest, RequestLimits, Responder
+from figpaddle.regional._control import ControlPort
+from figpaddle.regional._process import RegionalProcess
+from figpaddle.regional._register_host import RegisterHost
+from figpaddle.regional._register_store import RegisterStore
+from figpaddle.wire import InstanceHeartbeat, InstanceRole
+
+#: Time for calls in progress after the request to stop, seconds.
+DRAIN_S = 1.0
+#: Largest configuration accepted, bytes.
+MAX_CONFIGURATION_BYTES = 16 * 1024 * 1024
+
+
+class ControlProcess(RegionalProcess):
+    """Takes calls of operators and backend servers and votes on the agreed state."""
+
+    def start(self, tasks: anyio.abc.TaskGroup) -> None:
+        """Open the store and the ports of a control instance."""
+        settings = self._settings
+        if settings.data_folder is None:
+            raise SettingsError(document="settings", faults=())
+        store = RegisterStore(folder=settings.data_folder, name=settings.ip)
+        store.open(first_start=settings.first_start)
+        self._store = store
+        self._log.info(
+            "store_opened",
+            complete=store.voter.state.complete,
+            voters=",".join(store.voters),
+            ballot=store.voter.state.accepted.number,
+        )
+        self._register = RegisterHost(
+            settings=settings,
+            mesh=self._mesh,
+            follower=self._follower,
+            store=store,
+            clock=self._clock,
+            rng=self._rng,
+            log=self._log,
+        )
+        self._control = ControlPort(
+            settings=settings,
+            dialect=self._dialect,
+            mesh=self._mesh,
+            follower=self._follower,
+            register=self._register,
+            clock=self._clock,
+            log=self._log,
+            counters=self._counters,
+        )
+        tasks.start_soon(self._register.run)
+        tasks.start_soon(self._control.run)
+        limits = RequestLimits(body_bytes=MAX_CONFIGURATION_BYTES)
+        self._listen(settings.control_address, self._control.handle, limits=lambda: limits)
+
+    @property
+    def active(self) -> int:
+        """Requests in progress; calls are short and not counted."""
+        return 0
+
+    def heartbeat(self) -> InstanceHeartbeat:
+        """Return the heartbeat to send now."""
+        settings = self._settings
+        return InstanceHeartbeat(
+            name=settings.ip,
+            incarnation=self._mesh.incarnation,
+            sequence=self._mesh.next_sequence(),
+            role=InstanceRole.CONTROL,
+            region=settings.region,
+            zone=settings.zone,
+            caller_address="",
+            readiness=self.readiness(),
+            revision=self._follower.state.revision,
+            founding=settings.first_start,
+            retries={},
+            work=(),
+            loads=(),
+            acquaintances=self._mesh.acquaintances(),
+        )
+
+    async def handle_forwarded(self, request: HttpRequest, responder: Responder) -> None:
+        """Refuse: a control instance serves no callers."""
+        await responder.answer(404, (), b"")
+
+    async def drain(self) -> None:
+        """Let calls in progress end."""
+        await anyio.sleep(DRAIN_S)
+
+    async def keep_house(self) -> None:
+        """Do nothing: the control port forgets by itself."""
--- /dev/null
+++ b/figpaddle/regional/_entry.py
@@ -0,0 +1,153 @@
+"""The process that callers connect to."""
+
+from __future__ import annotations
+
+import anyio
+import anyio.abc
+
+from figpaddle.http1 import ConnectionPool, HttpRequest, RequestLimits, Responder
+from figpaddle.regional._dialect import EntryLookup, ReadinessCheck
+from figpaddle.regional._gateway import Gateway
+from figpaddle.regional._mesh import is_ready
+from figpaddle.regional._placer import Placer
+from figpaddle.regional._process import NEAR_SILENCE_S, RegionalProcess
+from figpaddle.wire import InstanceHeartbeat, InstanceRole, Readiness
+
+#: Part of the longest time to live with which entries are named to callers.
+LOOKUP_TTL_PART = 0.3
+#: Most entries named to one caller.
+MAX_NAMED = 64
+#: Shortest time from the request to stop to the end, seconds: callers that were told of this
+#: entry before keep coming until their answers of the lookup are out of date.
+MIN_DRAIN_S = 4.5
+#: Time kept at the end of the grace time for closing, seconds.
+CLOSE_RESERVE_S = 0.6
+
+
+class EntryProcess(RegionalProcess):
+    """Takes callers' requests, names entries to callers and says whether it is ready."""
+
+    def start(self, tasks: anyio.abc.TaskGroup) -> None:
+        """Open the ports of an entry."""
+        settings = self._settings
+        self._backends = ConnectionPool(tasks=tasks, clock=self._clock, silence_s=NEAR_SILENCE_S)
+        self._placer = Placer(
+            settings=settings,
+            mesh=self._mesh,
+            follower=self._follower,
+            pool=self._backends,
+            clock=self._clock,
+            rng=self._rng,
+            log=self._log,
+            counters=self._counters,
+        )
+        self._gateway = Gateway(
+            settings=settings,
+            dialect=self._dialect,
+            mesh=self._mesh,
+            follower=self._follower,
+            placer=self._placer,
+            pool=self._backends,
+            clock=self._clock,
+            rng=self._rng,
+            log=self._log,
+            counters=self._counters,
+        )
+        self._counters.gauge("requests_active", lambda: self._gateway.active)
+        self._counters.gauge("backend_connections_opened", lambda: self._backends.opened)
+        self._listen(settings.caller_address, self._gateway.handle_caller, limits=self._limits)
+        self._listen(settings.readiness_address, self._handle_call)
+        if settings.lookup_address:
+            self._listen(settings.lookup_address, self._handle_call)
+
+    @property
+    def active(self) -> int:
+        """Requests in progress."""
+        return self._gateway.active
+
+    def heartbeat(self) -> InstanceHeartbeat:
+        """Return the heartbeat to send now."""
+        settings = self._settings
+        return InstanceHeartbeat(
+            name=settings.ip,
+            incarnation=self._mesh.incarnation,
+            sequence=self._mesh.next_sequence(),
+            role=InstanceRole.ENTRY,
+            region=settings.region,
+            zone=settings.zone,
+            caller_address=settings.caller_address,
+            readiness=self.readiness(),
+            revision=self._follower.state.revision,
+            founding=False,
+            retries=self._gateway.retries.used(now=self._clock()),
+            work=self._placer.own_work(),
+            loads=self._placer.loads(),
+            acquaintances=self._mesh.acquaintances(),
+        )
+
+    async def handle_forwarded(self, request: HttpRequest, responder: Responder) -> None:
+        """Answer a request that another entry passed on."""
+        await self._gateway.handle_hop(request, responder)
+
+    async def drain(self) -> None:
+        """Serve what comes on open connections until no more comes or the time is over."""
+        began_at = self._clock()
+        last_at = began_at + self._settings.bounds.grace_s - CLOSE_RESERVE_S
+        while self._clock() < last_at:
+            if self._gateway.active == 0 and self._clock() - began_at >= MIN_DRAIN_S:
+                return
+            await anyio.sleep(0.05)
+
+    async def keep_house(self) -> None:
+        """Forget what is out of date."""
+        await self._backends.sweep()
+        self._placer.expire()
+        self._gateway.retries.note_entries(
+            1 + sum(beat.role is InstanceRole.ENTRY for beat in self._mesh.live())
+        )
+
+    def _limits(self) -> RequestLimits:
+        configuration = self._follower.configuration
+        if configuration is None:
+            return RequestLimits()
+        limits = configuration.limits
+        return RequestLimits(
+            header_bytes=limits.header_bytes,
+            body_bytes=limits.body_bytes,
+            header_timeout_s=limits.header_timeout_s,
+            idle_timeout_s=limits.idle_timeout_s,
+        )
+
+    async def _handle_call(self, request: HttpRequest, responder: Responder) -> None:
+        call = self._dialect.read_call(request)
+        match call:
+            case ReadinessCheck():
+                status = 200 if self.readiness() is Readiness.READY else 503
+                await responder.answer(status, (), b"")
+            case EntryLookup():
+                await self._look_up(call, responder)
+            case _:
+                await responder.answer(404, (), b"")
+
+    async def _look_up(self, call: EntryLookup, responder: Responder) -> None:
+        addresses = self._entries_for(call)
+        self._counters.count("lookups_total", found=str(bool(addresses)))
+        if not addresses:
+            await responder.answer(503, (), b"")
+            return
+        ttl_s = self._settings.bounds.lookup_ttl_s * LOOKUP_TTL_PART
+        body = self._dialect.lookup_answer(addresses, ttl_s=ttl_s)
+        headers = ((b"Content-Type", self._dialect.document_type.encode()),)
+        await responder.answer(200, headers, body)
+
+    def _entries_for(self, call: EntryLookup) -> tuple[str, ...]:
+        """Return the entries that a caller may use: its region's, or all if it has none."""
+        ready = [
+            (beat.region, beat.caller_address)
+            for beat in self._mesh.live()
+            if beat.role is InstanceRole.ENTRY and is_ready(beat)
+        ]
+        if self.readiness() is Readiness.READY:
+            ready.append((self._settings.region, self._settings.caller_address))
+        near = [address for region, address in ready if region == call.region]
+        return tuple(sorted(near or [address for _, address in ready])[:MAX_NAMED])
--- /dev/null
+++ b/figpaddle/regional/_mesh.py
@@ -0,0 +1,321 @@
+"""Heartbeats, news and questions between the instances of a deployment."""
+
+from __future__ import annotations
+
+import itertools
+import random
+import socket
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
+
+import anyio
+
+from figpaddle.coordination import SILENT_AFTER_S, Heard, HeartbeatTable
+from figpaddle.errors import (
+    MalformedMessageError,
+    PeerUnreachableError,
+    TransportError,
+    UnknownMessageError,
+)
+from figpaddle.http1 import ConnectionPool, HttpRequest, Responder
+from figpaddle.regional._settings import ProcessSettings
+from figpaddle.telemetry import Counters, Log
+from figpaddle.wire import InstanceHeartbeat, InstanceRole, Message, Readiness, decode, encode
+
+#: Interval between heartbeats to each instance of the own region, seconds.
+NEAR_INTERVAL_S = 0.2
+#: Interval to those of other regions, seconds; their news is older by the way there anyway.
+FAR_INTERVAL_S = 0.4
+#: Interval between attempts to reach instances that are silent or only known by name, seconds.
+SEARCH_INTERVAL_S = 0.8
+#: Instances named in a heartbeat.
+ACQUAINTANCES = 6
+#: Number of instances above which heartbeats become rarer in proportion.
+FULL_RATE_INSTANCES = 16
+#: Largest datagram read, bytes.
+MAX_DATAGRAM_BYTES = 65507
+#: Datagrams read before other tasks get their turn.
+MAX_DATAGRAMS_IN_TURN = 32
+#: Path of questions on the port for other instances.
+QUESTION_PATH = b"/question"
+#: Media type of questions and replies.
+CBOR_TYPE = b"application/cbor"
+#: Time for a connection to another instance, seconds; over six times the longest round trip.
+CONNECT_TIMEOUT_S = 1.0
+
+ReplyT = TypeVar("ReplyT", bound=Message)
+
+#: Answers a question of another instance.
+Answerer = Callable[[Message], Awaitable[Message]]
+
+
+class Mesh:
+    """Knows the other instances and carries messages to them.
+
+    Heartbeats and news go as datagrams, since a lost one is replaced by the next; questions go
+    over HTTP with CBOR bodies.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: ProcessSettings,
+        incarnation: int,
+        pool: ConnectionPool,
+        clock: Callable[[], float],
+        rng: random.Random,
+        log: Log,
+        counters: Counters,
+    ) -> None:
+        self._settings = settings
+        self._incarnation = incarnation
+        self._pool = pool
+        self._clock = clock
+        self._rng = rng
+        self._log = log
+        self._counters = counters
+        self._table: HeartbeatTable[InstanceHeartbeat] = HeartbeatTable()
+        self._names: set[str] = set(settings.seeds) - {settings.ip}
+        self._next_at: dict[str, float] = {}
+        self._silent: set[str] = set()
+        self._sequence = itertools.count(1)
+        self._socket: socket.socket | None = None
+        self._readers: dict[type[Message], Callable[[Message], None]] = {}
+        self._answerers: dict[type[Message], Answerer] = {}
+        self._compose: Callable[[], InstanceHeartbeat] | None = None
+        self._hurry = anyio.Event()
+
+    @property
+    def incarnation(self) -> int:
+        """Start of this process, milliseconds of Unix time."""
+        return self._incarnation
+
+    @property
+    def pool(self) -> ConnectionPool:
+        """Connections to other instances."""
+        return self._pool
+
+    def on_news(self, kind: type[Message], reader: Callable[[Message], None]) -> None:
+        """Let ``reader`` take datagrams of one kind."""
+        self._readers[kind] = reader
+
+    def on_question(self, kind: type[Message], answerer: Answerer) -> None:
+        """Let ``answerer`` answer questions of one kind."""
+        self._answerers[kind] = answerer
+
+    def compose_with(self, compose: Callable[[], InstanceHeartbeat]) -> None:
+        """Let ``compose`` make the heartbeats."""
+        self._compose = compose
+
+    def next_sequence(self) -> int:
+        """Return the sequence number of the next heartbeat."""
+        return next(self._sequence)
+
+    def acquaintances(self) -> tuple[str, ...]:
+        """Return some live instances to be named to others."""
+        live = [beat.name for beat in self.live()]
+        return tuple(self._rng.sample(live, min(ACQUAINTANCES, len(live))))
+
+    def live(self) -> list[InstanceHeartbeat]:
+        """Return the newest heartbeats of the instances that are alive."""
+        return self._table.live(now=self._clock())
+
+    def heard(self, name: str) -> Heard[InstanceHeartbeat] | None:
+        """Return the newest heartbeat of an instance."""
+        return self._table.get(name)
+
+    def entries(self, region: str) -> list[InstanceHeartbeat]:
+        """Return the entries of ``region`` that are alive."""
+        return [
+            beat
+            for beat in self.live()
+            if beat.role is InstanceRole.ENTRY and beat.region == region
+        ]
+
+    def controls(self) -> list[InstanceHeartbeat]:
+        """Return the control instances that are alive."""
+        return [beat for beat in self.live() if beat.role is InstanceRole.CONTROL]
+
+    def peer_address(self, name: str) -> str:
+        """Return where an instance takes questions and forwarded requests."""
+        return f"{name}:{self._settings.peer_port}"
+
+    def add_seeds(self, seeds: tuple[str, ...]) -> list[str]:
+        """Get to know instances named in the settings; return those that were unknown."""
+        added = [name for name in seeds if name not in self._names and name != self._settings.ip]
+        self._names.update(added)
+        return added
+
+    def send_soon(self) -> None:
+        """Send heartbeats to all at once, since something has changed."""
+        self._next_at.clear()
+        self._hurry.set()
+
+    def tell(self, message: Message, names: list[str]) -> None:
+        """Send news to instances as datagrams."""
+        if self._socket is None:
+            return
+        data = encode(message)
+        for name in names:
+            self._send_datagram(data, name)
+
+    async def ask(self, name: str, question: Message, *, timeout_s: float) -> Message:
+        """Return an instance's reply; raises PeerUnreachableError."""
+        address = self.peer_address(name)
+        try:
+            with anyio.fail_after(timeout_s):
+                return await self._ask(address, question)
+        except TimeoutError as error:
+            await self._pool.drop(address)
+            raise PeerUnreachableError(what=f"no reply in {timeout_s} s", where=address) from error
+        except (TransportError, MalformedMessageError, UnknownMessageError) as error:
+            raise PeerUnreachableError(what=str(error), where=address) from error
+
+    async def answer(self, request: HttpRequest, responder: Responder) -> None:
+        """Answer a question that came over HTTP."""
+        try:
+            question = decode(request.body)
+            answerer = self._answerers.get(type(question))
+            if answerer is None:
+                raise UnknownMessageError(what=f"no answer to {question.wire_name}")
+            reply = await answerer(question)
+        except (MalformedMessageError, UnknownMessageError) as error:
+            self._log.warning("question_unreadable", reason=str(error))
+            await responder.answer(400, (), b"")
+            return
+        await responder.answer(200, ((b"Content-Type", CBOR_TYPE),), encode(reply))
+
+    async def run(self) -> None:
+        """Send and receive until cancelled."""
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as datagrams:
+            datagrams.setblocking(False)
+            datagrams.bind((self._settings.ip, self._settings.peer_port))
+            self._socket = datagrams
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._receive, datagrams)
+                tasks.start_soon(self._beat)
+
+    async def _ask(self, address: str, question: Message) -> Message:
+        connection = await self._pool.acquire(address, timeout_s=CONNECT_TIMEOUT_S)
+        complete = False
+        try:
+            body = encode(question)
+            headers = (
+                (b"Host", address.encode()),
+                (b"Content-Type", CBOR_TYPE),
+                (b"Content-Length", str(len(body)).encode()),
+            )
+            await connection.send(method=b"POST", target=QUESTION_PATH, headers=headers, body=body)
+            head = await connection.read_head(lambda _: True)
+            data = b"".join([piece async for piece in connection.read_body()])
+            complete = True
+        finally:
+            if complete:
+                await self._pool.release(address, connection)
+            else:
+                await connection.close()
+        if head.status != 200:
+            raise MalformedMessageError(what=f"status {head.status}", where=address)
+        return decode(data)
+
+    async def _receive(self, datagrams: socket.socket) -> None:
+        while True:
+            await anyio.wait_readable(datagrams)
+            for _ in range(MAX_DATAGRAMS_IN_TURN):
+                try:
+                    data = datagrams.recv(MAX_DATAGRAM_BYTES)
+                except BlockingIOError:
+                    break
+                except OSError as error:
+                    # An ICMP message about an earlier datagram; the next heartbeat replaces it.
+                    self._log.debug("datagram_refused", reason=str(error))
+                    continue
+                self._take_datagram(data)
+
+    def _take_datagram(self, data: bytes) -> None:
+        try:
+            message = decode(data)
+        except (MalformedMessageError, UnknownMessageError) as error:
+            self._counters.count("datagrams_unreadable_total")
+            self._log.warning("datagram_unreadable", reason=str(error))
+            return
+        if isinstance(message, InstanceHeartbeat):
+            self._take_heartbeat(message)
+        reader = self._readers.get(type(message))
+        if reader is not None:
+            reader(message)
+
+    def _take_heartbeat(self, beat: InstanceHeartbeat) -> None:
+        if beat.name == self._settings.ip:
+            return
+        now = self._clock()
+        if self._table.note(beat, now=now):
+            self._silent.discard(beat.name)
+            self._log.info(
+                "instance_heard",
+                peer=beat.name,
+                role=beat.role.value,
+                region=beat.region,
+                incarnation=beat.incarnation,
+                readiness=beat.readiness.value,
+            )
+            self._next_at.pop(beat.name, None)
+        self._names.add(beat.name)
+        for name in beat.acquaintances:
+            if name != self._settings.ip:
+                self._names.add(name)
+
+    async def _beat(self) -> None:
+        while True:
+            now = self._clock()
+            self._note_silent(now)
+            due = [name for name in self._names if self._next_at.get(name, 0.0) <= now]
+            if due and self._compose is not None:
+                data = encode(self._compose())
+                for name in due:
+                    self._next_at[name] = now + self._interval(name, now)
+                    self._send_datagram(data, name)
+            self._hurry = anyio.Event()
+            with anyio.move_on_after(NEAR_INTERVAL_S / 4):
+                await self._hurry.wait()
+
+    def _interval(self, name: str, now: float) -> float:
+        heard = self._table.get(name)
+        if heard is None or now - heard.at > SILENT_AFTER_S:
+            return SEARCH_INTERVAL_S
+        scale = max(1.0, len(self._names) / FULL_RATE_INSTANCES)
+        if heard.beat.region == self._settings.region:
+            return min(0.5, NEAR_INTERVAL_S * scale)
+        return min(1.0, FAR_INTERVAL_S * scale)
+
+    def _note_silent(self, now: float) -> None:
+        for name in self._table.known():
+            heard = self._table.get(name)
+            if heard is None or now - heard.at <= SILENT_AFTER_S or name in self._silent:
+                continue
+            self._silent.add(name)
+            self._log.warning(
+                "instance_silent",
+                peer=name,
+                role=heard.beat.role.value,
+                region=heard.beat.region,
+                silent_s=round(now - heard.at, 2),
+            )
+        for name in self._table.expire(now=now):
+            self._silent.discard(name)
+            if name not in self._settings.seeds:
+                self._names.discard(name)
+
+    def _send_datagram(self, data: bytes, name: str) -> None:
+        if self._socket is None:
+            return
+        try:
+            self._socket.sendto(data, (name, self._settings.peer_port))
+        except OSError as error:
+            self._counters.count("datagrams_unsent_total")
+            self._log.debug("datagram_unsent", peer=name, reason=str(error))
+
+
+def is_ready(beat: InstanceHeartbeat) -> bool:
+    """Return whether the sender wants callers."""
+    return beat.readiness is Readiness.READY
--- /dev/null
+++ b/figpaddle/regional/_placer.py
@@ -0,0 +1,308 @@
+"""Gathers what placement needs from the fleet, the mesh and own requests."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+from figpaddle.http1 import ConnectionPool
+from figpaddle.regional._cluster import ClusterFollower
+from figpaddle.regional._job import Job
+from figpaddle.regional._mesh import Mesh, is_ready
+from figpaddle.regional._settings import ProcessSettings
+from figpaddle.routing import (
+    AwayRegion,
+    Candidate,
+    Choice,
+    ColdLimit,
+    Demand,
+    EngineWork,
+    Fleet,
+    FleetMember,
+    OthersWork,
+    SlidingCount,
+    choose,
+    estimate,
+)
+from figpaddle.telemetry import Counters, Log
+from figpaddle.wire import (
+    BackendNews,
+    BackendWork,
+    InstanceHeartbeat,
+    InstanceRole,
+    Message,
+    RegionalLoad,
+)
+
+#: Way to another region and back, seconds, until it is measured.
+ROUND_TRIP_S = 0.17
+#: Time for which a request sent to another region isn't yet in what that region reports, seconds.
+UNSEEN_S = 0.7
+#: Part of a backend server's connections that the entries of its region use together.
+CONNECTIONS_PART = 0.9
+#: Prompt of a request of mean size, tokens, for the load that is told to other regions.
+MEAN_PROMPT_TOKENS = 3000
+
+
+class Placer:
+    """Knows the backend servers of the own region and the load of the others."""
+
+    def __init__(
+        self,
+        *,
+        settings: ProcessSettings,
+        mesh: Mesh,
+        follower: ClusterFollower,
+        pool: ConnectionPool,
+        clock: Callable[[], float],
+        rng: random.Random,
+        log: Log,
+        counters: Counters,
+    ) -> None:
+        self._settings = settings
+        self._mesh = mesh
+        self._follower = follower
+        self._pool = pool
+        self._clock = clock
+        self._rng = rng
+        self._log = log
+        self._counters = counters
+        self._fleet = Fleet()
+        self._work: dict[str, EngineWork] = {}
+        self._sent_away: dict[tuple[str, str], SlidingCount] = {}
+        self._cold = ColdLimit(
+            name=settings.ip,
+            overshoot=settings.bounds.cold_overshoot,
+            slack=settings.bounds.cold_slack,
+        )
+        mesh.on_news(BackendNews, self._take_news)
+        mesh.on_news(InstanceHeartbeat, self._take_heartbeat)
+
+    @property
+    def fleet(self) -> Fleet:
+        """The backend servers known here."""
+        return self._fleet
+
+    def work_at(self, name: str) -> EngineWork:
+        """Return what is going on at a backend server."""
+        work = self._work.get(name)
+        if work is None:
+            work = self._work[name] = EngineWork(now=self._clock())
+        return work
+
+    def place(self, job: Job) -> Choice | None:
+        """Return where a request goes, or None where nothing has room for it."""
+        now = self._clock()
+        candidates = self._candidates(job, now=now)
+        away = [] if job.forwarded else self._away(job, now=now)
+        return choose(job.demand(now=now), candidates, away, rng=self._rng, now=now)
+
+    def note_sent(self, job: Job, choice: Choice) -> None:
+        """Count a request that is being sent to the place chosen."""
+        now = self._clock()
+        if choice.member is None:
+            key = (choice.region, job.service.name)
+            if key not in self._sent_away:
+                self._sent_away[key] = SlidingCount(window_s=UNSEEN_S)
+            self._sent_away[key].add(now=now)
+            return
+        if choice.member.cold_until > now:
+            self._cold.note_sent(choice.member.name, now=now)
+        self.work_at(choice.member.name).sent(
+            job.key,
+            job.demand(now=now),
+            prefill=choice.prefill,
+            memory=job.caller.prompt_tokens + job.caller.output_tokens,
+            expected_s=choice.expected_s,
+            now=now,
+        )
+
+    def entry_of(self, region: str) -> InstanceHeartbeat | None:
+        """Return an entry of another region that takes requests."""
+        ready = [beat for beat in self._mesh.entries(region) if is_ready(beat)]
+        return self._rng.choice(ready) if ready else None
+
+    def own_work(self) -> tuple[BackendWork, ...]:
+        """Return the own work at each backend server, for the other entries."""
+        return tuple(
+            BackendWork(
+                backend=name,
+                requests=work.own_requests,
+                tokens=work.own_memory,
+                prefill=work.own_prefill,
+            )
+            for name, work in self._work.items()
+            if work.own_requests
+        )
+
+    def loads(self) -> tuple[RegionalLoad, ...]:
+        """Return how busy the own region is, for the entries of others."""
+        configuration = self._follower.configuration
+        if configuration is None:
+            return ()
+        now = self._clock()
+        loads = []
+        for service in configuration.services:
+            members = self._usable(service.name, now=now)
+            best_s, room = 60.0, 0
+            for member in members:
+                if member.cold_until > now:
+                    continue
+                candidate = self._candidate(member, service.slots, service.memory_tokens)
+                expected_s, free = _typical(candidate, now=now)
+                best_s = min(best_s, expected_s)
+                room += free
+            loads.append(
+                RegionalLoad(
+                    service=service.name, backends=len(members), expected_s=best_s, room=room
+                )
+            )
+        return tuple(loads)
+
+    def usable_count(self, service: str) -> int:
+        """Return how many backend servers of the region may be used for ``service``."""
+        return len(self._usable(service, now=self._clock()))
+
+    def expire(self) -> None:
+        """Forget backend servers that were last heard long ago."""
+        self._fleet.expire(now=self._clock())
+        known = {member.name for member in self._fleet.members()}
+        for name in list(self._work):
+            if name not in known and not self._work[name].own_requests:
+                del self._work[name]
+
+    def _candidates(self, job: Job, *, now: float) -> list[Candidate]:
+        if not job.route.allows(self._settings.region):
+            return []
+        entries = [beat.name for beat in self._mesh.entries(self._settings.region)] + [
+            self._settings.ip
+        ]
+        candidates = []
+        for member in self._usable(job.service.name, now=now):
+            if member.name in job.tried:
+                continue
+            if member.cold_until > now and not self._cold.allows(
+                member.name, per_s=job.service.cold_per_s, entries=entries, now=now
+            ):
+                continue
+            if not self._may_connect(member, job, len(entries)):
+                continue
+            candidates.append(self._candidate(member, job.service.slots, job.service.memory_tokens))
+        return candidates
+
+    def _candidate(self, member: FleetMember, slots: int, memory_tokens: int) -> Candidate:
+        return Candidate(
+            member=member,
+            work=self.work_at(member.name),
+            slots=member.record.slots or slots or 1,
+            memory_tokens=memory_tokens,
+        )
+
+    def _usable(self, service: str, *, now: float) -> list[FleetMember]:
+        return self._fleet.usable(
+            service,
+            region_zones=self._settings.zones_of_region,
+            evacuated=self._follower.state.evacuated,
+            now=now,
+        )
+
+    def _may_connect(self, member: FleetMember, job: Job, entries: int) -> bool:
+        if self._pool.idle_to(member.address):
+            return True
+        most = max(1, int(job.service.max_connections * CONNECTIONS_PART / entries))
+        return self._pool.open_to(member.address) < most
+
+    def _away(self, job: Job, *, now: float) -> list[AwayRegion]:
+        regions = set(self._settings.zones.values())
+        options = []
+        for region in regions - {self._settings.region} - job.regions_tried:
+            if not job.route.allows(region):
+                continue
+            load = self._load_of(region, job.service.name)
+            if load is None:
+                continue
+            sent = self._sent_away.get((region, job.service.name))
+            options.append(
+                AwayRegion(
+                    region=region,
+                    expected_s=load.expected_s,
+                    room=load.room,
+                    backends=load.backends,
+                    round_trip_s=ROUND_TRIP_S,
+                    sent_lately=sent.total(now=now) if sent is not None else 0,
+                )
+            )
+        return options
+
+    def _load_of(self, region: str, service: str) -> RegionalLoad | None:
+        """Return a region's load as the entry there that was heard last tells it."""
+        ready = [beat for beat in self._mesh.entries(region) if is_ready(beat)]
+        heard = [self._mesh.heard(beat.name) for beat in ready]
+        newest = max(
+            (one for one in heard if one is not None), key=lambda one: one.at, default=None
+        )
+        if newest is None:
+            return None
+        for load in newest.beat.loads:
+            if load.service == service:
+                return load
+        return None
+
+    def _take_news(self, news: Message) -> None:
+        assert isinstance(news, BackendNews)
+        now = self._clock()
+        for record in news.records:
+            change = self._fleet.note(record, now=now)
+            if change.value in ("nothing", "confirmed"):
+                continue
+            if change.value == "started":
+                self._work[record.name] = EngineWork(now=now)
+            self._log.info(
+                "backend_believed",
+                backend=record.name,
+                address=record.address,
+                service=record.service,
+                zone=record.zone,
+                state=record.state.value,
+                born=record.born,
+                sequence=record.sequence,
+                age_s=round(record.age_s, 2),
+                cold_s=round(record.warmup_s, 2),
+                change=change.value,
+            )
+
+    def _take_heartbeat(self, message: Message) -> None:
+        assert isinstance(message, InstanceHeartbeat)
+        if message.role is not InstanceRole.ENTRY or message.region != self._settings.region:
+            return
+        now = self._clock()
+        reported = {work.backend: work for work in message.work}
+        for name, engine in self._work.items():
+            work = reported.get(name)
+            if work is None:
+                engine.note_others(message.name, OthersWork(), now=now)
+            else:
+                others = OthersWork(
+                    requests=work.requests, memory=work.tokens, prefill=work.prefill
+                )
+                engine.note_others(message.name, others, now=now)
+
+
+def _typical(candidate: Candidate, *, now: float) -> tuple[float, int]:
+    """Return the time to the first byte and the free places for requests of mean size."""
+    demand = Demand(
+        request_id="",
+        member="",
+        service="",
+        priority=0,
+        deadline_s=60.0,
+        prompt_tokens=MEAN_PROMPT_TOKENS if candidate.memory_tokens else 0,
+    )
+    choice = estimate(candidate, demand, now=now)
+    if choice is None:
+        return 60.0, 0
+    free = candidate.slots - candidate.work.requests(now=now)
+    if candidate.memory_tokens:
+        left = candidate.memory_tokens * 0.9 - candidate.work.memory(now=now)
+        free = min(free, int(left / MEAN_PROMPT_TOKENS))
+    return choice.expected_s, max(0, free)
--- /dev/null
+++ b/figpaddle/regional/_register_store.py
@@ -0,0 +1,130 @@
+"""A voter's state on disk."""
+
+from __future__ import annotations
+
+import pathlib
+import secrets
+from typing import Any
+
+import anyio
+import anyio.to_thread
+import cbor2
+
+from figpaddle.coordination import Acceptance, Ballot, Promise, Voter, VoterState
+from figpaddle.errors import StorageCorruptError
+from figpaddle.storage import RecordFile
+
+#: File of the voter's state within the data folder.
+FILE_NAME = "register.records"
+#: Size above which the file is written anew with the newest state alone, bytes.
+COMPACT_BYTES = 4 * 1024 * 1024
+
+
+class RegisterStore:
+    """Makes each state of a voter durable before its answer is given.
+
+    Writes run in a worker thread, one after the other, so that a disk that stalls holds up this
+    voter and not the process.
+    """
+
+    def __init__(self, *, folder: pathlib.Path, name: str) -> None:
+        self._file = RecordFile(path=folder / FILE_NAME)
+        self._name = name
+        self._lock = anyio.Lock()
+        self._voters: tuple[str, ...] = ()
+        self._voter: Voter | None = None
+
+    @property
+    def voters(self) -> tuple[str, ...]:
+        """The voters of the deployment; empty before they are known."""
+        return self._voters
+
+    @property
+    def voter(self) -> Voter:
+        """The voter's rules and durable state."""
+        assert self._voter is not None
+        return self._voter
+
+    def open(self, *, first_start: bool) -> None:
+        """Read what the disk holds; raises StorageError.
+
+        An empty disk may only vote at once where the whole deployment starts for the first time.
+        """
+        state = VoterState(incarnation=secrets.token_hex(8), complete=first_start)
+        for record in self._file.open():
+            voters, state = _decode(record)
+            self._voters = voters or self._voters
+        self._voter = Voter(name=self._name, state=state)
+
+    async def record_voters(self, voters: tuple[str, ...]) -> tuple[str, ...]:
+        """Make the founder's decision durable unless there is one; return the one that holds."""
+        async with self._lock:
+            if not self._voters:
+                await self._write(self.voter.state, voters)
+                self._voters = voters
+        return self._voters
+
+    async def prepare(self, ballot: Ballot) -> Promise:
+        """Answer a prepare once the promise is durable."""
+        async with self._lock:
+            state, promise = self.voter.prepare(ballot)
+            await self._keep(state)
+        return promise
+
+    async def accept(self, ballot: Ballot, value: bytes, *, incarnation: str) -> Acceptance:
+        """Answer an accept once the value is durable."""
+        async with self._lock:
+            state, answer = self.voter.accept(ballot, value, incarnation=incarnation)
+            await self._keep(state)
+        return answer
+
+    async def recover(self, promises: tuple[Promise, ...], ballot: Ballot) -> None:
+        """Let the voter vote again after its disk was lost."""
+        async with self._lock:
+            await self._keep(self.voter.recovered(promises, ballot))
+
+    async def _keep(self, state: VoterState) -> None:
+        if state is not self.voter.state:
+            # A question whose asker has left must not separate memory from disk.
+            with anyio.CancelScope(shield=True):
+                await self._write(state, self._voters)
+                self.voter.replace(state)
+
+    async def _write(self, state: VoterState, voters: tuple[str, ...]) -> None:
+        record = _encode(state, voters)
+        if self._file.size_bytes > COMPACT_BYTES:
+            await anyio.to_thread.run_sync(self._file.replace, (record,))
+        else:
+            await anyio.to_thread.run_sync(self._file.append, (record,))
+
+
+def _encode(state: VoterState, voters: tuple[str, ...]) -> bytes:
+    return cbor2.dumps(
+        [
+            list(voters),
+            state.incarnation,
+            state.complete,
+            list(state.promised),
+            list(state.accepted),
+            state.value,
+        ]
+    )
+
+
+def _decode(record: bytes) -> tuple[tuple[str, ...], VoterState]:
+    try:
+        fields: Any = cbor2.loads(record)
+        voters, incarnation, complete, promised, accepted, value = fields
+    except (cbor2.CBORDecodeError, ValueError, TypeError) as error:
+        raise StorageCorruptError(
+            what="a record of the register can't be read",
+            where=FILE_NAME,
+            mend="empty the data folder; the voter then recovers from the others",
+        ) from error
+    return tuple(voters), VoterState(
+        incarnation=incarnation,
+        complete=complete,
+        promised=Ballot(*promised),
+        accepted=Ballot(*accepted),
+        value=value,
+    )
--- a/figpaddle/routing/__init__.py
+++ b/figpaddle/routing/__init__.py
@@ -20,7 +20,9 @@
     TargetEvent,
     prompt_shape,
 )
+from figpaddle.routing._engine_work import EngineWork, OthersWork
 from figpaddle.routing._entries import ENTRY_TTL_S, EntryAnswer, rank_entries
+from figpaddle.routing._fleet import Fleet, FleetMember, News
 from figpaddle.routing._forwarding import MAX_CROSSINGS, check_forward, permitted_service
 from figpaddle.routing._policy import (
     LeastLoadPolicy,
@@ -32,10 +34,37 @@
     RoundRobinPolicy,
 )
 from figpaddle.routing._quarantine import LOSS_TTL_S, Quarantine, SuspectSlots, Verdict
+from figpaddle.routing._rate_limits import ColdLimit, SharedRetryBudget, SlidingCount
+from figpaddle.routing._regional_choice import (
+    AwayRegion,
+    Candidate,
+    Choice,
+    Refusal,
+    choose,
+    estimate,
+    refuse_late,
+    spread_return,
+)
 from figpaddle.routing._retry_budget import RetryBudget
 from figpaddle.routing._scored import Estimate, PolicyName, ScoredPolicy, make_policy
 
 __all__ = [
+    "AwayRegion",
+    "Candidate",
+    "Choice",
+    "ColdLimit",
+    "EngineWork",
+    "Fleet",
+    "FleetMember",
+    "News",
+    "OthersWork",
+    "Refusal",
+    "SharedRetryBudget",
+    "SlidingCount",
+    "choose",
+    "estimate",
+    "refuse_late",
+    "spread_return",
     "ANNOUNCEMENT_TTL_S",
     "CHARACTERS_PER_TOKEN",
     "DEFAULT_OUTPUT_TOKENS",
--- /dev/null
+++ b/figpaddle/routing/_engine_work.py
@@ -0,0 +1,182 @@
+"""What is going on at one backend server, as an entry knows it."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from figpaddle.routing._cache_belief import CacheBelief
+from figpaddle.routing._demand import Demand
+
+#: Age at which another entry's report of its work counts no more, seconds: a few heartbeats.
+WORK_TRUST_S = 2.0
+#: Age at which the load that a backend server reported itself counts no more, seconds.
+LOAD_TRUST_S = 0.6
+#: Prompt tokens that an engine reads in a second while it generates, before any sample.
+PREFILL_TOKENS_PER_S = 80_000.0
+#: Time to the first token without any queue, before any sample, seconds.
+FIRST_TOKEN_S = 0.06
+#: Time for which a plain request holds its slot, before any sample, seconds.
+HOLD_S = 0.05
+#: Weight of one new sample in a moving average.
+SAMPLE_WEIGHT = 0.08
+#: Most that one sample counts, as a multiple of what was expected.
+MAX_SLOWNESS = 8.0
+#: Time in which measured slowness is half forgotten without new samples, seconds.
+SLOWNESS_HALF_LIFE_S = 4.0
+#: Sum of failures that a request's failure adds and half of which is forgotten, seconds.
+FAILURE_HALF_LIFE_S = 3.0
+#: Wait that is longer than expected by this counts as a sign of slowness at once, seconds.
+OVERDUE_S = 0.5
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class _Own:
+    priority: int
+    prefill: float
+    memory: int
+    sent_at: float
+    expected_s: float
+    streamed: bool
+    first_at: float | None = None
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class OthersWork:
+    """Work of the other entries at one backend server."""
+
+    requests: int = 0
+    memory: int = 0
+    prefill: int = 0
+
+
+class EngineWork:
+    """Own requests, the other entries' reports and measured speed of one backend server."""
+
+    def __init__(self, *, now: float) -> None:
+        self.belief = CacheBelief()
+        self._own: dict[str, _Own] = {}
+        self._others: dict[str, tuple[OthersWork, float]] = {}
+        self._reported: tuple[int, float] | None = None
+        self._slowness = 1.0
+        self._slowness_at = now
+        self._hold_s = HOLD_S
+        self._failures = 0.0
+        self._failures_at = now
+
+    @property
+    def own_requests(self) -> int:
+        """Own requests in progress."""
+        return len(self._own)
+
+    @property
+    def own_memory(self) -> int:
+        """Memory of own requests, tokens."""
+        return sum(own.memory for own in self._own.values())
+
+    @property
+    def own_prefill(self) -> int:
+        """Prompt tokens of own requests that wait for their first token."""
+        return int(sum(own.prefill for own in self._own.values() if own.first_at is None))
+
+    @property
+    def hold_s(self) -> float:
+        """Mean time for which a request holds its slot, seconds."""
+        return self._hold_s
+
+    def note_others(self, entry: str, work: OthersWork, *, now: float) -> None:
+        """Take in what another entry has in progress here."""
+        self._others[entry] = (work, now)
+
+    def note_reported(self, requests: int, *, now: float) -> None:
+        """Take in what the backend server itself says it has in progress."""
+        self._reported = (requests, now)
+
+    def requests(self, *, now: float) -> int:
+        """Return the requests believed to be in progress, of all entries."""
+        believed = len(self._own) + sum(work.requests for work in self._fresh(now))
+        if self._reported is not None and now - self._reported[1] <= LOAD_TRUST_S:
+            return max(believed, self._reported[0])
+        return believed
+
+    def memory(self, *, now: float) -> int:
+        """Return the memory that all requests take, tokens."""
+        return self.own_memory + sum(work.memory for work in self._fresh(now))
+
+    def prefill_ahead(self, priority: int, *, now: float) -> float:
+        """Return the prompt tokens that are read before those of a new request."""
+        own = sum(
+            one.prefill
+            for one in self._own.values()
+            if one.first_at is None and one.priority <= priority
+        )
+        return own + sum(work.prefill for work in self._fresh(now))
+
+    def sent(
+        self,
+        key: str,
+        demand: Demand,
+        *,
+        prefill: float,
+        memory: int,
+        expected_s: float,
+        now: float,
+    ) -> None:
+        """Count a request that is being sent."""
+        self._own[key] = _Own(
+            priority=demand.priority,
+            prefill=prefill,
+            memory=memory,
+            sent_at=now,
+            expected_s=expected_s,
+            streamed=demand.streamed,
+        )
+        self.belief.assume(demand.prefixes, now=now)
+
+    def answered(self, key: str, *, now: float) -> float | None:
+        """Note the first byte of an answer; return the time that it took, seconds."""
+        own = self._own.get(key)
+        if own is None or own.first_at is not None:
+            return None
+        own.first_at = now
+        took_s = now - own.sent_at
+        usual_s = max(FIRST_TOKEN_S, own.expected_s)
+        self._take_slowness(min(MAX_SLOWNESS, took_s / usual_s), now)
+        return took_s
+
+    def ended(self, key: str, *, failed: bool, now: float) -> None:
+        """Note the end of a request."""
+        own = self._own.pop(key, None)
+        if own is None:
+            return
+        if failed:
+            self._failures = self._failures_now(now) + 1.0
+            self._failures_at = now
+        elif not own.streamed:
+            self._hold_s += (now - own.sent_at - self._hold_s) * SAMPLE_WEIGHT
+
+    def slowness(self, *, now: float) -> float:
+        """Return how many times as long as expected answers take here, at least 1."""
+        overdue = 1.0
+        for own in self._own.values():
+            if own.first_at is None:
+                late_s = now - own.sent_at - own.expected_s
+                if late_s > OVERDUE_S:
+                    overdue = max(overdue, 1.0 + late_s / OVERDUE_S)
+        kept = 0.5 ** ((now - self._slowness_at) / SLOWNESS_HALF_LIFE_S)
+        return float(max(overdue, 1.0 + max(0.0, self._slowness - 1.0) * kept))
+
+    def failures(self, *, now: float) -> float:
+        """Return the number of recent failures, each fading with time."""
+        return self._failures_now(now)
+
+    def _take_slowness(self, sample: float, now: float) -> None:
+        kept = 0.5 ** ((now - self._slowness_at) / SLOWNESS_HALF_LIFE_S)
+        present = 1.0 + (self._slowness - 1.0) * kept
+        self._slowness = present + (sample - present) * SAMPLE_WEIGHT
+        self._slowness_at = now
+
+    def _failures_now(self, now: float) -> float:
+        return float(self._failures * 0.5 ** ((now - self._failures_at) / FAILURE_HALF_LIFE_S))
+
+    def _fresh(self, now: float) -> list[OthersWork]:
+        return [work for work, at in self._others.values() if now - at <= WORK_TRUST_S]
--- /dev/null
+++ b/figpaddle/routing/_regional_choice.py
@@ -0,0 +1,187 @@
+"""Chooses the backend server or the region for a request and refuses what can't be in time."""
+
+from __future__ import annotations
+
+import dataclasses
+import math
+import random
+
+from figpaddle.routing._demand import Demand
+from figpaddle.routing._engine_work import (
+    FIRST_TOKEN_S,
+    PREFILL_TOKENS_PER_S,
+    EngineWork,
+)
+from figpaddle.routing._fleet import FleetMember
+
+#: Part of an engine's memory that running requests may take. Above it the engine preempts, which
+#: makes it read prompts again.
+MEMORY_PART = 0.92
+#: Part of an engine's slots up to which requests start without waiting.
+SLOTS_PART = 1.0
+#: Price of a filled backend server, seconds of waiting; spreads work before queues build up.
+FILL_PRICE_S = 0.15
+#: Price of a recent failure of a backend server, seconds of waiting.
+FAILURE_PRICE_S = 0.5
+#: Price of leaving the region beside the round trip, seconds of waiting.
+AWAY_PRICE_S = 0.15
+#: Scores closer than this are taken as equal, seconds.
+NOISE_S = 0.01
+#: Time for which a request that is sent to another region counts there beside what that region
+#: reports, seconds: a heartbeat and half a round trip.
+AWAY_TRUST_S = 0.7
+#: A request of mean size, tokens, where a region's load is told in one figure.
+MEAN_PROMPT_TOKENS = 3000.0
+#: Shortest and longest time that a refused caller is told to stay away, seconds.
+MIN_RETRY_S = 0.2
+MAX_RETRY_S = 3.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Candidate:
+    """A backend server that may be used."""
+
+    member: FleetMember
+    work: EngineWork
+    #: Requests that it processes at once.
+    slots: int
+    #: Memory of an engine, tokens; 0 for a plain server.
+    memory_tokens: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class AwayRegion:
+    """Another region that may serve a request."""
+
+    region: str
+    #: Time to the first token there for a request of mean size, seconds.
+    expected_s: float
+    #: Requests that it can take without waiting.
+    room: int
+    #: Backend servers in use there.
+    backends: int
+    #: Time there and back, seconds.
+    round_trip_s: float
+    #: Requests that this entry sent there lately and that the figures don't show yet.
+    sent_lately: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Choice:
+    """Where a request goes."""
+
+    #: The backend server, or None for another region.
+    member: FleetMember | None
+    #: The other region; empty for the own one.
+    region: str
+    #: Expected time to the first byte, seconds.
+    expected_s: float
+    #: Prompt tokens that have to be read.
+    prefill: float
+    #: What decided: lower is better, seconds.
+    score: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Refusal:
+    """A request that isn't taken."""
+
+    #: Short name of the reason.
+    reason: str
+    #: When to come back, seconds.
+    retry_after_s: float
+
+
+def estimate(candidate: Candidate, demand: Demand, *, now: float) -> Choice | None:
+    """Return what a request would meet at a backend server, or None where it has no room."""
+    work = candidate.work
+    requests = work.requests(now=now)
+    slots = max(1.0, candidate.slots * SLOTS_PART)
+    slowness = work.slowness(now=now)
+    fill = requests / slots
+    prefill = 0.0
+    if candidate.memory_tokens:
+        need = demand.prompt_tokens + demand.output_tokens
+        taken = work.memory(now=now)
+        if taken and taken + need > candidate.memory_tokens * MEMORY_PART:
+            return None
+        cached = work.belief.cached_tokens(demand.prefixes, now=now)
+        prefill = max(0.0, demand.prompt_tokens - cached)
+        ahead = work.prefill_ahead(demand.priority, now=now)
+        expected_s = FIRST_TOKEN_S + (ahead + prefill) / PREFILL_TOKENS_PER_S
+        fill = max(fill, (taken + need) / (candidate.memory_tokens * MEMORY_PART))
+        if requests >= slots:
+            expected_s += (requests + 1 - slots) / slots
+    else:
+        waiting = max(0.0, requests + 1 - slots)
+        expected_s = work.hold_s * (1.0 + waiting / slots)
+    expected_s *= slowness
+    score = expected_s + FILL_PRICE_S * fill * fill
+    score += FAILURE_PRICE_S * work.failures(now=now)
+    return Choice(
+        member=candidate.member, region="", expected_s=expected_s, prefill=prefill, score=score
+    )
+
+
+def estimate_away(option: AwayRegion, demand: Demand) -> Choice | None:
+    """Return what a request would meet in another region, or None where it has no room."""
+    if option.backends == 0 or option.sent_lately >= max(1, option.room):
+        return None
+    prefill_s = (demand.prompt_tokens - MEAN_PROMPT_TOKENS) / PREFILL_TOKENS_PER_S
+    queue_s = option.sent_lately * MEAN_PROMPT_TOKENS / PREFILL_TOKENS_PER_S / option.backends
+    if demand.prompt_tokens == 0:
+        prefill_s = queue_s = 0.0
+    expected_s = max(FIRST_TOKEN_S, option.expected_s + prefill_s) + queue_s + option.round_trip_s
+    return Choice(
+        member=None,
+        region=option.region,
+        expected_s=expected_s,
+        prefill=float(demand.prompt_tokens),
+        score=expected_s + AWAY_PRICE_S,
+    )
+
+
+def choose(
+    demand: Demand,
+    candidates: list[Candidate],
+    away: list[AwayRegion],
+    *,
+    rng: random.Random,
+    now: float,
+) -> Choice | None:
+    """Return the best place for a request, or None where none has room.
+
+    Answers the load of a region whose peak exceeds its engines while others are quiet: work
+    leaves as soon as the time saved pays for the round trip, and stays where it is cached before.
+    """
+    options = [estimate(candidate, demand, now=now) for candidate in candidates]
+    options += [estimate_away(option, demand) for option in away]
+    found = [option for option in options if option is not None]
+    if not found:
+        return None
+    best = min(option.score for option in found)
+    near = [option for option in found if option.score <= best + NOISE_S]
+    return rng.choice(near)
+
+
+def refuse_late(
+    demand: Demand, choice: Choice, *, target_s: float, patience: float, rng: random.Random
+) -> Refusal | None:
+    """Return a refusal if the answer would begin too late to be of use.
+
+    ``patience`` says how many times the target an answer may take to begin.
+    """
+    limit_s = min(target_s * patience, demand.deadline_s * 0.8)
+    if choice.expected_s <= limit_s:
+        return None
+    late_s = choice.expected_s - limit_s
+    return Refusal(reason="late", retry_after_s=spread_return(late_s, rng=rng))
+
+
+def spread_return(wait_s: float, *, rng: random.Random) -> float:
+    """Return when a refused caller should come back: after ``wait_s``, spread over as much again.
+
+    Callers that are refused together would otherwise come back together.
+    """
+    retry_s = max(MIN_RETRY_S, wait_s) * rng.uniform(1.0, 2.0)
+    return math.ceil(min(MAX_RETRY_S, retry_s) * 1000) / 1000
--- /dev/null
+++ b/figpaddle/storage/__init__.py
@@ -0,0 +1,5 @@
+"""Durable records in files."""
+
+from figpaddle.storage._record_file import HEAD, MAGIC, RecordFile
+
+__all__ = ["HEAD", "MAGIC", "RecordFile"]
--- a/figpaddle/daemon/_record_file.py
+++ b/figpaddle/storage/_record_file.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import errno
 import os
 import pathlib
@@ -63,6 +64,7 @@
             _write_all(self._descriptor, data)
             os.fsync(self._descriptor)
         except OSError as error:
+            self._cut_unfinished(self._descriptor)
             raise self._failure(error) from error
         self._size += len(data)
 
@@ -88,6 +90,12 @@
             os.close(self._descriptor)
             self._descriptor = None
 
+    def _cut_unfinished(self, descriptor: int) -> None:
+        """Remove what a failed append may have left, so that the next record follows whole ones."""
+        with contextlib.suppress(OSError):
+            os.ftruncate(descriptor, self._size)
+            os.lseek(descriptor, self._size, os.SEEK_SET)
+
     def _parse(self, data: bytes) -> tuple[tuple[bytes, ...], int]:
         records = []
         offset = 0
--- a/figpaddle/daemon/_logs.py
+++ b/figpaddle/telemetry/_logs.py
@@ -3,14 +3,21 @@
 from __future__ import annotations
 
 import sys
+from typing import TextIO, cast
 
 import structlog
 
+from figpaddle.telemetry._writer import BoundedWriter
+
 Log = structlog.typing.FilteringBoundLogger
 
 
-def make_log(*, instance: str) -> Log:
-    """Return the logger of the process; every line names the instance."""
+def make_log(*, instance: str, writer: BoundedWriter | None = None) -> Log:
+    """Return the logger of the process; every line names the instance.
+
+    Lines go to ``writer``, or straight to standard output where none is given.
+    """
+    file = sys.stdout if writer is None else cast(TextIO, writer)
     structlog.configure(
         processors=[
             structlog.processors.add_log_level,
@@ -18,7 +25,7 @@
             structlog.processors.format_exc_info,
             structlog.processors.LogfmtRenderer(key_order=["time", "level", "event"]),
         ],
-        logger_factory=structlog.PrintLoggerFactory(file=sys.stdout),
+        logger_factory=structlog.WriteLoggerFactory(file=file),
         cache_logger_on_first_use=True,
     )
     log: Log = structlog.get_logger().bind(instance=instance)
--- a/figpaddle/wire/_messages.py
+++ b/figpaddle/wire/_messages.py
@@ -105,6 +105,8 @@
     SERVING = "serving"
     #: Takes no new work and will go.
     LEAVING = "leaving"
+    #: Has left; nothing may be sent to it.
+    GONE = "gone"
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
