Let accepts of the register reach all voters, and reads wait for a settled majority

Cause: a proposer stopped asking as soon as a majority had accepted, so the others stayed behind, reads found no settled value and began rounds of their own, and rounds got in each other's way for up to 8 s. A request whose operator left also cancelled its round. Also: a hop may use all attempts of a request; an entry that has just started doesn't name other regions' entries. Change: accepts go on in the background, reads take the first settled majority, changes run in a task of their own, and a proposer that won the last round leaves out the prepare.

--- a/figpaddle/coordination/_register.py
+++ b/figpaddle/coordination/_register.py
@@ -117,11 +117,18 @@
         )
 
     def accept(
-        self, ballot: Ballot, value: bytes, *, incarnation: str
+        self, ballot: Ballot, value: bytes, *, incarnation: str, previous: Ballot | None = None
     ) -> tuple[VoterState, Acceptance]:
-        """Answer an accept; ``incarnation`` is the one that promised ``ballot``."""
+        """Answer an accept; ``incarnation`` is the one that promised ``ballot``.
+
+        A proposer that knows the value accepted last may leave the prepare out: ``previous`` is
+        the ballot of that value, and the voter accepts only if it holds just that one. This is a
+        prepare that would have shown ``previous``, and the accept after it, in one step.
+        """
         state = self._state
         granted = state.complete and incarnation == state.incarnation and ballot >= state.promised
+        if previous is not None:
+            granted = granted and state.accepted == previous and ballot > previous
         if granted:
             state = dataclasses.replace(state, promised=ballot, accepted=ballot, value=value)
         answer = Acceptance(voter=self._name, granted=granted, promised=state.promised)
--- a/figpaddle/regional/_entry.py
+++ b/figpaddle/regional/_entry.py
@@ -15,6 +15,8 @@
 
 #: Part of the longest time to live with which entries are named to callers.
 LOOKUP_TTL_PART = 0.3
+#: Time after its start from which an entry knows the others, seconds; a few heartbeats.
+SETTLED_AFTER_S = 3.0
 #: Most entries named to one caller.
 MAX_NAMED = 64
 #: Shortest time from the request to stop to the end, seconds: callers that were told of this
@@ -30,6 +32,7 @@
     def start(self, tasks: anyio.abc.TaskGroup) -> None:
         """Open the ports of an entry."""
         settings = self._settings
+        self._started_at = self._clock()
         self._backends = ConnectionPool(tasks=tasks, clock=self._clock, silence_s=NEAR_SILENCE_S)
         self._placer = Placer(
             settings=settings,
@@ -150,4 +153,14 @@
         if self.readiness() is Readiness.READY:
             ready.append((self._settings.region, self._settings.caller_address))
         near = [address for region, address in ready if region == call.region]
+        if not near and self._may_still_have_entries(call.region):
+            return ()
         return tuple(sorted(near or [address for _, address in ready])[:MAX_NAMED])
+
+    def _may_still_have_entries(self, region: str) -> bool:
+        """Return whether ``region`` probably has entries that just aren't ready or heard yet.
+
+        Callers of a region whose data may not leave it are better off asking again.
+        """
+        settled = self._clock() - self._started_at >= SETTLED_AFTER_S
+        return not settled or bool(self._mesh.entries(region))
--- a/figpaddle/regional/_gateway.py
+++ b/figpaddle/regional/_gateway.py
@@ -343,10 +343,7 @@
             responder=responder,
             read=lambda head: _read_hop(self._dialect, head, job),
             on_first=lambda _: None,
-            retryable=lambda answer: (
-                header(answer.headers, OUTCOME_FIELD) is not None
-                or self._worth_retrying(job, answer)
-            ),
+            retryable=lambda answer: header(answer.headers, OUTCOME_FIELD) is not None,
             clock=self._clock,
         ).run()
         if ending.fate is not Fate.ANSWERED:
@@ -361,7 +358,10 @@
         if ending.fate is Fate.NOT_RUN:
             # The other entry reached no backend server, so the attempt is not used up.
             job.attempts_left += 1
-            ending = dataclasses.replace(ending, reached=False)
+            return dataclasses.replace(ending, reached=False)
+        if ending.fate is not Fate.NOT_SENT:
+            # The other entry may have used all attempts that it was given.
+            job.attempts_left = 0
         return ending
 
     def _worth_retrying(self, job: Job, answer: BackendAnswer) -> bool:
--- a/figpaddle/regional/_register_host.py
+++ b/figpaddle/regional/_register_host.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import dataclasses
 import random
 from collections.abc import Callable
 
 import anyio
+import anyio.abc
 
 from figpaddle.coordination import (
     NO_BALLOT,
@@ -44,8 +46,11 @@
 
 #: Longest wait for a voter's answer, seconds; three of the longest round trips and a slow disk.
 VOTER_TIMEOUT_S = 0.8
-#: Longest wait for another control instance to make a change, seconds.
-PROPOSER_TIMEOUT_S = 1.1
+#: Longest wait for another control instance to make a change, seconds; the way there and back
+#: and a round. The operator turns elsewhere after a second.
+PROPOSER_TIMEOUT_S = 0.7
+#: Time for which one that didn't answer isn't asked again, seconds.
+PROPOSER_AVOIDED_S = 3.0
 #: Longest random pause after another proposer got in the way, seconds.
 MAX_PAUSE_S = 0.25
 #: Rounds after which a change is given up.
@@ -59,6 +64,25 @@
 Change = Callable[[ClusterState], ClusterState]
 
 
+@dataclasses.dataclass(kw_only=True)
+class _Ticket:
+    """A change that waits for its round."""
+
+    change: Change
+    done: anyio.Event
+    #: The state that holds the change; None where it may not be durable.
+    state: ClusterState | None = None
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Won:
+    """The round that this instance won last."""
+
+    ballot: Ballot
+    state: ClusterState
+    incarnations: dict[str, str]
+
+
 class RegisterHost:
     """Makes changes of the agreed state durable at a majority before it confirms them.
 
@@ -87,9 +111,11 @@
         self._log = log
         self._founder = Founder(name=settings.ip, seeds=settings.seeds, now=clock())
         self._highest = NO_BALLOT
-        self._waiting: list[tuple[Change, anyio.Event]] = []
-        self._confirmed: set[anyio.Event] = set()
-        self._round = anyio.Lock()
+        self._waiting: list[_Ticket] = []
+        self._wanted = anyio.Event()
+        self._won: _Won | None = None
+        self._avoided: dict[str, float] = {}
+        self._incarnations: dict[str, str] = {}
         self._read_once = False
         follower.learn_voters(store.voters)
         mesh.on_question(PrepareRequest, self._answer_prepare)
@@ -99,13 +125,16 @@
         mesh.on_question(StateChange, self._answer_change)
 
     async def run(self) -> None:
-        """Found the deployment, recover and read after a start, until cancelled."""
-        while True:
-            try:
-                await self._upkeep()
-            except (NoMajorityError, StorageError) as error:
-                self._log.warning("register_upkeep_failed", reason=str(error))
-            await anyio.sleep(UPKEEP_INTERVAL_S)
+        """Found the deployment, recover, read after a start and make changes until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            self._tasks = tasks
+            tasks.start_soon(self._propose)
+            while True:
+                try:
+                    await self._upkeep()
+                except (NoMajorityError, StorageError) as error:
+                    self._log.warning("register_upkeep_failed", reason=str(error))
+                await anyio.sleep(UPKEEP_INTERVAL_S)
 
     async def change(self, order: StateChange) -> ClusterState:
         """Make a change durable, here or through another control instance.
@@ -118,141 +147,178 @@
                 reply = await self._mesh.ask(proposer, order, timeout_s=PROPOSER_TIMEOUT_S)
             except PeerUnreachableError as error:
                 self._log.warning("proposer_unreachable", peer=proposer, reason=str(error))
+                self._avoided[proposer] = self._clock() + PROPOSER_AVOIDED_S
             else:
                 if isinstance(reply, StateChangeReply) and reply.done:
-                    return self._follower.state
+                    state = decode_state(reply.state)
+                    self._follower.install(state, source=proposer)
+                    return state
         return await self._change_here(order)
 
     async def read(self) -> ClusterState:
         """Return the newest agreed state; raises NoMajorityError without a majority."""
         voters = self._voters()
-        promises = await self._gather_promises(PeekRequest(), majority(len(voters)))
-        if promises is None:
-            raise NoMajorityError(what="no majority of the voters answers")
-        if is_settled(promises, voters=len(voters)):
-            state = decode_state(newest_value(promises).value)
-        else:
-            state = await self._change_here(None)
+        settled = await self._gather_promises(
+            PeekRequest(), lambda promises: is_settled(promises, voters=len(voters))
+        )
+        if settled is None:
+            # Some voter missed the newest value: have a majority accept it before it is shown.
+            return await self.change(StateChange(kind="confirm", version=0, document=b"", zone=""))
+        state = decode_state(newest_value(settled).value)
         self._follower.install(state, source="majority")
         return state
 
-    async def _change_here(self, order: StateChange | None) -> ClusterState:
-        event = anyio.Event()
-        self._waiting.append((_change_of(order), event))
-        async with self._round:
-            if event.is_set():
-                if event in self._confirmed:
-                    self._confirmed.discard(event)
-                    return self._follower.state
-                raise NoMajorityError(what="the change may not be durable")
+    async def _change_here(self, order: StateChange) -> ClusterState:
+        ticket = _Ticket(change=_change_of(order), done=anyio.Event())
+        self._waiting.append(ticket)
+        self._wanted.set()
+        await ticket.done.wait()
+        if ticket.state is None:
+            raise NoMajorityError(what="the change may not be durable")
+        return ticket.state
+
+    async def _propose(self) -> None:
+        """Make the changes that wait, all of a moment in one round.
+
+        The task goes on when whoever asked has left: the change may be durable in part already.
+        """
+        while True:
+            if not self._waiting:
+                self._wanted = anyio.Event()
+                await self._wanted.wait()
             batch, self._waiting = self._waiting, []
             try:
-                state = await self._run_rounds([change for change, _ in batch])
-            except BaseException:
-                for _, waiting in batch:
-                    waiting.set()
-                raise
-            for _, waiting in batch:
-                self._confirmed.add(waiting)
-                waiting.set()
-            self._confirmed.discard(event)
-            return state
+                state: ClusterState | None = await self._run_rounds(
+                    [ticket.change for ticket in batch]
+                )
+            except (NoMajorityError, StorageError, MalformedMessageError) as error:
+                self._log.warning("change_not_made", changes=len(batch), reason=str(error))
+                state = None
+            for ticket in batch:
+                ticket.state = state
+                ticket.done.set()
 
     async def _run_rounds(self, changes: list[Change]) -> ClusterState:
+        state = await self._run_short_round(changes)
         for attempt in range(MAX_ROUNDS):
-            state = await self._run_round(changes)
             if state is not None:
                 self._follower.install(state, source="register")
                 return state
-            await anyio.sleep(self._rng.uniform(0.0, MAX_PAUSE_S) * (attempt + 1))
+            if attempt:
+                await anyio.sleep(self._rng.uniform(0.0, MAX_PAUSE_S) * attempt)
+            state = await self._run_round(changes)
         raise NoMajorityError(what="other changes kept getting in the way")
 
+    async def _run_short_round(self, changes: list[Change]) -> ClusterState | None:
+        """Change the value that this instance had accepted last, unless another came after it."""
+        won = self._won
+        self._won = None
+        if won is None:
+            return None
+        ballot = self._next_ballot()
+        state = _apply(changes, won.state)
+        value = encode_state(state)
+        if not await self._gather_acceptances(ballot, value, won.incarnations, previous=won.ballot):
+            self._log.info("round_lost", ballot=ballot.number, phase="short")
+            return None
+        return self._note_won(ballot, state, won.incarnations, len(changes))
+
     async def _run_round(self, changes: list[Change]) -> ClusterState | None:
         needed = majority(len(self._voters()))
         ballot = self._next_ballot()
-        promises = await self._gather_promises(PrepareRequest(ballot=_pair(ballot)), needed)
+        promises = await self._gather_promises(
+            PrepareRequest(ballot=_pair(ballot)), lambda promises: len(promises) >= needed
+        )
         if promises is None:
             self._log.info("round_lost", ballot=ballot.number, phase="prepare")
             return None
-        state = decode_state(newest_value(promises).value)
-        for change in changes:
-            state = change(state)
-        value = encode_state(state)
-        accepted = await self._gather_acceptances(ballot, value, promises, needed)
-        if not accepted:
+        state = _apply(changes, decode_state(newest_value(promises).value))
+        # A voter that promised too late is asked as well; one that promised and has lost its disk
+        # since must refuse, so what it promised with goes before what it said later.
+        promised = {promise.voter: promise.incarnation for promise in promises}
+        incarnations = {**self._incarnations, **promised}
+        if not await self._gather_acceptances(ballot, encode_state(state), incarnations):
             self._log.info("round_lost", ballot=ballot.number, phase="accept")
             return None
-        self._log.info(
-            "round_won", ballot=ballot.number, revision=state.revision, changes=len(changes)
-        )
+        return self._note_won(ballot, state, incarnations, len(changes))
+
+    def _note_won(
+        self, ballot: Ballot, state: ClusterState, incarnations: dict[str, str], changes: int
+    ) -> ClusterState:
+        self._won = _Won(ballot=ballot, state=state, incarnations=incarnations)
+        self._log.info("round_won", ballot=ballot.number, revision=state.revision, changes=changes)
         return state
 
-    async def _gather_promises(self, question: Message, needed: int) -> tuple[Promise, ...] | None:
+    async def _gather_promises(
+        self, question: Message, enough: Callable[[tuple[Promise, ...]], bool]
+    ) -> tuple[Promise, ...] | None:
+        """Ask all voters; return the granted promises as soon as they are enough.
+
+        Voters that answer later still get the question, and what they say of their incarnation is
+        kept.
+        """
+        voters = self._voters()
         promises: list[Promise] = []
-        enough = anyio.Event()
-        refused = 0
+        answered = 0
+        decided = anyio.Event()
 
         async def one(name: str) -> None:
-            nonlocal refused
+            nonlocal answered
             promise = await self._ask_promise(name, question)
-            if promise is None or not promise.granted:
-                refused += 1
-                if refused > len(self._voters()) - needed:
-                    enough.set()
-                return
-            promises.append(promise)
-            if len(promises) >= needed:
-                enough.set()
-
-        await self._until(enough, one, self._voters())
-        return tuple(promises) if len(promises) >= needed else None
+            if promise is not None and promise.granted:
+                promises.append(promise)
+            answered += 1
+            if answered == len(voters) or (promises and enough(tuple(promises))):
+                decided.set()
+
+        for name in voters:
+            self._tasks.start_soon(one, name)
+        await decided.wait()
+        found = tuple(promises)
+        return found if found and enough(found) else None
 
     async def _gather_acceptances(
-        self, ballot: Ballot, value: bytes, promises: tuple[Promise, ...], needed: int
+        self,
+        ballot: Ballot,
+        value: bytes,
+        incarnations: dict[str, str],
+        *,
+        previous: Ballot | None = None,
     ) -> bool:
-        incarnations = {promise.voter: promise.incarnation for promise in promises}
-        granted = refused = 0
-        enough = anyio.Event()
+        """Ask the voters to accept; return whether a majority did.
 
-        async def one(name: str) -> None:
-            nonlocal granted, refused
+        All are asked to the end, so that the others hold the newest value soon after.
+        """
+        needed = majority(len(self._voters()))
+        asked = dict(incarnations)
+        granted = answered = 0
+        decided = anyio.Event()
+
+        async def one(name: str, incarnation: str) -> None:
+            nonlocal granted, answered
             question = AcceptRequest(
-                ballot=_pair(ballot), incarnation=incarnations[name], value=value
+                ballot=_pair(ballot),
+                incarnation=incarnation,
+                value=value,
+                previous=None if previous is None else _pair(previous),
             )
             answer = await self._ask_acceptance(name, question)
-            if answer is not None and answer.granted:
-                granted += 1
-            else:
-                refused += 1
-            if granted >= needed or refused > len(incarnations) - needed:
-                enough.set()
-
-        await self._until(enough, one, tuple(incarnations))
+            granted += answer is not None and answer.granted
+            answered += 1
+            if granted >= needed or answered - granted > len(asked) - needed:
+                decided.set()
+
+        for name, incarnation in asked.items():
+            self._tasks.start_soon(one, name, incarnation)
+        await decided.wait()
         return granted >= needed
 
-    async def _until(
-        self,
-        enough: anyio.Event,
-        one: Callable[[str], object],
-        names: tuple[str, ...],
-    ) -> None:
-        async with anyio.create_task_group() as tasks:
-
-            async def all_asked() -> None:
-                async with anyio.create_task_group() as asking:
-                    for name in names:
-                        asking.start_soon(one, name)  # type: ignore[arg-type]
-                enough.set()
-
-            tasks.start_soon(all_asked)
-            await enough.wait()
-            tasks.cancel_scope.cancel()
-
     async def _ask_promise(self, name: str, question: Message) -> Promise | None:
         reply = await self._ask_voter(name, question)
         if not isinstance(reply, PrepareReply):
             return None
         self._note_ballot(reply.promised)
+        self._incarnations[reply.voter] = reply.incarnation
         return Promise(
             voter=reply.voter,
             incarnation=reply.incarnation,
@@ -305,7 +371,10 @@
         ballot = Ballot(*question.ballot)
         try:
             answer = await self._store.accept(
-                ballot, question.value, incarnation=question.incarnation
+                ballot,
+                question.value,
+                incarnation=question.incarnation,
+                previous=None if question.previous is None else Ballot(*question.previous),
             )
         except StorageError as error:
             self._log.error("register_not_written", reason=str(error))
@@ -341,8 +410,8 @@
             state = await self._change_here(question)
         except NoMajorityError as error:
             self._log.warning("change_not_confirmed", kind=question.kind, reason=str(error))
-            return StateChangeReply(done=False, revision=0)
-        return StateChangeReply(done=True, revision=state.revision)
+            return StateChangeReply(done=False, state=b"")
+        return StateChangeReply(done=True, state=encode_state(state))
 
     async def _upkeep(self) -> None:
         if not self._follower.voters:
@@ -369,25 +438,16 @@
 
     async def _recover(self) -> None:
         """Read from enough other voters that this one can't contradict its lost disk."""
-        others = tuple(name for name in self._voters() if name != self._settings.ip)
         needed = recovery_quorum(len(self._voters()))
         ballot = self._next_ballot()
-        promises: list[Promise] = []
-        enough = anyio.Event()
-
-        async def one(name: str) -> None:
-            promise = await self._ask_promise(name, PrepareRequest(ballot=_pair(ballot)))
-            if promise is not None and promise.granted:
-                promises.append(promise)
-                if len(promises) >= needed:
-                    enough.set()
-
-        await self._until(enough, one, others)
-        if len(promises) < needed:
-            self._log.warning("voter_not_recovered", answers=len(promises), needed=needed)
+        promises = await self._gather_promises(
+            PrepareRequest(ballot=_pair(ballot)), lambda promises: len(promises) >= needed
+        )
+        if promises is None:
+            self._log.warning("voter_not_recovered", needed=needed)
             return
         await self._store.record_voters(self._voters())
-        await self._store.recover(tuple(promises), ballot)
+        await self._store.recover(promises, ballot)
         self._log.info("voter_recovered", ballot=ballot.number, answers=len(promises))
 
     @property
@@ -412,7 +472,8 @@
         names = [self._settings.ip]
         for beat in self._mesh.controls():
             heard = self._mesh.heard(beat.name)
-            if heard is not None and now - heard.at <= PROPOSER_SILENT_S:
+            recent = heard is not None and now - heard.at <= PROPOSER_SILENT_S
+            if recent and self._avoided.get(beat.name, 0.0) <= now:
                 names.append(beat.name)
         return min(names)
 
@@ -432,10 +493,16 @@
     )
 
 
-def _change_of(order: StateChange | None) -> Change:
-    if order is None:
-        return lambda state: state
+def _apply(changes: list[Change], state: ClusterState) -> ClusterState:
+    for change in changes:
+        state = change(state)
+    return state
+
+
+def _change_of(order: StateChange) -> Change:
     match order.kind:
+        case "confirm":
+            return lambda state: state
         case "configuration":
             return lambda state: state.with_configuration(order.version, order.document)
         case "evacuate":
--- a/figpaddle/regional/_register_store.py
+++ b/figpaddle/regional/_register_store.py
@@ -71,10 +71,14 @@
             await self._keep(state)
         return promise
 
-    async def accept(self, ballot: Ballot, value: bytes, *, incarnation: str) -> Acceptance:
+    async def accept(
+        self, ballot: Ballot, value: bytes, *, incarnation: str, previous: Ballot | None
+    ) -> Acceptance:
         """Answer an accept once the value is durable."""
         async with self._lock:
-            state, answer = self.voter.accept(ballot, value, incarnation=incarnation)
+            state, answer = self.voter.accept(
+                ballot, value, incarnation=incarnation, previous=previous
+            )
             await self._keep(state)
         return answer
 
--- a/figpaddle/wire/_regional_messages.py
+++ b/figpaddle/wire/_regional_messages.py
@@ -158,6 +158,8 @@
     ballot: tuple[int, str]
     incarnation: str
     value: bytes
+    #: Ballot of the value before, where no prepare was sent; None after a prepare.
+    previous: tuple[int, str] | None
 
 
 @message("regional.accepted")
@@ -204,7 +206,8 @@
 class StateChange(Message):
     """Asks another control instance to make a change to the cluster state."""
 
-    #: ``configuration``, ``evacuate`` or ``return``.
+    #: ``configuration``, ``evacuate``, ``return``, or ``confirm`` to have what is there accepted by
+    #: a majority.
     kind: str
     #: Version of the configuration; 0 for other changes.
     version: int
@@ -220,4 +223,5 @@
     """Whether a change is durable at a majority."""
 
     done: bool
-    revision: int
+    #: The agreed state with the change; empty where it isn't durable.
+    state: bytes
