--- a/figpaddle/coordination/_register.py
+++ b/figpaddle/coordination/_register.py
@@ -117,20 +117,20 @@
         )
 
     def accept(
-        self, ballot: Ballot, value: bytes, *, incarnation: str, previous: Ballot | None = None
+        self, ballot: Ballot, value: bytes, *, incarnation: str, reserved: Ballot
     ) -> tuple[VoterState, Acceptance]:
         """Answer an accept; ``incarnation`` is the one that promised ``ballot``.
 
-        A proposer that knows the value accepted last may leave the prepare out: ``previous`` is
-        the ballot of that value, and the voter accepts only if it holds just that one. This is a
-        prepare that would have shown ``previous``, and the accept after it, in one step.
+        A voter that accepts also promises ``reserved``, a later ballot of the same proposer. Once
+        a majority has accepted, the proposer may go on with that ballot without a prepare: it
+        knows what the prepare would show.
         """
         state = self._state
         granted = state.complete and incarnation == state.incarnation and ballot >= state.promised
-        if previous is not None:
-            granted = granted and state.accepted == previous and ballot > previous
         if granted:
-            state = dataclasses.replace(state, promised=ballot, accepted=ballot, value=value)
+            state = dataclasses.replace(
+                state, promised=max(ballot, reserved), accepted=ballot, value=value
+            )
         answer = Acceptance(voter=self._name, granted=granted, promised=state.promised)
         return state, answer
 
--- a/figpaddle/http1/_backend.py
+++ b/figpaddle/http1/_backend.py
@@ -252,14 +252,14 @@
         """Close idle connections that are too old or that the server has ended."""
         now = self._clock()
         for address, idle in list(self._idle.items()):
-            kept = collections.deque(one for one in idle if one.reusable and not one.expired(now))
-            for connection in idle:
-                if connection not in kept:
-                    await connection.close()
-            if kept:
-                self._idle[address] = kept
-            else:
+            stale = [one for one in idle if not one.reusable or one.expired(now)]
+            # Closing gives way to other tasks, which may take connections from the pool.
+            for connection in stale:
+                idle.remove(connection)
+            if not idle:
                 del self._idle[address]
+            for connection in stale:
+                await connection.close()
 
     async def _pump(self, channel: Channel, address: str) -> None:
         try:
--- /dev/null
+++ b/figpaddle/http1/tests/test_http1.py
@@ -0,0 +1,299 @@
+"""What the HTTP layer sees of connections that end in every way."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+import struct
+from collections.abc import AsyncIterator, Awaitable, Callable
+
+import anyio
+import anyio.abc
+import pytest
+
+from figpaddle.errors import ConnectionLostError, MalformedAnswerError
+from figpaddle.http1 import (
+    AnswerHead,
+    BackendConnection,
+    ConnectionPool,
+    HttpListener,
+    HttpRequest,
+    RequestLimits,
+    Responder,
+    header,
+)
+
+pytestmark = pytest.mark.anyio
+
+#: Longest time that a step of a test may take, seconds.
+STEP_S = 5.0
+
+Script = Callable[[anyio.abc.SocketStream], Awaitable[None]]
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    return "asyncio"
+
+
+def free_address() -> str:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
+@contextlib.asynccontextmanager
+async def server(script: Script) -> AsyncIterator[str]:
+    """Run ``script`` on each connection."""
+    listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+    port = listener.extra(anyio.abc.SocketAttribute.local_port)
+    async with listener, anyio.create_task_group() as tasks:
+        tasks.start_soon(listener.serve, script)
+        yield f"127.0.0.1:{port}"
+        tasks.cancel_scope.cancel()
+
+
+@contextlib.asynccontextmanager
+async def pool() -> AsyncIterator[ConnectionPool]:
+    async with anyio.create_task_group() as tasks:
+        yield ConnectionPool(tasks=tasks, clock=anyio.current_time, silence_s=2.0)
+        tasks.cancel_scope.cancel()
+
+
+async def exchange(connection: BackendConnection, request_id: str = "one") -> bytes:
+    headers = ((b"Host", b"x"), (b"Content-Length", b"0"))
+    await connection.send(method=b"POST", target=b"/", headers=headers, body=b"")
+
+    def ours(head: AnswerHead) -> bool:
+        return header(head.headers, b"id") in (None, request_id.encode())
+
+    await connection.read_head(ours)
+    return b"".join([piece async for piece in connection.read_body()])
+
+
+def answering(data: bytes, *, reset: bool = False, close: bool = False) -> Script:
+    async def script(stream: anyio.abc.SocketStream) -> None:
+        async with stream:
+            with contextlib.suppress(anyio.EndOfStream, anyio.BrokenResourceError):
+                while True:
+                    await stream.receive()
+                    await stream.send(data)
+                    if reset:
+                        raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+                        option = struct.pack("ii", 1, 0)
+                        raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, option)
+                    if reset or close:
+                        return
+
+    return script
+
+
+async def test_a_clean_exchange_leaves_the_connection_for_the_next() -> None:
+    async with server(answering(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")) as address:
+        async with pool() as connections:
+            first = await connections.acquire(address, timeout_s=STEP_S)
+            assert await exchange(first) == b"ok"
+            await connections.release(address, first)
+            assert await connections.acquire(address, timeout_s=STEP_S) is first
+
+
+async def test_bytes_after_an_answer_end_the_use_of_the_connection() -> None:
+    data = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n"
+    async with server(answering(data)) as address, pool() as connections:
+        first = await connections.acquire(address, timeout_s=STEP_S)
+        assert await exchange(first) == b"ok"
+        assert not first.reusable
+
+
+async def test_an_answer_to_another_request_is_skipped() -> None:
+    data = (
+        b"HTTP/1.1 200 OK\r\nid: zero\r\nContent-Length: 3\r\n\r\nold"
+        b"HTTP/1.1 200 OK\r\nid: one\r\nContent-Length: 3\r\n\r\nnew"
+    )
+    async with server(answering(data)) as address, pool() as connections:
+        connection = await connections.acquire(address, timeout_s=STEP_S)
+        assert await exchange(connection) == b"new"
+        assert not connection.reusable
+
+
+async def test_an_answer_without_length_is_whole_when_its_connection_closes() -> None:
+    data = b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nall of it"
+    async with server(answering(data, close=True)) as address, pool() as connections:
+        connection = await connections.acquire(address, timeout_s=STEP_S)
+        assert await exchange(connection) == b"all of it"
+
+
+async def test_an_answer_without_length_is_broken_when_its_connection_is_reset() -> None:
+    data = b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\na part"
+    async with server(answering(data, reset=True)) as address, pool() as connections:
+        connection = await connections.acquire(address, timeout_s=STEP_S)
+        with pytest.raises(ConnectionLostError):
+            await exchange(connection)
+
+
+async def test_a_body_that_ends_early_is_broken() -> None:
+    data = b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nshort"
+    async with server(answering(data, close=True)) as address, pool() as connections:
+        connection = await connections.acquire(address, timeout_s=STEP_S)
+        with pytest.raises(ConnectionLostError):
+            await exchange(connection)
+
+
+async def test_bytes_that_are_no_answer_are_malformed() -> None:
+    async with server(answering(b"no answer at all\r\n\r\n")) as address, pool() as connections:
+        connection = await connections.acquire(address, timeout_s=STEP_S)
+        with pytest.raises(MalformedAnswerError):
+            await exchange(connection)
+
+
+async def test_an_idle_connection_that_the_server_closed_is_not_used_again() -> None:
+    data = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+    async with server(answering(data, close=True)) as address, pool() as connections:
+        first = await connections.acquire(address, timeout_s=STEP_S)
+        await exchange(first)
+        await connections.release(address, first)
+        with anyio.fail_after(STEP_S):
+            await first.channel.wait_for_end()
+        assert await connections.acquire(address, timeout_s=STEP_S) is not first
+
+
+async def test_the_pool_may_be_swept_while_other_tasks_use_it() -> None:
+    """Closing a stale connection lets another task release one to the same address."""
+    data = b"HTTP/1.1 200 OK\r\nKeep-Alive: timeout=0\r\nContent-Length: 0\r\n\r\n"
+    async with server(answering(data)) as address, pool() as connections:
+        held = [await connections.open(address, timeout_s=STEP_S) for _ in range(8)]
+        for connection in held:
+            await exchange(connection)
+        for connection in held[:4]:
+            await connections.release(address, connection)
+        await anyio.sleep(0.3)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(connections.sweep)
+            for connection in held[4:]:
+                tasks.start_soon(connections.release, address, connection)
+
+
+@contextlib.asynccontextmanager
+async def listening(
+    handler: Callable[[HttpRequest, Responder], Awaitable[None]],
+    *,
+    limits: RequestLimits | None = None,
+    closing: bool = False,
+) -> AsyncIterator[anyio.abc.SocketStream]:
+    """Serve with ``handler`` and yield a caller's connection."""
+    address = free_address()
+    listener = HttpListener(
+        address=address,
+        handler=handler,
+        clock=anyio.current_time,
+        limits=lambda: limits or RequestLimits(),
+        closing=lambda: closing,
+        silence_s=2.0,
+        max_connections=8,
+    )
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(listener.run)
+        host, _, port = address.rpartition(":")
+        with anyio.fail_after(STEP_S):
+            while True:
+                try:
+                    stream = await anyio.connect_tcp(host, int(port))
+                    break
+                except OSError:
+                    await anyio.sleep(0.01)
+        async with stream:
+            yield stream
+        tasks.cancel_scope.cancel()
+
+
+async def read_all(stream: anyio.abc.SocketStream) -> bytes:
+    data = b""
+    with anyio.fail_after(STEP_S), contextlib.suppress(anyio.EndOfStream):
+        while True:
+            data += await stream.receive()
+    return data
+
+
+async def say_ok(request: HttpRequest, responder: Responder) -> None:
+    await responder.answer(200, (), request.body)
+
+
+@pytest.mark.parametrize(
+    ("sent", "status"),
+    [
+        (b"GET / HTTP/1.1\r\n\r\n", b"400"),
+        (b"GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n", b"400"),
+        (
+            b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+            b"400",
+        ),
+        (b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 100\r\n\r\n" + b"x" * 100, b"413"),
+        (b"GET / HTTP/1.1\r\nHost: a\r\nBig: " + b"x" * 2000 + b"\r\n\r\n", b"431"),
+        (b"nonsense\r\n\r\n", b"400"),
+    ],
+)
+async def test_what_must_not_be_passed_on_is_refused_and_the_connection_closed(
+    sent: bytes, status: bytes
+) -> None:
+    limits = RequestLimits(header_bytes=1000, body_bytes=50)
+    async with listening(say_ok, limits=limits) as caller:
+        await caller.send(sent)
+        assert (await read_all(caller)).split(b" ")[1] == status
+
+
+async def test_a_header_that_takes_too_long_is_answered_as_a_timeout() -> None:
+    async with listening(say_ok, limits=RequestLimits(header_timeout_s=0.1)) as caller:
+        await caller.send(b"GET / HTTP/1.1\r\n")
+        assert b"408" in await read_all(caller)
+
+
+async def test_pipelined_requests_are_answered_in_order() -> None:
+    async with listening(say_ok) as caller:
+        one = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\n"
+        last = b"POST / HTTP/1.1\r\nHost: a\r\nConnection: close\r\nContent-Length: 1\r\n\r\n"
+        await caller.send(one + b"1" + last + b"2")
+        data = await read_all(caller)
+        assert data.count(b"200") == 2 and data.index(b"\r\n\r\n1") < data.index(b"\r\n\r\n2")
+
+
+async def test_a_caller_that_leaves_cancels_its_request() -> None:
+    cancelled = anyio.Event()
+    started = anyio.Event()
+
+    async def wait_for_ever(request: HttpRequest, responder: Responder) -> None:
+        started.set()
+        try:
+            await anyio.sleep_forever()
+        finally:
+            cancelled.set()
+
+    async with listening(wait_for_ever) as caller:
+        await caller.send(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+        with anyio.fail_after(STEP_S):
+            await started.wait()
+            await caller.aclose()
+            await cancelled.wait()
+
+
+async def test_an_unfinished_answer_can_not_look_complete() -> None:
+    async def stop_midway(request: HttpRequest, responder: Responder) -> None:
+        await responder.start(200, (), length=None)
+        await responder.write(b"half")
+
+    async with listening(stop_midway) as caller:
+        await caller.send(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+        data = b""
+        with (
+            anyio.fail_after(STEP_S),
+            pytest.raises((anyio.BrokenResourceError, anyio.EndOfStream)),
+        ):
+            while True:
+                data += await caller.receive()
+        assert not data.endswith(b"0\r\n\r\n")
+
+
+async def test_a_leaving_server_asks_callers_to_close() -> None:
+    async with listening(say_ok, closing=True) as caller:
+        await caller.send(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+        assert b"close" in (await read_all(caller)).lower()
--- a/figpaddle/regional/_entry.py
+++ b/figpaddle/regional/_entry.py
@@ -11,6 +11,7 @@
 from figpaddle.regional._mesh import is_ready
 from figpaddle.regional._placer import Placer
 from figpaddle.regional._process import NEAR_SILENCE_S, RegionalProcess
+from figpaddle.regional._suspects import Suspects
 from figpaddle.wire import InstanceHeartbeat, InstanceRole, Readiness
 
 #: Part of the longest time to live with which entries are named to callers.
@@ -44,6 +45,7 @@
             log=self._log,
             counters=self._counters,
         )
+        self._suspects = Suspects(mesh=self._mesh, tasks=tasks, clock=self._clock, log=self._log)
         self._gateway = Gateway(
             settings=settings,
             dialect=self._dialect,
@@ -52,6 +54,7 @@
             placer=self._placer,
             pool=self._backends,
             clock=self._clock,
+            suspects=self._suspects,
             rng=self._rng,
             log=self._log,
             counters=self._counters,
--- a/figpaddle/regional/_gateway.py
+++ b/figpaddle/regional/_gateway.py
@@ -28,6 +28,7 @@
 from figpaddle.regional._mesh import Mesh
 from figpaddle.regional._placer import Placer
 from figpaddle.regional._settings import ProcessSettings
+from figpaddle.regional._suspects import Suspects
 from figpaddle.routing import Choice, SharedRetryBudget, refuse_late, spread_return
 from figpaddle.telemetry import Counters, Log
 
@@ -63,10 +64,12 @@
         placer: Placer,
         pool: ConnectionPool,
         clock: Callable[[], float],
+        suspects: Suspects,
         rng: random.Random,
         log: Log,
         counters: Counters,
     ) -> None:
+        self._suspects = suspects
         self._settings = settings
         self._dialect = dialect
         self._mesh = mesh
@@ -167,7 +170,11 @@
     async def _run(self, job: Job, responder: Responder) -> None:
         self._active += 1
         try:
-            await self._serve(job, responder)
+            refused_for_s = self._suspects.refused_for_s(job.fingerprint())
+            if refused_for_s:
+                await self._refuse(job, responder, "crashes backend servers", refused_for_s)
+            else:
+                await self._serve(job, responder)
         except CallerGoneError:
             self._note_end(job, "caller left")
         except anyio.get_cancelled_exc_class():
@@ -231,6 +238,7 @@
             connect_timeout_s=min(BACKEND_CONNECT_S, job.left_s(now=now)),
             first_byte_timeout_s=max(0.0, job.left_s(now=now) + 0.1),
         )
+        job.sent_at = now
         self._placer.note_sent(job, choice)
         self._log.info(
             "request_placed",
@@ -290,6 +298,12 @@
             self._placer.fleet.note_foreign(backend)
             # Its arrival still counts as a retry, but it is no attempt at this backend server.
             job.attempts_left += 1
+        elif ending.fate in (Fate.UNKNOWN, Fate.BROKEN):
+            member = self._placer.fleet.get(backend)
+            born = 0 if member is None else member.record.born
+            self._suspects.note_broken(
+                job.fingerprint(), backend, address, born=born, sent_at=job.sent_at
+            )
         self._log.warning(
             "attempt_failed",
             request=job.request_id,
--- a/figpaddle/regional/_job.py
+++ b/figpaddle/regional/_job.py
@@ -64,6 +64,8 @@
     head: AnswerHead | None = None
     #: Whether a backend server may have run it.
     may_have_run: bool = False
+    #: When the present attempt was sent, seconds of the steady clock.
+    sent_at: float = 0.0
     #: Number of the present attempt.
     attempt: int = 0
 
@@ -103,13 +105,12 @@
         )
 
     def fingerprint(self) -> bytes:
-        """Return a digest by which the same request is known when it is sent again."""
+        """Return a digest by which the same request is known when it is sent again.
+
+        Requests without a body are told apart by their callers too: many callers read the same.
+        """
         digest = hashlib.blake2b(digest_size=12)
-        for part in (
-            self.request.method,
-            self.request.target,
-            self.request.caller.encode(),
-            self.request.body,
-        ):
+        caller = b"" if self.request.body else self.request.caller.encode()
+        for part in (self.request.method, self.request.target, caller, self.request.body):
             digest.update(len(part).to_bytes(4, "big") + part)
         return digest.digest()
--- a/figpaddle/regional/_register_host.py
+++ b/figpaddle/regional/_register_host.py
@@ -78,7 +78,8 @@
 class _Won:
     """The round that this instance won last."""
 
-    ballot: Ballot
+    #: Ballot that the majority promised along with its acceptance.
+    reserved: Ballot
     state: ClusterState
     incarnations: dict[str, str]
 
@@ -210,18 +211,12 @@
         raise NoMajorityError(what="other changes kept getting in the way")
 
     async def _run_short_round(self, changes: list[Change]) -> ClusterState | None:
-        """Change the value that this instance had accepted last, unless another came after it."""
-        won = self._won
-        self._won = None
+        """Go on with the ballot that a majority promised along with its last acceptance."""
+        won, self._won = self._won, None
         if won is None:
             return None
-        ballot = self._next_ballot()
         state = _apply(changes, won.state)
-        value = encode_state(state)
-        if not await self._gather_acceptances(ballot, value, won.incarnations, previous=won.ballot):
-            self._log.info("round_lost", ballot=ballot.number, phase="short")
-            return None
-        return self._note_won(ballot, state, won.incarnations, len(changes))
+        return await self._run_accepts(won.reserved, state, won.incarnations, "short")
 
     async def _run_round(self, changes: list[Change]) -> ClusterState | None:
         needed = majority(len(self._voters()))
@@ -237,16 +232,24 @@
         # since must refuse, so what it promised with goes before what it said later.
         promised = {promise.voter: promise.incarnation for promise in promises}
         incarnations = {**self._incarnations, **promised}
-        if not await self._gather_acceptances(ballot, encode_state(state), incarnations):
-            self._log.info("round_lost", ballot=ballot.number, phase="accept")
+        return await self._run_accepts(ballot, state, incarnations, "accept")
+
+    async def _run_accepts(
+        self, ballot: Ballot, state: ClusterState, incarnations: dict[str, str], phase: str
+    ) -> ClusterState | None:
+        reserved = self._next_ballot()
+        accepted_by = await self._gather_acceptances(
+            ballot, encode_state(state), incarnations, reserved
+        )
+        if accepted_by is None:
+            self._log.info("round_lost", ballot=ballot.number, phase=phase)
             return None
-        return self._note_won(ballot, state, incarnations, len(changes))
-
-    def _note_won(
-        self, ballot: Ballot, state: ClusterState, incarnations: dict[str, str], changes: int
-    ) -> ClusterState:
-        self._won = _Won(ballot=ballot, state=state, incarnations=incarnations)
-        self._log.info("round_won", ballot=ballot.number, revision=state.revision, changes=changes)
+        self._won = _Won(
+            reserved=reserved,
+            state=state,
+            incarnations=incarnations,
+        )
+        self._log.info("round_won", ballot=ballot.number, revision=state.revision, phase=phase)
         return state
 
     async def _gather_promises(
@@ -278,40 +281,37 @@
         return found if found and enough(found) else None
 
     async def _gather_acceptances(
-        self,
-        ballot: Ballot,
-        value: bytes,
-        incarnations: dict[str, str],
-        *,
-        previous: Ballot | None = None,
-    ) -> bool:
-        """Ask the voters to accept; return whether a majority did.
+        self, ballot: Ballot, value: bytes, incarnations: dict[str, str], reserved: Ballot
+    ) -> tuple[str, ...] | None:
+        """Ask the voters to accept; return those of a majority that did, or None.
 
         All are asked to the end, so that the others hold the newest value soon after.
         """
         needed = majority(len(self._voters()))
-        asked = dict(incarnations)
-        granted = answered = 0
+        asked = len(incarnations)
+        granted: list[str] = []
+        answered = 0
         decided = anyio.Event()
 
         async def one(name: str, incarnation: str) -> None:
-            nonlocal granted, answered
+            nonlocal answered
             question = AcceptRequest(
                 ballot=_pair(ballot),
                 incarnation=incarnation,
                 value=value,
-                previous=None if previous is None else _pair(previous),
+                reserved=_pair(reserved),
             )
             answer = await self._ask_acceptance(name, question)
-            granted += answer is not None and answer.granted
+            if answer is not None and answer.granted:
+                granted.append(name)
             answered += 1
-            if granted >= needed or answered - granted > len(asked) - needed:
+            if len(granted) >= needed or answered - len(granted) > asked - needed:
                 decided.set()
 
-        for name, incarnation in asked.items():
+        for name, incarnation in incarnations.items():
             self._tasks.start_soon(one, name, incarnation)
         await decided.wait()
-        return granted >= needed
+        return tuple(granted) if len(granted) >= needed else None
 
     async def _ask_promise(self, name: str, question: Message) -> Promise | None:
         reply = await self._ask_voter(name, question)
@@ -374,7 +374,7 @@
                 ballot,
                 question.value,
                 incarnation=question.incarnation,
-                previous=None if question.previous is None else Ballot(*question.previous),
+                reserved=Ballot(*question.reserved),
             )
         except StorageError as error:
             self._log.error("register_not_written", reason=str(error))
--- a/figpaddle/regional/_register_store.py
+++ b/figpaddle/regional/_register_store.py
@@ -72,12 +72,12 @@
         return promise
 
     async def accept(
-        self, ballot: Ballot, value: bytes, *, incarnation: str, previous: Ballot | None
+        self, ballot: Ballot, value: bytes, *, incarnation: str, reserved: Ballot
     ) -> Acceptance:
         """Answer an accept once the value is durable."""
         async with self._lock:
             state, answer = self.voter.accept(
-                ballot, value, incarnation=incarnation, previous=previous
+                ballot, value, incarnation=incarnation, reserved=reserved
             )
             await self._keep(state)
         return answer
--- a/figpaddle/routing/_quarantine.py
+++ b/figpaddle/routing/_quarantine.py
@@ -56,7 +56,15 @@
     <Verdict.SUSPECT: 'suspect'>
     """
 
-    def __init__(self, *, max_records: int = MAX_RECORDS) -> None:
+    def __init__(
+        self,
+        *,
+        max_losses: int = MAX_LOSSES,
+        loss_ttl_s: float = LOSS_TTL_S,
+        max_records: int = MAX_RECORDS,
+    ) -> None:
+        self._max_losses = max_losses
+        self._loss_ttl_s = loss_ttl_s
         self._max_records = max_records
         self._suspects: dict[bytes, _Suspect] = {}
         #: When the own instance first noticed the death of a process of a backend server.
@@ -65,16 +73,16 @@
     def verdict(self, digest: bytes, *, now: float) -> Verdict:
         """Return how the request with ``digest`` is treated."""
         counting = len(self._counting(digest, now))
-        if counting >= MAX_LOSSES:
+        if counting >= self._max_losses:
             return Verdict.REFUSED
         return Verdict.SUSPECT if counting else Verdict.CLEAR
 
     def refused_for_s(self, digest: bytes, *, now: float) -> float:
         """Return the seconds until the request is no longer refused."""
         times = sorted(loss.at for loss in self._counting(digest, now))
-        if len(times) < MAX_LOSSES:
+        if len(times) < self._max_losses:
             return 0.0
-        return times[-MAX_LOSSES] + LOSS_TTL_S - now
+        return times[-self._max_losses] + self._loss_ttl_s - now
 
     def note_loss(
         self,
@@ -111,7 +119,7 @@
         for record in records:
             for one in record.losses:
                 loss = _Loss(at=now - max(0.0, one.age_s), pardoned=one.pardoned)
-                if now - loss.at < LOSS_TTL_S:
+                if now - loss.at < self._loss_ttl_s:
                     key = (one.backend, one.incarnation)
                     self._add(record.member, record.digest, key, loss)
         self._shrink()
@@ -132,7 +140,7 @@
         if suspect is None:
             return []
         losses = suspect.losses.values()
-        return [loss for loss in losses if not loss.pardoned and now - loss.at < LOSS_TTL_S]
+        return [loss for loss in losses if not loss.pardoned and now - loss.at < self._loss_ttl_s]
 
     def _add(self, member: str, digest: bytes, key: tuple[str, int], loss: _Loss) -> bool:
         suspect = self._suspects.setdefault(digest, _Suspect(member=member, losses={}))
@@ -144,11 +152,11 @@
 
     def _expire(self, now: float) -> None:
         for key, noticed_at in list(self._deaths.items()):
-            if now - noticed_at >= LOSS_TTL_S:
+            if now - noticed_at >= self._loss_ttl_s:
                 del self._deaths[key]
         for digest, suspect in list(self._suspects.items()):
             for key, loss in list(suspect.losses.items()):
-                if now - loss.at >= LOSS_TTL_S:
+                if now - loss.at >= self._loss_ttl_s:
                     del suspect.losses[key]
             if not suspect.losses:
                 del self._suspects[digest]
--- a/figpaddle/wire/_regional_messages.py
+++ b/figpaddle/wire/_regional_messages.py
@@ -127,6 +127,8 @@
     backend: str
     #: Its start, milliseconds of Unix time.
     born: int
+    #: Time since the request was sent, seconds.
+    sent_age_s: float
 
 
 @message("regional.prepare")
@@ -158,8 +160,8 @@
     ballot: tuple[int, str]
     incarnation: str
     value: bytes
-    #: Ballot of the value before, where no prepare was sent; None after a prepare.
-    previous: tuple[int, str] | None
+    #: Later ballot of the proposer, which an acceptance promises as well.
+    reserved: tuple[int, str]
 
 
 @message("regional.accepted")
