--- a/figpaddle/coordination/__init__.py
+++ b/figpaddle/coordination/__init__.py
@@ -44,6 +44,7 @@
 from figpaddle.coordination._membership_options import MembershipOptions
 from figpaddle.coordination._register import (
     NO_BALLOT,
+    RECOVERY_JUMP,
     Acceptance,
     Ballot,
     Promise,
@@ -60,6 +61,7 @@
 
 __all__ = [
     "NO_BALLOT",
+    "RECOVERY_JUMP",
     "SILENT_AFTER_S",
     "Acceptance",
     "Ballot",
--- a/figpaddle/coordination/_register.py
+++ b/figpaddle/coordination/_register.py
@@ -5,7 +5,7 @@
 majority accept the result. Any node may change it, so no change waits for one slow or frozen node.
 
 A voter whose disk was lost must not count until it can't contradict what it said before. It takes
-a new incarnation and reads, under a ballot above all it sees, from so many other voters that
+a new incarnation and reads, under a ballot far above all it sees, from so many other voters that
 every majority in which it took part shares one of them. Promises and acceptances carry the
 voter's incarnation, so what an earlier one promised counts no more.
 """
@@ -25,6 +25,10 @@
     proposer: str
 
 
+#: How far above all ballots that it sees a voter recovers. Its lost disk may have promised more
+#: than any other voter saw, but never so much more: a proposer adds two at most for each attempt.
+RECOVERY_JUMP = 2**32
+
 #: Below every ballot that a proposer uses.
 NO_BALLOT = Ballot(0, "")
 
--- a/figpaddle/coordination/tests/register_specification.py
+++ b/figpaddle/coordination/tests/register_specification.py
@@ -1,8 +1,9 @@
 """A small specification of the register: voters, proposers, short rounds and lost disks.
 
 Each proposer makes one change: it adds its mark to the value. A promise or an acceptance is one
-step of the voter that gives it and counts at the proposer from then on. A voter may lose its disk
-once; it comes back under a new incarnation and votes only after it has read from enough others.
+step of the voter that gives it and counts at the proposer from then on, whatever becomes of the
+voter. A voter may lose its disk once and votes again only after it has read from enough others.
+The incarnations of voters are left out: they are a second line of defence.
 """
 
 from __future__ import annotations
@@ -19,7 +20,7 @@
 #: Voters other than a lost one from which it must read: every majority that counted it keeps one.
 RECOVERY = 2
 PROPOSERS = (1, 2)
-#: Ballot under which a voter recovers; above all ballots of both proposers.
+#: Ballot under which a voter recovers; above all that the lost disk may have promised.
 RECOVERY_BALLOT = 10
 
 
@@ -28,16 +29,15 @@
     """Which rules the specification follows; a mutation breaks one of them."""
 
     reads_before_voting: bool = True
-    checks_incarnation: bool = True
     keeps_promises: bool = True
     short_round_reserves: bool = True
     takes_newest: bool = True
+    recovers_far_above: bool = True
 
 
 class VoterNode(NamedTuple):
     """One voter."""
 
-    incarnation: int = 0
     complete: bool = True
     promised: int = 0
     accepted: int = 0
@@ -49,7 +49,7 @@
 
     ballot: int = 0
     phase: str = "idle"
-    promises: frozenset[tuple[int, int, int, frozenset[int]]] = frozenset()
+    promises: frozenset[tuple[int, int, frozenset[int]]] = frozenset()
     value: frozenset[int] = frozenset()
     accepted_by: frozenset[int] = frozenset()
 
@@ -91,7 +91,11 @@
     mark = PROPOSERS[index]
     if node.phase == "idle":
         # A proposer begins as one that has seen no other, a round of the other or a recovery.
-        for ballot in (mark, mark + 2 * len(PROPOSERS), RECOVERY_BALLOT + mark):
+        ballots = [mark, mark + 2 * len(PROPOSERS)]
+        recovered = any(voter.promised >= RECOVERY_BALLOT for voter in state.voters)
+        if recovered or not rules.recovers_far_above:
+            ballots.append(RECOVERY_BALLOT + mark)
+        for ballot in ballots:
             yield (
                 f"begin {mark} at {ballot}",
                 _proposer(state, index, phase="prepare", ballot=ballot),
@@ -102,7 +106,7 @@
             asked = any(promise[0] == name for promise in node.promises)
             if asked or not voter.complete or voter.promised >= node.ballot:
                 continue
-            promise = (name, voter.incarnation, voter.accepted, voter.value)
+            promise = (name, voter.accepted, voter.value)
             after = _voter(state, name, promised=node.ballot) if rules.keeps_promises else state
             yield (
                 f"promise {name} {mark}",
@@ -110,10 +114,10 @@
             )
         if len(node.promises) >= MAJORITY:
             pick = max if rules.takes_newest else min
-            newest = pick(node.promises, key=lambda promise: promise[2])
+            newest = pick(node.promises, key=lambda promise: promise[1])
             yield (
                 f"propose {mark}",
-                _proposer(state, index, phase="accept", value=newest[3] | {mark}),
+                _proposer(state, index, phase="accept", value=newest[2] | {mark}),
             )
     if node.phase == "accept":
         yield from _accept_steps(state, index, rules)
@@ -140,13 +144,10 @@
 def _accept_steps(state: Register, index: int, rules: Rules) -> Iterator[tuple[str, Register]]:
     node = state.proposers[index]
     mark = PROPOSERS[index]
-    incarnations = {promise[0]: promise[1] for promise in node.promises}
-    for name, incarnation in incarnations.items():
+    for name in sorted(promise[0] for promise in node.promises):
         voter = state.voters[name]
         if name in node.accepted_by or not voter.complete or voter.promised > node.ballot:
             continue
-        if rules.checks_incarnation and voter.incarnation != incarnation:
-            continue
         promised = _reserved(node.ballot) if rules.short_round_reserves else node.ballot
         after = _voter(state, name, promised=promised, accepted=node.ballot, value=node.value)
         accepted_by = node.accepted_by | {name}
@@ -163,7 +164,7 @@
 def _disk_steps(state: Register, name: int, rules: Rules) -> Iterator[tuple[str, Register]]:
     voter = state.voters[name]
     if state.lost_disks == 0:
-        fresh = VoterNode(incarnation=voter.incarnation + 1, complete=not rules.reads_before_voting)
+        fresh = VoterNode(complete=not rules.reads_before_voting)
         voters = tuple(fresh if index == name else old for index, old in enumerate(state.voters))
         yield f"lose {name}", state._replace(voters=voters, lost_disks=1)
     if voter.complete:
--- a/figpaddle/coordination/tests/test_register.py
+++ b/figpaddle/coordination/tests/test_register.py
@@ -35,10 +35,10 @@
     "rules",
     [
         Rules(reads_before_voting=False),
-        Rules(checks_incarnation=False),
         Rules(keeps_promises=False),
         Rules(short_round_reserves=False),
         Rules(takes_newest=False),
+        Rules(recovers_far_above=False),
     ],
 )
 def test_checker_finds_each_broken_rule(rules: Rules) -> None:
--- a/figpaddle/http1/_backend.py
+++ b/figpaddle/http1/_backend.py
@@ -256,7 +256,7 @@
             # Closing gives way to other tasks, which may take connections from the pool.
             for connection in stale:
                 idle.remove(connection)
-            if not idle:
+            if not idle and self._idle.get(address) is idle:
                 del self._idle[address]
             for connection in stale:
                 await connection.close()
--- a/figpaddle/http1/_listener.py
+++ b/figpaddle/http1/_listener.py
@@ -28,6 +28,7 @@
         silence_s: float,
         max_connections: int,
     ) -> None:
+        self._retired = anyio.Event()
         self._address = address
         self._handler = handler
         self._clock = clock
@@ -48,8 +49,16 @@
         listener = await anyio.create_tcp_listener(
             local_host=host, local_port=int(port), backlog=1024, reuse_port=False
         )
-        async with listener:
-            await listener.serve(self._serve)
+        async with listener, anyio.create_task_group() as tasks:
+            async with anyio.create_task_group() as accepting:
+                accepting.start_soon(listener.serve, self._serve, tasks)
+                await self._retired.wait()
+                accepting.cancel_scope.cancel()
+            await listener.aclose()
+
+    def retire(self) -> None:
+        """Accept no more connections and close those on which no request is in progress."""
+        self._retired.set()
 
     async def _serve(self, stream: anyio.abc.SocketStream) -> None:
         if self._open >= self._max_connections:
@@ -66,6 +75,7 @@
                 limits=self._limits,
                 clock=self._clock,
                 closing=self._closing,
+                retired=self._retired,
             ).run()
         except OSError:
             # The caller reset the connection before its options were set.
--- a/figpaddle/http1/_server.py
+++ b/figpaddle/http1/_server.py
@@ -116,7 +116,9 @@
         limits: Callable[[], RequestLimits],
         clock: Callable[[], float],
         closing: Callable[[], bool],
+        retired: anyio.Event | None = None,
     ) -> None:
+        self._retired = retired or anyio.Event()
         self._channel = channel
         self._handler = handler
         self._limits = limits
@@ -191,9 +193,16 @@
         if self._parser.trailing_data[0]:
             return True
         with anyio.move_on_after(timeout_s):
-            await self._channel.wait_for_input()
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._stop_waiting, tasks.cancel_scope)
+                await self._channel.wait_for_input()
+                tasks.cancel_scope.cancel()
         return self._channel.unread > 0
 
+    async def _stop_waiting(self, waiting: anyio.CancelScope) -> None:
+        await self._retired.wait()
+        waiting.cancel()
+
     async def _read_head(self, limits: RequestLimits) -> h11.Request:
         event = await self._next_event()
         if not isinstance(event, h11.Request):
--- a/figpaddle/http1/tests/test_http1.py
+++ b/figpaddle/http1/tests/test_http1.py
@@ -89,12 +89,12 @@
 
 
 async def test_a_clean_exchange_leaves_the_connection_for_the_next() -> None:
-    async with server(answering(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")) as address:
-        async with pool() as connections:
-            first = await connections.acquire(address, timeout_s=STEP_S)
-            assert await exchange(first) == b"ok"
-            await connections.release(address, first)
-            assert await connections.acquire(address, timeout_s=STEP_S) is first
+    data = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+    async with server(answering(data)) as address, pool() as connections:
+        first = await connections.acquire(address, timeout_s=STEP_S)
+        assert await exchange(first) == b"ok"
+        await connections.release(address, first)
+        assert await connections.acquire(address, timeout_s=STEP_S) is first
 
 
 async def test_bytes_after_an_answer_end_the_use_of_the_connection() -> None:
@@ -179,9 +179,11 @@
     *,
     limits: RequestLimits | None = None,
     closing: bool = False,
+    address: str = "",
+    retire: anyio.Event | None = None,
 ) -> AsyncIterator[anyio.abc.SocketStream]:
-    """Serve with ``handler`` and yield a caller's connection."""
-    address = free_address()
+    """Serve with ``handler`` and yield a caller's connection; ``retire`` retires the listener."""
+    address = address or free_address()
     listener = HttpListener(
         address=address,
         handler=handler,
@@ -193,6 +195,8 @@
     )
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(listener.run)
+        if retire is not None:
+            tasks.start_soon(retire_when, retire, listener)
         host, _, port = address.rpartition(":")
         with anyio.fail_after(STEP_S):
             while True:
@@ -206,6 +210,11 @@
         tasks.cancel_scope.cancel()
 
 
+async def retire_when(told: anyio.Event, listener: HttpListener) -> None:
+    await told.wait()
+    listener.retire()
+
+
 async def read_all(stream: anyio.abc.SocketStream) -> bytes:
     data = b""
     with anyio.fail_after(STEP_S), contextlib.suppress(anyio.EndOfStream):
@@ -297,3 +306,30 @@
     async with listening(say_ok, closing=True) as caller:
         await caller.send(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
         assert b"close" in (await read_all(caller)).lower()
+
+
+async def test_a_retired_listener_closes_idle_connections_and_accepts_no_more() -> None:
+    retire = anyio.Event()
+    address = free_address()
+    async with listening(say_ok, address=address, retire=retire) as caller:
+        await caller.send(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+        with anyio.fail_after(STEP_S):
+            assert b"200" in await caller.receive()
+        retire.set()
+        assert await read_all(caller) == b""
+        host, _, port = address.rpartition(":")
+        with pytest.raises(OSError):
+            await anyio.connect_tcp(host, int(port))
+
+
+async def test_a_retired_listener_lets_a_request_in_progress_end() -> None:
+    retire = anyio.Event()
+
+    async def answer_late(request: HttpRequest, responder: Responder) -> None:
+        retire.set()
+        await anyio.sleep(0.1)
+        await responder.answer(200, (), b"late")
+
+    async with listening(answer_late, retire=retire) as caller:
+        await caller.send(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+        assert b"late" in await read_all(caller)
--- a/figpaddle/regional/_entry.py
+++ b/figpaddle/regional/_entry.py
@@ -20,9 +20,9 @@
 SETTLED_AFTER_S = 3.0
 #: Most entries named to one caller.
 MAX_NAMED = 64
-#: Shortest time from the request to stop to the end, seconds: callers that were told of this
-#: entry before keep coming until their answers of the lookup are out of date.
-MIN_DRAIN_S = 4.5
+#: Time from the request to stop for which new requests are taken, seconds: about as long as
+#: callers keep an answer of the lookup. What is taken later could not end within the grace time.
+TAKING_S = 1.5
 #: Time kept at the end of the grace time for closing, seconds.
 CLOSE_RESERVE_S = 0.6
 
@@ -61,7 +61,9 @@
         )
         self._counters.gauge("requests_active", lambda: self._gateway.active)
         self._counters.gauge("backend_connections_opened", lambda: self._backends.opened)
-        self._listen(settings.caller_address, self._gateway.handle_caller, limits=self._limits)
+        self._callers = self._listen(
+            settings.caller_address, self._gateway.handle_caller, limits=self._limits
+        )
         self._listen(settings.readiness_address, self._handle_call)
         if settings.lookup_address:
             self._listen(settings.lookup_address, self._handle_call)
@@ -99,9 +101,11 @@
         """Serve what comes on open connections until no more comes or the time is over."""
         began_at = self._clock()
         last_at = began_at + self._settings.bounds.grace_s - CLOSE_RESERVE_S
-        while self._clock() < last_at:
-            if self._gateway.active == 0 and self._clock() - began_at >= MIN_DRAIN_S:
-                return
+        await anyio.sleep(TAKING_S)
+        self._gateway.stop_taking()
+        self._callers.retire()
+        self._log.info("callers_sent_elsewhere", active=self._gateway.active)
+        while self._clock() < last_at and self._gateway.active:
             await anyio.sleep(0.05)
 
     async def keep_house(self) -> None:
--- a/figpaddle/regional/_gateway.py
+++ b/figpaddle/regional/_gateway.py
@@ -47,6 +47,8 @@
 RESUME_PAUSE_S = 0.1
 #: How many times its target the start of an answer may take before it is refused.
 PATIENCE = 4.0
+#: When a caller that is sent to another entry may come there, seconds.
+ELSEWHERE_S = 0.01
 #: Longest wait after which a refused caller should come back when nothing is known, seconds.
 RETURN_S = 0.6
 
@@ -81,6 +83,7 @@
         self._log = log
         self._counters = counters
         self._active = 0
+        self._taking = True
         bounds = settings.bounds
         self.retries = SharedRetryBudget(
             ratio=bounds.retry_ratio, window_s=bounds.retry_window_s, slack=bounds.retry_slack
@@ -91,6 +94,10 @@
         """Requests in progress."""
         return self._active
 
+    def stop_taking(self) -> None:
+        """Refuse new requests from now on; those in progress go on."""
+        self._taking = False
+
     async def handle_caller(self, request: HttpRequest, responder: Responder) -> None:
         """Answer a caller's request."""
         try:
@@ -171,7 +178,9 @@
         self._active += 1
         try:
             refused_for_s = self._suspects.refused_for_s(job.fingerprint())
-            if refused_for_s:
+            if not self._taking:
+                await self._refuse(job, responder, "leaving", ELSEWHERE_S)
+            elif refused_for_s:
                 await self._refuse(job, responder, "crashes backend servers", refused_for_s)
             else:
                 await self._serve(job, responder)
@@ -429,7 +438,8 @@
     async def _refuse(
         self, job: Job, responder: Responder, reason: str, retry_after_s: float
     ) -> None:
-        retry_after_s = spread_return(retry_after_s, rng=self._rng)
+        if retry_after_s > ELSEWHERE_S:
+            retry_after_s = spread_return(retry_after_s, rng=self._rng)
         self._note_end(job, f"refused: {reason}", failed=True)
         headers = [(b"Retry-After", f"{retry_after_s:.3f}".encode())]
         if job.forwarded:
--- a/figpaddle/regional/_register_host.py
+++ b/figpaddle/regional/_register_host.py
@@ -11,6 +11,7 @@
 
 from figpaddle.coordination import (
     NO_BALLOT,
+    RECOVERY_JUMP,
     Acceptance,
     Ballot,
     Founder,
@@ -220,7 +221,7 @@
 
     async def _run_round(self, changes: list[Change]) -> ClusterState | None:
         needed = majority(len(self._voters()))
-        ballot = self._next_ballot()
+        ballot = Ballot(self._highest.number + RECOVERY_JUMP, self._settings.ip)
         promises = await self._gather_promises(
             PrepareRequest(ballot=_pair(ballot)), lambda promises: len(promises) >= needed
         )
@@ -439,7 +440,7 @@
     async def _recover(self) -> None:
         """Read from enough other voters that this one can't contradict its lost disk."""
         needed = recovery_quorum(len(self._voters()))
-        ballot = self._next_ballot()
+        ballot = Ballot(self._highest.number + RECOVERY_JUMP, self._settings.ip)
         promises = await self._gather_promises(
             PrepareRequest(ballot=_pair(ballot)), lambda promises: len(promises) >= needed
         )
@@ -447,6 +448,7 @@
             self._log.warning("voter_not_recovered", needed=needed)
             return
         await self._store.record_voters(self._voters())
+        self._note_ballot(_pair(ballot))
         await self._store.recover(promises, ballot)
         self._log.info("voter_recovered", ballot=ballot.number, answers=len(promises))
 
