--- /dev/null
+++ b/tests/test_platform_adapter.py
@@ -0,0 +1,349 @@
+"""The adapter decodes what the platform sends, well formed or not, and encodes what it expects."""
+
+from __future__ import annotations
+
+import json
+import pathlib
+from typing import Any
+
+import pytest
+
+import tests.platform_path  # noqa: F401
+
+from boot_settings import read_settings  # isort: skip
+from wire_dialect import PlatformDialect  # isort: skip
+
+from figpaddle.deployment import Repeat
+from figpaddle.errors import InvalidRequestError, SettingsError
+from figpaddle.http1 import AnswerHead, Headers, HttpRequest, header
+from figpaddle.regional import (
+    BackendCall,
+    EntryLookup,
+    GetConfiguration,
+    InvalidConfigurationError,
+    PutConfiguration,
+    ReadinessCheck,
+    SetEvacuation,
+)
+from figpaddle.wire import BackendState, InstanceRole
+
+DIALECT = PlatformDialect()
+
+
+def request(
+    method: str = "POST", target: str = "/chat/1", headers: Headers = (), body: bytes = b""
+) -> HttpRequest:
+    return HttpRequest(
+        method=method.encode(),
+        target=target.encode(),
+        headers=headers,
+        body=body,
+        caller="10.0.0.9",
+        received_at=0.0,
+    )
+
+
+FULL: Headers = (
+    (b"Host", b"Guide.example:80"),
+    (b"X-Figpaddle-Request-Id", b"abc"),
+    (b"X-Figpaddle-Model", b"m"),
+    (b"X-Figpaddle-Token-Counts", b"1460,80"),
+    (b"X-Figpaddle-Prompt-Prefix", b"5c1e:800,91bd:410"),
+    (b"X-Figpaddle-Deadline-Ms", b"1500"),
+    (b"Last-Event-Id", b"12"),
+)
+
+
+def test_a_request_is_decoded_with_all_that_it_says() -> None:
+    caller = DIALECT.read_request(request(headers=FULL))
+    assert (caller.request_id, caller.host, caller.patience_s) == ("abc", "guide.example", 1.5)
+    assert (caller.prompt_tokens, caller.output_tokens, caller.last_event) == (1460, 80, "12")
+    assert [prefix.tokens for prefix in caller.prefixes] == [800, 1210]
+
+
+def test_equal_parts_after_different_ones_are_different_prefixes() -> None:
+    def digest(parts: bytes) -> int:
+        fields = (*FULL[:2], (b"X-Figpaddle-Prompt-Prefix", parts))
+        return DIALECT.read_request(request(headers=fields)).prefixes[-1].digest
+
+    assert digest(b"aa:10,cc:10") != digest(b"bb:10,cc:10")
+
+
+@pytest.mark.parametrize(
+    ("name", "value"),
+    [
+        (b"X-Figpaddle-Deadline-Ms", b"soon"),
+        (b"X-Figpaddle-Deadline-Ms", b"-5"),
+        (b"X-Figpaddle-Deadline-Ms", b"nan"),
+        (b"X-Figpaddle-Token-Counts", b"many"),
+        (b"X-Figpaddle-Token-Counts", b"1,2,3"),
+        (b"X-Figpaddle-Prompt-Prefix", b"no colon,:,a:b"),
+    ],
+)
+def test_a_field_that_can_not_be_read_counts_as_missing(name: bytes, value: bytes) -> None:
+    caller = DIALECT.read_request(request(headers=(*FULL[:2], (name, value))))
+    assert (caller.patience_s, caller.prompt_tokens, caller.prefixes) == (None, 0, ())
+
+
+def test_a_request_without_an_id_is_invalid() -> None:
+    with pytest.raises(InvalidRequestError):
+        DIALECT.read_request(request(headers=((b"Host", b"a"),)))
+
+
+def test_a_backend_server_gets_the_callers_fields_and_what_only_an_entry_may_set() -> None:
+    sent = (
+        *FULL,
+        (b"X-Figpaddle-Hold", b"mine"),
+        (b"Kv-From", b"10.0.0.1:80/x"),
+        (b"X-Figpaddle-Request-Urgency", b"0"),
+        (b"Connection", b"keep-alive, X-Private"),
+        (b"X-Private", b"1"),
+    )
+    fields = DIALECT.backend_headers(
+        request(headers=sent, body=b"prompt"),
+        backend="i-7",
+        left_s=1.2345,
+        priority=2,
+        last_event="13",
+    )
+    assert header(fields, b"x-figpaddle-expect-instance") == b"i-7"
+    assert header(fields, b"x-figpaddle-deadline-ms") == b"1234"
+    assert header(fields, b"x-figpaddle-request-urgency") == b"2"
+    assert header(fields, b"last-event-id") == b"13"
+    assert header(fields, b"content-length") == b"6"
+    assert header(fields, b"x-figpaddle-prompt-prefix") == b"5c1e:800,91bd:410"
+    names = {name.lower() for name, _ in fields}
+    assert not names & {b"x-figpaddle-hold", b"kv-from", b"connection", b"x-private"}
+
+
+@pytest.mark.parametrize(
+    ("status", "fields", "not_run", "wrong", "load"),
+    [
+        (200, ((b"X-Figpaddle-Server-Load", b"3,2,8"),), False, False, 5),
+        (200, ((b"X-Figpaddle-Server-Load", b"busy"),), False, False, None),
+        (503, (), False, False, None),
+        (503, ((b"X-Figpaddle-Not-Executed", b"full"),), True, False, None),
+        (421, (), True, True, None),
+    ],
+)
+def test_an_answer_says_whether_the_request_ran(
+    status: int, fields: Headers, not_run: bool, wrong: bool, load: int | None
+) -> None:
+    answer = DIALECT.read_answer(AnswerHead(status=status, headers=fields))
+    assert (answer.not_run, answer.wrong_server, answer.load) == (not_run, wrong, load)
+
+
+@pytest.mark.parametrize(
+    ("method", "target", "call"),
+    [
+        ("GET", "/v1/resolve?name=a&region=r&zone=z", EntryLookup(region="r", zone="z")),
+        ("GET", "/v1/resolve", EntryLookup(region="", zone="")),
+        ("GET", "/v1/ready", ReadinessCheck()),
+        ("POST", "/v1/config/put", PutConfiguration()),
+        ("GET", "/v1/config/get", GetConfiguration()),
+        ("POST", "/v1/evacuate/z%2D1/start", SetEvacuation(zone="z-1", evacuated=True)),
+        ("POST", "/v1/evacuate/z/end", SetEvacuation(zone="z", evacuated=False)),
+        ("POST", "/v1/instances/i/heartbeat", BackendCall(name="i", leaves=False)),
+        ("POST", "/v1/instances/i/leave", BackendCall(name="i", leaves=True)),
+        ("GET", "/v1/config/put", None),
+        ("POST", "/elsewhere", None),
+    ],
+)
+def test_calls_are_told_apart(method: str, target: str, call: object) -> None:
+    assert DIALECT.read_call(request(method, target)) == call
+
+
+BEAT: dict[str, Any] = {
+    "service": "s",
+    "address": "10.0.0.5:80",
+    "zone": "z",
+    "slots": 8,
+    "state": "ready",
+    "warmup-left-ms": 1500,
+    "seq": 4,
+    "born": 1000,
+}
+
+
+def test_a_heartbeat_becomes_a_record() -> None:
+    record = DIALECT.read_backend(BackendCall(name="i", leaves=False), json.dumps(BEAT).encode())
+    assert record is not None
+    assert (record.state, record.warmup_s, record.born) == (BackendState.SERVING, 1.5, 1000)
+
+
+@pytest.mark.parametrize(
+    ("key", "value"),
+    [
+        ("service", None),
+        ("service", 5),
+        ("address", ""),
+        ("zone", ["z"]),
+        ("state", "sleeping"),
+        ("state", {}),
+        ("seq", "four"),
+        ("seq", -1),
+        ("seq", True),
+        ("born", 1.5),
+    ],
+)
+def test_a_heartbeat_of_another_writer_names_no_backend_server(key: str, value: object) -> None:
+    body = json.dumps({**BEAT, key: value}).encode()
+    assert DIALECT.read_backend(BackendCall(name="i", leaves=False), body) is None
+
+
+@pytest.mark.parametrize("body", [b"\xff\xfe", b"{", b"[]", b"7"])
+def test_a_heartbeat_that_can_not_be_read_is_invalid(body: bytes) -> None:
+    with pytest.raises(InvalidRequestError):
+        DIALECT.read_backend(BackendCall(name="i", leaves=False), body)
+
+
+@pytest.mark.parametrize("body", [b"", b"{}", b'{"seq": 9, "born": 7}'])
+def test_a_leave_may_say_no_more_than_who_leaves(body: bytes) -> None:
+    record = DIALECT.read_backend(BackendCall(name="i", leaves=True), body)
+    assert record is not None and record.state is BackendState.GONE
+
+
+def configuration(**changes: Any) -> dict[str, Any]:
+    route = {
+        "name": "r",
+        "host": "Guide.example",
+        "path-prefix": "/chat/",
+        "kind": "streaming",
+        "timeout-ms": 10000,
+        "target-latency-ms": 600,
+        "priority": 1,
+        "service": "s",
+        "max-attempts": 2,
+        "resumable": True,
+        "target-gap-ms": 300,
+        "home-regions": ["north"],
+    }
+    route.update(changes)
+    service = {"name": "s", "max-conns": 50, "cold-per-s": 4.1, "engine": {"slots": 16}}
+    return {"version": 3, "routes": [route], "services": [service], "limits": {}}
+
+
+def read(document: object) -> Any:
+    return DIALECT.read_configuration(json.dumps(document).encode())
+
+
+def test_a_configuration_becomes_routes_and_services() -> None:
+    found = read(configuration())
+    route = found.route_for("guide.example", "/chat/7")
+    assert (route.repeat, route.target_s, route.max_attempts) == (Repeat.RESUMABLE, 0.6, 2)
+    assert route.allows("north") and not route.allows("south")
+    assert found.service("s").slots == 16
+
+
+@pytest.mark.parametrize(
+    ("kind", "resumable", "repeat"),
+    [
+        ("idempotent", False, Repeat.IDEMPOTENT),
+        ("non_idempotent", False, Repeat.ONCE),
+        ("non_idempotent", True, Repeat.ONCE),
+        ("streaming", False, Repeat.ONCE),
+        ("streaming", True, Repeat.RESUMABLE),
+        ("never heard of", True, Repeat.ONCE),
+    ],
+)
+def test_what_may_be_repeated_follows_from_the_kind(
+    kind: str, resumable: bool, repeat: Repeat
+) -> None:
+    assert read(configuration(kind=kind, resumable=resumable)).routes[0].repeat is repeat
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"service": "unknown"},
+        {"timeout-ms": 0},
+        {"timeout-ms": "long"},
+        {"split": [{"service": "s", "weight": 0}]},
+        {"split": [{"service": "other", "weight": 1}]},
+        {"host": None},
+    ],
+)
+def test_an_invalid_route_is_refused(changes: dict[str, Any]) -> None:
+    with pytest.raises(InvalidConfigurationError):
+        read(configuration(**changes))
+
+
+def test_two_routes_may_not_share_a_place() -> None:
+    document = configuration()
+    document["routes"] = document["routes"] * 2
+    with pytest.raises(InvalidConfigurationError):
+        read(document)
+
+
+@pytest.mark.parametrize("body", [b"", b'{"version": 3, "routes"', b"[]", b'{"version": 3}'])
+def test_a_configuration_that_is_cut_short_is_refused(body: bytes) -> None:
+    with pytest.raises(InvalidConfigurationError):
+        DIALECT.read_configuration(body)
+
+
+def test_the_longest_prefix_decides() -> None:
+    document = configuration()
+    longer = {**document["routes"][0], "name": "long", "path-prefix": "/chat/long/"}
+    document["routes"].append(longer)
+    found = read(document)
+    assert found.route_for("guide.example", "/chat/long/1").name == "long"
+    assert found.route_for("guide.example", "/chat/1").name == "r"
+    assert found.route_for("guide.example", "/chat") is None
+    assert found.route_for("other.example", "/chat/1") is None
+
+
+SETTINGS = """\
+node-name=front-1
+serves=front,directory
+ip=10.1.0.38
+zone=z1
+region=north
+zones.z1=north
+zones.z2=south
+listen.front=10.1.0.38:8149
+listen.readiness-addr=10.1.0.38:8141
+listen.directory=10.1.0.38:8143
+internal-ports=7380,7395
+seeds=10.1.0.41:8144,10.2.0.42:8144
+bootstrap=true
+bounds.grace-s=8
+a-new-key=anything
+"""
+
+
+def settings_file(folder: pathlib.Path, text: str) -> pathlib.Path:
+    path = folder / "boot.conf"
+    path.write_text(text, encoding="utf-8")
+    return path
+
+
+def test_settings_are_read_and_unknown_keys_ignored(tmp_path: pathlib.Path) -> None:
+    found = read_settings(settings_file(tmp_path, SETTINGS))
+    assert (found.role, found.ip, found.peer_port) == (InstanceRole.ENTRY, "10.1.0.38", 7380)
+    assert found.seeds == ("10.1.0.41", "10.2.0.42") and found.first_start
+    assert found.zones_of_region == {"z1"}
+
+
+@pytest.mark.parametrize("key", ["ip", "region", "listen.front", "internal-ports", "seeds"])
+def test_a_missing_setting_is_named(tmp_path: pathlib.Path, key: str) -> None:
+    lines = [line for line in SETTINGS.splitlines() if not line.startswith(f"{key}=")]
+    with pytest.raises(SettingsError) as caught:
+        read_settings(settings_file(tmp_path, "\n".join(lines)))
+    assert [fault.path for fault in caught.value.faults] == [key]
+
+
+@pytest.mark.parametrize(
+    ("key", "value"),
+    [("listen.front", "nowhere"), ("bootstrap", "maybe"), ("bounds.grace-s", "long")],
+)
+def test_a_malformed_setting_is_named(tmp_path: pathlib.Path, key: str, value: str) -> None:
+    lines = [line for line in SETTINGS.splitlines() if not line.startswith(f"{key}=")]
+    text = "\n".join([*lines, f"{key}={value}"])
+    with pytest.raises(SettingsError) as caught:
+        read_settings(settings_file(tmp_path, text))
+    assert [fault.path for fault in caught.value.faults] == [key]
+
+
+def test_a_file_that_is_not_there_is_a_settings_error(tmp_path: pathlib.Path) -> None:
+    with pytest.raises(SettingsError):
+        read_settings(tmp_path / "missing")
