--- /dev/null
+++ b/figpaddle/routing/tests/test_rate_limits.py
@@ -0,0 +1,80 @@
+"""Limits that entries keep together hold over all of them, whatever each one sees."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from figpaddle.routing import ColdLimit, SharedRetryBudget
+
+#: Bounds of the deployments: rate and slack of a cold backend server.
+PER_S, OVERSHOOT, SLACK = 4.1, 1.5, 3.0
+#: Most requests in any one second.
+COLD_BOUND = PER_S * OVERSHOOT + SLACK
+
+
+def most_in_a_second(times: list[float]) -> int:
+    return max(sum(start <= time < start + 1.0 for time in times) for start in times)
+
+
+@pytest.mark.parametrize("entries", [1, 2, 3, 7, 17, 28])
+@pytest.mark.parametrize("seed", range(3))
+def test_a_cold_backend_server_is_not_flooded_by_a_burst_over_all_entries(
+    entries: int, seed: int
+) -> None:
+    """A zone returns cold under a burst: every entry would send everything there at once."""
+    rng = random.Random(seed)
+    names = [f"10.0.0.{number}" for number in range(entries)]
+    limits = [ColdLimit(name=name, overshoot=OVERSHOOT, slack=SLACK) for name in names]
+    sent: list[float] = []
+    for step in range(6000):
+        now = step * 0.001
+        limit = rng.choice(limits)
+        if limit.allows("engine", per_s=PER_S, entries=names, now=now):
+            limit.note_sent("engine", now=now)
+            # On the way for up to 100 ms, so that what is sent apart may arrive together.
+            sent.append(now + rng.uniform(0.0, 0.1))
+    assert 1 <= most_in_a_second(sent) <= COLD_BOUND
+
+
+def test_entries_that_see_different_entries_stay_within_the_cold_bound() -> None:
+    names = [f"10.0.0.{number}" for number in range(4)]
+    limits = [ColdLimit(name=name, overshoot=OVERSHOOT, slack=SLACK) for name in names]
+    sent: list[float] = []
+    for step in range(1000):
+        now = step * 0.001
+        for index, limit in enumerate(limits):
+            seen = [name for position, name in enumerate(names) if position != (index + 1) % 4]
+            if limit.allows("engine", per_s=PER_S, entries=seen, now=now):
+                limit.note_sent("engine", now=now)
+                sent.append(now)
+    assert len(sent) <= COLD_BOUND
+
+
+@pytest.mark.parametrize("entries", [1, 3, 7, 28])
+def test_retries_of_all_entries_stay_within_the_budget_while_all_answers_fail(
+    entries: int,
+) -> None:
+    """Answers of half of the engines are lost while callers repeat: every request asks for more."""
+    ratio, window_s, slack = 0.2, 10.0, 54.0
+    budgets = [
+        SharedRetryBudget(ratio=ratio, window_s=window_s, slack=slack) for _ in range(entries)
+    ]
+    for budget in budgets:
+        budget.note_entries(entries)
+    requests: list[float] = []
+    retries: list[float] = []
+    for step in range(3000):
+        now = step * 0.01
+        budget = budgets[step % entries]
+        budget.note_request("s", now=now)
+        requests.append(now)
+        for _ in range(2):
+            if budget.take("s", now=now):
+                retries.append(now)
+    for end in range(10, 31):
+        window = (end - window_s, float(end))
+        asked = sum(window[0] < time <= window[1] for time in requests)
+        again = sum(window[0] < time <= window[1] for time in retries)
+        assert again <= ratio * asked + slack
