--- a/figpaddle/regional/_gateway.py
+++ b/figpaddle/regional/_gateway.py
@@ -47,6 +47,8 @@
 RESUME_PAUSE_S = 0.1
 #: How many times its target the start of an answer may take before it is refused.
 PATIENCE = 4.0
+#: Time to a failure from which the connection counts as gone silent, seconds.
+SILENT_S = 1.0
 #: When a caller that is sent to another entry may come there, seconds.
 ELSEWHERE_S = 0.01
 #: Longest wait after which a refused caller should come back when nothing is known, seconds.
@@ -86,7 +88,10 @@
         self._taking = True
         bounds = settings.bounds
         self.retries = SharedRetryBudget(
-            ratio=bounds.retry_ratio, window_s=bounds.retry_window_s, slack=bounds.retry_slack
+            ratio=bounds.retry_ratio,
+            window_s=bounds.retry_window_s,
+            slack=bounds.retry_slack,
+            now=clock(),
         )
 
     @property
@@ -310,6 +315,9 @@
         elif ending.fate in (Fate.UNKNOWN, Fate.BROKEN):
             member = self._placer.fleet.get(backend)
             born = 0 if member is None else member.record.born
+            if now - job.sent_at >= SILENT_S:
+                # Other connections that were open as long may have gone silent too.
+                await self._pool.drop(address)
             self._suspects.note_broken(
                 job.fingerprint(), backend, address, born=born, sent_at=job.sent_at
             )
--- a/figpaddle/regional/_placer.py
+++ b/figpaddle/regional/_placer.py
@@ -69,6 +69,7 @@
         self._counters = counters
         self._fleet = Fleet()
         self._work: dict[str, EngineWork] = {}
+        self._evacuated: set[str] = set()
         self._sent_away: dict[tuple[str, str], SlidingCount] = {}
         self._cold = ColdLimit(
             name=settings.ip,
@@ -106,7 +107,7 @@
                 self._sent_away[key] = SlidingCount(window_s=UNSEEN_S)
             self._sent_away[key].add(now=now)
             return
-        if choice.member.cold_until > now:
+        if choice.member.may_be_cold(now=now):
             self._cold.note_sent(choice.member.name, now=now)
         self.work_at(choice.member.name).sent(
             job.key,
@@ -146,7 +147,7 @@
             members = self._usable(service.name, now=now)
             best_s, room = 60.0, 0
             for member in members:
-                if member.cold_until > now:
+                if member.may_be_cold(now=now):
                     continue
                 candidate = self._candidate(member, service.slots, service.memory_tokens)
                 expected_s, free = _typical(candidate, now=now)
@@ -181,7 +182,7 @@
         for member in self._usable(job.service.name, now=now):
             if member.name in job.tried:
                 continue
-            if member.cold_until > now and not self._cold.allows(
+            if self._is_cold(member, job, now) and not self._cold.allows(
                 member.name, per_s=job.service.cold_per_s, entries=entries, now=now
             ):
                 continue
@@ -190,6 +191,9 @@
             candidates.append(self._candidate(member, job.service.slots, job.service.memory_tokens))
         return candidates
 
+    def _is_cold(self, member: FleetMember, job: Job, now: float) -> bool:
+        return job.service.cold_per_s > 0 and member.may_be_cold(now=now)
+
     def _candidate(self, member: FleetMember, slots: int, memory_tokens: int) -> Candidate:
         return Candidate(
             member=member,
@@ -199,6 +203,10 @@
         )
 
     def _usable(self, service: str, *, now: float) -> list[FleetMember]:
+        evacuated = set(self._follower.state.evacuated)
+        for zone in self._evacuated - evacuated:
+            self._fleet.note_returned(zone, now=now)
+        self._evacuated = evacuated
         return self._fleet.usable(
             service,
             region_zones=self._settings.zones_of_region,
--- a/figpaddle/routing/_fleet.py
+++ b/figpaddle/routing/_fleet.py
@@ -45,6 +45,8 @@
     failures: int = 0
     #: Until when it is cold as it said itself, seconds.
     cold_until: float = 0.0
+    #: What it said until this moment doesn't tell whether it is cold now, seconds.
+    doubted_at: float = float("-inf")
 
     @property
     def name(self) -> str:
@@ -56,6 +58,10 @@
         """Where it listens."""
         return self.record.address
 
+    def may_be_cold(self, *, now: float) -> bool:
+        """Return whether it is cold, or may have become so since it last spoke."""
+        return now < self.cold_until or self.said_at <= self.doubted_at
+
 
 class Fleet:
     """Orders what backend servers say by their start and sequence, never by arrival.
@@ -117,8 +123,15 @@
         member.failures += 1
         rest_s = min(MAX_REST_S, FIRST_REST_S * 2.0 ** (member.failures - 1))
         member.resting_until = now + rest_s
+        member.doubted_at = now
         return rest_s
 
+    def note_returned(self, zone: str, *, now: float) -> None:
+        """Note that the evacuation of a zone is over: its backend servers may be cold."""
+        for member in self._members.values():
+            if member.record.zone == zone:
+                member.doubted_at = now
+
     def note_reached(self, name: str) -> None:
         """Note that a backend server answered."""
         member = self._members.get(name)
--- a/figpaddle/routing/_rate_limits.py
+++ b/figpaddle/routing/_rate_limits.py
@@ -10,6 +10,8 @@
 COLD_PART = 0.75
 #: Most entries that send to one cold backend server.
 MAX_COLD_SENDERS = 4
+#: Part of the common slack of retries that entries use; the rest covers entries that are new.
+SLACK_PART = 0.8
 #: Length of the window of the cold limit, seconds; a little over the second that is counted, so
 #: that requests sent apart don't arrive together.
 COLD_WINDOW_S = 1.15
@@ -81,7 +83,8 @@
     the budget also while they can't hear each other.
     """
 
-    def __init__(self, *, ratio: float, window_s: float, slack: float) -> None:
+    def __init__(self, *, ratio: float, window_s: float, slack: float, now: float) -> None:
+        self._started_at = now
         self._ratio = ratio
         self._window_s = window_s
         self._slack = slack
@@ -101,7 +104,7 @@
         """Take one retry if one is left; return whether it was."""
         again = self._count(self._again, service)
         earned = self._ratio * self._count(self._first, service).total(now=now)
-        if again.total(now=now) + 1 > earned + self._slack * 0.8 / self._most_entries:
+        if again.total(now=now) + 1 > earned + self._part_of_slack(now):
             return False
         again.add(now=now)
         return True
@@ -110,6 +113,11 @@
         """Return the retries in the present window, by service."""
         return {service: count.total(now=now) for service, count in self._again.items()}
 
+    def _part_of_slack(self, now: float) -> float:
+        """Return this entry's part; what it used before a restart comes back over a window."""
+        regained = min(1.0, (now - self._started_at) / self._window_s)
+        return self._slack * SLACK_PART * regained / self._most_entries
+
     def _count(self, counts: dict[str, SlidingCount], service: str) -> SlidingCount:
         if service not in counts:
             counts[service] = SlidingCount(window_s=self._window_s)
--- a/figpaddle/routing/tests/test_fleet.py
+++ b/figpaddle/routing/tests/test_fleet.py
@@ -120,3 +120,23 @@
     fleet = Fleet()
     fleet.note(dataclasses.replace(record(), age_s=1.0), now=5.0)
     assert fleet.records(now=7.0)[0].age_s == 3.0
+
+
+def test_a_zone_that_returns_counts_as_cold_until_its_servers_speak() -> None:
+    """Their caches may have gone cold while the zone was evacuated; a burst would crash them."""
+    fleet = Fleet()
+    fleet.note(record(), now=0.0)
+    fleet.note_returned("z", now=5.0)
+    member = fleet.get("i-1")
+    assert member is not None and member.may_be_cold(now=5.1)
+    fleet.note(record(sequence=2), now=5.5)
+    assert not member.may_be_cold(now=5.6)
+
+
+def test_a_server_that_refused_connections_counts_as_cold_until_it_speaks() -> None:
+    """It may have started again under its old name, cold."""
+    fleet = Fleet()
+    fleet.note(record(), now=0.0)
+    fleet.note_unreachable("i-1", now=1.0)
+    member = fleet.get("i-1")
+    assert member is not None and member.may_be_cold(now=3.0)
--- a/figpaddle/routing/tests/test_rate_limits.py
+++ b/figpaddle/routing/tests/test_rate_limits.py
@@ -59,7 +59,8 @@
     """Answers of half of the engines are lost while callers repeat: every request asks for more."""
     ratio, window_s, slack = 0.2, 10.0, 54.0
     budgets = [
-        SharedRetryBudget(ratio=ratio, window_s=window_s, slack=slack) for _ in range(entries)
+        SharedRetryBudget(ratio=ratio, window_s=window_s, slack=slack, now=0.0)
+        for _ in range(entries)
     ]
     for budget in budgets:
         budget.note_entries(entries)
@@ -78,3 +79,22 @@
         asked = sum(window[0] < time <= window[1] for time in requests)
         again = sum(window[0] < time <= window[1] for time in retries)
         assert again <= ratio * asked + slack
+
+
+def test_an_entry_that_starts_again_does_not_use_its_part_of_the_slack_twice() -> None:
+    """All entries are killed in a storm of failures and come back with nothing remembered."""
+    entries, slack = 7, 54.0
+    retries: list[float] = []
+    for started_at in (-10.0, 10.5):
+        for _ in range(entries):
+            budget = SharedRetryBudget(ratio=0.0, window_s=10.0, slack=slack, now=started_at)
+            budget.note_entries(entries)
+            moments = [max(0.0, started_at) + step * 0.1 for step in range(100)]
+            retries += [now for now in moments if budget.take("s", now=now)]
+    for end in range(10, 25):
+        assert sum(end - 10.0 < time <= end for time in retries) <= slack
+
+
+def test_a_fresh_entry_has_no_slack_yet() -> None:
+    budget = SharedRetryBudget(ratio=0.2, window_s=10.0, slack=54.0, now=5.0)
+    assert not budget.take("s", now=5.0)
--- a/figpaddle/tool/_main.py
+++ b/figpaddle/tool/_main.py
@@ -4,7 +4,7 @@
 
 import typer
 
-from figpaddle.tool import _configuration, _generate, _inspect, _send, _stop
+from figpaddle.tool import _configuration, _explain, _generate, _inspect, _send, _stop
 
 app = typer.Typer(
     add_completion=False,
@@ -13,7 +13,7 @@
     help="Operate figpaddle: generate a configuration, look at instances, stop them, send requests.",
 )
 
-for part in (_configuration, _generate, _inspect, _send, _stop):
+for part in (_configuration, _explain, _generate, _inspect, _send, _stop):
     app.add_typer(part.app)
 
 
