Keep the last entry of a region taking callers while it stops

Now an entry closes its port only once another is ready or was stopped later, and begins only what can end in time.

--- a/figpaddle/regional/_control_process.py
+++ b/figpaddle/regional/_control_process.py
@@ -77,6 +77,7 @@
             zone=settings.zone,
             caller_address="",
             readiness=self.readiness(),
+            stopping_s=0.0,
             revision=self._follower.state.revision,
             founding=settings.first_start,
             retries={},
--- a/figpaddle/regional/_entry.py
+++ b/figpaddle/regional/_entry.py
@@ -12,6 +12,7 @@
 from figpaddle.regional._placer import Placer
 from figpaddle.regional._process import NEAR_SILENCE_S, RegionalProcess
 from figpaddle.regional._suspects import Suspects
+from figpaddle.routing import CLOSE_RESERVE_S, may_retire
 from figpaddle.wire import InstanceHeartbeat, InstanceRole, Readiness
 
 #: Part of the longest time to live with which entries are named to callers.
@@ -20,11 +21,8 @@
 SETTLED_AFTER_S = 3.0
 #: Most entries named to one caller.
 MAX_NAMED = 64
-#: Time from the request to stop for which new requests are taken, seconds: about as long as
-#: callers keep an answer of the lookup. What is taken later could not end within the grace time.
-TAKING_S = 1.5
-#: Time kept at the end of the grace time for closing, seconds.
-CLOSE_RESERVE_S = 0.6
+#: Interval at which an entry that stops looks whether others are ready, seconds.
+DRAIN_INTERVAL_S = 0.05
 
 
 class EntryProcess(RegionalProcess):
@@ -34,6 +32,8 @@
         """Open the ports of an entry."""
         settings = self._settings
         self._started_at = self._clock()
+        self._retired = False
+        self._stopping_at: float | None = None
         self._backends = ConnectionPool(tasks=tasks, clock=self._clock, silence_s=NEAR_SILENCE_S)
         self._placer = Placer(
             settings=settings,
@@ -83,8 +83,9 @@
             role=InstanceRole.ENTRY,
             region=settings.region,
             zone=settings.zone,
-            caller_address=settings.caller_address,
+            caller_address="" if self._retired else settings.caller_address,
             readiness=self.readiness(),
+            stopping_s=self._stopping_for_s(),
             revision=self._follower.state.revision,
             founding=False,
             retries=self._gateway.retries.used(now=self._clock()),
@@ -99,14 +100,36 @@
 
     async def drain(self) -> None:
         """Serve what comes on open connections until no more comes or the time is over."""
-        began_at = self._clock()
-        last_at = began_at + self._settings.bounds.grace_s - CLOSE_RESERVE_S
-        await anyio.sleep(TAKING_S)
-        self._gateway.stop_taking()
+        grace_s = self._settings.bounds.grace_s
+        self._stopping_at = self._clock()
+        self._gateway.stop_at(self._stopping_at)
+        while not self._may_retire(grace_s):
+            await anyio.sleep(DRAIN_INTERVAL_S)
+        self._retired = True
+        self._gateway.retire()
         self._callers.retire()
-        self._log.info("callers_sent_elsewhere", active=self._gateway.active)
-        while self._clock() < last_at and self._gateway.active:
-            await anyio.sleep(0.05)
+        self._mesh.send_soon()
+        self._log.info(
+            "callers_sent_elsewhere",
+            active=self._gateway.active,
+            after_s=round(self._stopping_for_s(), 2),
+        )
+        while self._gateway.active and self._stopping_for_s() < grace_s - CLOSE_RESERVE_S:
+            await anyio.sleep(DRAIN_INTERVAL_S)
+
+    def _may_retire(self, grace_s: float) -> bool:
+        neighbours = self._mesh.entries(self._settings.region)
+        return may_retire(
+            stopping_for_s=self._stopping_for_s(),
+            grace_s=grace_s,
+            others_ready=sum(map(is_ready, neighbours)),
+            others_stopping_s=tuple(
+                beat.stopping_s for beat in neighbours if _takes_while_leaving(beat)
+            ),
+        )
+
+    def _stopping_for_s(self) -> float:
+        return 0.0 if self._stopping_at is None else self._clock() - self._stopping_at
 
     async def keep_house(self) -> None:
         """Forget what is out of date."""
@@ -152,17 +175,18 @@
 
     def _entries_for(self, call: EntryLookup) -> tuple[str, ...]:
         """Return the entries that a caller may use: its region's, or all if it has none."""
-        ready = [
-            (beat.region, beat.caller_address)
-            for beat in self._mesh.live()
-            if beat.role is InstanceRole.ENTRY and is_ready(beat)
-        ]
-        if self.readiness() is Readiness.READY:
-            ready.append((self._settings.region, self._settings.caller_address))
-        near = [address for region, address in ready if region == call.region]
+        beats = [beat for beat in self._mesh.live() if beat.role is InstanceRole.ENTRY]
+        beats.append(self.heartbeat())
+        ready = [beat for beat in beats if beat.readiness is Readiness.READY]
+        near = [beat for beat in ready if beat.region == call.region]
+        if not near:
+            # Entries that are stopping go on until others of their region are ready.
+            near = [
+                beat for beat in beats if beat.region == call.region and _takes_while_leaving(beat)
+            ]
         if not near and self._may_still_have_entries(call.region):
             return ()
-        return tuple(sorted(near or [address for _, address in ready])[:MAX_NAMED])
+        return tuple(sorted(beat.caller_address for beat in near or ready)[:MAX_NAMED])
 
     def _may_still_have_entries(self, region: str) -> bool:
         """Return whether ``region`` probably has entries that just aren't ready or heard yet.
@@ -171,3 +195,7 @@
         """
         settled = self._clock() - self._started_at >= SETTLED_AFTER_S
         return not settled or bool(self._mesh.entries(region))
+
+
+def _takes_while_leaving(beat: InstanceHeartbeat) -> bool:
+    return beat.readiness is Readiness.LEAVING and bool(beat.caller_address)
--- a/figpaddle/regional/_gateway.py
+++ b/figpaddle/regional/_gateway.py
@@ -29,7 +29,7 @@
 from figpaddle.regional._placer import Placer
 from figpaddle.regional._settings import ProcessSettings
 from figpaddle.regional._suspects import Suspects
-from figpaddle.routing import Choice, SharedRetryBudget, refuse_late, spread_return
+from figpaddle.routing import Choice, SharedRetryBudget, may_take, refuse_late, spread_return
 from figpaddle.telemetry import Counters, Log
 
 #: Time for a connection to a backend server of the own region, seconds.
@@ -85,7 +85,8 @@
         self._log = log
         self._counters = counters
         self._active = 0
-        self._taking = True
+        self._stopping_at: float | None = None
+        self._retired = False
         bounds = settings.bounds
         self.retries = SharedRetryBudget(
             ratio=bounds.retry_ratio,
@@ -99,9 +100,13 @@
         """Requests in progress."""
         return self._active
 
-    def stop_taking(self) -> None:
+    def stop_at(self, now: float) -> None:
+        """Take only requests that can end within the grace time, which begins now."""
+        self._stopping_at = now
+
+    def retire(self) -> None:
         """Refuse new requests from now on; those in progress go on."""
-        self._taking = False
+        self._retired = True
 
     async def handle_caller(self, request: HttpRequest, responder: Responder) -> None:
         """Answer a caller's request."""
@@ -183,7 +188,7 @@
         self._active += 1
         try:
             refused_for_s = self._suspects.refused_for_s(job.fingerprint())
-            if not self._taking:
+            if not self._may_take(job):
                 await self._refuse(job, responder, "leaving", ELSEWHERE_S)
             elif refused_for_s:
                 await self._refuse(job, responder, "crashes backend servers", refused_for_s)
@@ -197,6 +202,17 @@
         finally:
             self._active -= 1
 
+    def _may_take(self, job: Job) -> bool:
+        if self._retired:
+            return False
+        if self._stopping_at is None:
+            return True
+        return may_take(
+            stopping_for_s=self._clock() - self._stopping_at,
+            grace_s=self._settings.bounds.grace_s,
+            output_tokens=job.caller.output_tokens,
+        )
+
     async def _serve(self, job: Job, responder: Responder) -> None:
         unsent = 0
         while True:
--- a/figpaddle/routing/__init__.py
+++ b/figpaddle/routing/__init__.py
@@ -24,6 +24,7 @@
 from figpaddle.routing._entries import ENTRY_TTL_S, EntryAnswer, rank_entries
 from figpaddle.routing._fleet import Fleet, FleetMember, News
 from figpaddle.routing._forwarding import MAX_CROSSINGS, check_forward, permitted_service
+from figpaddle.routing._leaving import CLOSE_RESERVE_S, may_retire, may_take
 from figpaddle.routing._policy import (
     LeastLoadPolicy,
     LeastReportedLoadPolicy,
@@ -49,6 +50,9 @@
 from figpaddle.routing._scored import Estimate, PolicyName, ScoredPolicy, make_policy
 
 __all__ = [
+    "CLOSE_RESERVE_S",
+    "may_retire",
+    "may_take",
     "AwayRegion",
     "Candidate",
     "Choice",
--- a/figpaddle/wire/_regional_messages.py
+++ b/figpaddle/wire/_regional_messages.py
@@ -71,6 +71,8 @@
     #: Where callers reach it; empty for a control instance.
     caller_address: str
     readiness: Readiness
+    #: Time since it was told to stop, seconds; 0 where it wasn't.
+    stopping_s: float
     #: Revision of the cluster state that it holds.
     revision: int
     #: Whether it takes part in the first start of the deployment.
