Keep shared prompt parts at one engine of a region; send less between regions (not yet measured)

Change: a keeper by highest random weight over the region's engines, priced against the wait there; configurations compressed, fetched over a link once; heartbeats between regions without work lists.

--- a/figpaddle/deployment/_cluster_state.py
+++ b/figpaddle/deployment/_cluster_state.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import zlib
 
 import cbor2
 
@@ -52,13 +53,18 @@
         return dataclasses.replace(self, revision=self.revision + 1, evacuated=evacuated)
 
 
+#: Level of compression: the fastest. Configurations repeat themselves and shrink to a sixth; they
+#: cross the links between regions several times for each change.
+COMPRESSION_LEVEL = 1
+
 #: The state before any change.
 EMPTY_STATE = ClusterState(revision=0, version=0, document=b"", evacuated=())
 
 
 def encode_state(state: ClusterState) -> bytes:
     """Return the bytes that stand for ``state``."""
-    return cbor2.dumps([state.revision, state.version, state.document, list(state.evacuated)])
+    document = zlib.compress(state.document, COMPRESSION_LEVEL)
+    return cbor2.dumps([state.revision, state.version, document, list(state.evacuated)])
 
 
 def decode_state(data: bytes) -> ClusterState:
@@ -70,8 +76,9 @@
         return EMPTY_STATE
     try:
         revision, version, document, evacuated = cbor2.loads(data)
-    except (cbor2.CBORDecodeError, ValueError, TypeError) as error:
+        unpacked = zlib.decompress(document)
+    except (cbor2.CBORDecodeError, ValueError, TypeError, zlib.error) as error:
         raise MalformedMessageError(what="not a cluster state", where="register") from error
     return ClusterState(
-        revision=revision, version=version, document=document, evacuated=tuple(evacuated)
+        revision=revision, version=version, document=unpacked, evacuated=tuple(evacuated)
     )
--- a/figpaddle/regional/_cluster.py
+++ b/figpaddle/regional/_cluster.py
@@ -22,6 +22,9 @@
 
 #: Interval at which the others' revisions are looked at, seconds.
 FOLLOW_INTERVAL_S = 0.1
+#: Time for which an instance leaves it to a neighbour to ask another region, seconds; two round
+#: trips and a heartbeat.
+NEIGHBOUR_WAIT_S = 0.6
 #: Longest wait for the state of another instance, seconds; covers a large configuration.
 QUERY_TIMEOUT_S = 1.5
 
@@ -35,12 +38,17 @@
     def __init__(
         self,
         *,
+        name: str,
+        region: str,
         dialect: Dialect,
         mesh: Mesh,
         clock: Callable[[], float],
         rng: random.Random,
         log: Log,
     ) -> None:
+        self._name = name
+        self._region = region
+        self._behind_since: float | None = None
         self._dialect = dialect
         self._mesh = mesh
         self._clock = clock
@@ -116,10 +124,26 @@
             await anyio.sleep(FOLLOW_INTERVAL_S)
 
     def _newer_source(self) -> InstanceHeartbeat | None:
-        ahead = [beat for beat in self._mesh.live() if beat.revision > self._state.revision]
+        """Return whom to ask: one of the own region if any there is ahead.
+
+        Only one instance of a region asks another region at once; the others wait for it a while,
+        so that a configuration crosses the link once.
+        """
+        live = self._mesh.live()
+        ahead = [beat for beat in live if beat.revision > self._state.revision]
         if not ahead:
+            self._behind_since = None
             return None if self._voters else self._any_control()
-        return self._rng.choice(ahead)
+        near = [beat for beat in ahead if beat.region == self._region]
+        if near:
+            return self._rng.choice(near)
+        now = self._clock()
+        if self._behind_since is None:
+            self._behind_since = now
+        first = min([self._name, *(beat.name for beat in live if beat.region == self._region)])
+        if first == self._name or now - self._behind_since >= NEIGHBOUR_WAIT_S:
+            return self._rng.choice(ahead)
+        return None
 
     def _any_control(self) -> InstanceHeartbeat | None:
         controls = self._mesh.controls()
--- a/figpaddle/regional/_control_process.py
+++ b/figpaddle/regional/_control_process.py
@@ -65,8 +65,8 @@
         """Requests in progress; calls are short and not counted."""
         return 0
 
-    def heartbeat(self) -> InstanceHeartbeat:
-        """Return the heartbeat to send now."""
+    def heartbeat(self, *, near: bool) -> InstanceHeartbeat:
+        """Return the heartbeat to send now; it is the same for all."""
         settings = self._settings
         return InstanceHeartbeat(
             name=settings.ip,
--- a/figpaddle/regional/_entry.py
+++ b/figpaddle/regional/_entry.py
@@ -73,8 +73,12 @@
         """Requests in progress."""
         return self._gateway.active
 
-    def heartbeat(self) -> InstanceHeartbeat:
-        """Return the heartbeat to send now."""
+    def heartbeat(self, *, near: bool) -> InstanceHeartbeat:
+        """Return the heartbeat to send now.
+
+        Entries of the own region get the work at each backend server; those of others, over the
+        thin links, the sum of it. Control instances need neither, but are few.
+        """
         settings = self._settings
         return InstanceHeartbeat(
             name=settings.ip,
@@ -89,8 +93,8 @@
             revision=self._follower.state.revision,
             founding=False,
             retries=self._gateway.retries.used(now=self._clock()),
-            work=self._placer.own_work(),
-            loads=self._placer.loads(),
+            work=self._placer.own_work() if near else (),
+            loads=() if near else self._placer.loads(),
             acquaintances=self._mesh.acquaintances(),
         )
 
@@ -176,7 +180,7 @@
     def _entries_for(self, call: EntryLookup) -> tuple[str, ...]:
         """Return the entries that a caller may use: its region's, or all if it has none."""
         beats = [beat for beat in self._mesh.live() if beat.role is InstanceRole.ENTRY]
-        beats.append(self.heartbeat())
+        beats.append(self.heartbeat(near=True))
         ready = [beat for beat in beats if beat.readiness is Readiness.READY]
         near = [beat for beat in ready if beat.region == call.region]
         if not near:
--- a/figpaddle/regional/_mesh.py
+++ b/figpaddle/regional/_mesh.py
@@ -82,7 +82,7 @@
         self._socket: socket.socket | None = None
         self._readers: dict[type[Message], Callable[[Message], None]] = {}
         self._answerers: dict[type[Message], Answerer] = {}
-        self._compose: Callable[[], InstanceHeartbeat] | None = None
+        self._compose: Callable[[bool], InstanceHeartbeat] | None = None
         self._hurry = anyio.Event()
 
     @property
@@ -103,8 +103,8 @@
         """Let ``answerer`` answer questions of one kind."""
         self._answerers[kind] = answerer
 
-    def compose_with(self, compose: Callable[[], InstanceHeartbeat]) -> None:
-        """Let ``compose`` make the heartbeats."""
+    def compose_with(self, compose: Callable[[bool], InstanceHeartbeat]) -> None:
+        """Let ``compose`` make the heartbeats, given whether they are for the own region."""
         self._compose = compose
 
     def next_sequence(self) -> int:
@@ -270,15 +270,25 @@
             now = self._clock()
             self._note_silent(now)
             due = [name for name in self._names if self._next_at.get(name, 0.0) <= now]
-            if due and self._compose is not None:
-                data = encode(self._compose())
-                for name in due:
-                    self._next_at[name] = now + self._interval(name, now)
-                    self._send_datagram(data, name)
+            near = [name for name in due if self._is_near(name)]
+            for names in (near, [name for name in due if name not in near]):
+                self._send_heartbeat(names, near=names is near, now=now)
             self._hurry = anyio.Event()
             with anyio.move_on_after(NEAR_INTERVAL_S / 4):
                 await self._hurry.wait()
 
+    def _send_heartbeat(self, names: list[str], *, near: bool, now: float) -> None:
+        if not names or self._compose is None:
+            return
+        data = encode(self._compose(near))
+        for name in names:
+            self._next_at[name] = now + self._interval(name, now)
+            self._send_datagram(data, name)
+
+    def _is_near(self, name: str) -> bool:
+        heard = self._table.get(name)
+        return heard is not None and heard.beat.region == self._settings.region
+
     def _interval(self, name: str, now: float) -> float:
         heard = self._table.get(name)
         if heard is None or now - heard.at > SILENT_AFTER_S:
--- a/figpaddle/regional/_process.py
+++ b/figpaddle/regional/_process.py
@@ -92,8 +92,10 @@
                 log=self._log,
                 counters=self._counters,
             )
-            self._mesh.compose_with(self.heartbeat)
+            self._mesh.compose_with(lambda near: self.heartbeat(near=near))
             self._follower = ClusterFollower(
+                name=self._settings.ip,
+                region=self._settings.region,
                 dialect=self._dialect,
                 mesh=self._mesh,
                 clock=self._clock,
@@ -135,8 +137,8 @@
         """Requests in progress."""
 
     @abc.abstractmethod
-    def heartbeat(self) -> InstanceHeartbeat:
-        """Return the heartbeat to send now."""
+    def heartbeat(self, *, near: bool) -> InstanceHeartbeat:
+        """Return the heartbeat to send now, to instances of the own region or to others."""
 
     @abc.abstractmethod
     async def handle_forwarded(self, request: HttpRequest, responder: Responder) -> None:
--- a/figpaddle/routing/_regional_choice.py
+++ b/figpaddle/routing/_regional_choice.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import hashlib
 import math
 import random
 
@@ -25,6 +26,9 @@
 FAILURE_PRICE_S = 0.5
 #: Price of leaving the region beside the round trip, seconds of waiting.
 AWAY_PRICE_S = 0.15
+#: Price of reading a shared part again that another engine of the region probably keeps, as a
+#: multiple of the time that reading takes: it delays all other prompts of that engine too.
+REREAD_PRICE = 1.5
 #: Scores closer than this are taken as equal, seconds.
 NOISE_S = 0.01
 #: Time for which a request that is sent to another region counts there beside what that region
@@ -47,6 +51,8 @@
     slots: int
     #: Memory of an engine, tokens; 0 for a plain server.
     memory_tokens: int
+    #: Whether all entries of the region send prompts with the same shared parts here.
+    is_keeper: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -92,6 +98,26 @@
     retry_after_s: float
 
 
+def shared_tokens(demand: Demand) -> int:
+    """Return the length of the parts of a prompt that other requests have too.
+
+    The last part belongs to the request or its session alone.
+    """
+    return demand.prefixes[-2].tokens if len(demand.prefixes) > 1 else 0
+
+
+def keeper_of(demand: Demand, names: list[str]) -> str:
+    """Return the engine where all entries prefer to have the shared parts of a prompt kept.
+
+    Highest random weight: entries that know the same engines agree without a word, and an engine
+    that comes or goes moves only its own share of the parts.
+    """
+    if len(demand.prefixes) < 2 or not names:
+        return ""
+    part = demand.prefixes[-2].digest
+    return max(names, key=lambda name: hashlib.blake2b(f"{part} {name}".encode()).digest())
+
+
 def estimate(candidate: Candidate, demand: Demand, *, now: float) -> Choice | None:
     """Return what a request would meet at a backend server, or None where it has no room."""
     work = candidate.work
@@ -117,6 +143,9 @@
         expected_s = work.hold_s * (1.0 + waiting / slots)
     expected_s *= slowness
     score = expected_s + FILL_PRICE_S * fill * fill
+    if not candidate.is_keeper and demand.prompt_tokens:
+        read_again = max(0.0, shared_tokens(demand) - (demand.prompt_tokens - prefill))
+        score += REREAD_PRICE * read_again / PREFILL_TOKENS_PER_S
     score += FAILURE_PRICE_S * work.failures(now=now)
     return Choice(
         member=candidate.member, region="", expected_s=expected_s, prefill=prefill, score=score
@@ -154,7 +183,15 @@
     Answers the load of a region whose peak exceeds its engines while others are quiet: work
     leaves as soon as the time saved pays for the round trip, and stays where it is cached before.
     """
-    options = [estimate(candidate, demand, now=now) for candidate in candidates]
+    keeper = keeper_of(demand, [candidate.member.name for candidate in candidates])
+    options = [
+        estimate(
+            dataclasses.replace(candidate, is_keeper=candidate.member.name == keeper),
+            demand,
+            now=now,
+        )
+        for candidate in candidates
+    ]
     options += [estimate_away(option, demand) for option in away]
     found = [option for option in options if option is not None]
     if not found:
