--- a/figpaddle/regional/_entry.py
+++ b/figpaddle/regional/_entry.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 import anyio
 import anyio.abc
 
@@ -98,6 +100,10 @@
             acquaintances=self._mesh.acquaintances(),
         )
 
+    def dump(self) -> dict[str, Any]:
+        """Return what the process knows, for a person to read."""
+        return {**super().dump(), "backends": self._placer.dump()}
+
     async def handle_forwarded(self, request: HttpRequest, responder: Responder) -> None:
         """Answer a request that another entry passed on."""
         await self._gateway.handle_hop(request, responder)
--- a/figpaddle/regional/_mesh.py
+++ b/figpaddle/regional/_mesh.py
@@ -124,6 +124,10 @@
         """Return the newest heartbeat of an instance."""
         return self._table.get(name)
 
+    def known(self) -> list[str]:
+        """Return the names of all instances that are remembered."""
+        return self._table.known()
+
     def entries(self, region: str) -> list[InstanceHeartbeat]:
         """Return the entries of ``region`` that are alive."""
         return [
--- a/figpaddle/regional/_placer.py
+++ b/figpaddle/regional/_placer.py
@@ -4,6 +4,7 @@
 
 import random
 from collections.abc import Callable
+from typing import Any
 
 from figpaddle.http1 import ConnectionPool
 from figpaddle.regional._cluster import ClusterFollower
@@ -160,6 +161,25 @@
             )
         return tuple(loads)
 
+    def dump(self) -> list[dict[str, Any]]:
+        """Return what is believed of each backend server, for a person to read."""
+        now = self._clock()
+        return [
+            {
+                "name": member.name,
+                "service": member.record.service,
+                "zone": member.record.zone,
+                "state": member.record.state.value,
+                "age_s": round(now - member.said_at, 2),
+                "resting_s": round(max(0.0, member.resting_until - now), 2),
+                "may_be_cold": member.may_be_cold(now=now),
+                "requests": self.work_at(member.name).requests(now=now),
+                "slowness": round(self.work_at(member.name).slowness(now=now), 2),
+                "failures": round(self.work_at(member.name).failures(now=now), 2),
+            }
+            for member in self._fleet.members()
+        ]
+
     def usable_count(self, service: str) -> int:
         """Return how many backend servers of the region may be used for ``service``."""
         return len(self._usable(service, now=self._clock()))
--- a/figpaddle/regional/_process.py
+++ b/figpaddle/regional/_process.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import abc
+import json
 import random
 import signal
 import time
 from collections.abc import Callable
+from typing import Any
 
 import anyio
 import anyio.abc
@@ -34,6 +36,8 @@
 RELOAD_INTERVAL_S = 3.0
 #: Descriptors kept for files and listeners.
 SPARE_DESCRIPTORS = 400
+#: Path of the state dump on the port of the metrics.
+STATE_PATH = b"/state"
 #: Event-loop lag that is logged, seconds.
 LAG_WARNING_S = 0.25
 
@@ -119,7 +123,8 @@
             self.start(tasks)
             await self._stopping.wait()
             await self.drain()
-            self._log.info("process_stopped", active=self.active)
+            self._life.handle("idle" if self.active == 0 else "drain_timeout")
+            self._log.info("process_stopped", active=self.active, life=self._life.state)
             self._writer.flush_some()
             tasks.cancel_scope.cancel()
 
@@ -196,9 +201,43 @@
             await self.handle_forwarded(request, responder)
 
     async def _handle_metrics(self, request: HttpRequest, responder: Responder) -> None:
+        if request.path == STATE_PATH:
+            headers = ((b"Content-Type", b"application/json"),)
+            await responder.answer(200, headers, json.dumps(self.dump(), indent=2).encode())
+            return
         headers = ((b"Content-Type", b"text/plain; version=0.0.4"),)
         await responder.answer(200, headers, self._counters.page().encode())
 
+    def dump(self) -> dict[str, Any]:
+        """Return what the process knows, for a person to read."""
+        now = self._clock()
+        state = self._follower.state
+        instances = []
+        for name in self._mesh.known():
+            heard = self._mesh.heard(name)
+            if heard is not None:
+                instances.append(
+                    {
+                        "name": name,
+                        "role": heard.beat.role.value,
+                        "region": heard.beat.region,
+                        "readiness": heard.beat.readiness.value,
+                        "revision": heard.beat.revision,
+                        "age_s": round(now - heard.at, 2),
+                    }
+                )
+        return {
+            "label": self._settings.label,
+            "role": self._settings.role.value,
+            "life": self._life.state,
+            "active": self.active,
+            "revision": state.revision,
+            "configuration_version": state.version,
+            "evacuated": list(state.evacuated),
+            "voters": list(self._follower.voters),
+            "instances": instances,
+        }
+
     async def _write_logs(self) -> None:
         while True:
             self._writer.flush_some()
@@ -213,6 +252,9 @@
             self._counters.record("event_loop_lag_seconds", max(0.0, lag_s))
             if lag_s > LAG_WARNING_S:
                 self._log.warning("event_loop_late", lag_s=round(lag_s, 3))
+            if self._life.state == "starting" and self.readiness() is Readiness.READY:
+                self._life.handle("ready")
+                self._log.info("process_ready", version=self._follower.state.version)
             await peers.sweep()
             await self.keep_house()
             if self._clock() >= reload_at:
@@ -230,6 +272,9 @@
                     self._reload(reason="signal")
                     continue
                 self._log.info("process_stopping", signal=number.name, active=self.active)
+                if not self.leaving:
+                    self._life.handle("stop")
+                    self._life.handle("grace_over")
                 self._stopping.set()
                 self._mesh.send_soon()
 
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -277,6 +277,10 @@
         path = f"/v1/resolve?name={HOST}&region={region}&zone="
         return await self._exchange(self.address(name, "lookup"), "GET", path, (), b"")
 
+    async def metrics(self, name: str, path: str) -> Reply:
+        address = f"{self.ip(name)}:{self._ports['peer'] + 1}"
+        return await self._exchange(address, "GET", path, (), b"")
+
     async def ask(
         self,
         name: str,
--- a/tests/test_platform_days.py
+++ b/tests/test_platform_days.py
@@ -219,3 +219,33 @@
         _, reply = await day.ask("m-4", "/chat/1", deadline_ms=800)
         assert anyio.current_time() - began_at < 1.3
         assert reply.status in (0, 504)
+
+
+async def test_metrics_and_the_state_dump_tell_what_a_process_knows() -> None:
+    async with deployment() as day:
+        await day.ask("m-4", "/chat/1")
+        page = (await day.metrics("m-4", "/metrics")).body.decode()
+        assert 'figpaddle_requests_total{outcome="stream complete",service="model"} 1' in page
+        assert "figpaddle_first_byte_seconds" in page
+        assert "figpaddle_configuration_version 1" in page
+        with anyio.fail_after(PATIENCE_S):
+            while True:
+                state = json.loads((await day.metrics("m-4", "/state")).body)
+                if state["life"] == "serving" and len(state["instances"]) == 5:
+                    break
+                await anyio.sleep(0.05)
+        assert {one["state"] for one in state["backends"]} == {"serving"}
+
+
+async def test_each_request_can_be_followed_through_the_log() -> None:
+    async with deployment() as day:
+        request_id, _ = await day.ask("m-4", "/chat/1")
+        with anyio.fail_after(PATIENCE_S):
+            while "event=request_ended" not in day.log("m-4"):
+                await anyio.sleep(0.05)
+        lines = [line for line in day.log("m-4").splitlines() if f"request={request_id}" in line]
+        assert [line.split("event=")[1].split()[0] for line in lines] == [
+            "request_placed",
+            "request_ended",
+        ]
+        assert "record_age_s=" in lines[0] and "revision=" in lines[0]
