--- a/figpaddle/regional/_control_process.py
+++ b/figpaddle/regional/_control_process.py
@@ -5,7 +5,7 @@
 import anyio
 import anyio.abc
 
-from figpaddle.errors import SettingsError
+from figpaddle.errors import DocumentFault, SettingsError
 from figpaddle.http1 import HttpRequest, RequestLimits, Responder
 from figpaddle.regional._control import ControlPort
 from figpaddle.regional._process import RegionalProcess
@@ -22,14 +22,19 @@
 class ControlProcess(RegionalProcess):
     """Takes calls of operators and backend servers and votes on the agreed state."""
 
-    def start(self, tasks: anyio.abc.TaskGroup) -> None:
-        """Open the store and the ports of a control instance."""
+    def prepare(self) -> None:
+        """Open the store; raises SettingsError or StorageError."""
         settings = self._settings
         if settings.data_folder is None:
-            raise SettingsError(document="settings", faults=())
-        store = RegisterStore(folder=settings.data_folder, name=settings.ip)
-        store.open(first_start=settings.first_start)
-        self._store = store
+            fault = DocumentFault(path="data folder", what="is missing", mend="name a folder")
+            raise SettingsError(document="settings", faults=(fault,))
+        self._store = RegisterStore(folder=settings.data_folder, name=settings.ip)
+        self._store.open(first_start=settings.first_start)
+
+    def start(self, tasks: anyio.abc.TaskGroup) -> None:
+        """Open the ports of a control instance."""
+        settings = self._settings
+        store = self._store
         self._log.info(
             "store_opened",
             complete=store.voter.state.complete,
--- a/figpaddle/regional/_entry.py
+++ b/figpaddle/regional/_entry.py
@@ -30,6 +30,9 @@
 class EntryProcess(RegionalProcess):
     """Takes callers' requests, names entries to callers and says whether it is ready."""
 
+    def prepare(self) -> None:
+        """Do nothing: an entry has no disk."""
+
     def start(self, tasks: anyio.abc.TaskGroup) -> None:
         """Open the ports of an entry."""
         settings = self._settings
--- a/figpaddle/regional/_process.py
+++ b/figpaddle/regional/_process.py
@@ -128,6 +128,10 @@
             self._writer.flush_some()
             tasks.cancel_scope.cancel()
 
+    @abc.abstractmethod
+    def prepare(self) -> None:
+        """Open what the process can't run without, before ``run``; raises FigpaddleError."""
+
     @abc.abstractmethod
     def start(self, tasks: anyio.abc.TaskGroup) -> None:
         """Start what this kind of process does."""
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -171,6 +171,10 @@
                 stderr=log,
             )
 
+    def spoil_folder(self, name: str) -> None:
+        """Put a file where a process expects its data folder."""
+        (self._folder / name).write_text("no folder", encoding="utf-8")
+
     def signal(self, name: str, number: signal.Signals) -> None:
         self._processes[name].send_signal(number)
 
--- a/tests/test_platform_days.py
+++ b/tests/test_platform_days.py
@@ -249,3 +249,11 @@
             "request_ended",
         ]
         assert "record_age_s=" in lines[0] and "revision=" in lines[0]
+
+
+async def test_a_data_folder_that_can_not_be_used_ends_the_process_with_a_reason() -> None:
+    async with deployment(engines=False) as day:
+        day.spoil_folder("m-9")
+        day.start("m-9", "control", "n-a", first=False)
+        assert await day.stopped("m-9") == 3
+        assert "event=process_not_started" in day.log("m-9")
