--- a/figpaddle/regional/_control.py
+++ b/figpaddle/regional/_control.py
@@ -26,6 +26,7 @@
     BackendNews,
     BackendRecord,
     BackendState,
+    InstanceHeartbeat,
     InstanceRole,
     Message,
     StateChange,
@@ -70,6 +71,7 @@
         self._urgent: list[tuple[float, BackendRecord]] = []
         self._changed = anyio.Event()
         mesh.on_news(BackendNews, self._take_news)
+        mesh.on_heard(self._send_all)
 
     async def handle(self, request: HttpRequest, responder: Responder) -> None:
         """Answer one call."""
@@ -230,22 +232,24 @@
         turn = 0
         while True:
             await anyio.sleep(ANTI_ENTROPY_INTERVAL_S)
-            now = self._clock()
-            self._fleet.expire(now=now)
+            self._fleet.expire(now=self._clock())
             peers = self._mesh.live()
             if not peers:
                 continue
-            peer = peers[turn % len(peers)]
+            self._send_all(peers[turn % len(peers)])
             turn += 1
-            records = [
-                record
-                for record in self._fleet.records(now=now)
-                if peer.role is InstanceRole.CONTROL
-                or self._settings.zones.get(record.zone) == peer.region
-            ]
-            for first in range(0, len(records), RECORDS_IN_DATAGRAM):
-                part = tuple(records[first : first + RECORDS_IN_DATAGRAM])
-                self._mesh.tell(BackendNews(records=part), [peer.name])
+
+    def _send_all(self, peer: InstanceHeartbeat) -> None:
+        """Send all records that an instance uses or keeps."""
+        records = [
+            record
+            for record in self._fleet.records(now=self._clock())
+            if peer.role is InstanceRole.CONTROL
+            or self._settings.zones.get(record.zone) == peer.region
+        ]
+        for first in range(0, len(records), RECORDS_IN_DATAGRAM):
+            part = tuple(records[first : first + RECORDS_IN_DATAGRAM])
+            self._mesh.tell(BackendNews(records=part), [peer.name])
 
     def _audience(self, record: BackendRecord) -> list[str]:
         """Return the instances that use or keep a record: its region's entries and control."""
--- a/figpaddle/regional/_gateway.py
+++ b/figpaddle/regional/_gateway.py
@@ -10,7 +10,7 @@
 
 from figpaddle.deployment import GatewayConfiguration, GatewayRoute, Repeat
 from figpaddle.errors import InvalidRequestError, MalformedRequestError
-from figpaddle.http1 import AnswerHead, ConnectionPool, HttpRequest, Responder, header
+from figpaddle.http1 import AnswerHead, ConnectionPool, Headers, HttpRequest, Responder, header
 from figpaddle.regional._cluster import ClusterFollower
 from figpaddle.regional._dialect import BackendAnswer, CallerRequest, Dialect
 from figpaddle.regional._exchange import CallerGoneError, Exchange, Leg
@@ -51,6 +51,8 @@
 SILENT_S = 1.0
 #: When a caller that is sent to another entry may come there, seconds.
 ELSEWHERE_S = 0.01
+#: Time that an entry takes from its start to its first configuration, seconds.
+STARTING_S = 0.4
 #: Longest wait after which a refused caller should come back when nothing is known, seconds.
 RETURN_S = 0.6
 
@@ -481,7 +483,10 @@
             revision=self._follower.state.revision,
         )
         self._counters.count("requests_total", service="", outcome=reason)
-        headers = ((b"Retry-After", b"1"),) if status == 503 else ()
+        headers: Headers = ()
+        if status == 503:
+            retry_after_s = spread_return(STARTING_S, rng=self._rng)
+            headers = ((b"Retry-After", f"{retry_after_s:.3f}".encode()),)
         await responder.answer(status, headers, b"")
 
     def _note_end(self, job: Job, outcome: str, *, failed: bool = False) -> None:
--- a/figpaddle/regional/_mesh.py
+++ b/figpaddle/regional/_mesh.py
@@ -81,6 +81,7 @@
         self._sequence = itertools.count(1)
         self._socket: socket.socket | None = None
         self._readers: dict[type[Message], Callable[[Message], None]] = {}
+        self._heard_readers: list[Callable[[InstanceHeartbeat], None]] = []
         self._answerers: dict[type[Message], Answerer] = {}
         self._compose: Callable[[bool], InstanceHeartbeat] | None = None
         self._hurry = anyio.Event()
@@ -103,6 +104,10 @@
         """Let ``answerer`` answer questions of one kind."""
         self._answerers[kind] = answerer
 
+    def on_heard(self, reader: Callable[[InstanceHeartbeat], None]) -> None:
+        """Let ``reader`` know of each instance that comes into touch or has started again."""
+        self._heard_readers.append(reader)
+
     def compose_with(self, compose: Callable[[bool], InstanceHeartbeat]) -> None:
         """Let ``compose`` make the heartbeats, given whether they are for the own region."""
         self._compose = compose
@@ -264,6 +269,8 @@
                 readiness=beat.readiness.value,
             )
             self._next_at.pop(beat.name, None)
+            for reader in self._heard_readers:
+                reader(beat)
         self._names.add(beat.name)
         for name in beat.acquaintances:
             if name != self._settings.ip:
