--- a/figpaddle/regional/_placer.py
+++ b/figpaddle/regional/_placer.py
@@ -6,12 +6,14 @@
 from collections.abc import Callable
 from typing import Any
 
+from figpaddle.deployment import Repeat
 from figpaddle.http1 import ConnectionPool
 from figpaddle.regional._cluster import ClusterFollower
 from figpaddle.regional._job import Job
 from figpaddle.regional._mesh import Mesh, is_ready
 from figpaddle.regional._settings import ProcessSettings
 from figpaddle.routing import (
+    AWAY_TRUST_S,
     AwayRegion,
     Candidate,
     Choice,
@@ -37,8 +39,9 @@
 
 #: Way to another region and back, seconds, until it is measured.
 ROUND_TRIP_S = 0.17
-#: Time for which a request sent to another region isn't yet in what that region reports, seconds.
-UNSEEN_S = 0.7
+#: Requests that may be at a plain backend server, as a multiple of its slots: one round of short
+#: requests waits while another runs.
+PLAIN_QUEUE = 2
 #: Part of a backend server's connections that the entries of its region use together.
 CONNECTIONS_PART = 0.9
 #: Prompt of a request of mean size, tokens, for the load that is told to other regions.
@@ -97,7 +100,13 @@
         now = self._clock()
         candidates = self._candidates(job, now=now)
         away = [] if job.forwarded else self._away(job, now=now)
-        return choose(job.demand(now=now), candidates, away, rng=self._rng, now=now)
+        demand = job.demand(now=now)
+        choice = choose(demand, candidates, away, rng=self._rng, now=now)
+        if choice is None and job.tried and job.route.repeat is not Repeat.ONCE:
+            # A server that failed a request may serve it the second time; nothing else can.
+            again = self._candidates(job, now=now, tried_too=True)
+            choice = choose(demand, again, [], rng=self._rng, now=now)
+        return choice
 
     def note_sent(self, job: Job, choice: Choice) -> None:
         """Count a request that is being sent to the place chosen."""
@@ -105,7 +114,7 @@
         if choice.member is None:
             key = (choice.region, job.service.name)
             if key not in self._sent_away:
-                self._sent_away[key] = SlidingCount(window_s=UNSEEN_S)
+                self._sent_away[key] = SlidingCount(window_s=AWAY_TRUST_S)
             self._sent_away[key].add(now=now)
             return
         if choice.member.may_be_cold(now=now):
@@ -192,7 +201,7 @@
             if name not in known and not self._work[name].own_requests:
                 del self._work[name]
 
-    def _candidates(self, job: Job, *, now: float) -> list[Candidate]:
+    def _candidates(self, job: Job, *, now: float, tried_too: bool = False) -> list[Candidate]:
         if not job.route.allows(self._settings.region):
             return []
         entries = [beat.name for beat in self._mesh.entries(self._settings.region)] + [
@@ -200,7 +209,7 @@
         ]
         candidates = []
         for member in self._usable(job.service.name, now=now):
-            if member.name in job.tried:
+            if member.name in job.tried and not tried_too:
                 continue
             if self._is_cold(member, job, now) and not self._cold.allows(
                 member.name, per_s=job.service.cold_per_s, entries=entries, now=now
@@ -329,7 +338,8 @@
     choice = estimate(candidate, demand, now=now)
     if choice is None:
         return 60.0, 0
-    free = candidate.slots - candidate.work.requests(now=now)
+    places = candidate.slots if candidate.memory_tokens else candidate.slots * PLAIN_QUEUE
+    free = places - candidate.work.requests(now=now)
     if candidate.memory_tokens:
         left = candidate.memory_tokens * 0.9 - candidate.work.memory(now=now)
         free = min(free, int(left / MEAN_PROMPT_TOKENS))
--- a/figpaddle/routing/__init__.py
+++ b/figpaddle/routing/__init__.py
@@ -37,6 +37,7 @@
 from figpaddle.routing._quarantine import LOSS_TTL_S, Quarantine, SuspectSlots, Verdict
 from figpaddle.routing._rate_limits import ColdLimit, SharedRetryBudget, SlidingCount
 from figpaddle.routing._regional_choice import (
+    AWAY_TRUST_S,
     AwayRegion,
     Candidate,
     Choice,
@@ -50,6 +51,7 @@
 from figpaddle.routing._scored import Estimate, PolicyName, ScoredPolicy, make_policy
 
 __all__ = [
+    "AWAY_TRUST_S",
     "CLOSE_RESERVE_S",
     "may_retire",
     "may_take",
--- a/figpaddle/routing/_regional_choice.py
+++ b/figpaddle/routing/_regional_choice.py
@@ -154,7 +154,7 @@
 
 def estimate_away(option: AwayRegion, demand: Demand) -> Choice | None:
     """Return what a request would meet in another region, or None where it has no room."""
-    if option.backends == 0 or option.sent_lately >= max(1, option.room):
+    if option.backends == 0 or _still_there(option, demand) >= max(1, option.room):
         return None
     prefill_s = (demand.prompt_tokens - MEAN_PROMPT_TOKENS) / PREFILL_TOKENS_PER_S
     queue_s = option.sent_lately * MEAN_PROMPT_TOKENS / PREFILL_TOKENS_PER_S / option.backends
@@ -170,6 +170,17 @@
     )
 
 
+def _still_there(option: AwayRegion, demand: Demand) -> float:
+    """Return how many of the requests sent there lately are still in progress.
+
+    A stream lasts longer than it takes until that region's figures show it. A plain request is
+    over sooner, so that one place serves many of them in that time.
+    """
+    if demand.prompt_tokens:
+        return option.sent_lately
+    return option.sent_lately * min(1.0, option.expected_s / AWAY_TRUST_S)
+
+
 def choose(
     demand: Demand,
     candidates: list[Candidate],
--- a/figpaddle/routing/tests/test_regional_choice.py
+++ b/figpaddle/routing/tests/test_regional_choice.py
@@ -9,6 +9,7 @@
 import pytest
 
 from figpaddle.routing import (
+    AWAY_TRUST_S,
     AwayRegion,
     Candidate,
     Choice,
@@ -230,3 +231,22 @@
     rng = random.Random(1)
     times = sorted(spread_return(0.6, rng=rng) for _ in range(100))
     assert times[0] >= 0.6 and times[-1] - times[0] >= 0.5
+
+
+def test_callers_whose_only_plain_server_left_are_served_by_another_region() -> None:
+    """The bookings server of a region leaves for good; 40 short requests a second must go away."""
+    rng = random.Random(1)
+    wanted = Demand(
+        request_id="r", member="", service="s", priority=2, deadline_s=3.0, streamed=False
+    )
+    sent: list[float] = []
+    refused = 0
+    for number in range(400):
+        now = number * 0.025
+        lately = sum(now - moment <= AWAY_TRUST_S for moment in sent)
+        option = far(room=8, expected_s=0.06, sent_lately=lately)
+        if choose(wanted, [], [option], rng=rng, now=now) is None:
+            refused += 1
+        else:
+            sent.append(now)
+    assert refused <= 400 / 20
