--- a/figpaddle/regional/_entry.py
+++ b/figpaddle/regional/_entry.py
@@ -14,7 +14,13 @@
 from figpaddle.regional._placer import Placer
 from figpaddle.regional._process import NEAR_SILENCE_S, RegionalProcess
 from figpaddle.regional._suspects import Suspects
-from figpaddle.routing import CLOSE_RESERVE_S, may_retire
+from figpaddle.routing import (
+    CLOSE_RESERVE_S,
+    KnownEntry,
+    entries_for,
+    may_retire,
+    open_regions,
+)
 from figpaddle.wire import InstanceHeartbeat, InstanceRole, Readiness
 
 #: Part of the longest time to live with which entries are named to callers.
@@ -187,27 +193,28 @@
         await responder.answer(200, headers, body)
 
     def _entries_for(self, call: EntryLookup) -> tuple[str, ...]:
-        """Return the entries that a caller may use: its region's, or all if it has none."""
+        """Return the entries that a caller is told of."""
+        configuration = self._follower.configuration
+        if configuration is None:
+            return ()
         beats = [beat for beat in self._mesh.live() if beat.role is InstanceRole.ENTRY]
         beats.append(self.heartbeat(near=True))
-        ready = [beat for beat in beats if beat.readiness is Readiness.READY]
-        near = [beat for beat in ready if beat.region == call.region]
-        if not near:
-            # Entries that are stopping go on until others of their region are ready.
-            near = [
-                beat for beat in beats if beat.region == call.region and _takes_while_leaving(beat)
-            ]
-        if not near and self._may_still_have_entries(call.region):
-            return ()
-        return tuple(sorted(beat.caller_address for beat in near or ready)[:MAX_NAMED])
-
-    def _may_still_have_entries(self, region: str) -> bool:
-        """Return whether ``region`` probably has entries that just aren't ready or heard yet.
-
-        Callers of a region whose data may not leave it are better off asking again.
-        """
-        settled = self._clock() - self._started_at >= SETTLED_AFTER_S
-        return not settled or bool(self._mesh.entries(region))
+        known = [
+            KnownEntry(
+                address=beat.caller_address,
+                region=beat.region,
+                ready=is_ready(beat),
+                stopping=_takes_while_leaving(beat),
+            )
+            for beat in beats
+        ]
+        addresses = entries_for(
+            call.region,
+            known,
+            open_to_all=open_regions(configuration, frozenset(self._settings.zones.values())),
+            settled=self._clock() - self._started_at >= SETTLED_AFTER_S,
+        )
+        return tuple(addresses[:MAX_NAMED])
 
 
 def _takes_while_leaving(beat: InstanceHeartbeat) -> bool:
--- a/figpaddle/routing/__init__.py
+++ b/figpaddle/routing/__init__.py
@@ -22,6 +22,7 @@
 )
 from figpaddle.routing._engine_work import EngineWork, OthersWork
 from figpaddle.routing._entries import ENTRY_TTL_S, EntryAnswer, rank_entries
+from figpaddle.routing._entry_lookup import KnownEntry, entries_for, open_regions
 from figpaddle.routing._fleet import Fleet, FleetMember, News
 from figpaddle.routing._forwarding import MAX_CROSSINGS, check_forward, permitted_service
 from figpaddle.routing._leaving import CLOSE_RESERVE_S, may_retire, may_take
@@ -51,6 +52,9 @@
 from figpaddle.routing._scored import Estimate, PolicyName, ScoredPolicy, make_policy
 
 __all__ = [
+    "KnownEntry",
+    "entries_for",
+    "open_regions",
     "AWAY_TRUST_S",
     "CLOSE_RESERVE_S",
     "may_retire",
