--- a/figpaddle/regional/_exchange.py
+++ b/figpaddle/regional/_exchange.py
@@ -11,8 +11,10 @@
 from figpaddle.http1 import AnswerHead, BackendConnection, ConnectionPool, Headers, Responder
 from figpaddle.regional._dialect import BackendAnswer
 from figpaddle.regional._events import EventSplitter
-from figpaddle.regional._job import Ending, Fate, Job
+from figpaddle.regional._job import Ending, Fate, Job, SpareAnswer
 
+#: Longest time for the body of an answer that says that a request failed, seconds.
+DRAIN_TIMEOUT_S = 1.0
 #: Time after the deadline for an answer that is already under way, seconds.
 LATE_ANSWER_S = 0.1
 
@@ -104,7 +106,9 @@
             reason = "wrong server" if answer.wrong_server else "refused by the backend server"
             return Ending(fate=Fate.NOT_RUN, reason=reason)
         if self._retryable(answer):
-            await self._drain(connection)
+            body = await self._drain(connection)
+            if body is not None:
+                self._job.spare = SpareAnswer(answer=answer, body=body)
             return Ending(fate=Fate.UNKNOWN, reason=f"status {answer.status}")
         if self._job.route.streaming and answer.status == 200:
             return await self._stream(connection, answer)
@@ -113,13 +117,14 @@
     def _is_ours(self, head: AnswerHead) -> bool:
         return self._read(head).request_id in ("", self._job.request_id)
 
-    async def _drain(self, connection: BackendConnection) -> None:
+    async def _drain(self, connection: BackendConnection) -> bytes | None:
+        """Return the body of an answer that isn't passed on yet, or None where it is broken."""
         try:
-            with anyio.fail_after(1.0):
-                async for _ in connection.read_body():
-                    pass
+            with anyio.fail_after(DRAIN_TIMEOUT_S):
+                return b"".join([piece async for piece in connection.read_body()])
         except (TransportError, TimeoutError):
             await connection.close()
+            return None
 
     async def _whole(self, connection: BackendConnection, answer: BackendAnswer) -> Ending:
         """Pass an answer on once all of it is there, so that a broken one can be replaced."""
--- a/figpaddle/regional/_gateway.py
+++ b/figpaddle/regional/_gateway.py
@@ -235,6 +235,16 @@
                     rng=self._rng,
                 )
                 if refusal is not None:
+                    self._log.warning(
+                        "request_not_admitted",
+                        request=job.request_id,
+                        service=job.service.name,
+                        place=choice.region or (choice.member.name if choice.member else ""),
+                        expected_s=round(choice.expected_s, 3),
+                        target_s=job.route.target_s,
+                        left_s=round(job.left_s(now=now), 3),
+                        retry_after_s=refusal.retry_after_s,
+                    )
                     await self._refuse(job, responder, refusal.reason, refusal.retry_after_s)
                     return
             ending = await self._attempt(job, choice, responder)
@@ -247,6 +257,7 @@
                     continue
                 await self._no_place(job, responder)
                 return
+            job.last_failure = ending.reason
             if not await self._may_go_on(job, ending):
                 await self._fail(job, ending, responder)
                 return
@@ -441,6 +452,7 @@
         usable = self._placer.usable_count(job.service.name)
         reason = "no room" if usable else "no backend server"
         if job.may_have_run or responder.started:
+            reason = f"{reason} after {job.last_failure}"
             await self._fail(job, Ending(fate=Fate.UNKNOWN, reason=reason), responder)
             return
         await self._refuse(job, responder, reason, RETURN_S)
@@ -456,6 +468,11 @@
         if not job.may_have_run:
             await self._refuse(job, responder, ending.reason, RETURN_S)
             return
+        if job.spare is not None and header(job.spare.answer.headers, OUTCOME_FIELD) is None:
+            answer = job.spare.answer
+            self._note_end(job, f"status {answer.status}: {ending.reason}", failed=True)
+            await responder.answer(answer.status, answer.headers, job.spare.body)
+            return
         status = 504 if job.left_s(now=self._clock()) < MIN_LEFT_S else 502
         self._note_end(job, f"{status}: {ending.reason}", failed=True)
         headers = ((OUTCOME_FIELD, UNKNOWN),) if job.forwarded else ()
--- a/figpaddle/regional/_job.py
+++ b/figpaddle/regional/_job.py
@@ -8,7 +8,7 @@
 
 from figpaddle.deployment import GatewayRoute, GatewayService
 from figpaddle.http1 import AnswerHead, HttpRequest
-from figpaddle.regional._dialect import CallerRequest
+from figpaddle.regional._dialect import BackendAnswer, CallerRequest
 from figpaddle.routing import Demand
 
 
@@ -38,6 +38,14 @@
     reached: bool = True
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class SpareAnswer:
+    """A backend server's failure that another's answer may replace."""
+
+    answer: BackendAnswer
+    body: bytes
+
+
 @dataclasses.dataclass(kw_only=True)
 class Job:
     """A request with all that is decided about it."""
@@ -62,10 +70,14 @@
     last_event: str = ""
     #: Head of the answer that the caller got; None before.
     head: AnswerHead | None = None
+    #: A backend server's own failure, to be passed on if nothing better comes.
+    spare: SpareAnswer | None = None
     #: Whether a backend server may have run it.
     may_have_run: bool = False
     #: When the present attempt was sent, seconds of the steady clock.
     sent_at: float = 0.0
+    #: Reason for which the attempt before failed.
+    last_failure: str = ""
     #: Number of the present attempt.
     attempt: int = 0
 
--- a/figpaddle/regional/_suspects.py
+++ b/figpaddle/regional/_suspects.py
@@ -37,6 +37,8 @@
         self._tasks = tasks
         self._clock = clock
         self._log = log
+        #: Requests that a backend server broke off and that its probe will judge.
+        self._waiting: dict[tuple[str, int], list[tuple[bytes, float]]] = {}
         self._quarantine = Quarantine(max_losses=MAX_LOSSES, loss_ttl_s=LOSS_TTL_S)
         mesh.on_news(CrashReport, self._take_report)
 
@@ -47,37 +49,44 @@
     def note_broken(
         self, fingerprint: bytes, backend: str, address: str, *, born: int, sent_at: float
     ) -> None:
-        """Find out whether a backend server that broke off has crashed."""
-        self._tasks.start_soon(self._probe, fingerprint, backend, address, born, sent_at)
+        """Find out whether a backend server that broke off has crashed.
 
-    async def _probe(
-        self, fingerprint: bytes, backend: str, address: str, born: int, sent_at: float
-    ) -> None:
+        All requests that it broke off at the moment are judged by one probe.
+        """
+        waiting = self._waiting.get((backend, born))
+        if waiting is not None:
+            waiting.append((fingerprint, sent_at))
+            return
+        self._waiting[backend, born] = [(fingerprint, sent_at)]
+        self._tasks.start_soon(self._probe, backend, address, born)
+
+    async def _probe(self, backend: str, address: str, born: int) -> None:
         await anyio.sleep(PROBE_PAUSE_S)
         try:
             channel = await connect(address, timeout_s=PROBE_TIMEOUT_S, silence_s=1.0)
         except ConnectFailedError as error:
+            lost = self._waiting.pop((backend, born))
             self._log.warning(
-                "backend_lost",
-                backend=backend,
-                born=born,
-                fingerprint=fingerprint.hex(),
-                reason=error.what,
+                "backend_lost", backend=backend, born=born, requests=len(lost), reason=error.what
             )
         else:
+            del self._waiting[backend, born]
             await channel.close()
             return
-        report = CrashReport(
-            fingerprint=fingerprint,
-            backend=backend,
-            born=born,
-            sent_age_s=self._clock() - sent_at,
-        )
-        self._take_report(report)
+        now = self._clock()
+        reports = [
+            CrashReport(
+                fingerprint=fingerprint, backend=backend, born=born, sent_age_s=now - sent_at
+            )
+            for fingerprint, sent_at in lost
+        ]
+        for report in reports:
+            self._take_report(report)
         for pause_s in REPEATS_S:
             await anyio.sleep(pause_s)
             entries = [b.name for b in self._mesh.live() if b.role is InstanceRole.ENTRY]
-            self._mesh.tell(report, entries)
+            for report in reports:
+                self._mesh.tell(report, entries)
 
     def _take_report(self, report: Message) -> None:
         assert isinstance(report, CrashReport)
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -66,6 +66,9 @@
     events: int = 3
     gap_s: float = 0.01
     failing: str = ""
+    #: A body that makes the engine crash for good.
+    crashing: bytes = b""
+    crashed: anyio.Event = dataclasses.field(default_factory=anyio.Event)
     ran: list[str] = dataclasses.field(default_factory=list)
     left: list[str] = dataclasses.field(default_factory=list)
     fields: dict[str, dict[str, str]] = dataclasses.field(default_factory=dict)
@@ -86,6 +89,9 @@
         self.fields[request_id] = {
             name.decode().lower(): value.decode() for name, value in request.headers
         }
+        if self.crashing and request.body == self.crashing:
+            self.crashed.set()
+            return
         if self.failing == "reset":
             return
         if self.failing == "error":
@@ -128,6 +134,8 @@
         self._roles: dict[str, tuple[str, str]] = {}
         self._ids = itertools.count(1)
         self.engines: list[Engine] = []
+        #: Whether a caller's request was refused for good.
+        self.refused = False
 
     def ip(self, name: str) -> str:
         return f"{self._network}.1.{10 + int(name.rpartition('-')[2])}"
@@ -223,10 +231,17 @@
             max_connections=64,
         )
         self.engines.append(engine)
-        self._tasks.start_soon(listener.run)
-        self._tasks.start_soon(self._beat, engine)
+        self._tasks.start_soon(self._live, engine, listener)
         return engine
 
+    async def _live(self, engine: Engine, listener: HttpListener) -> None:
+        """Serve and beat until the engine crashes."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(listener.run)
+            tasks.start_soon(self._beat, engine)
+            await engine.crashed.wait()
+            tasks.cancel_scope.cancel()
+
     async def _beat(self, engine: Engine) -> None:
         while True:
             await self.beat(engine)
--- a/tests/test_platform_days.py
+++ b/tests/test_platform_days.py
@@ -257,3 +257,29 @@
         day.start("m-9", "control", "n-a", first=False)
         assert await day.stopped("m-9") == 3
         assert "event=process_not_started" in day.log("m-9")
+
+
+async def test_a_backend_servers_own_failure_is_passed_on_when_nothing_better_comes() -> None:
+    async with deployment() as day:
+        for engine in day.engines:
+            engine.failing = "error"
+        _, reply = await day.ask("m-4", "/read/1")
+        assert reply.status == 500
+        assert reply.headers["x-figpaddle-server-seal"] == "e" and reply.body == b"error"
+
+
+async def test_a_request_that_crashes_its_backend_servers_is_refused_in_the_end() -> None:
+    """Each engine that runs it dies and starts again under a new name; its caller repeats it."""
+    async with deployment(engines=False) as day:
+        for _ in range(4):
+            engine = await day.add_engine(PLAIN, "n-a", crashing=b"poison")
+            with anyio.fail_after(PATIENCE_S):
+                while not engine.ran and not day.refused:
+                    _, reply = await day.ask("m-4", "/hold/1", body=b"poison")
+                    refusals = "request_quarantined" in day.log("m-4")
+                    day.refused = refusals and reply.status == 503
+                    await anyio.sleep(0.2)
+        assert sum(len(engine.ran) for engine in day.engines) == 3
+        survivor = day.engines[-1]
+        assert (await day.ask("m-4", "/hold/1", body=b"harmless"))[1].status == 200
+        assert len(survivor.ran) == 1
