--- a/figpaddle/coordination/tests/test_replica.py
+++ b/figpaddle/coordination/tests/test_replica.py
@@ -267,3 +267,14 @@
     one.handle(append(1, (0, 0), 1, commit=1), 1.0)
     with pytest.raises(LogConflictError):
         one.handle(append(2, (0, 0), 2, commit=1), 2.0)
+
+
+def test_a_new_leader_answers_no_read_before_it_has_committed_an_entry_of_its_own_term() -> None:
+    """Entries that an earlier leader confirmed may be above the commit index that it knows."""
+    one = leader()
+    with pytest.raises(CoordinationError):
+        one.handle(Read(token=7), MUCH_LATER)
+    accept(one, B, one.log.last_index, MUCH_LATER)
+    one.handle(Read(token=8), MUCH_LATER)
+    effects = accept(one, B, one.log.last_index, MUCH_LATER, number=99)
+    assert [effect.token for effect in effects if isinstance(effect, ReadReady)] == [8]
