Raise ballots by one for an ordinary round

Cause: an edit that made recovery jump far above all ballots had changed ordinary rounds as well, so that a recovery was no longer surely above what the lost disk had promised; the model was right and the code was not. Found on reading, before any run showed it. The test fails before (ballots above 2^32 after four changes).

--- a/figpaddle/regional/_register_host.py
+++ b/figpaddle/regional/_register_host.py
@@ -221,7 +221,7 @@
 
     async def _run_round(self, changes: list[Change]) -> ClusterState | None:
         needed = majority(len(self._voters()))
-        ballot = Ballot(self._highest.number + RECOVERY_JUMP, self._settings.ip)
+        ballot = self._next_ballot()
         promises = await self._gather_promises(
             PrepareRequest(ballot=_pair(ballot)), lambda promises: len(promises) >= needed
         )
--- a/tests/test_platform_days.py
+++ b/tests/test_platform_days.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import json
+import re
 import signal
 
 import anyio
 import pytest
 
+from figpaddle.coordination import RECOVERY_JUMP
 from tests.platform_standin import MODEL, PATIENCE_S, PLAIN, configuration, deployment
 
 pytestmark = pytest.mark.anyio
@@ -283,3 +285,14 @@
         survivor = day.engines[-1]
         assert (await day.ask("m-4", "/hold/1", body=b"harmless"))[1].status == 200
         assert len(survivor.ran) == 1
+
+
+async def test_changes_raise_the_ballot_by_little_so_that_a_recovery_stays_far_above() -> None:
+    """A wiped voter is safe only if it recovers above all that its lost disk may have promised."""
+    async with deployment(engines=False) as day:
+        for version in range(2, 6):
+            reply = await day.order("POST", "/v1/config/put", configuration(version))
+            assert reply.status == 200
+        logs = "".join(day.log(name) for name in ("m-1", "m-2", "m-3"))
+        ballots = [int(number) for number in re.findall(r"event=round_won .*?ballot=(\d+)", logs)]
+        assert ballots and max(ballots) < RECOVERY_JUMP / 1000
