--- a/figpaddle/regional/_control_process.py
+++ b/figpaddle/regional/_control_process.py
@@ -46,6 +46,7 @@
             mesh=self._mesh,
             follower=self._follower,
             store=store,
+            tasks=tasks,
             clock=self._clock,
             rng=self._rng,
             log=self._log,
--- a/figpaddle/regional/_register_host.py
+++ b/figpaddle/regional/_register_host.py
@@ -11,8 +11,6 @@
 
 from figpaddle.coordination import (
     NO_BALLOT,
-    RECOVERY_JUMP,
-    Acceptance,
     Ballot,
     Founder,
     Promise,
@@ -29,6 +27,7 @@
     StorageError,
 )
 from figpaddle.regional._cluster import ClusterFollower
+from figpaddle.regional._electorate import Electorate, pair
 from figpaddle.regional._mesh import Mesh
 from figpaddle.regional._register_store import RegisterStore
 from figpaddle.regional._settings import ProcessSettings
@@ -45,8 +44,6 @@
     VotersDecision,
 )
 
-#: Longest wait for a voter's answer, seconds; three of the longest round trips and a slow disk.
-VOTER_TIMEOUT_S = 0.8
 #: Longest wait for another control instance to make a change, seconds; the way there and back
 #: and a round. The operator turns elsewhere after a second.
 PROPOSER_TIMEOUT_S = 0.7
@@ -100,6 +97,7 @@
         mesh: Mesh,
         follower: ClusterFollower,
         store: RegisterStore,
+        tasks: anyio.abc.TaskGroup,
         clock: Callable[[], float],
         rng: random.Random,
         log: Log,
@@ -112,13 +110,14 @@
         self._rng = rng
         self._log = log
         self._founder = Founder(name=settings.ip, seeds=settings.seeds, now=clock())
-        self._highest = NO_BALLOT
         self._waiting: list[_Ticket] = []
         self._wanted = anyio.Event()
         self._won: _Won | None = None
         self._avoided: dict[str, float] = {}
-        self._incarnations: dict[str, str] = {}
         self._read_once = False
+        self._electorate = Electorate(
+            name=settings.ip, mesh=mesh, answer_self=self._answer_self, tasks=tasks, log=log
+        )
         follower.learn_voters(store.voters)
         mesh.on_question(PrepareRequest, self._answer_prepare)
         mesh.on_question(AcceptRequest, self._answer_accept)
@@ -129,7 +128,6 @@
     async def run(self) -> None:
         """Found the deployment, recover, read after a start and make changes until cancelled."""
         async with anyio.create_task_group() as tasks:
-            self._tasks = tasks
             tasks.start_soon(self._propose)
             while True:
                 try:
@@ -160,8 +158,8 @@
     async def read(self) -> ClusterState:
         """Return the newest agreed state; raises NoMajorityError without a majority."""
         voters = self._voters()
-        settled = await self._gather_promises(
-            PeekRequest(), lambda promises: is_settled(promises, voters=len(voters))
+        settled = await self._electorate.gather_promises(
+            self._voters(), PeekRequest(), lambda promises: is_settled(promises, voters=len(voters))
         )
         if settled is None:
             # Some voter missed the newest value: have a majority accept it before it is shown.
@@ -221,9 +219,11 @@
 
     async def _run_round(self, changes: list[Change]) -> ClusterState | None:
         needed = majority(len(self._voters()))
-        ballot = self._next_ballot()
-        promises = await self._gather_promises(
-            PrepareRequest(ballot=_pair(ballot)), lambda promises: len(promises) >= needed
+        ballot = self._electorate.next_ballot()
+        promises = await self._electorate.gather_promises(
+            self._voters(),
+            PrepareRequest(ballot=pair(ballot)),
+            lambda promises: len(promises) >= needed,
         )
         if promises is None:
             self._log.info("round_lost", ballot=ballot.number, phase="prepare")
@@ -232,15 +232,19 @@
         # A voter that promised too late is asked as well; one that promised and has lost its disk
         # since must refuse, so what it promised with goes before what it said later.
         promised = {promise.voter: promise.incarnation for promise in promises}
-        incarnations = {**self._incarnations, **promised}
+        incarnations = {**self._electorate.incarnations, **promised}
         return await self._run_accepts(ballot, state, incarnations, "accept")
 
     async def _run_accepts(
         self, ballot: Ballot, state: ClusterState, incarnations: dict[str, str], phase: str
     ) -> ClusterState | None:
-        reserved = self._next_ballot()
-        accepted_by = await self._gather_acceptances(
-            ballot, encode_state(state), incarnations, reserved
+        reserved = self._electorate.next_ballot()
+        accepted_by = await self._electorate.gather_acceptances(
+            ballot,
+            encode_state(state),
+            incarnations,
+            reserved=reserved,
+            needed=majority(len(self._voters())),
         )
         if accepted_by is None:
             self._log.info("round_lost", ballot=ballot.number, phase=phase)
@@ -253,101 +257,6 @@
         self._log.info("round_won", ballot=ballot.number, revision=state.revision, phase=phase)
         return state
 
-    async def _gather_promises(
-        self, question: Message, enough: Callable[[tuple[Promise, ...]], bool]
-    ) -> tuple[Promise, ...] | None:
-        """Ask all voters; return the granted promises as soon as they are enough.
-
-        Voters that answer later still get the question, and what they say of their incarnation is
-        kept.
-        """
-        voters = self._voters()
-        promises: list[Promise] = []
-        answered = 0
-        decided = anyio.Event()
-
-        async def one(name: str) -> None:
-            nonlocal answered
-            promise = await self._ask_promise(name, question)
-            if promise is not None and promise.granted:
-                promises.append(promise)
-            answered += 1
-            if answered == len(voters) or (promises and enough(tuple(promises))):
-                decided.set()
-
-        for name in voters:
-            self._tasks.start_soon(one, name)
-        await decided.wait()
-        found = tuple(promises)
-        return found if found and enough(found) else None
-
-    async def _gather_acceptances(
-        self, ballot: Ballot, value: bytes, incarnations: dict[str, str], reserved: Ballot
-    ) -> tuple[str, ...] | None:
-        """Ask the voters to accept; return those of a majority that did, or None.
-
-        All are asked to the end, so that the others hold the newest value soon after.
-        """
-        needed = majority(len(self._voters()))
-        asked = len(incarnations)
-        granted: list[str] = []
-        answered = 0
-        decided = anyio.Event()
-
-        async def one(name: str, incarnation: str) -> None:
-            nonlocal answered
-            question = AcceptRequest(
-                ballot=_pair(ballot),
-                incarnation=incarnation,
-                value=value,
-                reserved=_pair(reserved),
-            )
-            answer = await self._ask_acceptance(name, question)
-            if answer is not None and answer.granted:
-                granted.append(name)
-            answered += 1
-            if len(granted) >= needed or answered - len(granted) > asked - needed:
-                decided.set()
-
-        for name, incarnation in incarnations.items():
-            self._tasks.start_soon(one, name, incarnation)
-        await decided.wait()
-        return tuple(granted) if len(granted) >= needed else None
-
-    async def _ask_promise(self, name: str, question: Message) -> Promise | None:
-        reply = await self._ask_voter(name, question)
-        if not isinstance(reply, PrepareReply):
-            return None
-        self._note_ballot(reply.promised)
-        self._incarnations[reply.voter] = reply.incarnation
-        return Promise(
-            voter=reply.voter,
-            incarnation=reply.incarnation,
-            granted=reply.granted,
-            promised=Ballot(*reply.promised),
-            accepted=Ballot(*reply.accepted),
-            value=reply.value,
-        )
-
-    async def _ask_acceptance(self, name: str, question: Message) -> Acceptance | None:
-        reply = await self._ask_voter(name, question)
-        if not isinstance(reply, AcceptReply):
-            return None
-        self._note_ballot(reply.promised)
-        return Acceptance(
-            voter=reply.voter, granted=reply.granted, promised=Ballot(*reply.promised)
-        )
-
-    async def _ask_voter(self, name: str, question: Message) -> Message | None:
-        try:
-            if name != self._settings.ip:
-                return await self._mesh.ask(name, question, timeout_s=VOTER_TIMEOUT_S)
-            with anyio.fail_after(VOTER_TIMEOUT_S):
-                return await self._answer_self(question)
-        except (PeerUnreachableError, StorageError, TimeoutError) as error:
-            self._log.info("voter_silent", peer=name, reason=str(error))
-            return None
-
     async def _answer_self(self, question: Message) -> Message:
         match question:
             case PrepareRequest():
@@ -360,7 +269,7 @@
     async def _answer_prepare(self, question: Message) -> Message:
         assert isinstance(question, PrepareRequest)
         ballot = Ballot(*question.ballot)
-        self._note_ballot(question.ballot)
+        self._electorate.note_ballot(question.ballot)
         try:
             return _reply(await self._store.prepare(ballot))
         except StorageError as error:
@@ -382,10 +291,10 @@
             return AcceptReply(
                 voter=self._settings.ip,
                 granted=False,
-                promised=_pair(self._store.voter.state.promised),
+                promised=pair(self._store.voter.state.promised),
             )
         return AcceptReply(
-            voter=answer.voter, granted=answer.granted, promised=_pair(answer.promised)
+            voter=answer.voter, granted=answer.granted, promised=pair(answer.promised)
         )
 
     async def _answer_peek(self, question: Message) -> Message:
@@ -394,8 +303,8 @@
             voter=self._settings.ip,
             incarnation=state.incarnation,
             granted=state.complete,
-            promised=_pair(state.promised),
-            accepted=_pair(state.accepted),
+            promised=pair(state.promised),
+            accepted=pair(state.accepted),
             value=state.value,
         )
 
@@ -440,15 +349,16 @@
     async def _recover(self) -> None:
         """Read from enough other voters that this one can't contradict its lost disk."""
         needed = recovery_quorum(len(self._voters()))
-        ballot = Ballot(self._highest.number + RECOVERY_JUMP, self._settings.ip)
-        promises = await self._gather_promises(
-            PrepareRequest(ballot=_pair(ballot)), lambda promises: len(promises) >= needed
+        ballot = self._electorate.recovery_ballot()
+        promises = await self._electorate.gather_promises(
+            self._voters(),
+            PrepareRequest(ballot=pair(ballot)),
+            lambda promises: len(promises) >= needed,
         )
         if promises is None:
             self._log.warning("voter_not_recovered", needed=needed)
             return
         await self._store.record_voters(self._voters())
-        self._note_ballot(_pair(ballot))
         await self._store.recover(promises, ballot)
         self._log.info("voter_recovered", ballot=ballot.number, answers=len(promises))
 
@@ -462,13 +372,6 @@
             raise NoMajorityError(what="the voters are not known yet")
         return voters
 
-    def _next_ballot(self) -> Ballot:
-        self._highest = Ballot(self._highest.number + 1, self._settings.ip)
-        return self._highest
-
-    def _note_ballot(self, ballot: tuple[int, str]) -> None:
-        self._highest = max(self._highest, Ballot(*ballot))
-
     def _preferred_proposer(self) -> str:
         now = self._clock()
         names = [self._settings.ip]
@@ -480,17 +383,13 @@
         return min(names)
 
 
-def _pair(ballot: Ballot) -> tuple[int, str]:
-    return ballot.number, ballot.proposer
-
-
 def _reply(promise: Promise) -> PrepareReply:
     return PrepareReply(
         voter=promise.voter,
         incarnation=promise.incarnation,
         granted=promise.granted,
-        promised=_pair(promise.promised),
-        accepted=_pair(promise.accepted),
+        promised=pair(promise.promised),
+        accepted=pair(promise.accepted),
         value=promise.value,
     )
 
