Let only entries set the terms of a hop

Cause, found on reading the change: the header of a hop was the caller's with the terms added at its end, and the reader takes the first; a caller could set the terms of its own hop, and its connection options went to the other entry. The test fails before.

--- a/figpaddle/regional/_attempts.py
+++ b/figpaddle/regional/_attempts.py
@@ -9,7 +9,7 @@
 from figpaddle.http1 import AnswerHead, ConnectionPool, Responder, header
 from figpaddle.regional._dialect import BackendAnswer, Dialect
 from figpaddle.regional._exchange import Exchange, Leg
-from figpaddle.regional._hops import NOT_RUN, OUTCOME_FIELD, TERMS_FIELD, HopTerms, encode_terms
+from figpaddle.regional._hops import NOT_RUN, OUTCOME_FIELD, HopTerms, hop_headers
 from figpaddle.regional._job import Ending, Fate, Job
 from figpaddle.regional._mesh import Mesh
 from figpaddle.regional._placer import Placer
@@ -169,7 +169,7 @@
         )
         leg = Leg(
             address=self._mesh.peer_address(entry.name),
-            headers=(*job.request.headers, (TERMS_FIELD, encode_terms(terms))),
+            headers=hop_headers(job.request, terms),
             connect_timeout_s=min(HOP_CONNECT_S, job.left_s(now=now)),
             first_byte_timeout_s=max(0.0, job.left_s(now=now) + 0.1),
         )
--- a/figpaddle/regional/_hops.py
+++ b/figpaddle/regional/_hops.py
@@ -8,7 +8,7 @@
 
 from figpaddle.deployment import GatewayRoute, GatewayService, Repeat
 from figpaddle.errors import MalformedRequestError
-from figpaddle.http1 import Headers, HttpRequest, header
+from figpaddle.http1 import Headers, HttpRequest, end_to_end, header, with_header
 
 #: Field that carries the terms of a forwarded request, CBOR in hexadecimal.
 TERMS_FIELD = b"figpaddle-terms"
@@ -103,6 +103,15 @@
         raise MalformedRequestError(what="unreadable terms of a hop", status=400) from error
 
 
+def hop_headers(request: HttpRequest, terms: HopTerms) -> Headers:
+    """Return the header with which a request goes to the other entry.
+
+    Whatever a caller sent under the name of the field is dropped: only an entry sets terms.
+    """
+    fields = with_header(end_to_end(request.headers), TERMS_FIELD, encode_terms(terms))
+    return with_header(fields, b"Content-Length", str(len(request.body)).encode())
+
+
 def without_terms(headers: Headers) -> Headers:
     """Return the header of the caller's own request."""
     return tuple(field for field in headers if field[0].lower() != TERMS_FIELD)
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -24,6 +24,7 @@
     BackendConnection,
     Channel,
     ConnectionPool,
+    Headers,
     HttpListener,
     HttpRequest,
     Responder,
@@ -308,12 +309,14 @@
         body: bytes = b"prompt",
         deadline_ms: int = 4000,
         request_id: str = "",
+        more: Headers = (),
     ) -> tuple[str, Reply]:
         """Send a caller's request; return its id and the answer."""
         request_id = request_id or f"r{next(self._ids)}"
         fields = (
             (b"X-Figpaddle-Request-Id", request_id.encode()),
             (b"X-Figpaddle-Deadline-Ms", str(deadline_ms).encode()),
+            *more,
         )
         address = self.address(name, "front")
         return request_id, await self._exchange(address, "POST", path, fields, body)
--- a/tests/test_platform_days.py
+++ b/tests/test_platform_days.py
@@ -296,3 +296,14 @@
         logs = "".join(day.log(name) for name in ("m-1", "m-2", "m-3"))
         ballots = [int(number) for number in re.findall(r"event=round_won .*?ballot=(\d+)", logs)]
         assert ballots and max(ballots) < RECOVERY_JUMP / 1000
+
+
+async def test_a_caller_can_not_set_the_terms_of_a_hop() -> None:
+    async with deployment() as day:
+        assert (await day.order("POST", "/v1/evacuate/n-a/start")).status == 200
+        await anyio.sleep(1.0)
+        forged = ((b"Figpaddle-Terms", b"00"), (b"Connection", b"keep-alive, X-Private"))
+        request_id, reply = await day.ask("m-4", "/hold/1", more=forged)
+        assert reply.status == 200
+        far = next(e for e in day.engines if e.service == PLAIN and e.zone == "s-a")
+        assert not {"figpaddle-terms", "x-private"} & set(far.fields[request_id])
