--- a/figpaddle/regional/_attempts.py
+++ b/figpaddle/regional/_attempts.py
@@ -8,7 +8,7 @@
 from figpaddle.deployment import Repeat
 from figpaddle.http1 import AnswerHead, ConnectionPool, Responder, header
 from figpaddle.regional._dialect import BackendAnswer, Dialect
-from figpaddle.regional._exchange import Exchange, Leg
+from figpaddle.regional._exchange import LATE_ANSWER_S, Exchange, Leg
 from figpaddle.regional._hops import NOT_RUN, OUTCOME_FIELD, HopTerms, hop_headers
 from figpaddle.regional._job import Ending, Fate, Job
 from figpaddle.regional._mesh import Mesh
@@ -70,7 +70,7 @@
                 last_event=job.last_event,
             ),
             connect_timeout_s=min(BACKEND_CONNECT_S, job.left_s(now=now)),
-            first_byte_timeout_s=max(0.0, job.left_s(now=now) + 0.1),
+            first_byte_timeout_s=max(0.0, job.left_s(now=now) + LATE_ANSWER_S),
         )
         job.sent_at = now
         self._placer.note_sent(job, choice)
@@ -171,7 +171,7 @@
             address=self._mesh.peer_address(entry.name),
             headers=hop_headers(job.request, terms),
             connect_timeout_s=min(HOP_CONNECT_S, job.left_s(now=now)),
-            first_byte_timeout_s=max(0.0, job.left_s(now=now) + 0.1),
+            first_byte_timeout_s=max(0.0, job.left_s(now=now) + LATE_ANSWER_S),
         )
         self._placer.note_sent(job, choice)
         self._log.info(
--- a/figpaddle/regional/_placer.py
+++ b/figpaddle/regional/_placer.py
@@ -14,6 +14,8 @@
 from figpaddle.regional._settings import ProcessSettings
 from figpaddle.routing import (
     AWAY_TRUST_S,
+    MEAN_PROMPT_TOKENS,
+    MEMORY_PART,
     AwayRegion,
     Candidate,
     Choice,
@@ -44,8 +46,6 @@
 PLAIN_QUEUE = 2
 #: Part of a backend server's connections that the entries of its region use together.
 CONNECTIONS_PART = 0.9
-#: Prompt of a request of mean size, tokens, for the load that is told to other regions.
-MEAN_PROMPT_TOKENS = 3000
 
 
 class Placer:
@@ -341,6 +341,6 @@
     places = candidate.slots if candidate.memory_tokens else candidate.slots * PLAIN_QUEUE
     free = places - candidate.work.requests(now=now)
     if candidate.memory_tokens:
-        left = candidate.memory_tokens * 0.9 - candidate.work.memory(now=now)
+        left = candidate.memory_tokens * MEMORY_PART - candidate.work.memory(now=now)
         free = min(free, int(left / MEAN_PROMPT_TOKENS))
     return choice.expected_s, max(0, free)
--- a/figpaddle/routing/__init__.py
+++ b/figpaddle/routing/__init__.py
@@ -39,6 +39,8 @@
 from figpaddle.routing._rate_limits import ColdLimit, SharedRetryBudget, SlidingCount
 from figpaddle.routing._regional_choice import (
     AWAY_TRUST_S,
+    MEAN_PROMPT_TOKENS,
+    MEMORY_PART,
     AwayRegion,
     Candidate,
     Choice,
@@ -56,6 +58,8 @@
     "entries_for",
     "open_regions",
     "AWAY_TRUST_S",
+    "MEAN_PROMPT_TOKENS",
+    "MEMORY_PART",
     "CLOSE_RESERVE_S",
     "may_retire",
     "may_take",
--- a/figpaddle/routing/_regional_choice.py
+++ b/figpaddle/routing/_regional_choice.py
@@ -35,7 +35,7 @@
 #: reports, seconds: a heartbeat and half a round trip.
 AWAY_TRUST_S = 0.7
 #: A request of mean size, tokens, where a region's load is told in one figure.
-MEAN_PROMPT_TOKENS = 3000.0
+MEAN_PROMPT_TOKENS = 3000
 #: Shortest and longest time that a refused caller is told to stay away, seconds.
 MIN_RETRY_S = 0.2
 MAX_RETRY_S = 3.0
--- /dev/null
+++ b/tests/test_log_vocabulary.py
@@ -0,0 +1,24 @@
+"""The events that the regional programs log are those of the on-call engineers' page."""
+
+from __future__ import annotations
+
+import pathlib
+import re
+
+ROOT = pathlib.Path(__file__).parent.parent
+CALL = re.compile(r"(?:_log|log|write)(?:\.\w+)?\(\s*\"([a-z_]+)\"", re.MULTILINE)
+
+
+def logged_events() -> set[str]:
+    sources = [*(ROOT / "figpaddle" / "regional").glob("*.py"), ROOT / "platform" / "serve.py"]
+    return {event for path in sources for event in CALL.findall(path.read_text(encoding="utf-8"))}
+
+
+def test_every_event_is_on_the_page() -> None:
+    page = (ROOT / "docs" / "OPERATIONS.md").read_text(encoding="utf-8")
+    missing = {event for event in logged_events() if f"`{event}`" not in page}
+    assert not missing
+
+
+def test_the_events_are_found_in_the_code() -> None:
+    assert {"request_placed", "request_ended", "round_won", "process_started"} <= logged_events()
