--- a/figpaddle/routing/tests/test_rate_limits.py
+++ b/figpaddle/routing/tests/test_rate_limits.py
@@ -98,3 +98,16 @@
 def test_a_fresh_entry_has_no_slack_yet() -> None:
     budget = SharedRetryBudget(ratio=0.2, window_s=10.0, slack=54.0, now=5.0)
     assert not budget.take("s", now=5.0)
+
+
+def test_entries_killed_right_after_they_used_the_slack_stay_within_the_budget() -> None:
+    """All entries use their parts in a storm, are killed, and the storm goes on for the new ones."""
+    entries, slack = 7, 54.0
+    retries: list[float] = []
+    for started_at, first_at in ((-10.0, 0.0), (5.0, 5.0)):
+        for _ in range(entries):
+            budget = SharedRetryBudget(ratio=0.0, window_s=10.0, slack=slack, now=started_at)
+            budget.note_entries(entries)
+            moments = [first_at + step * 0.1 for step in range(50)]
+            retries += [now for now in moments if budget.take("s", now=now)]
+    assert sum(0.0 <= now < 10.0 for now in retries) <= slack
