Give the retry slack only a whole window after a restart

Cause: entries that restart regained their part of the slack evenly over a window, so that those killed right after they used it took 63 retries with their successors against a slack of 54 in one window (known red). Ruled out: a slower ramp, which only lowers the excess, since any early part adds to what the predecessor used. Change: no slack before a whole window has passed; at the first start of the deployment it is there at once, as nobody can have used any. Before: the test failed with 63 of 54; after: it passes.

--- a/figpaddle/regional/_gateway.py
+++ b/figpaddle/regional/_gateway.py
@@ -96,6 +96,7 @@
             window_s=bounds.retry_window_s,
             slack=bounds.retry_slack,
             now=clock(),
+            first_start=settings.first_start,
         )
 
     @property
--- a/figpaddle/routing/_rate_limits.py
+++ b/figpaddle/routing/_rate_limits.py
@@ -83,8 +83,11 @@
     the budget also while they can't hear each other.
     """
 
-    def __init__(self, *, ratio: float, window_s: float, slack: float, now: float) -> None:
-        self._started_at = now
+    def __init__(
+        self, *, ratio: float, window_s: float, slack: float, now: float, first_start: bool = False
+    ) -> None:
+        # Nobody can have used the slack before the deployment's first start.
+        self._slack_from = now if first_start else now + window_s
         self._ratio = ratio
         self._window_s = window_s
         self._slack = slack
@@ -114,9 +117,10 @@
         return {service: count.total(now=now) for service, count in self._again.items()}
 
     def _part_of_slack(self, now: float) -> float:
-        """Return this entry's part; what it used before a restart comes back over a window."""
-        regained = min(1.0, (now - self._started_at) / self._window_s)
-        return self._slack * SLACK_PART * regained / self._most_entries
+        """Return this entry's part; none for a window, as it may have used it before a restart."""
+        if now < self._slack_from:
+            return 0.0
+        return self._slack * SLACK_PART / self._most_entries
 
     def _count(self, counts: dict[str, SlidingCount], service: str) -> SlidingCount:
         if service not in counts:
--- a/figpaddle/routing/tests/test_rate_limits.py
+++ b/figpaddle/routing/tests/test_rate_limits.py
@@ -100,6 +100,12 @@
     assert not budget.take("s", now=5.0)
 
 
+def test_the_slack_is_there_at_once_when_the_deployment_starts_for_the_first_time() -> None:
+    budget = SharedRetryBudget(ratio=0.0, window_s=10.0, slack=54.0, now=5.0, first_start=True)
+    budget.note_entries(7)
+    assert budget.take("s", now=5.0)
+
+
 def test_entries_killed_right_after_they_used_the_slack_stay_within_the_budget() -> None:
     """All entries use their parts in a storm, are killed, and the storm goes on for the new ones."""
     entries, slack = 7, 54.0
