Keep an entry alive when a caller resets before it is accepted

Ruled out: the options of the socket, whose errors were handled. Change: both errors end the connection alone, are counted and logged at debug level. Test red before: 20 resets before the listener runs end it.

--- a/figpaddle/http1/_listener.py
+++ b/figpaddle/http1/_listener.py
@@ -14,7 +14,8 @@
 class HttpListener:
     """Serves HTTP on one address.
 
-    ``closing`` tells whether answers ask callers to leave with ``Connection: close``.
+    ``closing`` tells whether answers ask callers to leave with ``Connection: close``; ``on_reset``
+    is told why a connection could not be served that its caller reset before it was accepted.
     """
 
     def __init__(
@@ -27,7 +28,9 @@
         closing: Callable[[], bool] = lambda: False,
         silence_s: float,
         max_connections: int,
+        on_reset: Callable[[str], None] = lambda _: None,
     ) -> None:
+        self._on_reset = on_reset
         self._retired = anyio.Event()
         self._address = address
         self._handler = handler
@@ -77,8 +80,10 @@
                 closing=self._closing,
                 retired=self._retired,
             ).run()
-        except OSError:
-            # The caller reset the connection before its options were set.
+        except (OSError, anyio.TypedAttributeLookupError) as error:
+            # The caller reset the connection while it was being accepted, so that it has no
+            # address any more.
+            self._on_reset(str(error))
             await stream.aclose()
         finally:
             self._open -= 1
--- a/figpaddle/http1/tests/test_http1.py
+++ b/figpaddle/http1/tests/test_http1.py
@@ -333,3 +333,17 @@
     async with listening(answer_late, retire=retire) as caller:
         await caller.send(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
         assert b"late" in await read_all(caller)
+
+
+async def test_callers_that_reset_before_they_are_accepted_do_not_end_the_listener() -> None:
+    """A storm of callers that give up at once: the system hands over connections without a peer."""
+    address = free_address()
+    host, _, port = address.rpartition(":")
+    async with listening(say_ok, address=address) as stream:
+        for _ in range(20):
+            # The event loop doesn't run in between, so the listener accepts them after the reset.
+            with socket.create_connection((host, int(port)), timeout=STEP_S) as caller:
+                caller.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        await anyio.sleep(0.2)
+        await stream.send(b"GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+        assert (await read_all(stream)).startswith(b"HTTP/1.1 200 ")
--- a/figpaddle/regional/_process.py
+++ b/figpaddle/regional/_process.py
@@ -177,11 +177,16 @@
             closing=lambda: self.leaving,
             silence_s=silence_s,
             max_connections=max(64, self._settings.max_descriptors - SPARE_DESCRIPTORS),
+            on_reset=self._note_reset,
         )
         assert self._tasks is not None
         self._tasks.start_soon(listener.run)
         return listener
 
+    def _note_reset(self, reason: str) -> None:
+        self._counters.count("connections_reset_early_total")
+        self._log.debug("connection_reset_early", reason=reason)
+
     def _guarded(self, handler: Handler) -> Handler:
         """Keep a fault in the handling of one request from ending the process."""
 
