Let the flood of a test outlast every buffer on its way

Cause of the known red: the flood of 30 MB could end by itself. Socket buffers on the way grow up to 33 MB each here, and grow more the slower their readers are, so beside other work nothing was left to be cut off and the test waited for an end of work that could not come. Ruled out: a refusal by the instance; the test now reads the head and wants status 200, and the red run (load average 13.7, 22.9 s) had it. Shown: pieces written before the cut were 1,040 to 2,080 of 3,000 on an idle machine in 13 runs; with 14 MB instead of 30 both floods were written whole and the test failed the same way. Change: what the caller never takes has no end within reach. The bound of 20 s stays.

--- a/tests/test_silent_connections.py
+++ b/tests/test_silent_connections.py
@@ -182,7 +182,8 @@
     limits = {"caller_idle_s": 1.0 if pause_s is None else 8.0}
     seoul = deployment.start_instance("seoul-1", "seoul", limits=limits)
     deployment.start_instance("busan-1", "busan", limits=limits)
-    size = 30_000_000
+    # The buffers on the way hold tens of megabytes, so what nobody takes must not end by itself.
+    size = 30_000_000 if pause_s is not None else 10**10
 
     async def flood(
         body: bytes, number: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -203,6 +204,9 @@
         connection = await RawConnection.open(deployment.entry(name))
         connection.writer.write(chat_bytes("draft", "flood", HANBIT_KEY))
         if pause_s is None:
+            # Only the head is taken: a refusal would end no work at the backend server.
+            head = await connection.reader.readuntil(b"\r\n\r\n")
+            assert head.startswith(b"HTTP/1.1 200 "), head
             while backend.cancelled < len(deployment.instances):
                 await asyncio.sleep(0.05)
         else:
