--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -8,11 +8,12 @@
 import json
 import os
 import pathlib
+import random
 import signal
 import subprocess
 import sys
 import tempfile
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from typing import Any
 
 import anyio
@@ -42,8 +43,8 @@
 MODEL, PLAIN = "model", "plain"
 HOST = "guide.example"
 
-_ports = itertools.count(20000 + os.getpid() % 20000)
-_networks = itertools.count(1 + os.getpid() % 200)
+#: Draws addresses and ports: deployments of several test processes run beside each other.
+_rng = random.SystemRandom()
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -70,7 +71,11 @@
     #: A body that makes the engine crash for good.
     crashing: bytes = b""
     crashed: anyio.Event = dataclasses.field(default_factory=anyio.Event)
+    #: Requests with their times of arrival, those that it rejected too.
+    arrived: list[tuple[float, str]] = dataclasses.field(default_factory=list)
     ran: list[str] = dataclasses.field(default_factory=list)
+    #: When the work on a request ended, by request.
+    ended: dict[str, float] = dataclasses.field(default_factory=dict)
     left: list[str] = dataclasses.field(default_factory=list)
     fields: dict[str, dict[str, str]] = dataclasses.field(default_factory=dict)
     sequence: int = 0
@@ -83,6 +88,15 @@
         if expected not in (None, self.name.encode()):
             await responder.answer(421, echo, b"")
             return
+        self.arrived.append((anyio.current_time(), request_id))
+        try:
+            await self._run(request, request_id, echo, responder)
+        finally:
+            self.ended[request_id] = anyio.current_time()
+
+    async def _run(
+        self, request: HttpRequest, request_id: str, echo: Headers, responder: Responder
+    ) -> None:
         if self.failing == "full":
             await responder.answer(503, (*echo, (b"X-Figpaddle-Not-Executed", b"full")), b"")
             return
@@ -125,8 +139,10 @@
         self._folder = folder
         self._tasks = tasks
         self._pool = ConnectionPool(tasks=tasks, clock=anyio.current_time, silence_s=2.0)
-        self._network = f"127.{next(_networks) % 200 + 20}"
-        port = next(_ports)
+        self._network = f"127.{_rng.randrange(20, 250)}"
+        #: Third number of the instances' addresses; engines have the next one.
+        self._net = _rng.randrange(0, 250, 2)
+        port = _rng.randrange(12000, 30000)
         self._ports = {
             name: port + 7 * index
             for index, name in enumerate(("front", "ready", "control", "lookup", "peer"))
@@ -139,11 +155,19 @@
         self.refused = False
 
     def ip(self, name: str) -> str:
-        return f"{self._network}.1.{10 + int(name.rpartition('-')[2])}"
+        return f"{self._network}.{self._net}.{10 + int(name.rpartition('-')[2])}"
 
     def address(self, name: str, port: str) -> str:
         return f"{self.ip(name)}:{self._ports[port]}"
 
+    def reach(self, name: str, port: str) -> str:
+        """Return where callers and operators connect to a process."""
+        return self.address(name, port)
+
+    def announced(self, engine: Engine) -> str:
+        """Return the address that an engine gives as its own."""
+        return engine.address
+
     def start(self, name: str, role: str, zone: str, *, first: bool = True) -> None:
         """Start a process; its log goes to a file in the folder."""
         self._roles[name] = (role, zone)
@@ -215,7 +239,7 @@
     async def add_engine(self, service: str, zone: str, **behaviour: Any) -> Engine:
         """Start an engine that beats to control."""
         number = len(self.engines) + 1
-        address = f"{self._network}.2.{number}:{self._ports['front']}"
+        address = f"{self._network}.{self._net + 1}.{number}:{self._ports['front']}"
         engine = Engine(
             name=f"i-{number}",
             service=service,
@@ -248,12 +272,12 @@
             await self.beat(engine)
             await anyio.sleep(BEAT_S)
 
-    async def beat(self, engine: Engine) -> None:
-        """Send one heartbeat to the first control instance that takes it."""
+    async def beat(self, engine: Engine) -> bool:
+        """Send one heartbeat to the first control instance that takes it; return whether one did."""
         engine.sequence += 1
         said = {
             "service": engine.service,
-            "address": engine.address,
+            "address": self.announced(engine),
             "zone": engine.zone,
             "slots": 8,
             "state": engine.state,
@@ -264,12 +288,13 @@
         path = f"/v1/instances/{engine.name}/heartbeat"
         for name, (role, _) in self._roles.items():
             if role == "control" and (await self.call(name, "POST", path, said)).status == 200:
-                return
+                return True
+        return False
 
     async def call(self, name: str, method: str, path: str, said: Any = None) -> Reply:
         """Call a control instance; status 0 where nothing answers."""
         body = b"" if said is None else json.dumps(said).encode()
-        return await self._exchange(self.address(name, "control"), method, path, (), body)
+        return await self._exchange(self.reach(name, "control"), method, path, (), body)
 
     async def order(self, method: str, path: str, said: Any = None) -> Reply:
         """Send an operator's order to one instance after the other until one takes it."""
@@ -318,12 +343,12 @@
             (b"X-Figpaddle-Deadline-Ms", str(deadline_ms).encode()),
             *more,
         )
-        address = self.address(name, "front")
+        address = self.reach(name, "front")
         return request_id, await self._exchange(address, "POST", path, fields, body)
 
     async def open(self, name: str) -> Channel:
         """Return a caller's connection for bytes of the test's own."""
-        channel = await connect(self.address(name, "front"), timeout_s=1.0, silence_s=2.0)
+        channel = await connect(self.reach(name, "front"), timeout_s=1.0, silence_s=2.0)
         self._tasks.start_soon(channel.pump)
         return channel
 
@@ -399,11 +424,13 @@
 
 
 @contextlib.asynccontextmanager
-async def deployment(*, engines: bool = True) -> AsyncIterator[Deployment]:
+async def deployment(
+    *, engines: bool = True, make: Callable[..., Deployment] = Deployment
+) -> AsyncIterator[Deployment]:
     """Start three control instances and three entries in two regions, configured and ready."""
     with tempfile.TemporaryDirectory() as folder:
         async with anyio.create_task_group() as tasks:
-            one = Deployment(folder=pathlib.Path(folder), tasks=tasks)
+            one = make(folder=pathlib.Path(folder), tasks=tasks)
             try:
                 for number, zone in ((1, "n-a"), (2, "n-a"), (3, "s-a")):
                     one.start(f"m-{number}", "control", zone)
