Let entries tell an entry that starts again which backend servers there are

Cause: only control told new entries of backend servers. Change: two neighbours, picked by a digest, send what they know to an entry that comes into touch. The ranking by digest, before in two forms, is one function. Test red before: an entry restarted while no control instance runs serves a request that is bound to its region.

--- a/figpaddle/regional/_control.py
+++ b/figpaddle/regional/_control.py
@@ -17,6 +17,7 @@
     PutConfiguration,
     SetEvacuation,
 )
+from figpaddle.regional._introductions import send_records
 from figpaddle.regional._mesh import Mesh
 from figpaddle.regional._register_host import RegisterHost
 from figpaddle.regional._settings import ProcessSettings
@@ -40,8 +41,6 @@
 REPEATS_S = (0.15, 0.4, 0.9, 1.8)
 #: Interval at which all records are sent to one other instance, seconds.
 ANTI_ENTROPY_INTERVAL_S = 0.5
-#: Records in one datagram; they stay within one packet.
-RECORDS_IN_DATAGRAM = 6
 
 
 class ControlPort:
@@ -247,9 +246,7 @@
             if peer.role is InstanceRole.CONTROL
             or self._settings.zones.get(record.zone) == peer.region
         ]
-        for first in range(0, len(records), RECORDS_IN_DATAGRAM):
-            part = tuple(records[first : first + RECORDS_IN_DATAGRAM])
-            self._mesh.tell(BackendNews(records=part), [peer.name])
+        send_records(self._mesh, records, peer.name)
 
     def _audience(self, record: BackendRecord) -> list[str]:
         """Return the instances that use or keep a record: its region's entries and control."""
--- a/figpaddle/regional/_entry.py
+++ b/figpaddle/regional/_entry.py
@@ -10,6 +10,7 @@
 from figpaddle.http1 import ConnectionPool, HttpRequest, RequestLimits, Responder
 from figpaddle.regional._dialect import EntryLookup, ReadinessCheck
 from figpaddle.regional._gateway import Gateway
+from figpaddle.regional._introductions import introduces, send_records
 from figpaddle.regional._mesh import is_ready
 from figpaddle.regional._placer import Placer
 from figpaddle.regional._process import NEAR_SILENCE_S, RegionalProcess
@@ -70,6 +71,7 @@
             log=self._log,
             counters=self._counters,
         )
+        self._mesh.on_heard(self._introduce)
         self._counters.gauge("requests_active", lambda: self._gateway.active)
         self._counters.gauge("backend_connections_opened", lambda: self._backends.opened)
         self._callers = self._listen(
@@ -158,6 +160,14 @@
             1 + sum(beat.role is InstanceRole.ENTRY for beat in self._mesh.live())
         )
 
+    def _introduce(self, newcomer: InstanceHeartbeat) -> None:
+        """Tell an entry of the region that starts or was silent which backend servers there are."""
+        settings = self._settings
+        neighbours = [beat.name for beat in self._mesh.entries(settings.region)]
+        if introduces(settings.ip, newcomer, neighbours, settings.region):
+            records = self._placer.fleet.records(now=self._clock())
+            send_records(self._mesh, list(records), newcomer.name)
+
     def _limits(self) -> RequestLimits:
         configuration = self._follower.configuration
         if configuration is None:
--- a/figpaddle/routing/__init__.py
+++ b/figpaddle/routing/__init__.py
@@ -36,6 +36,7 @@
     RoundRobinPolicy,
 )
 from figpaddle.routing._quarantine import LOSS_TTL_S, Quarantine, SuspectSlots, Verdict
+from figpaddle.routing._ranking import highest_ranked
 from figpaddle.routing._rate_limits import ColdLimit, SharedRetryBudget, SlidingCount
 from figpaddle.routing._regional_choice import (
     AWAY_TRUST_S,
@@ -61,6 +62,7 @@
     "MEAN_PROMPT_TOKENS",
     "MEMORY_PART",
     "CLOSE_RESERVE_S",
+    "highest_ranked",
     "may_retire",
     "may_take",
     "AwayRegion",
--- a/figpaddle/routing/_rate_limits.py
+++ b/figpaddle/routing/_rate_limits.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import collections
-import hashlib
+
+from figpaddle.routing._ranking import highest_ranked
 
 #: Part of the allowance of a cold backend server that entries use; the rest covers entries whose
 #: views of each other differ for a moment.
@@ -58,8 +59,7 @@
         """Return whether one more request may be sent to ``backend`` now."""
         total = (per_s * self._overshoot + self._slack) * COLD_PART
         senders = min(MAX_COLD_SENDERS, max(1, int(total)), max(1, len(entries)))
-        chosen = sorted(entries, key=lambda entry: _rank(backend, entry))[:senders]
-        if entries and self._name not in chosen:
+        if entries and self._name not in highest_ranked(backend, entries, count=senders):
             return False
         count = self._sent.get(backend)
         return count is None or count.total(now=now) < int(total / senders)
@@ -126,7 +126,3 @@
         if service not in counts:
             counts[service] = SlidingCount(window_s=self._window_s)
         return counts[service]
-
-
-def _rank(backend: str, entry: str) -> bytes:
-    return hashlib.blake2b(f"{backend} {entry}".encode(), digest_size=8).digest()
--- a/figpaddle/routing/_regional_choice.py
+++ b/figpaddle/routing/_regional_choice.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import dataclasses
-import hashlib
 import math
 import random
 
@@ -14,6 +13,7 @@
     EngineWork,
 )
 from figpaddle.routing._fleet import FleetMember
+from figpaddle.routing._ranking import highest_ranked
 
 #: Part of an engine's memory that running requests may take. Above it the engine preempts, which
 #: makes it read prompts again.
@@ -109,13 +109,12 @@
 def keeper_of(demand: Demand, names: list[str]) -> str:
     """Return the engine where all entries prefer to have the shared parts of a prompt kept.
 
-    Highest random weight: entries that know the same engines agree without a word, and an engine
-    that comes or goes moves only its own share of the parts.
+    Entries that know the same engines agree without a word, and an engine that comes or goes
+    moves only its own share of the parts.
     """
     if len(demand.prefixes) < 2 or not names:
         return ""
-    part = demand.prefixes[-2].digest
-    return max(names, key=lambda name: hashlib.blake2b(f"{part} {name}".encode()).digest())
+    return highest_ranked(str(demand.prefixes[-2].digest), names, count=1)[0]
 
 
 def estimate(candidate: Candidate, demand: Demand, *, now: float) -> Choice | None:
--- a/tests/fault_soak.py
+++ b/tests/fault_soak.py
@@ -17,6 +17,7 @@
 import signal
 import sys
 from collections.abc import Awaitable, Callable
+from typing import Any
 
 import anyio
 import anyio.abc
@@ -37,17 +38,21 @@
 #: Span in which faults begin, seconds.
 TROUBLE_S = 10.0
 #: Faults in one run.
-FAULTS = 9
+FAULTS = 10
+#: How engines fail by themselves, and the part of the requests to which they do.
+MOODS, MOODY_PART = ("full", "reset", "error", "midway", "slow", "slow"), 0.15
 #: After the last fault everything is served again within this, seconds.
 RECOVERY_S = 15.0
+#: Part of the requests whose callers leave early.
+LEAVING_PART = 0.15
 #: Callers at work.
 CALLERS = 10
 #: Longest time for the end of a request after its deadline, seconds; a hang counts as that late.
 HANG_S = 6.0
 #: Time in which callers notice the exit of a process, seconds.
 EXIT_S = 0.3
-#: How engines behave under load: streams that last about half a second.
-LOAD = {"events": 12, "gap_s": 0.04}
+#: Events of a stream and the time between them, seconds.
+EVENTS, GAP_S = 12, 0.04
 CONTROLS, ENTRIES = ("m-1", "m-2", "m-3"), ("m-4", "m-5", "m-6")
 ROUTES = ("chat", "plan", "hold", "read")
 
@@ -109,15 +114,18 @@
         pool: ConnectionPool,
     ) -> None:
         self._rng = random.Random(seed)
+        self._moods = random.Random(seed)
+        self._settled = False
         self._day = day
         self._proxy = proxy
         self._pool = pool
         self._ids = itertools.count(1)
-        self._versions = itertools.count(2)
+        self._versions = itertools.count(3)
         self._version = anyio.Lock()
         self._wiping = anyio.Lock()
         self._busy: set[str] = set()
         self._calm = False
+        self._evacuating = False
         self.record = Record()
         #: The faults played, for a person to read.
         self.history: list[str] = []
@@ -139,6 +147,19 @@
             "changes": self._changes,
         }
 
+    def configuration(self, version: int) -> dict[str, Any]:
+        """Return a configuration that allows attempts even where a request may run once only."""
+        changed = configuration(version)
+        for route in changed["routes"]:
+            route["max-attempts"] = 2
+        return changed
+
+    def prepare(self) -> None:
+        """Give the engines that are there the load and the failures of the soak."""
+        for engine in self._day.engines:
+            engine.events, engine.gap_s = EVENTS, GAP_S
+            engine.mood = self._mood
+
     async def run(self) -> list[str]:
         """Return the promises broken."""
         async with anyio.create_task_group() as load:
@@ -153,6 +174,7 @@
                     rng = random.Random(self._rng.random())
                     faults.start_soon(self._play, kind, at, for_s, rng)
             self._proxy.heal()
+            self._settled = True
             await self._recover()
             self._calm = True
             load.cancel_scope.cancel()
@@ -276,7 +298,7 @@
         engine.state = "crashed"
         engine.crashed.set()
         await anyio.sleep(for_s)
-        await self._day.add_engine(engine.service, engine.zone, **LOAD)
+        await self._add_engine(engine)
         self._disturbed(engine.name, begun_at)
 
     async def _failing(self, rng: random.Random, for_s: float) -> None:
@@ -289,7 +311,7 @@
 
     async def _drain(self, rng: random.Random, for_s: float) -> None:
         engine = rng.choice(self._live_engines())
-        await self._day.add_engine(engine.service, engine.zone, **LOAD)
+        await self._add_engine(engine)
         engine.state = "draining"
         if not await self._day.beat(engine):
             return
@@ -300,22 +322,23 @@
 
     async def _evacuate(self, rng: random.Random, for_s: float) -> None:
         zone = rng.choice(list(ZONES))
-        if zone in self._busy:
+        # One at a time: without any zone nothing would be served.
+        if self._evacuating:
             return
-        self._busy.add(zone)
+        self._evacuating = True
         if (await self._day.order("POST", f"/v1/evacuate/{zone}/start")).status == 200:
             begun_at = anyio.current_time()
             await anyio.sleep(for_s + 5.0)
             span = Span(subject=zone, begun_at=begun_at, ended_at=anyio.current_time())
             self.record.evacuated.append(span)
             await self._day.order("POST", f"/v1/evacuate/{zone}/end")
-        self._busy.discard(zone)
+        self._evacuating = False
 
     async def _changes(self, rng: random.Random, for_s: float) -> None:
         for _ in range(4):
             async with self._version:
                 version = next(self._versions)
-                reply = await self._day.order("POST", "/v1/config/put", configuration(version))
+                reply = await self._day.order("POST", "/v1/config/put", self.configuration(version))
                 if reply.status == 200:
                     self.record.acknowledged.append((anyio.current_time(), version))
             await anyio.sleep(for_s / 4)
@@ -354,7 +377,9 @@
             deadline_s=rng.choice((1.5, 3.0)),
         )
         self.record.sent[request_id] = sent
-        patience_s = rng.uniform(0.05, 0.8) if rng.random() < 0.08 else sent.deadline_s + HANG_S
+        patience_s = (
+            rng.uniform(0.05, 0.8) if rng.random() < LEAVING_PART else sent.deadline_s + HANG_S
+        )
         with anyio.move_on_after(patience_s) as scope:
             try:
                 await _send(connection, sent)
@@ -414,6 +439,16 @@
             if "Traceback" in self._day.log(name):
                 self.record.findings.append(f"{name} logged a traceback")
 
+    async def _add_engine(self, like: Engine) -> None:
+        await self._day.add_engine(
+            like.service, like.zone, events=EVENTS, gap_s=GAP_S, mood=self._mood
+        )
+
+    def _mood(self) -> str:
+        if self._settled or self._moods.random() >= MOODY_PART:
+            return ""
+        return self._moods.choice(MOODS)
+
     def _place(self, rng: random.Random) -> str:
         return rng.choice([*ENTRIES, *(engine.name for engine in self._live_engines())])
 
@@ -456,10 +491,10 @@
 
         async with anyio.create_task_group() as tasks, deployment(make=make) as day:
             assert isinstance(day, SoakDeployment)
-            for engine in day.engines:
-                engine.events, engine.gap_s = int(LOAD["events"]), LOAD["gap_s"]
             pool = ConnectionPool(tasks=tasks, clock=anyio.current_time, silence_s=2.0)
             run = Soak(seed=seed, day=day, proxy=proxy, pool=pool)
+            run.prepare()
+            await day.order("POST", "/v1/config/put", run.configuration(2))
             found = await run.run()
             if found and keep is not None:
                 day.keep_logs(keep / f"seed-{seed}", [*run.history, *found])
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -38,6 +38,8 @@
 PATIENCE_S = 15.0
 #: Interval of an engine's heartbeats, seconds.
 BEAT_S = 0.3
+#: Time to the first event of a slow answer, seconds.
+SLOW_S = 2.6
 #: Regions and their zones.
 ZONES = {"n-a": "north", "s-a": "south"}
 MODEL, PLAIN = "model", "plain"
@@ -68,6 +70,8 @@
     events: int = 3
     gap_s: float = 0.01
     failing: str = ""
+    #: Draws for each request how it fails by itself; empty for not at all.
+    mood: Callable[[], str] = str
     #: A body that makes the engine crash for good.
     crashing: bytes = b""
     crashed: anyio.Event = dataclasses.field(default_factory=anyio.Event)
@@ -97,7 +101,8 @@
     async def _run(
         self, request: HttpRequest, request_id: str, echo: Headers, responder: Responder
     ) -> None:
-        if self.failing == "full":
+        failing = self.failing or self.mood()
+        if failing == "full":
             await responder.answer(503, (*echo, (b"X-Figpaddle-Not-Executed", b"full")), b"")
             return
         self.ran.append(request_id)
@@ -107,9 +112,9 @@
         if self.crashing and request.body == self.crashing:
             self.crashed.set()
             return
-        if self.failing == "reset":
+        if failing == "reset":
             return
-        if self.failing == "error":
+        if failing == "error":
             await responder.answer(500, (*echo, (b"X-Figpaddle-Server-Seal", b"e")), b"error")
             return
         sealed = (*echo, (b"X-Figpaddle-Server-Seal", f"seal-{request_id}".encode()))
@@ -118,12 +123,14 @@
             return
         first = int(header(request.headers, b"last-event-id") or b"0") + 1
         try:
+            if failing == "slow":
+                await anyio.sleep(SLOW_S)
             await responder.start(
                 200, (*sealed, (b"Content-Type", b"text/event-stream")), length=None
             )
             for number in range(first, self.events + 1):
                 await responder.write(f"id: {number}\ndata: {number}\n\n".encode())
-                if self.failing == "midway" and number == 2:
+                if failing == "midway" and number == 2:
                     return
                 await anyio.sleep(self.gap_s)
             await responder.finish()
--- a/tests/test_platform_days.py
+++ b/tests/test_platform_days.py
@@ -307,3 +307,15 @@
         assert reply.status == 200
         far = next(e for e in day.engines if e.service == PLAIN and e.zone == "s-a")
         assert not {"figpaddle-terms", "x-private"} & set(far.fields[request_id])
+
+
+async def test_an_entry_that_starts_again_serves_while_no_control_instance_runs() -> None:
+    """A power loss takes control and an entry together; the other entries know the engines."""
+    async with deployment() as day:
+        for name in ("m-1", "m-2", "m-3", "m-4"):
+            day.signal(name, signal.SIGKILL)
+        await day.restart("m-4")
+        with anyio.fail_after(PATIENCE_S):
+            # Its data may not leave the region, so that no other region can serve it.
+            while (await day.ask("m-4", "/home/1"))[1].status != 200:
+                await anyio.sleep(0.1)
