Draw two engines for each request instead of using the one that looks best

Cause: entries of a large region know each other's work up to half a second late, and each used the engine that looked best, so all used the same one until the next report. Change: two sound engines are drawn, beside them the engine where the shared parts are kept; the best of these is used. A request leaves the region only where even its best engine is worse.

--- a/figpaddle/regional/_mesh.py
+++ b/figpaddle/regional/_mesh.py
@@ -36,6 +36,11 @@
 MAX_DATAGRAM_BYTES = 65507
 #: Datagrams read before other tasks get their turn.
 MAX_DATAGRAMS_IN_TURN = 32
+#: Pause after datagrams were read, seconds: among a hundred instances they come one by one, and
+#: waking up for each costs more than reading it. Short against every interval of news.
+DATAGRAM_PAUSE_S = 0.02
+#: Interval at which due heartbeats are looked for, seconds.
+BEAT_TICK_S = NEAR_INTERVAL_S / 2
 #: Path of questions on the port for other instances.
 QUESTION_PATH = b"/question"
 #: Media type of questions and replies.
@@ -240,6 +245,10 @@
                     self._log.debug("datagram_refused", reason=str(error))
                     continue
                 self._take_datagram(data)
+            else:
+                await anyio.sleep(0)
+                continue
+            await anyio.sleep(DATAGRAM_PAUSE_S)
 
     def _take_datagram(self, data: bytes) -> None:
         try:
@@ -285,7 +294,7 @@
             for names in (near, [name for name in due if name not in near]):
                 self._send_heartbeat(names, near=names is near, now=now)
             self._hurry = anyio.Event()
-            with anyio.move_on_after(NEAR_INTERVAL_S / 4):
+            with anyio.move_on_after(BEAT_TICK_S):
                 await self._hurry.wait()
 
     def _send_heartbeat(self, names: list[str], *, near: bool, now: float) -> None:
--- a/figpaddle/regional/_process.py
+++ b/figpaddle/regional/_process.py
@@ -29,7 +29,7 @@
 #: The same between regions, seconds; two retransmissions over the longest way.
 FAR_SILENCE_S = 2.5
 #: Interval at which lines of the log are written, seconds.
-LOG_INTERVAL_S = 0.05
+LOG_INTERVAL_S = 0.1
 #: Interval of housekeeping, seconds.
 HOUSEKEEPING_INTERVAL_S = 0.5
 #: Interval at which the settings file is read again without a signal, seconds.
--- a/figpaddle/routing/_regional_choice.py
+++ b/figpaddle/routing/_regional_choice.py
@@ -31,6 +31,13 @@
 REREAD_PRICE = 1.5
 #: Scores closer than this are taken as equal, seconds.
 NOISE_S = 0.01
+#: Backend servers drawn at random for one request, of which the best is used. Two spread work best
+#: while the news of what others sent is old; more draws send everybody to the same one.
+DRAWN = 2
+#: Backend servers with more recent failures or slower than this are drawn only if all are.
+SOUND_FAILURES, SOUND_SLOWNESS = 0.5, 2.0
+#: Time that a cached part must save for its engine to be considered beside those drawn, seconds.
+CACHE_SAVING_S = 0.02
 #: Time for which a request that is sent to another region counts there beside what that region
 #: reports, seconds: a heartbeat and half a round trip.
 AWAY_TRUST_S = 0.7
@@ -88,6 +95,15 @@
     score: float
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Option:
+    """A backend server with what a request would meet there."""
+
+    choice: Choice
+    candidate: Candidate
+    is_keeper: bool
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Refusal:
     """A request that isn't taken."""
@@ -188,27 +204,53 @@
     rng: random.Random,
     now: float,
 ) -> Choice | None:
-    """Return the best place for a request, or None where none has room.
+    """Return a good place for a request, or None where none has room.
 
-    Answers the load of a region whose peak exceeds its engines while others are quiet: work
-    leaves as soon as the time saved pays for the round trip, and stays where it is cached before.
+    Answers two loads. A region's peak exceeds its engines while others are quiet: work leaves as
+    soon as even the best engine here is worse than the way. And all entries of a region place
+    work at once, on news of each other that is up to half a second old: if each used the engine
+    that looks best, all would use the same one, so each draws a few and uses the best of these.
     """
     keeper = keeper_of(demand, [candidate.member.name for candidate in candidates])
-    options = [
-        estimate(
-            dataclasses.replace(candidate, is_keeper=candidate.member.name == keeper),
-            demand,
-            now=now,
-        )
-        for candidate in candidates
+    local = []
+    for candidate in candidates:
+        is_keeper = candidate.member.name == keeper
+        choice = estimate(dataclasses.replace(candidate, is_keeper=is_keeper), demand, now=now)
+        if choice is not None:
+            local.append(_Option(choice=choice, candidate=candidate, is_keeper=is_keeper))
+    gone = [choice for choice in (estimate_away(one, demand) for one in away) if choice is not None]
+    best_away = min(gone, key=_score, default=None)
+    if not local:
+        return best_away
+    if best_away is not None and best_away.score < min(one.choice.score for one in local):
+        return best_away
+    drawn = [one.choice for one in _drawn(local, demand, rng=rng, now=now)]
+    best = min(map(_score, drawn))
+    return rng.choice([choice for choice in drawn if choice.score <= best + NOISE_S])
+
+
+def _drawn(
+    local: list[_Option], demand: Demand, *, rng: random.Random, now: float
+) -> list[_Option]:
+    """Return the options that are compared: some at random and those that save reading."""
+    sound = [
+        one
+        for one in local
+        if one.candidate.work.failures(now=now) <= SOUND_FAILURES
+        and one.candidate.work.slowness(now=now) <= SOUND_SLOWNESS
     ]
-    options += [estimate_away(option, demand) for option in away]
-    found = [option for option in options if option is not None]
-    if not found:
-        return None
-    best = min(option.score for option in found)
-    near = [option for option in found if option.score <= best + NOISE_S]
-    return rng.choice(near)
+    sound = sound or local
+    drawn = rng.sample(sound, min(DRAWN, len(sound)))
+    saving = CACHE_SAVING_S * PREFILL_TOKENS_PER_S
+    if shared_tokens(demand) < saving:
+        return drawn
+    cached = [one for one in sound if demand.prompt_tokens - one.choice.prefill >= saving]
+    drawn += sorted(cached, key=lambda one: one.choice.score)[:1]
+    return drawn + [one for one in sound if one.is_keeper]
+
+
+def _score(choice: Choice) -> float:
+    return choice.score
 
 
 def refuse_late(
