Send requests that leave a region over connections that are there

Cause: each hop picked any ready entry of the other region, so with 28 of them nearly every hop opened a connection first, a whole round trip (160 ms) of the 0.6 to 1 s that an answer may take.

--- a/figpaddle/regional/_attempts.py
+++ b/figpaddle/regional/_attempts.py
@@ -168,7 +168,7 @@
             service=job.service,
         )
         leg = Leg(
-            address=self._mesh.peer_address(entry.name),
+            address=self._mesh.peer_address(entry),
             headers=hop_headers(job.request, terms),
             connect_timeout_s=min(HOP_CONNECT_S, job.left_s(now=now)),
             first_byte_timeout_s=max(0.0, job.left_s(now=now) + LATE_ANSWER_S),
@@ -180,7 +180,7 @@
             route=job.route.name,
             service=job.service.name,
             region=choice.region,
-            entry=entry.name,
+            entry=entry,
             attempt=job.attempt,
             expected_s=round(choice.expected_s, 3),
             score=round(choice.score, 3),
@@ -202,7 +202,7 @@
                 "hop_failed",
                 request=job.request_id,
                 region=choice.region,
-                entry=entry.name,
+                entry=entry,
                 fate=ending.fate.value,
                 reason=ending.reason,
             )
--- a/figpaddle/regional/_placer.py
+++ b/figpaddle/regional/_placer.py
@@ -28,6 +28,7 @@
     SlidingCount,
     choose,
     estimate,
+    hop_partner,
 )
 from figpaddle.telemetry import Counters, Log
 from figpaddle.wire import (
@@ -128,10 +129,14 @@
             now=now,
         )
 
-    def entry_of(self, region: str) -> InstanceHeartbeat | None:
-        """Return an entry of another region that takes requests."""
-        ready = [beat for beat in self._mesh.entries(region) if is_ready(beat)]
-        return self._rng.choice(ready) if ready else None
+    def entry_of(self, region: str) -> str | None:
+        """Return the name of an entry of another region that takes requests."""
+        ready = [beat.name for beat in self._mesh.entries(region) if is_ready(beat)]
+
+        def is_warm(name: str) -> bool:
+            return self._mesh.pool.idle_to(self._mesh.peer_address(name)) > 0
+
+        return hop_partner(self._settings.ip, ready, is_warm=is_warm, rng=self._rng)
 
     def own_work(self) -> tuple[BackendWork, ...]:
         """Return the own work at each backend server, for the other entries."""
--- a/figpaddle/routing/__init__.py
+++ b/figpaddle/routing/__init__.py
@@ -25,6 +25,7 @@
 from figpaddle.routing._entry_lookup import KnownEntry, entries_for, open_regions
 from figpaddle.routing._fleet import Fleet, FleetMember, News
 from figpaddle.routing._forwarding import MAX_CROSSINGS, check_forward, permitted_service
+from figpaddle.routing._hop_partners import hop_partner
 from figpaddle.routing._leaving import CLOSE_RESERVE_S, may_retire, may_take
 from figpaddle.routing._policy import (
     LeastLoadPolicy,
@@ -63,6 +64,7 @@
     "MEMORY_PART",
     "CLOSE_RESERVE_S",
     "highest_ranked",
+    "hop_partner",
     "may_retire",
     "may_take",
     "AwayRegion",
