Let work leave by what it would get here; draw as many engines as an entry's share

Cause: a request left the region only where the engine that looks best was worse than the way, but with two drawn engines few requests get that one, so a region at its peak kept too much. Change: the drawn engine is compared with the way. And an entry draws its share of the engines, two at least: with three entries a region news are fresh and half of the work is known, and two drawn of seven gave up knowledge. What tells a region's load to others is a function apart from input and output.

--- a/figpaddle/regional/_placer.py
+++ b/figpaddle/regional/_placer.py
@@ -14,21 +14,18 @@
 from figpaddle.regional._settings import ProcessSettings
 from figpaddle.routing import (
     AWAY_TRUST_S,
-    MEAN_PROMPT_TOKENS,
-    MEMORY_PART,
     AwayRegion,
     Candidate,
     Choice,
     ColdLimit,
-    Demand,
     EngineWork,
     Fleet,
     FleetMember,
     OthersWork,
     SlidingCount,
     choose,
-    estimate,
     hop_partner,
+    load_of,
 )
 from figpaddle.telemetry import Counters, Log
 from figpaddle.wire import (
@@ -42,9 +39,6 @@
 
 #: Way to another region and back, seconds, until it is measured.
 ROUND_TRIP_S = 0.17
-#: Requests that may be at a plain backend server, as a multiple of its slots: one round of short
-#: requests waits while another runs.
-PLAIN_QUEUE = 2
 #: Part of a backend server's connections that the entries of its region use together.
 CONNECTIONS_PART = 0.9
 
@@ -102,11 +96,12 @@
         candidates = self._candidates(job, now=now)
         away = [] if job.forwarded else self._away(job, now=now)
         demand = job.demand(now=now)
-        choice = choose(demand, candidates, away, rng=self._rng, now=now)
+        entries = 1 + len(self._mesh.entries(self._settings.region))
+        choice = choose(demand, candidates, away, rng=self._rng, now=now, entries=entries)
         if choice is None and job.tried and job.route.repeat is not Repeat.ONCE:
             # A server that failed a request may serve it the second time; nothing else can.
             again = self._candidates(job, now=now, tried_too=True)
-            choice = choose(demand, again, [], rng=self._rng, now=now)
+            choice = choose(demand, again, [], rng=self._rng, now=now, entries=entries)
         return choice
 
     def note_sent(self, job: Job, choice: Choice) -> None:
@@ -160,17 +155,20 @@
         loads = []
         for service in configuration.services:
             members = self._usable(service.name, now=now)
-            best_s, room = 60.0, 0
-            for member in members:
-                if member.may_be_cold(now=now):
-                    continue
-                candidate = self._candidate(member, service.slots, service.memory_tokens)
-                expected_s, free = _typical(candidate, now=now)
-                best_s = min(best_s, expected_s)
-                room += free
+            settled = [member for member in members if not member.may_be_cold(now=now)]
+            load = load_of(
+                [
+                    self._candidate(member, service.slots, service.memory_tokens)
+                    for member in settled
+                ],
+                now=now,
+            )
             loads.append(
                 RegionalLoad(
-                    service=service.name, backends=len(members), expected_s=best_s, room=room
+                    service=service.name,
+                    backends=len(members),
+                    expected_s=load.expected_s,
+                    room=load.room,
                 )
             )
         return tuple(loads)
@@ -328,24 +326,3 @@
                     requests=work.requests, memory=work.tokens, prefill=work.prefill
                 )
                 engine.note_others(message.name, others, now=now)
-
-
-def _typical(candidate: Candidate, *, now: float) -> tuple[float, int]:
-    """Return the time to the first byte and the free places for requests of mean size."""
-    demand = Demand(
-        request_id="",
-        member="",
-        service="",
-        priority=0,
-        deadline_s=60.0,
-        prompt_tokens=MEAN_PROMPT_TOKENS if candidate.memory_tokens else 0,
-    )
-    choice = estimate(candidate, demand, now=now)
-    if choice is None:
-        return 60.0, 0
-    places = candidate.slots if candidate.memory_tokens else candidate.slots * PLAIN_QUEUE
-    free = places - candidate.work.requests(now=now)
-    if candidate.memory_tokens:
-        left = candidate.memory_tokens * MEMORY_PART - candidate.work.memory(now=now)
-        free = min(free, int(left / MEAN_PROMPT_TOKENS))
-    return choice.expected_s, max(0, free)
--- a/figpaddle/routing/__init__.py
+++ b/figpaddle/routing/__init__.py
@@ -52,6 +52,7 @@
     refuse_late,
     spread_return,
 )
+from figpaddle.routing._regional_load import load_of
 from figpaddle.routing._retry_budget import RetryBudget
 from figpaddle.routing._scored import Estimate, PolicyName, ScoredPolicy, make_policy
 
@@ -65,6 +66,7 @@
     "CLOSE_RESERVE_S",
     "highest_ranked",
     "hop_partner",
+    "load_of",
     "may_retire",
     "may_take",
     "AwayRegion",
--- a/figpaddle/routing/_regional_choice.py
+++ b/figpaddle/routing/_regional_choice.py
@@ -31,9 +31,9 @@
 REREAD_PRICE = 1.5
 #: Scores closer than this are taken as equal, seconds.
 NOISE_S = 0.01
-#: Backend servers drawn at random for one request, of which the best is used. Two spread work best
-#: while the news of what others sent is old; more draws send everybody to the same one.
-DRAWN = 2
+#: Fewest backend servers drawn at random for one request, of which the best is used. Two spread
+#: work best while the news of what others sent is old; more send everybody to the same one.
+MIN_DRAWN = 2
 #: Backend servers with more recent failures or slower than this are drawn only if all are.
 SOUND_FAILURES, SOUND_SLOWNESS = 0.5, 2.0
 #: Time that a cached part must save for its engine to be considered beside those drawn, seconds.
@@ -203,13 +203,16 @@
     *,
     rng: random.Random,
     now: float,
+    entries: int = 1,
 ) -> Choice | None:
     """Return a good place for a request, or None where none has room.
 
-    Answers two loads. A region's peak exceeds its engines while others are quiet: work leaves as
-    soon as even the best engine here is worse than the way. And all entries of a region place
-    work at once, on news of each other that is up to half a second old: if each used the engine
-    that looks best, all would use the same one, so each draws a few and uses the best of these.
+    Answers two loads. All entries of a region place work at once, on news of each other that is
+    up to half a second old: if each used the engine that looks best, all would use the same one,
+    so each draws its share of them and uses the best of these; ``entries`` says how many entries
+    there are. And a region's peak exceeds its engines while
+    others are quiet: work leaves as soon as the engine that it would get here is worse than the
+    way. The engine that looks best here is no measure of that, as not all can have it.
     """
     keeper = keeper_of(demand, [candidate.member.name for candidate in candidates])
     local = []
@@ -222,15 +225,15 @@
     best_away = min(gone, key=_score, default=None)
     if not local:
         return best_away
-    if best_away is not None and best_away.score < min(one.choice.score for one in local):
-        return best_away
-    drawn = [one.choice for one in _drawn(local, demand, rng=rng, now=now)]
+    drawn = [one.choice for one in _drawn(local, demand, entries, rng=rng, now=now)]
     best = min(map(_score, drawn))
+    if best_away is not None and best_away.score < best:
+        return best_away
     return rng.choice([choice for choice in drawn if choice.score <= best + NOISE_S])
 
 
 def _drawn(
-    local: list[_Option], demand: Demand, *, rng: random.Random, now: float
+    local: list[_Option], demand: Demand, entries: int, *, rng: random.Random, now: float
 ) -> list[_Option]:
     """Return the options that are compared: some at random and those that save reading."""
     sound = [
@@ -240,7 +243,8 @@
         and one.candidate.work.slowness(now=now) <= SOUND_SLOWNESS
     ]
     sound = sound or local
-    drawn = rng.sample(sound, min(DRAWN, len(sound)))
+    share = math.ceil(len(sound) / max(1, entries))
+    drawn = rng.sample(sound, min(max(MIN_DRAWN, share), len(sound)))
     saving = CACHE_SAVING_S * PREFILL_TOKENS_PER_S
     if shared_tokens(demand) < saving:
         return drawn
