--- a/figpaddle/regional/_entry.py
+++ b/figpaddle/regional/_entry.py
@@ -71,6 +71,13 @@
             log=self._log,
             counters=self._counters,
         )
+        self._counters.gauges("backends_believed", "state", self._placer.believed)
+        self._counters.gauges("backends_oldest_seconds", "service", self._placer.oldest)
+        self._counters.gauges(
+            "retry_budget_left",
+            "service",
+            lambda: self._gateway.retries.left(now=self._clock()),
+        )
         self._mesh.on_heard(self._introduce)
         self._counters.gauge("requests_active", lambda: self._gateway.active)
         self._counters.gauge("backend_connections_opened", lambda: self._backends.opened)
--- a/figpaddle/regional/_placer.py
+++ b/figpaddle/regional/_placer.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import random
 from collections.abc import Callable
 from typing import Any
@@ -30,6 +31,7 @@
 from figpaddle.telemetry import Counters, Log
 from figpaddle.wire import (
     BackendNews,
+    BackendState,
     BackendWork,
     InstanceHeartbeat,
     InstanceRole,
@@ -173,6 +175,26 @@
             )
         return tuple(loads)
 
+    def believed(self) -> dict[str, int]:
+        """Return how many backend servers are believed to be in each state."""
+        now = self._clock()
+        states: collections.Counter[str] = collections.Counter()
+        for member in self._fleet.members():
+            states[member.record.state.value] += 1
+            states["resting"] += member.resting_until > now
+            states["cold"] += member.may_be_cold(now=now)
+        return dict(states)
+
+    def oldest(self) -> dict[str, float]:
+        """Return the age of the oldest belief in use, seconds, by service."""
+        now = self._clock()
+        ages: dict[str, float] = {}
+        for member in self._fleet.members():
+            if member.record.state is BackendState.SERVING:
+                service = member.record.service
+                ages[service] = max(ages.get(service, 0.0), now - member.said_at)
+        return ages
+
     def dump(self) -> list[dict[str, Any]]:
         """Return what is believed of each backend server, for a person to read."""
         now = self._clock()
--- a/figpaddle/routing/_rate_limits.py
+++ b/figpaddle/routing/_rate_limits.py
@@ -112,6 +112,19 @@
         again.add(now=now)
         return True
 
+    def left(self, *, now: float) -> dict[str, float]:
+        """Return the retries that this entry may still make in the present window, by service."""
+        slack = self._part_of_slack(now)
+        return {
+            service: max(
+                0.0,
+                self._ratio * first.total(now=now)
+                + slack
+                - self._count(self._again, service).total(now=now),
+            )
+            for service, first in list(self._first.items())
+        }
+
     def used(self, *, now: float) -> dict[str, int]:
         """Return the retries in the present window, by service."""
         return {service: count.total(now=now) for service, count in self._again.items()}
--- a/figpaddle/routing/_regional_choice.py
+++ b/figpaddle/routing/_regional_choice.py
@@ -210,9 +210,9 @@
     Answers two loads. All entries of a region place work at once, on news of each other that is
     up to half a second old: if each used the engine that looks best, all would use the same one,
     so each draws its share of them and uses the best of these; ``entries`` says how many entries
-    there are. And a region's peak exceeds its engines while
-    others are quiet: work leaves as soon as the engine that it would get here is worse than the
-    way. The engine that looks best here is no measure of that, as not all can have it.
+    there are. And a region's peak exceeds its engines while others are quiet: work leaves as soon
+    as the engine that it would get here is worse than the way. The engine that looks best here is
+    no measure of that, as not all can have it.
     """
     keeper = keeper_of(demand, [candidate.member.name for candidate in candidates])
     local = []
--- a/figpaddle/routing/tests/test_rate_limits.py
+++ b/figpaddle/routing/tests/test_rate_limits.py
@@ -7,6 +7,7 @@
 import pytest
 
 from figpaddle.routing import ColdLimit, SharedRetryBudget
+from figpaddle.routing._rate_limits import SLACK_PART
 
 #: Bounds of the deployments: rate and slack of a cold backend server.
 PER_S, OVERSHOOT, SLACK = 4.1, 1.5, 3.0
@@ -106,6 +107,15 @@
     assert budget.take("s", now=5.0)
 
 
+def test_what_is_left_is_earned_and_own_slack_less_what_was_used() -> None:
+    budget = SharedRetryBudget(ratio=0.5, window_s=10.0, slack=10.0, now=0.0, first_start=True)
+    budget.note_entries(2)
+    for _ in range(4):
+        budget.note_request("s", now=1.0)
+    assert budget.take("s", now=1.0)
+    assert budget.left(now=1.0) == {"s": 4 * 0.5 + 10.0 * SLACK_PART / 2 - 1}
+
+
 def test_entries_killed_right_after_they_used_the_slack_stay_within_the_budget() -> None:
     """All entries use their parts in a storm, are killed, and the storm goes on for the new ones."""
     entries, slack = 7, 54.0
--- a/figpaddle/telemetry/_counters.py
+++ b/figpaddle/telemetry/_counters.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from hdrh.histogram import HdrHistogram
 
@@ -31,6 +31,7 @@
         self._counts: Counter[tuple[str, Labels]] = Counter()
         self._times: dict[tuple[str, Labels], HdrHistogram] = {}
         self._gauges: dict[str, Callable[[], float]] = {}
+        self._labelled: dict[tuple[str, str], Callable[[], Mapping[str, float]]] = {}
 
     def count(self, name: str, amount: int = 1, **labels: str) -> None:
         """Add to a counter."""
@@ -49,6 +50,10 @@
         """Show the value that ``read`` returns whenever the page is made."""
         self._gauges[name] = read
 
+    def gauges(self, name: str, label: str, read: Callable[[], Mapping[str, float]]) -> None:
+        """Show the values that ``read`` returns by the value of ``label``."""
+        self._labelled[name, label] = read
+
     def page(self) -> str:
         """Return the page."""
         lines = [
@@ -56,6 +61,11 @@
             for (name, labels), number in sorted(self._counts.items())
         ]
         lines += [f"figpaddle_{name} {read():g}" for name, read in sorted(self._gauges.items())]
+        for (name, label), read_all in sorted(self._labelled.items()):
+            lines += [
+                f"figpaddle_{name}{_braces(((label, key),))} {value:g}"
+                for key, value in sorted(read_all().items())
+            ]
         for (name, labels), histogram in sorted(self._times.items(), key=lambda item: item[0]):
             count = histogram.get_total_count()
             lines.append(f"figpaddle_{name}_count{_braces(labels)} {count}")
--- a/tests/test_platform_days.py
+++ b/tests/test_platform_days.py
@@ -230,6 +230,9 @@
         assert 'figpaddle_requests_total{outcome="stream complete",service="model"} 1' in page
         assert "figpaddle_first_byte_seconds" in page
         assert "figpaddle_configuration_version 1" in page
+        assert 'figpaddle_backends_believed{state="serving"} 2' in page
+        assert 'figpaddle_retry_budget_left{service="model"} ' in page
+        assert 'figpaddle_backends_oldest_seconds{service="plain"} ' in page
         with anyio.fail_after(PATIENCE_S):
             while True:
                 state = json.loads((await day.metrics("m-4", "/state")).body)
