Tell refused callers to come back by the time that they have left

Change: at least a fifth of the time left, spread over as much again, at most three fifths of it in all. A refusal for a late answer was spread twice; now once. Reasons other than an overload keep their short times.

--- a/figpaddle/regional/_gateway.py
+++ b/figpaddle/regional/_gateway.py
@@ -158,10 +158,12 @@
             last_event=terms.last_event,
         )
         if not terms.route.allows(self._settings.region):
-            await self._refuse(job, responder, "region not allowed", RETURN_S)
+            await self._refuse(job, responder, "region not allowed", self._return(RETURN_S))
             return
         if not await self._follower.wait_for_revision(terms.revision, timeout_s=REVISION_WAIT_S):
-            await self._refuse(job, responder, "older state than the sender", RETURN_S)
+            await self._refuse(
+                job, responder, "older state than the sender", self._return(RETURN_S)
+            )
             return
         await self._run(job, responder)
 
@@ -195,7 +197,8 @@
             if not self._may_take(job):
                 await self._refuse(job, responder, "leaving", ELSEWHERE_S)
             elif refused_for_s:
-                await self._refuse(job, responder, "crashes backend servers", refused_for_s)
+                again_s = self._return(refused_for_s)
+                await self._refuse(job, responder, "crashes backend servers", again_s)
             else:
                 await self._serve(job, responder)
         except CallerGoneError:
@@ -289,7 +292,7 @@
             reason = f"{reason} after {job.last_failure}"
             await self._fail(job, Ending(fate=Fate.UNKNOWN, reason=reason), responder)
             return
-        await self._refuse(job, responder, reason, RETURN_S)
+        await self._refuse(job, responder, reason, self._return(RETURN_S, job))
 
     async def _give_up(self, job: Job, responder: Responder, reason: str) -> None:
         await self._fail(job, Ending(fate=Fate.UNKNOWN, reason=reason), responder)
@@ -300,7 +303,7 @@
             self._note_end(job, f"broken: {ending.reason}", failed=True)
             return
         if not job.may_have_run:
-            await self._refuse(job, responder, ending.reason, RETURN_S)
+            await self._refuse(job, responder, ending.reason, self._return(RETURN_S, job))
             return
         if job.spare is not None and header(job.spare.answer.headers, OUTCOME_FIELD) is None:
             answer = job.spare.answer
@@ -315,14 +318,17 @@
     async def _refuse(
         self, job: Job, responder: Responder, reason: str, retry_after_s: float
     ) -> None:
-        if retry_after_s > ELSEWHERE_S:
-            retry_after_s = spread_return(retry_after_s, rng=self._rng)
         self._note_end(job, f"refused: {reason}", failed=True)
         headers = [(b"Retry-After", f"{retry_after_s:.3f}".encode())]
         if job.forwarded:
             headers.append((OUTCOME_FIELD, NOT_RUN))
         await responder.answer(503, tuple(headers), b"")
 
+    def _return(self, wait_s: float, job: Job | None = None) -> float:
+        """Return when to come back; ``job`` is given where an overload is the reason."""
+        left_s = 0.0 if job is None else max(0.0, job.left_s(now=self._clock()))
+        return spread_return(wait_s, left_s=left_s, rng=self._rng)
+
     async def _refuse_early(
         self, caller: CallerRequest, responder: Responder, status: int, reason: str
     ) -> None:
@@ -336,8 +342,7 @@
         self._counters.count("requests_total", service="", outcome=reason)
         headers: Headers = ()
         if status == 503:
-            retry_after_s = spread_return(STARTING_S, rng=self._rng)
-            headers = ((b"Retry-After", f"{retry_after_s:.3f}".encode()),)
+            headers = ((b"Retry-After", f"{self._return(STARTING_S):.3f}".encode()),)
         await responder.answer(status, headers, b"")
 
     def _note_end(self, job: Job, outcome: str, *, failed: bool = False) -> None:
--- a/figpaddle/routing/__init__.py
+++ b/figpaddle/routing/__init__.py
@@ -50,10 +50,10 @@
     choose,
     estimate,
     refuse_late,
-    spread_return,
 )
 from figpaddle.routing._regional_load import load_of
 from figpaddle.routing._retry_budget import RetryBudget
+from figpaddle.routing._returns import spread_return
 from figpaddle.routing._scored import Estimate, PolicyName, ScoredPolicy, make_policy
 
 __all__ = [
--- a/figpaddle/routing/_regional_choice.py
+++ b/figpaddle/routing/_regional_choice.py
@@ -14,6 +14,7 @@
 )
 from figpaddle.routing._fleet import FleetMember
 from figpaddle.routing._ranking import highest_ranked
+from figpaddle.routing._returns import spread_return
 
 #: Part of an engine's memory that running requests may take. Above it the engine preempts, which
 #: makes it read prompts again.
@@ -43,9 +44,6 @@
 AWAY_TRUST_S = 0.7
 #: A request of mean size, tokens, where a region's load is told in one figure.
 MEAN_PROMPT_TOKENS = 3000
-#: Shortest and longest time that a refused caller is told to stay away, seconds.
-MIN_RETRY_S = 0.2
-MAX_RETRY_S = 3.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -268,13 +266,6 @@
     if choice.expected_s <= limit_s:
         return None
     late_s = choice.expected_s - limit_s
-    return Refusal(reason="late", retry_after_s=spread_return(late_s, rng=rng))
-
-
-def spread_return(wait_s: float, *, rng: random.Random) -> float:
-    """Return when a refused caller should come back: after ``wait_s``, spread over as much again.
-
-    Callers that are refused together would otherwise come back together.
-    """
-    retry_s = max(MIN_RETRY_S, wait_s) * rng.uniform(1.0, 2.0)
-    return math.ceil(min(MAX_RETRY_S, retry_s) * 1000) / 1000
+    return Refusal(
+        reason="late", retry_after_s=spread_return(late_s, left_s=demand.deadline_s, rng=rng)
+    )
