--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -40,6 +40,8 @@
 BEAT_S = 0.3
 #: Time to the first event of a slow answer, seconds.
 SLOW_S = 2.6
+#: Lines of a process's status that show which signals it ignores and which it handles.
+MASKS = ("SigIgn:", "SigCgt:")
 #: Regions and their zones.
 ZONES = {"n-a": "north", "s-a": "south"}
 MODEL, PLAIN = "model", "plain"
@@ -218,6 +220,16 @@
     def signal(self, name: str, number: signal.Signals) -> None:
         self._processes[name].send_signal(number)
 
+    def holds_off_reloads(self, name: str) -> bool:
+        """Return whether a process ignores or handles SIGHUP, as the system shows it."""
+        status = pathlib.Path(f"/proc/{self._processes[name].pid}/status").read_text("utf-8")
+        masks = [line.split()[1] for line in status.splitlines() if line[:7] in MASKS]
+        return any(int(mask, 16) & 1 << signal.SIGHUP - 1 for mask in masks)
+
+    def modules(self, name: str) -> str:
+        """Return the files that a process has mapped, its compiled modules among them."""
+        return pathlib.Path(f"/proc/{self._processes[name].pid}/maps").read_text("utf-8")
+
     async def stopped(self, name: str) -> int:
         """Return the exit code of a process once it has ended."""
         with anyio.fail_after(PATIENCE_S):
--- a/tests/test_platform_days.py
+++ b/tests/test_platform_days.py
@@ -322,3 +322,16 @@
             # Its data may not leave the region, so that no other region can serve it.
             while (await day.ask("m-4", "/home/1"))[1].status != 200:
                 await anyio.sleep(0.1)
+
+
+async def test_a_reload_asked_for_while_a_process_starts_does_not_end_it() -> None:
+    async with deployment(engines=False) as day:
+        day.signal("m-4", signal.SIGKILL)
+        await day.restart("m-4")
+        with anyio.fail_after(PATIENCE_S):
+            while "pydantic_core" not in day.modules("m-4"):
+                await anyio.sleep(0.005)
+            assert day.holds_off_reloads("m-4")
+            while not await day.ready("m-4"):
+                day.signal("m-4", signal.SIGHUP)
+                await anyio.sleep(0.05)
