Find the seeds at once after a power loss

Cause: an instance that starts before its seeds asked them again only 0.8 s later, and control knows no entry until one has spoken to it. Change: in the first 5 s seeds are asked five times a second. The intervals are a function of their own.

--- a/figpaddle/regional/_mesh.py
+++ b/figpaddle/regional/_mesh.py
@@ -18,20 +18,13 @@
     UnknownMessageError,
 )
 from figpaddle.http1 import ConnectionPool, HttpRequest, Responder
+from figpaddle.regional._beat_times import NEAR_INTERVAL_S, beat_interval
 from figpaddle.regional._settings import ProcessSettings
 from figpaddle.telemetry import Counters, Log
 from figpaddle.wire import InstanceHeartbeat, InstanceRole, Message, Readiness, decode, encode
 
-#: Interval between heartbeats to each instance of the own region, seconds.
-NEAR_INTERVAL_S = 0.2
-#: Interval to those of other regions, seconds; their news is older by the way there anyway.
-FAR_INTERVAL_S = 0.4
-#: Interval between attempts to reach instances that are silent or only known by name, seconds.
-SEARCH_INTERVAL_S = 0.8
 #: Instances named in a heartbeat.
 ACQUAINTANCES = 6
-#: Number of instances above which heartbeats become rarer in proportion.
-FULL_RATE_INSTANCES = 16
 #: Largest datagram read, bytes.
 MAX_DATAGRAM_BYTES = 65507
 #: Datagrams read before other tasks get their turn.
@@ -76,6 +69,7 @@
         self._incarnation = incarnation
         self._pool = pool
         self._clock = clock
+        self._started_at = clock()
         self._rng = rng
         self._log = log
         self._counters = counters
@@ -311,12 +305,13 @@
 
     def _interval(self, name: str, now: float) -> float:
         heard = self._table.get(name)
-        if heard is None or now - heard.at > SILENT_AFTER_S:
-            return SEARCH_INTERVAL_S
-        scale = max(1.0, len(self._names) / FULL_RATE_INSTANCES)
-        if heard.beat.region == self._settings.region:
-            return min(0.5, NEAR_INTERVAL_S * scale)
-        return min(1.0, FAR_INTERVAL_S * scale)
+        return beat_interval(
+            silent=heard is None or now - heard.at > SILENT_AFTER_S,
+            near=self._is_near(name),
+            is_seed=name in self._settings.seeds,
+            instances=len(self._names),
+            running_s=now - self._started_at,
+        )
 
     def _note_silent(self, now: float) -> None:
         for name in self._table.known():
