Revert: use no engine beyond its slots while others have some

Conclusion: drawing only among engines with a free slot sends everybody to the few that seem to have one, on news that are half a second old: the herd again.

--- a/figpaddle/routing/_engine_work.py
+++ b/figpaddle/routing/_engine_work.py
@@ -17,8 +17,6 @@
 FIRST_TOKEN_S = 0.06
 #: Time for which a plain request holds its slot, before any sample, seconds.
 HOLD_S = 0.05
-#: Time for which a stream holds its slot, before any sample, seconds: 300 tokens at a busy engine.
-STREAM_S = 2.5
 #: Weight of one new sample in a moving average.
 SAMPLE_WEIGHT = 0.08
 #: Most that one sample counts, as a multiple of what was expected.
@@ -62,7 +60,6 @@
         self._slowness = 1.0
         self._slowness_at = now
         self._hold_s = HOLD_S
-        self._stream_s = STREAM_S
         self._failures = 0.0
         self._failures_at = now
 
@@ -86,11 +83,6 @@
         """Mean time for which a request holds its slot, seconds."""
         return self._hold_s
 
-    @property
-    def stream_s(self) -> float:
-        """Mean time for which a stream holds its slot, seconds."""
-        return self._stream_s
-
     def note_others(self, entry: str, work: OthersWork, *, now: float) -> None:
         """Take in what another entry has in progress here."""
         self._others[entry] = (work, now)
@@ -159,9 +151,7 @@
         if failed:
             self._failures = self._failures_now(now) + 1.0
             self._failures_at = now
-        elif own.streamed:
-            self._stream_s += (now - own.sent_at - self._stream_s) * SAMPLE_WEIGHT
-        else:
+        elif not own.streamed:
             self._hold_s += (now - own.sent_at - self._hold_s) * SAMPLE_WEIGHT
 
     def slowness(self, *, now: float) -> float:
--- a/figpaddle/routing/_regional_choice.py
+++ b/figpaddle/routing/_regional_choice.py
@@ -59,10 +59,6 @@
     #: Whether all entries of the region send prompts with the same shared parts here.
     is_keeper: bool = False
 
-    def has_slot(self, *, now: float) -> bool:
-        """Return whether a request would start without waiting for a slot."""
-        return self.work.requests(now=now) < self.slots
-
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class AwayRegion:
@@ -154,7 +150,7 @@
         expected_s = FIRST_TOKEN_S + (ahead + prefill) / PREFILL_TOKENS_PER_S
         fill = max(fill, (taken + need) / (candidate.memory_tokens * MEMORY_PART))
         if requests >= slots:
-            expected_s += work.stream_s * (requests + 1 - slots) / slots
+            expected_s += (requests + 1 - slots) / slots
     else:
         waiting = max(0.0, requests + 1 - slots)
         expected_s = work.hold_s * (1.0 + waiting / slots)
@@ -245,8 +241,6 @@
         and one.candidate.work.slowness(now=now) <= SOUND_SLOWNESS
     ]
     sound = sound or local
-    # Beyond its slots an engine preempts what is less urgent and reads its prompt again later.
-    sound = [one for one in sound if one.candidate.has_slot(now=now)] or sound
     share = math.ceil(len(sound) / max(1, entries))
     drawn = rng.sample(sound, min(max(MIN_DRAWN, share), len(sound)))
     saving = CACHE_SAVING_S * PREFILL_TOKENS_PER_S
