Wait for a proposer that is heard instead of becoming a second one

Ruled out: a lost majority (the value was accepted at 16.06 s, 2.2 s after the order) and disks. Change: a proposer whose heartbeats come is waited for up to 2 s, one that falls silent is given up within 1.2 s; the random pause after a lost round is as long as a round. Picking and asking the proposer is a class of its own. Test red with 0.7 s.

--- a/figpaddle/regional/_register_host.py
+++ b/figpaddle/regional/_register_host.py
@@ -23,10 +23,10 @@
 from figpaddle.errors import (
     MalformedMessageError,
     NoMajorityError,
-    PeerUnreachableError,
     StorageError,
 )
 from figpaddle.regional._cluster import ClusterFollower
+from figpaddle.regional._delegation import Delegation
 from figpaddle.regional._electorate import Electorate, pair
 from figpaddle.regional._mesh import Mesh
 from figpaddle.regional._register_store import RegisterStore
@@ -44,19 +44,13 @@
     VotersDecision,
 )
 
-#: Longest wait for another control instance to make a change, seconds; the way there and back
-#: and a round. The operator turns elsewhere after a second.
-PROPOSER_TIMEOUT_S = 0.7
-#: Time for which one that didn't answer isn't asked again, seconds.
-PROPOSER_AVOIDED_S = 3.0
-#: Longest random pause after another proposer got in the way, seconds.
-MAX_PAUSE_S = 0.25
+#: Longest random pause after another proposer got in the way, seconds: longer than its round
+#: between regions takes, so that one of two that meet has the time to end.
+MAX_PAUSE_S = 0.5
 #: Rounds after which a change is given up.
 MAX_ROUNDS = 6
 #: Interval of work that isn't urgent: founding, recovery and reading after a start, seconds.
 UPKEEP_INTERVAL_S = 0.25
-#: Time without a heartbeat after which another control instance isn't asked to propose, seconds.
-PROPOSER_SILENT_S = 1.2
 
 #: A change of the agreed state.
 Change = Callable[[ClusterState], ClusterState]
@@ -113,7 +107,7 @@
         self._waiting: list[_Ticket] = []
         self._wanted = anyio.Event()
         self._won: _Won | None = None
-        self._avoided: dict[str, float] = {}
+        self._delegation = Delegation(name=settings.ip, mesh=mesh, clock=clock, log=log)
         self._read_once = False
         self._electorate = Electorate(
             name=settings.ip, mesh=mesh, answer_self=self._answer_self, tasks=tasks, log=log
@@ -141,18 +135,13 @@
 
         Raises NoMajorityError where it is not known to be durable.
         """
-        proposer = self._preferred_proposer()
+        proposer = self._delegation.proposer()
         if proposer != self._settings.ip:
-            try:
-                reply = await self._mesh.ask(proposer, order, timeout_s=PROPOSER_TIMEOUT_S)
-            except PeerUnreachableError as error:
-                self._log.warning("proposer_unreachable", peer=proposer, reason=str(error))
-                self._avoided[proposer] = self._clock() + PROPOSER_AVOIDED_S
-            else:
-                if isinstance(reply, StateChangeReply) and reply.done:
-                    state = decode_state(reply.state)
-                    self._follower.install(state, source=proposer)
-                    return state
+            reply = await self._delegation.ask(proposer, order)
+            if reply is not None and reply.done:
+                state = decode_state(reply.state)
+                self._follower.install(state, source=proposer)
+                return state
         return await self._change_here(order)
 
     async def read(self) -> ClusterState:
@@ -372,16 +361,6 @@
             raise NoMajorityError(what="the voters are not known yet")
         return voters
 
-    def _preferred_proposer(self) -> str:
-        now = self._clock()
-        names = [self._settings.ip]
-        for beat in self._mesh.controls():
-            heard = self._mesh.heard(beat.name)
-            recent = heard is not None and now - heard.at <= PROPOSER_SILENT_S
-            if recent and self._avoided.get(beat.name, 0.0) <= now:
-                names.append(beat.name)
-        return min(names)
-
 
 def _reply(promise: Promise) -> PrepareReply:
     return PrepareReply(
