--- a/figpaddle/routing/_regional_choice.py
+++ b/figpaddle/routing/_regional_choice.py
@@ -219,8 +219,10 @@
         choice = estimate(dataclasses.replace(candidate, is_keeper=is_keeper), demand, now=now)
         if choice is not None:
             local.append(_Option(choice=choice, candidate=candidate, is_keeper=is_keeper))
-    gone = [choice for choice in (estimate_away(one, demand) for one in away) if choice is not None]
-    best_away = min(gone, key=_score, default=None)
+    elsewhere = [
+        choice for choice in (estimate_away(one, demand) for one in away) if choice is not None
+    ]
+    best_away = min(elsewhere, key=_score, default=None)
     if not local:
         return best_away
     drawn = [one.choice for one in _drawn(local, demand, entries, rng=rng, now=now)]
