--- /dev/null
+++ b/tests/test_proof_rows.py
@@ -0,0 +1,32 @@
+"""Rows of docs/PROOFS.md that the check must accept and refuse."""
+
+from __future__ import annotations
+
+import pytest
+
+from scripts.check_proofs import faults_of
+
+TESTS = {"tests/test_one.py::test_passes"}
+RED = {"tests/test_one.py::test_fails"}
+
+
+def row(test: str, verdict: str) -> list[str]:
+    return ["a statement", f"`{test}`", "kill -9", "abc1234: a mutation", verdict]
+
+
+def test_passing_test_proves() -> None:
+    assert faults_of(row("tests/test_one.py::test_passes", "proved"), TESTS, RED) == []
+
+
+def test_known_red_test_exists_but_proves_nothing() -> None:
+    name = "tests/test_one.py::test_fails"
+    assert faults_of(row(name, "partly: red now and then"), TESTS, RED) == []
+    assert faults_of(row(name, "proved"), TESTS, RED) == [
+        "a statement: proved by a test that is known to be red"
+    ]
+
+
+@pytest.mark.parametrize("verdict", ["proved", "partly: no mutation kept"])
+def test_test_that_does_not_exist_is_a_fault(verdict: str) -> None:
+    faults = faults_of(row("tests/test_one.py::test_renamed", verdict), TESTS, RED)
+    assert faults == ["a statement: no such test tests/test_one.py::test_renamed"]
