Let the event loop read connections without a task for each

Change: a connection is a protocol of the event loop; tasks wait for bytes only where they need some. The end of a caller's connection cancels its request by a callback instead of a task for each request, and idle connections of a listener are closed by the listener instead of a task for each wait. Sending still returns once the system has the bytes, and reading still stops at 256 KiB that nobody takes.

The test of sweeping the pool beside other tasks now also checks what is closed and what is kept.

--- a/figpaddle/http1/_backend.py
+++ b/figpaddle/http1/_backend.py
@@ -3,12 +3,9 @@
 from __future__ import annotations
 
 import collections
-import contextlib
 import dataclasses
 from collections.abc import AsyncIterator, Callable
 
-import anyio
-import anyio.abc
 import h11
 
 from figpaddle.errors import ConnectionLostError, MalformedAnswerError
@@ -133,9 +130,9 @@
         if not self._last:
             self._parser.start_next_cycle()
 
-    async def close(self) -> None:
+    def close(self) -> None:
         """Close the connection."""
-        await self._channel.close()
+        self._channel.close()
 
     def _skip_answer(self) -> None:
         """Expect another answer to the same request: the one read belonged to an earlier one."""
@@ -191,12 +188,9 @@
 
 
 class ConnectionPool:
-    """Connections by address; readers run in the given task group."""
+    """Connections by address."""
 
-    def __init__(
-        self, *, tasks: anyio.abc.TaskGroup, clock: Callable[[], float], silence_s: float
-    ) -> None:
-        self._tasks = tasks
+    def __init__(self, *, clock: Callable[[], float], silence_s: float) -> None:
         self._clock = clock
         self._silence_s = silence_s
         self._idle: dict[str, collections.deque[BackendConnection]] = {}
@@ -223,7 +217,7 @@
             connection = idle.pop()
             if connection.reusable and not connection.expired(self._clock()):
                 return connection
-            await connection.close()
+            connection.close()
         return await self.open(address, timeout_s=timeout_s)
 
     async def open(self, address: str, *, timeout_s: float) -> BackendConnection:
@@ -231,43 +225,38 @@
         channel = await connect(address, timeout_s=timeout_s, silence_s=self._silence_s)
         self._opened += 1
         self._open[address] += 1
-        self._tasks.start_soon(self._pump, channel, address)
+        channel.on_end(lambda: self._note_end(channel, address))
         return BackendConnection(channel=channel, opened_at=self._clock())
 
-    async def release(self, address: str, connection: BackendConnection) -> None:
+    def release(self, address: str, connection: BackendConnection) -> None:
         """Keep a connection whose exchange ended cleanly; close any other."""
         idle = self._idle.setdefault(address, collections.deque())
         if connection.reusable and len(idle) < MAX_IDLE:
             connection.idle_since(self._clock())
             idle.append(connection)
         else:
-            await connection.close()
+            connection.close()
 
-    async def drop(self, address: str) -> None:
+    def drop(self, address: str) -> None:
         """Close all idle connections to ``address``."""
         for connection in self._idle.pop(address, ()):
-            await connection.close()
+            connection.close()
 
-    async def sweep(self) -> None:
+    def sweep(self) -> None:
         """Close idle connections that are too old or that the server has ended."""
         now = self._clock()
         for address, idle in list(self._idle.items()):
             stale = [one for one in idle if not one.reusable or one.expired(now)]
-            # Closing gives way to other tasks, which may take connections from the pool.
             for connection in stale:
                 idle.remove(connection)
             if not idle and self._idle.get(address) is idle:
                 del self._idle[address]
             for connection in stale:
-                await connection.close()
-
-    async def _pump(self, channel: Channel, address: str) -> None:
-        try:
-            await channel.pump()
-        finally:
-            self._open[address] -= 1
-            if not self._open[address]:
-                del self._open[address]
-            if channel.unread == 0:
-                with contextlib.suppress(OSError):
-                    await channel.close()
+                connection.close()
+
+    def _note_end(self, channel: Channel, address: str) -> None:
+        self._open[address] -= 1
+        if not self._open[address]:
+            del self._open[address]
+        if channel.unread == 0:
+            channel.close()
--- a/figpaddle/http1/_listener.py
+++ b/figpaddle/http1/_listener.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+import asyncio
+import contextlib
+import socket
+from collections.abc import Callable, Iterator
 
 import anyio
 import anyio.abc
@@ -10,6 +13,9 @@
 from figpaddle.http1._channel import Channel, tune
 from figpaddle.http1._server import Handler, RequestLimits, ServerConnection
 
+#: Connections that may wait to be accepted, as many as callers of one entry start at once.
+BACKLOG = 1024
+
 
 class HttpListener:
     """Serves HTTP on one address.
@@ -31,7 +37,8 @@
         on_reset: Callable[[str], None] = lambda _: None,
     ) -> None:
         self._on_reset = on_reset
-        self._retired = anyio.Event()
+        self._retired = False
+        self._accepting = anyio.CancelScope()
         self._address = address
         self._handler = handler
         self._clock = clock
@@ -39,51 +46,70 @@
         self._closing = closing
         self._silence_s = silence_s
         self._max_connections = max_connections
-        self._open = 0
+        self._connections: set[ServerConnection] = set()
 
     @property
     def open_connections(self) -> int:
         """Connections that are open now."""
-        return self._open
+        return len(self._connections)
 
     async def run(self) -> None:
         """Accept until cancelled."""
-        host, _, port = self._address.rpartition(":")
-        listener = await anyio.create_tcp_listener(
-            local_host=host, local_port=int(port), backlog=1024, reuse_port=False
-        )
-        async with listener, anyio.create_task_group() as tasks:
-            async with anyio.create_task_group() as accepting:
-                accepting.start_soon(listener.serve, self._serve, tasks)
-                await self._retired.wait()
-                accepting.cancel_scope.cancel()
-            await listener.aclose()
+        with _listening(self._address) as listener:
+            async with anyio.create_task_group() as tasks:
+                with self._accepting:
+                    await self._accept(listener, tasks)
+                listener.close()
 
     def retire(self) -> None:
         """Accept no more connections and close those on which no request is in progress."""
-        self._retired.set()
+        self._retired = True
+        self._accepting.cancel()
+        for connection in list(self._connections):
+            connection.retire()
 
-    async def _serve(self, stream: anyio.abc.SocketStream) -> None:
-        if self._open >= self._max_connections:
-            await stream.aclose()
-            return
-        self._open += 1
+    async def _accept(self, listener: socket.socket, tasks: anyio.abc.TaskGroup) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            accepted, _ = await loop.sock_accept(listener)
+            if len(self._connections) >= self._max_connections:
+                accepted.close()
+                continue
+            tasks.start_soon(self._serve, accepted)
+            # Lets connections that came before be served while others queue up.
+            await asyncio.sleep(0)
+
+    async def _serve(self, accepted: socket.socket) -> None:
         try:
-            tune(stream, silence_s=self._silence_s)
-            remote = stream.extra(anyio.abc.SocketAttribute.remote_address)
-            channel = Channel(stream=stream, peer=f"{remote[0]}:{remote[1]}")
-            await ServerConnection(
-                channel=channel,
-                handler=self._handler,
-                limits=self._limits,
-                clock=self._clock,
-                closing=self._closing,
-                retired=self._retired,
-            ).run()
-        except (OSError, anyio.TypedAttributeLookupError) as error:
+            tune(accepted, silence_s=self._silence_s)
+            accepted.getpeername()
+            loop = asyncio.get_running_loop()
+            _, channel = await loop.connect_accepted_socket(Channel, accepted)
+        except OSError as error:
             # The caller reset the connection while it was being accepted, so that it has no
             # address any more.
+            accepted.close()
             self._on_reset(str(error))
-            await stream.aclose()
+            return
+        connection = ServerConnection(
+            channel=channel,
+            handler=self._handler,
+            limits=self._limits,
+            clock=self._clock,
+            closing=self._closing,
+        )
+        self._connections.add(connection)
+        if self._retired:
+            connection.retire()
+        try:
+            await connection.run()
         finally:
-            self._open -= 1
+            self._connections.discard(connection)
+
+
+@contextlib.contextmanager
+def _listening(address: str) -> Iterator[socket.socket]:
+    host, _, port = address.rpartition(":")
+    with socket.create_server((host, int(port)), backlog=BACKLOG) as listener:
+        listener.setblocking(False)
+        yield listener
--- a/figpaddle/http1/_server.py
+++ b/figpaddle/http1/_server.py
@@ -11,7 +11,7 @@
 import h11
 
 from figpaddle.errors import ConnectionLostError, MalformedRequestError
-from figpaddle.http1._channel import Channel, pumped
+from figpaddle.http1._channel import Channel
 from figpaddle.http1._messages import Headers, HttpRequest, header, header_values
 
 #: How long a closed connection still takes in what is under way, seconds; a reset caused by
@@ -116,9 +116,9 @@
         limits: Callable[[], RequestLimits],
         clock: Callable[[], float],
         closing: Callable[[], bool],
-        retired: anyio.Event | None = None,
     ) -> None:
-        self._retired = retired or anyio.Event()
+        self._retired = False
+        self._idle: anyio.CancelScope | None = None
         self._channel = channel
         self._handler = handler
         self._limits = limits
@@ -128,11 +128,19 @@
 
     async def run(self) -> None:
         """Serve until the connection ends."""
-        async with pumped(self._channel):
+        try:
             with contextlib.suppress(ConnectionLostError):
                 while await self._serve_one():
                     self._parser.start_next_cycle()
             await self._linger()
+        finally:
+            self._channel.close()
+
+    def retire(self) -> None:
+        """Close the connection unless a request is in progress, and after that request."""
+        self._retired = True
+        if self._idle is not None:
+            self._idle.cancel()
 
     async def _serve_one(self) -> bool:
         """Serve one request and return whether another may follow."""
@@ -146,20 +154,18 @@
             return False
         await self._handle(request, writer)
         if not writer.finished:
-            await self._channel.abort()
+            self._channel.abort()
             return False
         return self._parser.our_state is h11.DONE and self._parser.their_state is h11.DONE
 
     async def _handle(self, request: HttpRequest, writer: _Writer) -> None:
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._watch, tasks.cancel_scope)
-            with contextlib.suppress(ConnectionLostError):
-                await self._handler(request, writer)
-            tasks.cancel_scope.cancel()
-
-    async def _watch(self, scope: anyio.CancelScope) -> None:
-        await self._channel.wait_for_end()
-        scope.cancel()
+        with anyio.CancelScope() as scope:
+            self._channel.on_end(scope.cancel)
+            try:
+                with contextlib.suppress(ConnectionLostError):
+                    await self._handler(request, writer)
+            finally:
+                self._channel.on_end(None)
 
     async def _read(self) -> HttpRequest | None:
         """Return the next request, or None if the caller or the idle timeout ended the wait."""
@@ -192,17 +198,13 @@
     async def _first_bytes(self, timeout_s: float) -> bool:
         if self._parser.trailing_data[0]:
             return True
-        with anyio.move_on_after(timeout_s):
-            async with anyio.create_task_group() as tasks:
-                tasks.start_soon(self._stop_waiting, tasks.cancel_scope)
-                await self._channel.wait_for_input()
-                tasks.cancel_scope.cancel()
+        with anyio.move_on_after(timeout_s) as self._idle:
+            if self._retired:
+                self._idle.cancel()
+            await self._channel.wait_for_input()
+        self._idle = None
         return self._channel.unread > 0
 
-    async def _stop_waiting(self, waiting: anyio.CancelScope) -> None:
-        await self._retired.wait()
-        waiting.cancel()
-
     async def _read_head(self, limits: RequestLimits) -> h11.Request:
         event = await self._next_event()
         if not isinstance(event, h11.Request):
@@ -248,7 +250,7 @@
 
     async def _linger(self) -> None:
         if self._channel.end is None and not self._channel.closed:
-            await self._channel.finish_sending()
+            self._channel.finish_sending()
             with anyio.move_on_after(LINGER_S):
                 while self._channel.end is None:
                     self._channel.take()
--- a/figpaddle/http1/tests/test_http1.py
+++ b/figpaddle/http1/tests/test_http1.py
@@ -56,7 +56,7 @@
 @contextlib.asynccontextmanager
 async def pool() -> AsyncIterator[ConnectionPool]:
     async with anyio.create_task_group() as tasks:
-        yield ConnectionPool(tasks=tasks, clock=anyio.current_time, silence_s=2.0)
+        yield ConnectionPool(clock=anyio.current_time, silence_s=2.0)
         tasks.cancel_scope.cancel()
 
 
@@ -93,7 +93,7 @@
     async with server(answering(data)) as address, pool() as connections:
         first = await connections.acquire(address, timeout_s=STEP_S)
         assert await exchange(first) == b"ok"
-        await connections.release(address, first)
+        connections.release(address, first)
         assert await connections.acquire(address, timeout_s=STEP_S) is first
 
 
@@ -151,26 +151,35 @@
     async with server(answering(data, close=True)) as address, pool() as connections:
         first = await connections.acquire(address, timeout_s=STEP_S)
         await exchange(first)
-        await connections.release(address, first)
+        connections.release(address, first)
         with anyio.fail_after(STEP_S):
             await first.channel.wait_for_end()
         assert await connections.acquire(address, timeout_s=STEP_S) is not first
 
 
 async def test_the_pool_may_be_swept_while_other_tasks_use_it() -> None:
-    """Closing a stale connection lets another task release one to the same address."""
+    """A sweep closes what is stale and keeps what other tasks release beside it."""
     data = b"HTTP/1.1 200 OK\r\nKeep-Alive: timeout=0\r\nContent-Length: 0\r\n\r\n"
     async with server(answering(data)) as address, pool() as connections:
         held = [await connections.open(address, timeout_s=STEP_S) for _ in range(8)]
         for connection in held:
             await exchange(connection)
         for connection in held[:4]:
-            await connections.release(address, connection)
+            connections.release(address, connection)
         await anyio.sleep(0.3)
+
+        async def sweep() -> None:
+            connections.sweep()
+
+        async def release(connection: BackendConnection) -> None:
+            connections.release(address, connection)
+
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(connections.sweep)
+            tasks.start_soon(sweep)
             for connection in held[4:]:
-                tasks.start_soon(connections.release, address, connection)
+                tasks.start_soon(release, connection)
+        assert all(connection.channel.closed for connection in held[:4])
+        assert connections.idle_to(address) == 4
 
 
 @contextlib.asynccontextmanager
--- a/figpaddle/regional/_attempts.py
+++ b/figpaddle/regional/_attempts.py
@@ -127,7 +127,7 @@
         rest_s = 0.0
         if ending.fate is Fate.NOT_SENT:
             rest_s = self._placer.fleet.note_unreachable(backend, now=now)
-            await self._pool.drop(address)
+            self._pool.drop(address)
         if ending.reason == "wrong server":
             self._placer.fleet.note_foreign(backend)
             # Its arrival still counts as a retry, but it is no attempt at this backend server.
@@ -137,7 +137,7 @@
             born = 0 if member is None else member.record.born
             if now - job.sent_at >= SILENT_S:
                 # Other connections that were open as long may have gone silent too.
-                await self._pool.drop(address)
+                self._pool.drop(address)
             self._suspects.note_broken(
                 job.fingerprint(), backend, address, born=born, sent_at=job.sent_at
             )
--- a/figpaddle/regional/_entry.py
+++ b/figpaddle/regional/_entry.py
@@ -46,7 +46,7 @@
         self._started_at = self._clock()
         self._retired = False
         self._stopping_at: float | None = None
-        self._backends = ConnectionPool(tasks=tasks, clock=self._clock, silence_s=NEAR_SILENCE_S)
+        self._backends = ConnectionPool(clock=self._clock, silence_s=NEAR_SILENCE_S)
         self._placer = Placer(
             settings=settings,
             mesh=self._mesh,
@@ -161,7 +161,7 @@
 
     async def keep_house(self) -> None:
         """Forget what is out of date."""
-        await self._backends.sweep()
+        self._backends.sweep()
         self._placer.expire()
         self._gateway.retries.note_entries(
             1 + sum(beat.role is InstanceRole.ENTRY for beat in self._mesh.live())
--- a/figpaddle/regional/_exchange.py
+++ b/figpaddle/regional/_exchange.py
@@ -78,9 +78,9 @@
             finished = True
         finally:
             if finished:
-                await self._pool.release(self._leg.address, connection)
+                self._pool.release(self._leg.address, connection)
             else:
-                await connection.close()
+                connection.close()
         return ending
 
     async def _over(self, connection: BackendConnection) -> Ending:
@@ -98,7 +98,7 @@
             except TransportError as error:
                 return Ending(fate=Fate.UNKNOWN, reason=_reason(error))
         if scope.cancelled_caught:
-            await connection.close()
+            connection.close()
             return Ending(fate=Fate.UNKNOWN, reason="no answer in time")
         answer = self._read(head)
         if answer.not_run:
@@ -123,7 +123,7 @@
             with anyio.fail_after(DRAIN_TIMEOUT_S):
                 return b"".join([piece async for piece in connection.read_body()])
         except (TransportError, TimeoutError):
-            await connection.close()
+            connection.close()
             return None
 
     async def _whole(self, connection: BackendConnection, answer: BackendAnswer) -> Ending:
@@ -136,7 +136,7 @@
             except TransportError as error:
                 return Ending(fate=Fate.UNKNOWN, reason=_reason(error))
         if scope.cancelled_caught:
-            await connection.close()
+            connection.close()
             return Ending(fate=Fate.UNKNOWN, reason="no whole answer in time")
         self._on_first(answer)
         if self._responder.started:
@@ -159,7 +159,7 @@
                     raise
                 return self._cut(_reason(error))
         if scope.cancelled_caught:
-            await connection.close()
+            connection.close()
             return self._cut("the stream took too long")
         if splitter.rest:
             return self._cut("the stream ended within an event")
--- a/figpaddle/regional/_mesh.py
+++ b/figpaddle/regional/_mesh.py
@@ -174,7 +174,7 @@
             with anyio.fail_after(timeout_s):
                 return await self._ask(address, question)
         except TimeoutError as error:
-            await self._pool.drop(address)
+            self._pool.drop(address)
             raise PeerUnreachableError(what=f"no reply in {timeout_s} s", where=address) from error
         except (TransportError, MalformedMessageError, UnknownMessageError) as error:
             raise PeerUnreachableError(what=str(error), where=address) from error
@@ -219,9 +219,9 @@
             complete = True
         finally:
             if complete:
-                await self._pool.release(address, connection)
+                self._pool.release(address, connection)
             else:
-                await connection.close()
+                connection.close()
         if head.status != 200:
             raise MalformedMessageError(what=f"status {head.status}", where=address)
         return decode(data)
--- a/figpaddle/regional/_process.py
+++ b/figpaddle/regional/_process.py
@@ -86,7 +86,7 @@
         )
         async with anyio.create_task_group() as tasks:
             self._tasks = tasks
-            peers = ConnectionPool(tasks=tasks, clock=self._clock, silence_s=FAR_SILENCE_S)
+            peers = ConnectionPool(clock=self._clock, silence_s=FAR_SILENCE_S)
             self._mesh = Mesh(
                 settings=self._settings,
                 incarnation=time.time_ns() // 1_000_000,
@@ -264,7 +264,7 @@
             if self._life.state == "starting" and self.readiness() is Readiness.READY:
                 self._life.handle("ready")
                 self._log.info("process_ready", version=self._follower.state.version)
-            await peers.sweep()
+            peers.sweep()
             await self.keep_house()
             if self._clock() >= reload_at:
                 reload_at = self._clock() + RELOAD_INTERVAL_S
--- a/figpaddle/regional/_suspects.py
+++ b/figpaddle/regional/_suspects.py
@@ -71,7 +71,7 @@
             )
         else:
             del self._waiting[backend, born]
-            await channel.close()
+            channel.close()
             return
         now = self._clock()
         reports = [
--- a/tests/fault_soak.py
+++ b/tests/fault_soak.py
@@ -360,7 +360,7 @@
                         break
                     await anyio.sleep(rng.uniform(0.0, 0.15))
             finally:
-                await connection.close()
+                connection.close()
 
     async def _exchange(
         self, rng: random.Random, entry: str, connection: BackendConnection
@@ -389,7 +389,7 @@
         if scope.cancelled_caught:
             sent.outcome = "left" if patience_s < sent.deadline_s else "hung"
             sent.status = 0
-            await connection.close()
+            connection.close()
         sent.ended_at = anyio.current_time()
         return sent.outcome == "answered" and connection.reusable and not scope.cancelled_caught
 
@@ -491,7 +491,7 @@
 
         async with anyio.create_task_group() as tasks, deployment(make=make) as day:
             assert isinstance(day, SoakDeployment)
-            pool = ConnectionPool(tasks=tasks, clock=anyio.current_time, silence_s=2.0)
+            pool = ConnectionPool(clock=anyio.current_time, silence_s=2.0)
             run = Soak(seed=seed, day=day, proxy=proxy, pool=pool)
             run.prepare()
             await day.order("POST", "/v1/config/put", run.configuration(2))
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -147,7 +147,7 @@
     def __init__(self, *, folder: pathlib.Path, tasks: anyio.abc.TaskGroup) -> None:
         self._folder = folder
         self._tasks = tasks
-        self._pool = ConnectionPool(tasks=tasks, clock=anyio.current_time, silence_s=2.0)
+        self._pool = ConnectionPool(clock=anyio.current_time, silence_s=2.0)
         self._network = f"127.{_rng.randrange(20, 250)}"
         #: Third number of the instances' addresses; engines have the next one.
         self._net = _rng.randrange(0, 250, 2)
@@ -367,9 +367,7 @@
 
     async def open(self, name: str) -> Channel:
         """Return a caller's connection for bytes of the test's own."""
-        channel = await connect(self.reach(name, "front"), timeout_s=1.0, silence_s=2.0)
-        self._tasks.start_soon(channel.pump)
-        return channel
+        return await connect(self.reach(name, "front"), timeout_s=1.0, silence_s=2.0)
 
     async def _exchange(
         self, address: str, method: str, path: str, fields: Any, body: bytes
@@ -383,7 +381,7 @@
         except (TransportError, TimeoutError):
             return Reply(status=0, headers={}, body=b"")
         finally:
-            await connection.close()
+            connection.close()
 
 
 async def _over(
--- a/tests/test_cluster_follower.py
+++ b/tests/test_cluster_follower.py
@@ -51,7 +51,7 @@
         max_descriptors=100,
         bounds=Bounds(),
     )
-    pool = ConnectionPool(tasks=tasks, clock=anyio.current_time, silence_s=1.0)
+    pool = ConnectionPool(clock=anyio.current_time, silence_s=1.0)
     log = structlog.get_logger()
     mesh = Mesh(
         settings=settings,
--- a/tests/test_platform_days.py
+++ b/tests/test_platform_days.py
@@ -186,7 +186,7 @@
         with anyio.fail_after(PATIENCE_S):
             while "gone" not in far.ran:
                 await anyio.sleep(0.01)
-        await caller.close()
+        caller.close()
         with anyio.fail_after(0.5):
             while "gone" not in far.left:
                 await anyio.sleep(0.01)
