Estimate only the engines that a request may get

Cause: each placement estimated all engines of the region (23 in the largest one) and summed the reports of 27 other entries three times for each of them: 0.64 ms of a request's time in a replica of that region.

Change: engines are drawn first and then estimated, and the sums over other entries are kept instead of made.

--- a/figpaddle/routing/_engine_work.py
+++ b/figpaddle/routing/_engine_work.py
@@ -9,6 +9,8 @@
 
 #: Age at which another entry's report of its work counts no more, seconds: a few heartbeats.
 WORK_TRUST_S = 2.0
+#: Interval at which reports are looked through for old ones, seconds; well under their trust.
+WORK_CHECK_S = 0.2
 #: Age at which the load that a backend server reported itself counts no more, seconds.
 LOAD_TRUST_S = 0.6
 #: Prompt tokens that an engine reads in a second while it generates, before any sample.
@@ -56,6 +58,11 @@
         self.belief = CacheBelief()
         self._own: dict[str, _Own] = {}
         self._others: dict[str, tuple[OthersWork, float]] = {}
+        # Sums over the other entries' reports: a placement asks every engine for them.
+        self._others_requests = 0
+        self._others_memory = 0
+        self._others_prefill = 0
+        self._others_checked_at = now
         self._reported: tuple[int, float] | None = None
         self._slowness = 1.0
         self._slowness_at = now
@@ -85,7 +92,11 @@
 
     def note_others(self, entry: str, work: OthersWork, *, now: float) -> None:
         """Take in what another entry has in progress here."""
+        known = self._others.get(entry)
+        if known is not None:
+            self._add_others(known[0], -1)
         self._others[entry] = (work, now)
+        self._add_others(work, 1)
 
     def note_reported(self, requests: int, *, now: float) -> None:
         """Take in what the backend server itself says it has in progress."""
@@ -93,14 +104,16 @@
 
     def requests(self, *, now: float) -> int:
         """Return the requests believed to be in progress, of all entries."""
-        believed = len(self._own) + sum(work.requests for work in self._fresh(now))
+        self._forget_others(now)
+        believed = len(self._own) + self._others_requests
         if self._reported is not None and now - self._reported[1] <= LOAD_TRUST_S:
             return max(believed, self._reported[0])
         return believed
 
     def memory(self, *, now: float) -> int:
         """Return the memory that all requests take, tokens."""
-        return self.own_memory + sum(work.memory for work in self._fresh(now))
+        self._forget_others(now)
+        return self.own_memory + self._others_memory
 
     def prefill_ahead(self, priority: int, *, now: float) -> float:
         """Return the prompt tokens that are read before those of a new request."""
@@ -109,7 +122,8 @@
             for one in self._own.values()
             if one.first_at is None and one.priority <= priority
         )
-        return own + sum(work.prefill for work in self._fresh(now))
+        self._forget_others(now)
+        return own + self._others_prefill
 
     def sent(
         self,
@@ -178,5 +192,17 @@
     def _failures_now(self, now: float) -> float:
         return float(self._failures * 0.5 ** ((now - self._failures_at) / FAILURE_HALF_LIFE_S))
 
-    def _fresh(self, now: float) -> list[OthersWork]:
-        return [work for work, at in self._others.values() if now - at <= WORK_TRUST_S]
+    def _add_others(self, work: OthersWork, sign: int) -> None:
+        self._others_requests += sign * work.requests
+        self._others_memory += sign * work.memory
+        self._others_prefill += sign * work.prefill
+
+    def _forget_others(self, now: float) -> None:
+        """Drop reports that are too old, from time to time."""
+        if now - self._others_checked_at < WORK_CHECK_S:
+            return
+        self._others_checked_at = now
+        for entry, (work, at) in list(self._others.items()):
+            if now - at > WORK_TRUST_S:
+                del self._others[entry]
+                self._add_others(work, -1)
--- a/figpaddle/routing/_regional_choice.py
+++ b/figpaddle/routing/_regional_choice.py
@@ -93,15 +93,6 @@
     score: float
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class _Option:
-    """A backend server with what a request would meet there."""
-
-    choice: Choice
-    candidate: Candidate
-    is_keeper: bool
-
-
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Refusal:
     """A request that isn't taken."""
@@ -213,44 +204,66 @@
     no measure of that, as not all can have it.
     """
     keeper = keeper_of(demand, [candidate.member.name for candidate in candidates])
-    local = []
-    for candidate in candidates:
-        is_keeper = candidate.member.name == keeper
-        choice = estimate(dataclasses.replace(candidate, is_keeper=is_keeper), demand, now=now)
-        if choice is not None:
-            local.append(_Option(choice=choice, candidate=candidate, is_keeper=is_keeper))
+    sound = [one for one in candidates if _is_sound(one, now=now)]
+    others = [one for one in candidates if not _is_sound(one, now=now)]
+    drawn = _drawn(sound, demand, keeper, entries, rng=rng, now=now) or _drawn(
+        others, demand, keeper, entries, rng=rng, now=now
+    )
     elsewhere = [
         choice for choice in (estimate_away(one, demand) for one in away) if choice is not None
     ]
     best_away = min(elsewhere, key=_score, default=None)
-    if not local:
+    if not drawn:
         return best_away
-    drawn = [one.choice for one in _drawn(local, demand, entries, rng=rng, now=now)]
     best = min(map(_score, drawn))
     if best_away is not None and best_away.score < best:
         return best_away
     return rng.choice([choice for choice in drawn if choice.score <= best + NOISE_S])
 
 
+def _is_sound(candidate: Candidate, *, now: float) -> bool:
+    work = candidate.work
+    return work.failures(now=now) <= SOUND_FAILURES and work.slowness(now=now) <= SOUND_SLOWNESS
+
+
 def _drawn(
-    local: list[_Option], demand: Demand, entries: int, *, rng: random.Random, now: float
-) -> list[_Option]:
-    """Return the options that are compared: some at random and those that save reading."""
-    sound = [
-        one
-        for one in local
-        if one.candidate.work.failures(now=now) <= SOUND_FAILURES
-        and one.candidate.work.slowness(now=now) <= SOUND_SLOWNESS
-    ]
-    sound = sound or local
-    share = math.ceil(len(sound) / max(1, entries))
-    drawn = rng.sample(sound, min(max(MIN_DRAWN, share), len(sound)))
+    candidates: list[Candidate],
+    demand: Demand,
+    keeper: str,
+    entries: int,
+    *,
+    rng: random.Random,
+    now: float,
+) -> list[Choice]:
+    """Return the options that are compared: some at random and those that save reading.
+
+    Only these are estimated: a region may have dozens of engines.
+    """
+    drawn: list[Choice] = []
+
+    def look_at(candidate: Candidate) -> Choice | None:
+        is_keeper = candidate.member.name == keeper
+        return estimate(dataclasses.replace(candidate, is_keeper=is_keeper), demand, now=now)
+
+    wanted = max(MIN_DRAWN, math.ceil(len(candidates) / max(1, entries)))
+    for candidate in rng.sample(candidates, len(candidates)):
+        choice = look_at(candidate)
+        if choice is not None:
+            drawn.append(choice)
+        if len(drawn) >= wanted:
+            break
     saving = CACHE_SAVING_S * PREFILL_TOKENS_PER_S
-    if shared_tokens(demand) < saving:
+    if not drawn or shared_tokens(demand) < saving:
         return drawn
-    cached = [one for one in sound if demand.prompt_tokens - one.choice.prefill >= saving]
-    drawn += sorted(cached, key=lambda one: one.choice.score)[:1]
-    return drawn + [one for one in sound if one.is_keeper]
+    cached = [
+        choice
+        for candidate in candidates
+        if candidate.work.belief.cached_tokens(demand.prefixes, now=now) >= saving
+        and (choice := look_at(candidate)) is not None
+    ]
+    kept = [choice for one in candidates if one.member.name == keeper and (choice := look_at(one))]
+    # One that is drawn as well counts twice where scores are equal, which keeps parts together.
+    return drawn + sorted(cached, key=_score)[:1] + kept
 
 
 def _score(choice: Choice) -> float:
