Leave a silent backend server with requests that may run twice

Cause: engines go dark or mute, accept requests and never answer; nothing is closed. An attempt had until the request's deadline, so that a stream that may be taken up elsewhere, or a read, ended with nothing although other engines were idle; callers give a stream up after two seconds of silence or a little more.

The decision is routing/_silence.py. The retry budget holds for these attempts as for all.

--- a/figpaddle/regional/_attempts.py
+++ b/figpaddle/regional/_attempts.py
@@ -15,7 +15,7 @@
 from figpaddle.regional._placer import Placer
 from figpaddle.regional._settings import ProcessSettings
 from figpaddle.regional._suspects import Suspects
-from figpaddle.routing import Choice
+from figpaddle.routing import Choice, silence_before_answer, silence_between_events
 from figpaddle.telemetry import Counters, Log
 
 #: Time for a connection to a backend server of the own region, seconds.
@@ -70,7 +70,8 @@
                 last_event=job.last_event,
             ),
             connect_timeout_s=min(BACKEND_CONNECT_S, job.left_s(now=now)),
-            first_byte_timeout_s=max(0.0, job.left_s(now=now) + LATE_ANSWER_S),
+            first_byte_timeout_s=self._answer_timeout_s(job, choice, now=now),
+            silence_s=self._silence_s(job),
         )
         job.sent_at = now
         self._placer.note_sent(job, choice)
@@ -215,11 +216,24 @@
             job.attempts_left = 0
         return ending
 
+    def _answer_timeout_s(self, job: Job, choice: Choice, *, now: float) -> float:
+        left_s = max(0.0, job.left_s(now=now) + LATE_ANSWER_S)
+        if not _may_go_elsewhere(job):
+            return left_s
+        limit_s = silence_before_answer(target_s=job.route.target_s, expected_s=choice.expected_s)
+        return min(left_s, limit_s)
+
+    def _silence_s(self, job: Job) -> float | None:
+        return silence_between_events(gap_s=job.route.gap_s) if _may_go_elsewhere(job) else None
+
     def _worth_retrying(self, job: Job, answer: BackendAnswer) -> bool:
         """Return whether a failure of a backend server may be replaced by another's answer."""
-        if answer.status < 500 or job.attempts_left <= 1:
-            return False
-        return job.route.repeat is not Repeat.ONCE
+        return answer.status >= 500 and _may_go_elsewhere(job)
+
+
+def _may_go_elsewhere(job: Job) -> bool:
+    """Return whether another backend server may get a request after the present one."""
+    return job.attempts_left > 1 and job.route.repeat is not Repeat.ONCE
 
 
 def _read_hop(dialect: Dialect, head: AnswerHead, job: Job) -> BackendAnswer:
--- a/figpaddle/regional/_exchange.py
+++ b/figpaddle/regional/_exchange.py
@@ -31,6 +31,8 @@
     connect_timeout_s: float
     #: Time for the head of the answer, seconds.
     first_byte_timeout_s: float
+    #: Longest pause within a stream, seconds; None where nobody else could go on with it.
+    silence_s: float | None = None
 
 
 class CallerGoneError(TransportError):
@@ -150,9 +152,12 @@
     async def _stream(self, connection: BackendConnection, answer: BackendAnswer) -> Ending:
         """Pass whole events on as they come."""
         splitter = EventSplitter(last_event=self._job.last_event)
-        with anyio.move_on_after(self._left_s()) as scope:
+        over_at = anyio.current_time() + self._left_s()
+        with anyio.CancelScope(deadline=self._silent_at(over_at)) as scope:
             try:
                 async for piece in connection.read_body():
+                    if self._leg.silence_s is not None:
+                        scope.deadline = self._silent_at(over_at)
                     await self._pass_on(splitter.feed(piece), answer, splitter)
             except TransportError as error:
                 if isinstance(error, CallerGoneError):
@@ -160,7 +165,8 @@
                 return self._cut(_reason(error))
         if scope.cancelled_caught:
             connection.close()
-            return self._cut("the stream took too long")
+            is_over = anyio.current_time() >= over_at
+            return self._cut("the stream took too long" if is_over else "no event in time")
         if splitter.rest:
             return self._cut("the stream ended within an event")
         await self._pass_on([], answer, splitter)
@@ -188,6 +194,12 @@
     def _cut(self, reason: str) -> Ending:
         return Ending(fate=Fate.BROKEN if self._responder.started else Fate.UNKNOWN, reason=reason)
 
+    def _silent_at(self, over_at: float) -> float:
+        """Return when the present pause of a stream ends the attempt, time of the event loop."""
+        if self._leg.silence_s is None:
+            return over_at
+        return min(over_at, anyio.current_time() + self._leg.silence_s)
+
     def _left_s(self) -> float:
         return max(0.0, self._job.left_s(now=self._clock()) + LATE_ANSWER_S)
 
--- a/figpaddle/routing/__init__.py
+++ b/figpaddle/routing/__init__.py
@@ -55,6 +55,7 @@
 from figpaddle.routing._retry_budget import RetryBudget
 from figpaddle.routing._returns import spread_return
 from figpaddle.routing._scored import Estimate, PolicyName, ScoredPolicy, make_policy
+from figpaddle.routing._silence import silence_before_answer, silence_between_events
 
 __all__ = [
     "KnownEntry",
@@ -84,6 +85,8 @@
     "choose",
     "estimate",
     "refuse_late",
+    "silence_before_answer",
+    "silence_between_events",
     "spread_return",
     "ANNOUNCEMENT_TTL_S",
     "CHARACTERS_PER_TOKEN",
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -116,6 +116,8 @@
             return
         if failing == "reset":
             return
+        if failing == "mute":
+            await self._keep_silent(request_id)
         if failing == "error":
             await responder.answer(500, (*echo, (b"X-Figpaddle-Server-Seal", b"e")), b"error")
             return
@@ -134,12 +136,22 @@
                 await responder.write(f"id: {number}\ndata: {number}\n\n".encode())
                 if failing == "midway" and number == 2:
                     return
+                if failing == "stall" and number == 2:
+                    await anyio.sleep_forever()
                 await anyio.sleep(self.gap_s)
             await responder.finish()
         except anyio.get_cancelled_exc_class():
             self.left.append(request_id)
             raise
 
+    async def _keep_silent(self, request_id: str) -> None:
+        """Never answer, and note the end of the connection."""
+        try:
+            await anyio.sleep_forever()
+        except anyio.get_cancelled_exc_class():
+            self.left.append(request_id)
+            raise
+
 
 class Deployment:
     """Processes of figpaddle on loopback addresses and the platform around them."""
--- a/tests/test_platform_days.py
+++ b/tests/test_platform_days.py
@@ -172,6 +172,46 @@
                 assert (reply.status, reply.body) == (200, whole)
 
 
+@pytest.mark.parametrize(
+    ("path", "service", "failing"),
+    [("/plan/1", MODEL, "mute"), ("/plan/1", MODEL, "stall"), ("/read/1", PLAIN, "mute")],
+)
+async def test_a_request_that_may_run_twice_leaves_a_silent_server(
+    path: str, service: str, failing: str
+) -> None:
+    """Callers give a stream up after a silence of four times the target, 2.4 s."""
+    async with deployment(engines=False) as day:
+        await day.order("POST", "/v1/config/put", configuration(2))
+        silent = await day.add_engine(service, "n-a", events=6)
+        silent.failing = failing
+        await day.add_engine(service, "n-a", events=6)
+        await anyio.sleep(0.6)
+        with anyio.fail_after(PATIENCE_S):
+            while not silent.ran:
+                begun_at = anyio.current_time()
+                request_id, reply = await day.ask("m-4", path, deadline_ms=5000)
+                assert reply.status == 200
+                assert anyio.current_time() - begun_at < 2.4
+        assert silent.ran == [request_id]
+        if service == MODEL:
+            assert reply.body == b"".join(b"id: %d\ndata: %d\n\n" % (n, n) for n in range(1, 7))
+        assert silent.left == [request_id]
+
+
+async def test_a_request_that_may_run_once_only_stays_with_a_silent_server() -> None:
+    async with deployment(engines=False) as day:
+        await day.order("POST", "/v1/config/put", configuration(2))
+        silent = await day.add_engine(MODEL, "n-a")
+        silent.failing = "mute"
+        other = await day.add_engine(MODEL, "n-a")
+        await anyio.sleep(0.6)
+        with anyio.fail_after(PATIENCE_S):
+            while not silent.ran:
+                request_id, reply = await day.ask("m-4", "/chat/1", deadline_ms=2500)
+        assert silent.ran == [request_id] and request_id not in other.ran
+        assert reply.status == 504
+
+
 async def test_a_callers_leaving_reaches_the_backend_server_over_a_hop() -> None:
     async with deployment() as day:
         assert (await day.order("POST", "/v1/evacuate/n-a/start")).status == 200
