Leave alone what accepts connections and closes them; begin nothing whose caller has left

Now three connections in a row that end without a byte of an answer count like a refused one; any answer starts the count again.

A request now gives way to the event loop once before it begins. Test seen red: a request and its caller's end that come together.

--- a/figpaddle/http1/_server.py
+++ b/figpaddle/http1/_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import abc
+import asyncio
 import contextlib
 import dataclasses
 from collections.abc import Awaitable, Callable
@@ -162,6 +163,8 @@
         with anyio.CancelScope() as scope:
             self._channel.on_end(scope.cancel)
             try:
+                # Lets the event loop read on: at a busy process the caller's end may be there.
+                await asyncio.sleep(0)
                 with contextlib.suppress(ConnectionLostError):
                     await self._handler(request, writer)
             finally:
--- a/figpaddle/http1/tests/test_http1.py
+++ b/figpaddle/http1/tests/test_http1.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import os
 import socket
 import struct
 from collections.abc import AsyncIterator, Awaitable, Callable
@@ -311,6 +312,26 @@
         assert not data.endswith(b"0\r\n\r\n")
 
 
+async def test_a_request_whose_caller_has_left_already_is_not_begun() -> None:
+    """At a busy process a request is read long after it came, with the caller's end behind it."""
+    begun: list[HttpRequest] = []
+
+    async def note(request: HttpRequest, responder: Responder) -> None:
+        begun.append(request)
+        await responder.answer(200, (), b"")
+
+    async with listening(note) as stream:
+        await stream.send(b"GET /one HTTP/1.1\r\nHost: x\r\n\r\n")
+        await stream.receive()
+        raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+        with socket.socket(fileno=os.dup(raw.fileno())) as same:
+            same.send(b"GET /two HTTP/1.1\r\nHost: x\r\n\r\n")
+            same.shutdown(socket.SHUT_WR)
+        with contextlib.suppress(anyio.BrokenResourceError):
+            await read_all(stream)
+    assert [request.target for request in begun] == [b"/one"]
+
+
 async def test_a_leaving_server_asks_callers_to_close() -> None:
     async with listening(say_ok, closing=True) as caller:
         await caller.send(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
--- a/figpaddle/regional/_attempts.py
+++ b/figpaddle/regional/_attempts.py
@@ -136,6 +136,8 @@
         elif ending.fate in (Fate.UNKNOWN, Fate.BROKEN):
             member = self._placer.fleet.get(backend)
             born = 0 if member is None else member.record.born
+            if ending.unanswered:
+                rest_s = self._placer.fleet.note_broken(backend, now=now)
             if now - job.sent_at >= SILENT_S:
                 # Other connections that were open as long may have gone silent too.
                 self._pool.drop(address)
--- a/figpaddle/regional/_exchange.py
+++ b/figpaddle/regional/_exchange.py
@@ -98,7 +98,8 @@
                 )
                 head = await connection.read_head(self._is_ours)
             except TransportError as error:
-                return Ending(fate=Fate.UNKNOWN, reason=_reason(error))
+                lost = isinstance(error, ConnectionLostError)
+                return Ending(fate=Fate.UNKNOWN, reason=_reason(error), unanswered=lost)
         if scope.cancelled_caught:
             connection.close()
             return Ending(fate=Fate.UNKNOWN, reason="no answer in time")
--- a/figpaddle/regional/_job.py
+++ b/figpaddle/regional/_job.py
@@ -36,6 +36,8 @@
     reason: str
     #: Whether a backend server was reached, so that another attempt is a retry.
     reached: bool = True
+    #: Whether the connection ended before a byte of an answer came.
+    unanswered: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/figpaddle/routing/_fleet.py
+++ b/figpaddle/routing/_fleet.py
@@ -16,6 +16,9 @@
 FIRST_REST_S = 0.4
 #: Longest time for which it is left alone, seconds.
 MAX_REST_S = 2.0
+#: Connections in a row that ended without a byte of an answer after which a backend server is left
+#: alone. A single one may be a reset on the way; one that lost its answer answers the next.
+BREAKS_BEFORE_REST = 3
 
 
 class News(enum.Enum):
@@ -43,6 +46,8 @@
     resting_until: float = 0.0
     #: Failures to reach it in a row.
     failures: int = 0
+    #: Connections in a row that ended without a byte of an answer.
+    breaks: int = 0
     #: Until when it is cold as it said itself, seconds.
     cold_until: float = 0.0
     #: What it said until this moment doesn't tell whether it is cold now, seconds.
@@ -126,6 +131,20 @@
         member.doubted_at = now
         return rest_s
 
+    def note_broken(self, name: str, *, now: float) -> float:
+        """Note a connection that ended before an answer began; return the rest, seconds.
+
+        Answers a backend server whose address accepts connections and closes them: each request
+        that it gets may have run, so that its caller can't be told to come back.
+        """
+        member = self._members.get(name)
+        if member is None:
+            return 0.0
+        member.breaks += 1
+        if member.breaks < BREAKS_BEFORE_REST:
+            return 0.0
+        return self.note_unreachable(name, now=now)
+
     def note_returned(self, zone: str, *, now: float) -> None:
         """Note that the evacuation of a zone is over: its backend servers may be cold."""
         for member in self._members.values():
@@ -137,6 +156,7 @@
         member = self._members.get(name)
         if member is not None:
             member.failures = 0
+            member.breaks = 0
             member.resting_until = 0.0
 
     def note_foreign(self, name: str) -> None:
--- a/figpaddle/routing/tests/test_fleet.py
+++ b/figpaddle/routing/tests/test_fleet.py
@@ -140,3 +140,24 @@
     fleet.note_unreachable("i-1", now=1.0)
     member = fleet.get("i-1")
     assert member is not None and member.may_be_cold(now=3.0)
+
+
+def test_an_address_that_accepts_and_closes_is_left_alone_for_a_while() -> None:
+    fleet = Fleet()
+    fleet.note(record(), now=0.0)
+    assert [fleet.note_broken("i-1", now=0.0) for _ in range(2)] == [0.0, 0.0]
+    assert usable(fleet) == ["i-1"]
+    rest_s = fleet.note_broken("i-1", now=0.0)
+    assert rest_s > 0 and usable(fleet) == []
+    assert usable(fleet, now=rest_s) == ["i-1"]
+    assert fleet.note_broken("i-1", now=rest_s) > rest_s
+
+
+def test_a_lost_answer_now_and_then_takes_no_backend_server_out_of_use() -> None:
+    fleet = Fleet()
+    fleet.note(record(), now=0.0)
+    for _ in range(20):
+        fleet.note_broken("i-1", now=0.0)
+        fleet.note_broken("i-1", now=0.0)
+        fleet.note_reached("i-1")
+    assert usable(fleet) == ["i-1"]
