Log when an answer began on its way to the caller

Whether a request was late shows by its first byte; its last line named only how long it took in all, which for a stream says nothing about it.

--- a/figpaddle/regional/_exchange.py
+++ b/figpaddle/regional/_exchange.py
@@ -144,6 +144,7 @@
         self._on_first(answer)
         if self._responder.started:
             return Ending(fate=Fate.BROKEN, reason=f"status {answer.status} in mid-stream")
+        self._job.first_at = self._clock()
         try:
             await self._responder.answer(answer.status, answer.headers, b"".join(pieces))
         except ConnectionLostError as error:
@@ -183,6 +184,7 @@
         try:
             if not self._responder.started:
                 self._on_first(answer)
+                self._job.first_at = self._clock()
                 await self._responder.start(answer.status, answer.headers, length=None)
             elif events:
                 self._on_first(answer)
--- a/figpaddle/regional/_gateway.py
+++ b/figpaddle/regional/_gateway.py
@@ -347,7 +347,8 @@
 
     def _note_end(self, job: Job, outcome: str, *, failed: bool = False) -> None:
         now = self._clock()
-        took_s = now - job.request.received_at
+        received_at = job.request.received_at
+        took_s = now - received_at
         write = self._log.warning if failed else self._log.info
         write(
             "request_ended",
@@ -356,6 +357,7 @@
             service=job.service.name,
             outcome=outcome,
             attempts=job.attempt,
+            first_s=None if job.first_at is None else round(job.first_at - received_at, 3),
             took_s=round(took_s, 3),
             revision=job.revision,
             origin=job.origin or self._settings.region,
--- a/figpaddle/regional/_job.py
+++ b/figpaddle/regional/_job.py
@@ -78,6 +78,8 @@
     may_have_run: bool = False
     #: When the present attempt was sent, seconds of the steady clock.
     sent_at: float = 0.0
+    #: When the answer began on its way to the caller, seconds of the steady clock; None before.
+    first_at: float | None = None
     #: Reason for which the attempt before failed.
     last_failure: str = ""
     #: Number of the present attempt.
--- a/tests/test_platform_days.py
+++ b/tests/test_platform_days.py
@@ -294,6 +294,9 @@
             "request_ended",
         ]
         assert "record_age_s=" in lines[0] and "revision=" in lines[0]
+        times = [re.search(rf" {name}=([0-9.]+)", lines[1]) for name in ("first_s", "took_s")]
+        first_s, took_s = (float(one.group(1)) for one in times if one is not None)
+        assert 0 < first_s <= took_s
 
 
 async def test_a_data_folder_that_can_not_be_used_ends_the_process_with_a_reason() -> None:
