Keep open connections to the entries that requests go to

Ruled out: the other entry (its own times are on its lines) and the link, which is far from full.

Change: an entry that forwards a request has three idle connections opened to that entry beside it.

--- a/figpaddle/regional/_attempts.py
+++ b/figpaddle/regional/_attempts.py
@@ -177,6 +177,7 @@
             first_byte_timeout_s=max(0.0, job.left_s(now=now) + LATE_ANSWER_S),
         )
         self._placer.note_sent(job, choice)
+        self._mesh.keep_warm(entry)
         self._log.info(
             "request_forwarded",
             request=job.request_id,
--- a/figpaddle/regional/_mesh.py
+++ b/figpaddle/regional/_mesh.py
@@ -9,9 +9,11 @@
 from typing import TypeVar
 
 import anyio
+import anyio.abc
 
 from figpaddle.coordination import SILENT_AFTER_S, Heard, HeartbeatTable
 from figpaddle.errors import (
+    ConnectFailedError,
     MalformedMessageError,
     PeerUnreachableError,
     TransportError,
@@ -46,6 +48,10 @@
 #: Time for a connection to another instance, seconds; over six times the longest round trip.
 CONNECT_TIMEOUT_S = 1.0
 
+#: Idle connections kept to an entry to which requests go. One that has to be opened first delays its
+#: request by a whole round trip between regions; a clump of callers needs several at once.
+SPARE_CONNECTIONS = 3
+
 ReplyT = TypeVar("ReplyT", bound=Message)
 
 #: Answers a question of another instance.
@@ -89,6 +95,8 @@
         self._answerers: dict[type[Message], Answerer] = {}
         self._compose: Callable[[bool], InstanceHeartbeat] | None = None
         self._hurry = anyio.Event()
+        self._tasks: anyio.abc.TaskGroup | None = None
+        self._warming: set[str] = set()
 
     @property
     def incarnation(self) -> int:
@@ -161,6 +169,15 @@
         self._names.update(added)
         return added
 
+    def keep_warm(self, name: str) -> None:
+        """Have idle connections ready to an instance to which a request is going."""
+        address = self.peer_address(name)
+        if self._tasks is None or address in self._warming:
+            return
+        if self._pool.idle_to(address) < SPARE_CONNECTIONS:
+            self._warming.add(address)
+            self._tasks.start_soon(self._warm, address)
+
     def send_soon(self) -> None:
         """Send heartbeats to all at once, since something has changed."""
         self._next_at.clear()
@@ -207,9 +224,20 @@
             datagrams.bind((self._settings.ip, self._settings.peer_port))
             self._socket = datagrams
             async with anyio.create_task_group() as tasks:
+                self._tasks = tasks
                 tasks.start_soon(self._receive, datagrams)
                 tasks.start_soon(self._beat)
 
+    async def _warm(self, address: str) -> None:
+        try:
+            while self._pool.idle_to(address) < SPARE_CONNECTIONS:
+                connection = await self._pool.open(address, timeout_s=CONNECT_TIMEOUT_S)
+                self._pool.release(address, connection)
+        except ConnectFailedError as error:
+            self._log.debug("connection_not_warmed", address=address, reason=error.what)
+        finally:
+            self._warming.discard(address)
+
     async def _ask(self, address: str, question: Message) -> Message:
         connection = await self._pool.acquire(address, timeout_s=CONNECT_TIMEOUT_S)
         complete = False
