Price a backend server by the part of its requests that fails

Cause: reads of this deployment fail once in seven by themselves, at each server. Ruled out: full servers, none was rejected, and the limit of connections.

Change: what counts is the part of the recent requests that failed.

--- a/figpaddle/regional/_placer.py
+++ b/figpaddle/regional/_placer.py
@@ -209,7 +209,7 @@
                 "may_be_cold": member.may_be_cold(now=now),
                 "requests": self.work_at(member.name).requests(now=now),
                 "slowness": round(self.work_at(member.name).slowness(now=now), 2),
-                "failures": round(self.work_at(member.name).failures(now=now), 2),
+                "failing": round(self.work_at(member.name).failing(now=now), 2),
             }
             for member in self._fleet.members()
         ]
--- a/figpaddle/routing/_engine_work.py
+++ b/figpaddle/routing/_engine_work.py
@@ -25,8 +25,11 @@
 MAX_SLOWNESS = 8.0
 #: Time in which measured slowness is half forgotten without new samples, seconds.
 SLOWNESS_HALF_LIFE_S = 4.0
-#: Sum of failures that a request's failure adds and half of which is forgotten, seconds.
-FAILURE_HALF_LIFE_S = 3.0
+#: Time in which requests that ended, and those of them that failed, are half forgotten, seconds.
+ENDED_HALF_LIFE_S = 3.0
+#: Requests without a failure that are supposed before any has ended, so that the first failure of
+#: an engine that gets few requests doesn't count as all of them.
+SUPPOSED_SOUND = 3.0
 #: Wait that is longer than expected by this counts as a sign of slowness at once, seconds.
 OVERDUE_S = 0.5
 
@@ -67,8 +70,9 @@
         self._slowness = 1.0
         self._slowness_at = now
         self._hold_s = HOLD_S
-        self._failures = 0.0
-        self._failures_at = now
+        self._ended = 0.0
+        self._failed = 0.0
+        self._ended_at = now
 
     @property
     def own_requests(self) -> int:
@@ -162,10 +166,11 @@
         own = self._own.pop(key, None)
         if own is None:
             return
-        if failed:
-            self._failures = self._failures_now(now) + 1.0
-            self._failures_at = now
-        elif not own.streamed:
+        kept = self._kept(now)
+        self._ended = self._ended * kept + 1.0
+        self._failed = self._failed * kept + failed
+        self._ended_at = now
+        if not failed and not own.streamed:
             self._hold_s += (now - own.sent_at - self._hold_s) * SAMPLE_WEIGHT
 
     def slowness(self, *, now: float) -> float:
@@ -179,9 +184,14 @@
         kept = 0.5 ** ((now - self._slowness_at) / SLOWNESS_HALF_LIFE_S)
         return float(max(overdue, 1.0 + max(0.0, self._slowness - 1.0) * kept))
 
-    def failures(self, *, now: float) -> float:
-        """Return the number of recent failures, each fading with time."""
-        return self._failures_now(now)
+    def failing(self, *, now: float) -> float:
+        """Return the part of the recent requests that failed, fading with time.
+
+        A part and not a number: a service that fails a few of its requests by itself does so at
+        each of its backend servers, and the busier one is no worse for that.
+        """
+        kept = self._kept(now)
+        return float(self._failed * kept / (self._ended * kept + SUPPOSED_SOUND))
 
     def _take_slowness(self, sample: float, now: float) -> None:
         kept = 0.5 ** ((now - self._slowness_at) / SLOWNESS_HALF_LIFE_S)
@@ -189,8 +199,8 @@
         self._slowness = present + (sample - present) * SAMPLE_WEIGHT
         self._slowness_at = now
 
-    def _failures_now(self, now: float) -> float:
-        return float(self._failures * 0.5 ** ((now - self._failures_at) / FAILURE_HALF_LIFE_S))
+    def _kept(self, now: float) -> float:
+        return float(0.5 ** ((now - self._ended_at) / ENDED_HALF_LIFE_S))
 
     def _add_others(self, work: OthersWork, sign: int) -> None:
         self._others_requests += sign * work.requests
--- a/figpaddle/routing/_regional_choice.py
+++ b/figpaddle/routing/_regional_choice.py
@@ -23,8 +23,8 @@
 SLOTS_PART = 1.0
 #: Price of a filled backend server, seconds of waiting; spreads work before queues build up.
 FILL_PRICE_S = 0.15
-#: Price of a recent failure of a backend server, seconds of waiting.
-FAILURE_PRICE_S = 0.5
+#: Price of a backend server that fails all of its requests, seconds of waiting.
+FAILING_PRICE_S = 2.0
 #: Price of leaving the region beside the round trip, seconds of waiting.
 AWAY_PRICE_S = 0.15
 #: Price of reading a shared part again that another engine of the region probably keeps, as a
@@ -35,8 +35,9 @@
 #: Fewest backend servers drawn at random for one request, of which the best is used. Two spread
 #: work best while the news of what others sent is old; more send everybody to the same one.
 MIN_DRAWN = 2
-#: Backend servers with more recent failures or slower than this are drawn only if all are.
-SOUND_FAILURES, SOUND_SLOWNESS = 0.5, 2.0
+#: Backend servers that fail a larger part of their requests, or are slower, are drawn only if all
+#: are: a single failure among few requests is enough, a service's own failures now and then aren't.
+SOUND_FAILING, SOUND_SLOWNESS = 0.17, 2.0
 #: Time that a cached part must save for its engine to be considered beside those drawn, seconds.
 CACHE_SAVING_S = 0.02
 #: Time for which a request that is sent to another region counts there beside what that region
@@ -150,7 +151,7 @@
     if not candidate.is_keeper and demand.prompt_tokens:
         read_again = max(0.0, shared_tokens(demand) - (demand.prompt_tokens - prefill))
         score += REREAD_PRICE * read_again / PREFILL_TOKENS_PER_S
-    score += FAILURE_PRICE_S * work.failures(now=now)
+    score += FAILING_PRICE_S * work.failing(now=now)
     return Choice(
         member=candidate.member, region="", expected_s=expected_s, prefill=prefill, score=score
     )
@@ -223,7 +224,7 @@
 
 def _is_sound(candidate: Candidate, *, now: float) -> bool:
     work = candidate.work
-    return work.failures(now=now) <= SOUND_FAILURES and work.slowness(now=now) <= SOUND_SLOWNESS
+    return work.failing(now=now) <= SOUND_FAILING and work.slowness(now=now) <= SOUND_SLOWNESS
 
 
 def _drawn(
--- a/figpaddle/routing/tests/test_regional_choice.py
+++ b/figpaddle/routing/tests/test_regional_choice.py
@@ -250,3 +250,48 @@
         else:
             sent.append(now)
     assert refused <= 400 / 20
+
+
+def test_a_service_that_fails_some_requests_by_itself_is_used_at_home() -> None:
+    """One request in seven of a third of the callers fails at every backend server alike."""
+    rng = random.Random(1)
+    servers = candidates(2, slots=6, memory=0)
+    wanted = Demand(
+        request_id="r", member="", service="s", priority=2, deadline_s=3.0, streamed=False
+    )
+    running: list[tuple[float, Candidate, str]] = []
+    away = 0
+    for number in range(400):
+        now = number / 8
+        for ends_at, server, key in [one for one in running if one[0] <= now]:
+            server.work.answered(key, now=ends_at)
+            server.work.ended(key, failed=rng.random() < 0.14 / 3, now=ends_at)
+            running.remove((ends_at, server, key))
+        choice = choose(wanted, servers, [far(room=8, expected_s=0.06)], rng=rng, now=now)
+        assert choice is not None
+        if choice.member is None:
+            away += 1
+            continue
+        server = next(one for one in servers if one.member is choice.member)
+        send(server, wanted, choice, str(number), now=now)
+        running.append((now + 0.045, server, str(number)))
+    assert away <= 400 / 50
+
+
+def test_a_server_that_fails_half_of_its_requests_is_left_for_a_sound_one() -> None:
+    rng = random.Random(1)
+    sound, grey = servers = candidates(2, slots=6, memory=0)
+    wanted = Demand(
+        request_id="r", member="", service="s", priority=2, deadline_s=3.0, streamed=False
+    )
+    failed = 0
+    for number in range(400):
+        now = number / 8
+        choice = choose(wanted, servers, [], rng=rng, now=now)
+        assert choice is not None
+        server = next(one for one in servers if one.member is choice.member)
+        fails = server is grey and rng.random() < 0.5
+        failed += fails
+        send(server, wanted, choice, str(number), now=now)
+        server.work.ended(str(number), failed=fails, now=now)
+    assert failed <= 400 / 20
