Let short requests wait for a slot at home

Change: for a plain server the price is the time for which a request holds its slot.

Test seen red: full servers with a few waiting keep their requests; with forty at each they leave.

--- a/figpaddle/routing/_regional_choice.py
+++ b/figpaddle/routing/_regional_choice.py
@@ -21,8 +21,11 @@
 MEMORY_PART = 0.92
 #: Part of an engine's slots up to which requests start without waiting.
 SLOTS_PART = 1.0
-#: Price of a filled backend server, seconds of waiting; spreads work before queues build up.
+#: Price of a filled engine, seconds of waiting; spreads work before queues build up.
 FILL_PRICE_S = 0.15
+#: Price of a filled plain server, as a multiple of the time for which a request holds its slot. Its
+#: queue is gone within a few of those, long before a request could have left the region.
+PLAIN_FILL_PRICE = 1.0
 #: Price of a backend server that fails all of its requests, seconds of waiting.
 FAILING_PRICE_S = 2.0
 #: Price of leaving the region beside the round trip, seconds of waiting.
@@ -131,6 +134,7 @@
     slowness = work.slowness(now=now)
     fill = requests / slots
     prefill = 0.0
+    fill_price_s = FILL_PRICE_S
     if candidate.memory_tokens:
         need = demand.prompt_tokens + demand.output_tokens
         taken = work.memory(now=now)
@@ -146,8 +150,9 @@
     else:
         waiting = max(0.0, requests + 1 - slots)
         expected_s = work.hold_s * (1.0 + waiting / slots)
+        fill_price_s = PLAIN_FILL_PRICE * work.hold_s
     expected_s *= slowness
-    score = expected_s + FILL_PRICE_S * fill * fill
+    score = expected_s + fill_price_s * fill * fill
     if not candidate.is_keeper and demand.prompt_tokens:
         read_again = max(0.0, shared_tokens(demand) - (demand.prompt_tokens - prefill))
         score += REREAD_PRICE * read_again / PREFILL_TOKENS_PER_S
--- a/figpaddle/routing/tests/test_regional_choice.py
+++ b/figpaddle/routing/tests/test_regional_choice.py
@@ -295,3 +295,24 @@
         send(server, wanted, choice, str(number), now=now)
         server.work.ended(str(number), failed=fails, now=now)
     assert failed <= 400 / 20
+
+
+def test_short_requests_wait_for_a_slot_at_home_instead_of_leaving() -> None:
+    """Twelve slots are full with short requests and a few wait; the next region is idle."""
+    rng = random.Random(1)
+    servers = candidates(2, slots=6, memory=0)
+    wanted = Demand(
+        request_id="r", member="", service="s", priority=2, deadline_s=3.0, streamed=False
+    )
+    for server in servers:
+        for number in range(9):
+            server.work.sent(
+                str(number), wanted, prefill=0, memory=0, expected_s=0.05, now=-number * 0.005
+            )
+    choices = [choose(wanted, servers, [far(expected_s=0.06)], rng=rng, now=0.0) for _ in range(50)]
+    assert all(choice is not None and choice.member is not None for choice in choices)
+    for server in servers:
+        for number in range(9, 40):
+            server.work.sent(str(number), wanted, prefill=0, memory=0, expected_s=0.05, now=0.0)
+    choice = choose(wanted, servers, [far(expected_s=0.06)], rng=rng, now=0.0)
+    assert choice is not None and choice.member is None
