Let long prompts leave a busy region first and keep off engines that are nearly full

Expected times of streams hardly follow the real ones there (engines expected at 0.08 s took 0.18 s, those at 0.35 s the same): news of what waits is 0.5 s old and prompts wait for less. What lasts are the slots that streams hold; engines where all were taken preempted what was less urgent and read it again.

Change: leaving costs a prompt the less the longer it is, and an engine's last slots and memory cost more; where all slots are taken, the wait is a part of a stream's length instead of a second.

--- a/figpaddle/routing/_engine_work.py
+++ b/figpaddle/routing/_engine_work.py
@@ -19,6 +19,8 @@
 FIRST_TOKEN_S = 0.06
 #: Time for which a plain request holds its slot, before any sample, seconds.
 HOLD_S = 0.05
+#: Time for which a stream holds its slot, before any sample, seconds.
+STREAM_S = 2.0
 #: Weight of one new sample in a moving average.
 SAMPLE_WEIGHT = 0.08
 #: Most that one sample counts, as a multiple of what was expected.
@@ -70,6 +72,7 @@
         self._slowness = 1.0
         self._slowness_at = now
         self._hold_s = HOLD_S
+        self._stream_s = STREAM_S
         self._ended = 0.0
         self._failed = 0.0
         self._ended_at = now
@@ -91,9 +94,14 @@
 
     @property
     def hold_s(self) -> float:
-        """Mean time for which a request holds its slot, seconds."""
+        """Mean time for which a plain request holds its slot, seconds."""
         return self._hold_s
 
+    @property
+    def stream_s(self) -> float:
+        """Mean time for which a stream holds its slot, seconds."""
+        return self._stream_s
+
     def note_others(self, entry: str, work: OthersWork, *, now: float) -> None:
         """Take in what another entry has in progress here."""
         known = self._others.get(entry)
@@ -170,7 +178,11 @@
         self._ended = self._ended * kept + 1.0
         self._failed = self._failed * kept + failed
         self._ended_at = now
-        if not failed and not own.streamed:
+        if failed:
+            return
+        if own.streamed:
+            self._stream_s += (now - own.sent_at - self._stream_s) * SAMPLE_WEIGHT
+        else:
             self._hold_s += (now - own.sent_at - self._hold_s) * SAMPLE_WEIGHT
 
     def slowness(self, *, now: float) -> float:
--- a/figpaddle/routing/_regional_choice.py
+++ b/figpaddle/routing/_regional_choice.py
@@ -23,13 +23,20 @@
 SLOTS_PART = 1.0
 #: Price of a filled engine, seconds of waiting; spreads work before queues build up.
 FILL_PRICE_S = 0.15
+#: Part of an engine's slots or memory from which a request may cost another its place, and the price
+#: of each further part: a more urgent request preempts, and what it preempts is read again.
+FULL_PART, FULL_PRICE_S = 0.85, 1.0
 #: Price of a filled plain server, as a multiple of the time for which a request holds its slot. Its
 #: queue is gone within a few of those, long before a request could have left the region.
 PLAIN_FILL_PRICE = 1.0
 #: Price of a backend server that fails all of its requests, seconds of waiting.
 FAILING_PRICE_S = 2.0
-#: Price of leaving the region beside the round trip, seconds of waiting.
+#: Price of leaving the region beside the round trip, seconds of waiting, for plain requests.
 AWAY_PRICE_S = 0.15
+#: The same for a prompt that is no work at all, and the least for a long one. In between it falls by
+#: the time that reading the prompt would take here, counted for those that wait behind it too.
+SHORT_AWAY_PRICE_S, LONG_AWAY_PRICE_S = 0.4, 0.05
+RELIEF_WEIGHT = 2.0
 #: Most by which the shared part of a prompt raises or lowers the price of a region, seconds: as
 #: much as reading such a part again takes.
 AFFINITY_S = 0.12
@@ -148,8 +155,10 @@
         ahead = work.prefill_ahead(demand.priority, now=now)
         expected_s = FIRST_TOKEN_S + (ahead + prefill) / PREFILL_TOKENS_PER_S
         fill = max(fill, (taken + need) / (candidate.memory_tokens * MEMORY_PART))
+        fill_price_s += FULL_PRICE_S * max(0.0, fill - FULL_PART)
         if requests >= slots:
-            expected_s += (requests + 1 - slots) / slots
+            # A slot is free once one of the streams has ended.
+            expected_s += (requests + 1 - slots) / slots * work.stream_s
     else:
         waiting = max(0.0, requests + 1 - slots)
         expected_s = work.hold_s * (1.0 + waiting / slots)
@@ -179,10 +188,22 @@
         region=option.region,
         expected_s=expected_s,
         prefill=float(demand.prompt_tokens),
-        score=expected_s + AWAY_PRICE_S + AFFINITY_S * _strangeness(demand, option.region),
+        score=expected_s + _away_price_s(demand) + AFFINITY_S * _strangeness(demand, option.region),
     )
 
 
+def _away_price_s(demand: Demand) -> float:
+    """Return the price of leaving the region beside the round trip, seconds of waiting.
+
+    Answers a peak of all kinds of request at once: a long prompt that leaves frees an engine for
+    many short ones, whose targets are tighter against the way and whose answers are as many bytes.
+    """
+    if not demand.prompt_tokens:
+        return AWAY_PRICE_S
+    relief_s = demand.prompt_tokens / PREFILL_TOKENS_PER_S
+    return max(LONG_AWAY_PRICE_S, SHORT_AWAY_PRICE_S - RELIEF_WEIGHT * relief_s)
+
+
 def _strangeness(demand: Demand, region: str) -> float:
     """Return from -1 to 1 how strange the shared part of a prompt is to another region.
 
