--- a/figpaddle/routing/tests/test_regional_choice.py
+++ b/figpaddle/routing/tests/test_regional_choice.py
@@ -73,6 +73,12 @@
     )
 
 
+def short_request() -> Demand:
+    return Demand(
+        request_id="r", member="", service="s", priority=2, deadline_s=3.0, streamed=False
+    )
+
+
 def send(candidate: Candidate, wanted: Demand, choice: Choice, key: str, *, now: float) -> None:
     candidate.work.sent(
         key,
@@ -236,9 +242,7 @@
 def test_callers_whose_only_plain_server_left_are_served_by_another_region() -> None:
     """The bookings server of a region leaves for good; 40 short requests a second must go away."""
     rng = random.Random(1)
-    wanted = Demand(
-        request_id="r", member="", service="s", priority=2, deadline_s=3.0, streamed=False
-    )
+    wanted = short_request()
     sent: list[float] = []
     refused = 0
     for number in range(400):
@@ -256,9 +260,7 @@
     """One request in seven of a third of the callers fails at every backend server alike."""
     rng = random.Random(1)
     servers = candidates(2, slots=6, memory=0)
-    wanted = Demand(
-        request_id="r", member="", service="s", priority=2, deadline_s=3.0, streamed=False
-    )
+    wanted = short_request()
     running: list[tuple[float, Candidate, str]] = []
     away = 0
     for number in range(400):
@@ -281,9 +283,7 @@
 def test_a_server_that_fails_half_of_its_requests_is_left_for_a_sound_one() -> None:
     rng = random.Random(1)
     sound, grey = servers = candidates(2, slots=6, memory=0)
-    wanted = Demand(
-        request_id="r", member="", service="s", priority=2, deadline_s=3.0, streamed=False
-    )
+    wanted = short_request()
     failed = 0
     for number in range(400):
         now = number / 8
@@ -301,9 +301,7 @@
     """Twelve slots are full with short requests and a few wait; the next region is idle."""
     rng = random.Random(1)
     servers = candidates(2, slots=6, memory=0)
-    wanted = Demand(
-        request_id="r", member="", service="s", priority=2, deadline_s=3.0, streamed=False
-    )
+    wanted = short_request()
     for server in servers:
         for number in range(9):
             server.work.sent(
--- a/tests/test_cluster_follower.py
+++ b/tests/test_cluster_follower.py
@@ -16,12 +16,9 @@
 
 from figpaddle.deployment import EMPTY_STATE, ClusterState
 from figpaddle.http1 import ConnectionPool
-from figpaddle.regional import Bounds, ProcessSettings
 from figpaddle.regional._cluster import ClusterFollower
-from figpaddle.regional._mesh import Mesh
-from figpaddle.telemetry import Counters
-from figpaddle.wire import InstanceRole
 from tests.platform_standin import configuration
+from tests.regional_parts import make_mesh
 
 pytestmark = pytest.mark.anyio
 
@@ -31,37 +28,8 @@
     return "asyncio"
 
 
-def follower(tasks: anyio.abc.TaskGroup) -> ClusterFollower:
-    settings = ProcessSettings(
-        label="e",
-        ip="127.0.0.1",
-        role=InstanceRole.ENTRY,
-        region="north",
-        zone="n-a",
-        zones={"n-a": "north"},
-        caller_address="",
-        readiness_address="",
-        control_address="",
-        lookup_address="",
-        peer_port=0,
-        metrics_port=0,
-        seeds=(),
-        first_start=False,
-        data_folder=None,
-        max_descriptors=100,
-        bounds=Bounds(),
-    )
-    pool = ConnectionPool(clock=anyio.current_time, silence_s=1.0)
-    log = structlog.get_logger()
-    mesh = Mesh(
-        settings=settings,
-        incarnation=1,
-        pool=pool,
-        clock=anyio.current_time,
-        rng=random.Random(1),
-        log=log,
-        counters=Counters(),
-    )
+def follower() -> ClusterFollower:
+    mesh = make_mesh(ConnectionPool(clock=anyio.current_time, silence_s=1.0))
     return ClusterFollower(
         name="127.0.0.1",
         region="north",
@@ -69,7 +37,7 @@
         mesh=mesh,
         clock=anyio.current_time,
         rng=random.Random(1),
-        log=log,
+        log=structlog.get_logger(),
     )
 
 
@@ -79,30 +47,28 @@
 
 
 async def test_an_older_revision_that_comes_late_changes_nothing() -> None:
-    async with anyio.create_task_group() as tasks:
-        one = follower(tasks)
-        older = state(3)
-        newer = older.with_evacuation("n-a").with_configuration(
-            4, json.dumps(configuration(4)).encode()
-        )
-        one.install(newer, source="x")
-        one.install(older, source="y")
-        assert one.state == newer
-        assert one.configuration is not None and one.configuration.version == 4
+    one = follower()
+    older = state(3)
+    newer = older.with_evacuation("n-a").with_configuration(
+        4, json.dumps(configuration(4)).encode()
+    )
+    one.install(newer, source="x")
+    one.install(older, source="y")
+    assert one.state == newer
+    assert one.configuration is not None and one.configuration.version == 4
 
 
 async def test_a_revision_that_can_not_be_read_leaves_the_one_before_in_force() -> None:
-    async with anyio.create_task_group() as tasks:
-        one = follower(tasks)
-        held = state(3)
-        one.install(held, source="x")
-        one.install(held.with_configuration(4, b"{"), source="x")
-        assert one.configuration is not None and one.configuration.version == 3
+    one = follower()
+    held = state(3)
+    one.install(held, source="x")
+    one.install(held.with_configuration(4, b"{"), source="x")
+    assert one.configuration is not None and one.configuration.version == 3
 
 
 async def test_a_hop_waits_for_the_senders_revision_and_no_longer() -> None:
     async with anyio.create_task_group() as tasks:
-        one = follower(tasks)
+        one = follower()
         assert not await one.wait_for_revision(1, timeout_s=0.05)
 
         async def install_soon() -> None:
--- a/tests/test_warm_connections.py
+++ b/tests/test_warm_connections.py
@@ -6,18 +6,15 @@
 
 import anyio
 import pytest
-import structlog
 
 from figpaddle.http1 import ConnectionPool, HttpListener, HttpRequest, Responder
-from figpaddle.regional import Bounds, ProcessSettings
-from figpaddle.regional._mesh import SPARE_CONNECTIONS, Mesh
-from figpaddle.telemetry import Counters
-from figpaddle.wire import InstanceRole
+from figpaddle.regional._mesh import SPARE_CONNECTIONS
 from tests.platform_standin import PATIENCE_S
+from tests.regional_parts import make_mesh
 
 pytestmark = pytest.mark.anyio
 
-OWN, OTHER, NOBODY = "127.0.0.1", "127.0.0.2", "127.0.0.3"
+OTHER, NOBODY = "127.0.0.2", "127.0.0.3"
 
 
 @pytest.fixture
@@ -30,44 +27,13 @@
     return random.SystemRandom().randrange(30000, 32000)
 
 
-def make_mesh(pool: ConnectionPool, port: int) -> Mesh:
-    settings = ProcessSettings(
-        label="e",
-        ip=OWN,
-        role=InstanceRole.ENTRY,
-        region="north",
-        zone="n-a",
-        zones={"n-a": "north"},
-        caller_address="",
-        readiness_address="",
-        control_address="",
-        lookup_address="",
-        peer_port=port,
-        metrics_port=0,
-        seeds=(),
-        first_start=False,
-        data_folder=None,
-        max_descriptors=100,
-        bounds=Bounds(),
-    )
-    return Mesh(
-        settings=settings,
-        incarnation=1,
-        pool=pool,
-        clock=anyio.current_time,
-        rng=random.Random(1),
-        log=structlog.get_logger(),
-        counters=Counters(),
-    )
-
-
 async def refuse(request: HttpRequest, responder: Responder) -> None:
     await responder.answer(404, (), b"")
 
 
 async def test_a_clump_of_requests_finds_open_connections(port: int) -> None:
     pool = ConnectionPool(clock=anyio.current_time, silence_s=2.0)
-    mesh = make_mesh(pool, port)
+    mesh = make_mesh(pool, port=port)
     address = mesh.peer_address(OTHER)
     listener = HttpListener(
         address=address,
@@ -93,7 +59,7 @@
 
 async def test_an_instance_that_accepts_nothing_is_tried_once_each_time(port: int) -> None:
     pool = ConnectionPool(clock=anyio.current_time, silence_s=2.0)
-    mesh = make_mesh(pool, port)
+    mesh = make_mesh(pool, port=port)
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(mesh.run)
         await anyio.sleep(0.1)
