Count only a server's silence against its stream; go on accepting after an error

A caller that took nothing for 1.2 s made its server look silent; the stream was taken up elsewhere and the event under way came twice. The limit now runs only while the server is waited for.

Also: an error of accept, as the system reports for a new connection's own errors or for want of a descriptor, ended the process; the listener now goes on after 20 ms.

--- a/figpaddle/http1/_listener.py
+++ b/figpaddle/http1/_listener.py
@@ -15,6 +15,9 @@
 
 #: Connections that may wait to be accepted, as many as callers of one entry start at once.
 BACKLOG = 1024
+#: Pause after a connection that could not be accepted, seconds: without descriptors every attempt
+#: fails at once.
+ACCEPT_PAUSE_S = 0.02
 
 
 class HttpListener:
@@ -71,7 +74,13 @@
     async def _accept(self, listener: socket.socket, tasks: anyio.abc.TaskGroup) -> None:
         loop = asyncio.get_running_loop()
         while True:
-            accepted, _ = await loop.sock_accept(listener)
+            try:
+                accepted, _ = await loop.sock_accept(listener)
+            except OSError as error:
+                # An error of the new connection itself, or no descriptor is free for a moment.
+                self._on_reset(str(error))
+                await asyncio.sleep(ACCEPT_PAUSE_S)
+                continue
             if len(self._connections) >= self._max_connections:
                 accepted.close()
                 continue
--- a/figpaddle/http1/tests/test_http1.py
+++ b/figpaddle/http1/tests/test_http1.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
+import errno
 import os
 import socket
 import struct
@@ -332,6 +334,25 @@
     assert [request.target for request in begun] == [b"/one"]
 
 
+async def test_a_connection_that_can_not_be_accepted_does_not_end_the_listener(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    loop = asyncio.get_running_loop()
+    accept = loop.sock_accept
+    failures = [OSError(errno.EMFILE, "no descriptor"), OSError(errno.ENETUNREACH, "no way")]
+
+    async def fail_first(listener: socket.socket) -> tuple[socket.socket, object]:
+        if failures:
+            raise failures.pop()
+        return await accept(listener)
+
+    monkeypatch.setattr(loop, "sock_accept", fail_first)
+    async with listening(say_ok) as stream:
+        await stream.send(b"GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+        assert (await read_all(stream)).startswith(b"HTTP/1.1 200")
+    assert not failures
+
+
 async def test_a_leaving_server_asks_callers_to_close() -> None:
     async with listening(say_ok, closing=True) as caller:
         await caller.send(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
--- a/figpaddle/regional/_exchange.py
+++ b/figpaddle/regional/_exchange.py
@@ -155,12 +155,16 @@
         """Pass whole events on as they come."""
         splitter = EventSplitter(last_event=self._job.last_event)
         over_at = anyio.current_time() + self._left_s()
+        is_watched = self._leg.silence_s is not None
         with anyio.CancelScope(deadline=self._silent_at(over_at)) as scope:
             try:
                 async for piece in connection.read_body():
-                    if self._leg.silence_s is not None:
-                        scope.deadline = self._silent_at(over_at)
+                    if is_watched:
+                        # Only the server's silence counts: a caller may be slow to take events.
+                        scope.deadline = over_at
                     await self._pass_on(splitter.feed(piece), answer, splitter)
+                    if is_watched:
+                        scope.deadline = self._silent_at(over_at)
             except TransportError as error:
                 if isinstance(error, CallerGoneError):
                     raise
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -71,6 +71,8 @@
     born: int
     events: int = 3
     gap_s: float = 0.01
+    #: Bytes that each event has beside its number.
+    padding: int = 0
     failing: str = ""
     #: Draws for each request how it fails by itself; empty for not at all.
     mood: Callable[[], str] = str
@@ -133,7 +135,8 @@
                 200, (*sealed, (b"Content-Type", b"text/event-stream")), length=None
             )
             for number in range(first, self.events + 1):
-                await responder.write(f"id: {number}\ndata: {number}\n\n".encode())
+                padding = "x" * self.padding
+                await responder.write(f"id: {number}\ndata: {number}{padding}\n\n".encode())
                 if failing == "midway" and number == 2:
                     return
                 if failing == "stall" and number == 2:
--- a/tests/test_platform_days.py
+++ b/tests/test_platform_days.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import re
 import signal
+import socket
 
 import anyio
 import pytest
@@ -198,6 +200,35 @@
         assert silent.left == [request_id]
 
 
+async def test_a_caller_that_reads_slowly_does_not_make_its_server_look_silent() -> None:
+    """The caller takes nothing for longer than a server may keep silent, with events on the way."""
+    loop = asyncio.get_running_loop()
+    async with deployment(engines=False) as day:
+        await day.order("POST", "/v1/config/put", configuration(2))
+        for _ in range(2):
+            await day.add_engine(MODEL, "n-a", events=40, gap_s=0.0, padding=256 * 1024)
+        await anyio.sleep(0.6)
+        with socket.socket() as caller:
+            caller.setblocking(False)
+            caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 64 * 1024)
+            host, _, port = day.reach("m-4", "front").rpartition(":")
+            await loop.sock_connect(caller, (host, int(port)))
+            await loop.sock_sendall(
+                caller,
+                b"POST /plan/1 HTTP/1.1\r\nHost: guide.example\r\nContent-Length: 0\r\n"
+                b"X-Figpaddle-Request-Id: slow\r\nX-Figpaddle-Deadline-Ms: 5000\r\n\r\n",
+            )
+            await anyio.sleep(2.5)
+            data = bytearray()
+            with anyio.fail_after(PATIENCE_S):
+                while not data.endswith(b"\r\n0\r\n\r\n"):
+                    piece = await loop.sock_recv(caller, 1 << 20)
+                    assert piece, "the answer broke off"
+                    data += piece
+        assert re.findall(rb"id: (\d+)\n", bytes(data)) == [b"%d" % n for n in range(1, 41)]
+        assert sum(len(engine.ran) for engine in day.engines) == 1
+
+
 async def test_a_request_that_may_run_once_only_stays_with_a_silent_server() -> None:
     async with deployment(engines=False) as day:
         await day.order("POST", "/v1/config/put", configuration(2))
