--- a/figpaddle/routing/_regional_choice.py
+++ b/figpaddle/routing/_regional_choice.py
@@ -24,17 +24,20 @@
 #: Price of a filled engine, seconds of waiting; spreads work before queues build up.
 FILL_PRICE_S = 0.15
 #: Part of an engine's slots or memory from which a request may cost another its place, and the price
-#: of each further part: a more urgent request preempts, and what it preempts is read again.
+#: of filling all of the rest and as much again, seconds: a more urgent request preempts, and what it
+#: preempts is read again. Higher prices send more away than a quiet region can take.
 FULL_PART, FULL_PRICE_S = 0.85, 1.0
 #: Price of a filled plain server, as a multiple of the time for which a request holds its slot. Its
 #: queue is gone within a few of those, long before a request could have left the region.
 PLAIN_FILL_PRICE = 1.0
-#: Price of a backend server that fails all of its requests, seconds of waiting.
+#: Price of a backend server that fails all of its requests, seconds of waiting: a second attempt and
+#: the caller's own return.
 FAILING_PRICE_S = 2.0
 #: Price of leaving the region beside the round trip, seconds of waiting, for plain requests.
 AWAY_PRICE_S = 0.15
-#: The same for a prompt that is no work at all, and the least for a long one. In between it falls by
-#: the time that reading the prompt would take here, counted for those that wait behind it too.
+#: The same for a prompt that is hardly any work, which leaves a target of 0.6 s no room after the
+#: way, and the least for a long one. In between it falls by the time that reading the prompt would
+#: take here, counted once more for a prompt that waits behind it.
 SHORT_AWAY_PRICE_S, LONG_AWAY_PRICE_S = 0.4, 0.05
 RELIEF_WEIGHT = 2.0
 #: Most by which the shared part of a prompt raises or lowers the price of a region, seconds: as
