--- a/figpaddle/regional/_attempts.py
+++ b/figpaddle/regional/_attempts.py
@@ -63,6 +63,8 @@
     ) -> AttemptResult:
         """Send a request to the place in ``choice`` and return the result."""
         context.attempt += 1
+        context.expected_s = choice.expected_s
+        context.first_byte_s = None
         if choice.backend is None:
             return await self._forward(context, choice, responder)
         backend = choice.backend
@@ -107,9 +109,8 @@
             took_s = tracker.note_first_byte(attempt_key, now=self._clock())
             if took_s is not None:
                 self._placer.fleet.note_reached(backend.name)
-                self._metrics.record_duration(
-                    "first_byte_seconds", took_s, service=context.service.name
-                )
+                context.first_byte_s = took_s
+                self._record_first_byte(context, took_s, expected_s=choice.expected_s)
 
         def decode_head(head: ResponseHead) -> BackendAnswer:
             answer = self._dialect.read_answer(head)
@@ -137,6 +138,13 @@
         await self._record_failure(context, backend.name, backend.address, result)
         return result
 
+    def _record_first_byte(
+        self, context: RequestContext, took_s: float, *, expected_s: float
+    ) -> None:
+        labels = {"service": context.service.name, "priority": str(context.route.priority)}
+        self._metrics.record_duration("first_byte_seconds", took_s, **labels)
+        self._metrics.record_duration("first_byte_expected_seconds", expected_s, **labels)
+
     async def _record_failure(
         self, context: RequestContext, backend: str, address: str, result: AttemptResult
     ) -> None:
--- a/figpaddle/regional/_gateway.py
+++ b/figpaddle/regional/_gateway.py
@@ -350,6 +350,12 @@
         self, context: RequestContext, responder: Responder, reason: str, retry_after_s: float
     ) -> None:
         self._record_end(context, f"refused: {reason}", failed=True)
+        self._metrics.count(
+            "requests_refused_total",
+            service=context.service.name,
+            priority=str(context.route.priority),
+            reason=reason,
+        )
         headers = [(b"Retry-After", f"{retry_after_s:.3f}".encode())]
         if context.forwarded:
             headers.append((OUTCOME_FIELD, NOT_RUN))
@@ -390,10 +396,14 @@
             service=context.service.name,
             outcome=outcome,
             attempts=context.attempt,
-            first_s=(
+            priority=context.route.priority,
+            target_s=context.route.target_s,
+            expected_s=_rounded(context.expected_s),
+            backend_s=_rounded(context.first_byte_s),
+            first_s=_rounded(
                 None
                 if context.answer_started_at is None
-                else round(context.answer_started_at - received_at, 3)
+                else context.answer_started_at - received_at
             ),
             took_s=round(took_s, 3),
             revision=context.revision,
@@ -402,3 +412,7 @@
         kind = outcome.split(":")[0]
         self._metrics.count("requests_total", service=context.service.name, outcome=kind)
         self._metrics.record_duration("request_seconds", took_s, service=context.service.name)
+
+
+def _rounded(seconds: float | None) -> float | None:
+    return None if seconds is None else round(seconds, 3)
--- a/figpaddle/regional/_request_context.py
+++ b/figpaddle/regional/_request_context.py
@@ -78,6 +78,10 @@
     may_have_run: bool = False
     #: When the present attempt was sent, seconds of the monotonic clock.
     sent_at: float = 0.0
+    #: Time to the first byte that placement expected of the present attempt, seconds.
+    expected_s: float | None = None
+    #: Time from sending the present attempt to the first byte of its answer, seconds; None before.
+    first_byte_s: float | None = None
     #: When the answer to the caller was started, seconds of the monotonic clock; None before.
     answer_started_at: float | None = None
     #: Reason for which the last attempt failed.
--- a/figpaddle/tool/_explain.py
+++ b/figpaddle/tool/_explain.py
@@ -71,6 +71,21 @@
     return LogLine(fields=fields) if "event" in fields else None
 
 
+def read_log_lines(paths: Iterable[pathlib.Path]) -> list[LogLine]:
+    """Return the events in log files; raises DocumentError for a file that can't be read."""
+    lines: list[LogLine] = []
+    for path in paths:
+        try:
+            text = path.read_text(encoding="utf-8", errors="replace")
+        except OSError as error:
+            fault = DocumentFault(
+                path=str(path), what=str(error), hint="specify a readable log file"
+            )
+            raise DocumentError(document=str(path), faults=(fault,)) from error
+        lines += [line for line in map(parse_line, text.splitlines()) if line is not None]
+    return lines
+
+
 def build_timeline(request_id: str, lines: Iterable[LogLine]) -> list[LogLine]:
     """Return the lines about a request and related state changes, in order of time.
 
@@ -138,17 +153,7 @@
     logs: Annotated[list[pathlib.Path], typer.Argument(help="Log files of one or more processes.")],
 ) -> None:
     """Show what happened to one request, from the logs of the processes that handled it."""
-    lines: list[LogLine] = []
-    for path in logs:
-        try:
-            text = path.read_text(encoding="utf-8", errors="replace")
-        except OSError as error:
-            fault = DocumentFault(
-                path=str(path), what=str(error), hint="specify a readable log file"
-            )
-            raise DocumentError(document=str(path), faults=(fault,)) from error
-        lines += [line for line in map(parse_line, text.splitlines()) if line is not None]
-    timeline = build_timeline(request_id, lines)
+    timeline = build_timeline(request_id, read_log_lines(logs))
     if not timeline:
         print(f"No log line contains request {request_id}: it reached none of these processes.")
         raise typer.Exit(1)
