--- /dev/null
+++ b/figpaddle/regional/tests/simulated_region.py
@@ -0,0 +1,231 @@
+"""A simulated region whose engines run the most urgent of their waiting requests first."""
+
+from __future__ import annotations
+
+import dataclasses
+import heapq
+import itertools
+import random
+
+from figpaddle.regional._gateway import MAX_TARGET_MULTIPLE
+from figpaddle.routing import BackendLoadTracker, Candidate, Demand, Fleet, choose, refuse_late
+from figpaddle.wire import BackendRecord, BackendState
+
+#: Duration of a decoding step without requests, and the additional time for each request, seconds.
+STEP_S, STEP_PER_REQUEST_S = 0.0032, 0.00005
+#: Prompt tokens that an engine processes per second while it doesn't decode.
+PREFILL_TOKENS_PER_S = 112_000.0
+#: Largest number of prompt tokens processed in one step.
+CHUNK_TOKENS = 1024
+#: Memory of an engine, tokens; more than the requests in its slots need.
+MEMORY_TOKENS = 10_000_000
+#: Multiple of the target after which a caller leaves, and the shortest such time, seconds.
+PATIENCE_TARGETS, MIN_PATIENCE_S = 4.0, 2.0
+#: Deadline of all requests, seconds.
+DEADLINE_S = 12.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class RequestKind:
+    """Requests of one route."""
+
+    name: str
+    #: Priority class; 0 is the most urgent.
+    priority: int
+    prompt_tokens: int
+    output_tokens: int
+    #: Target for the time to the first token, seconds.
+    target_s: float
+    #: Requests per second.
+    per_s: float
+
+
+@dataclasses.dataclass(kw_only=True)
+class KindResult:
+    """The number of requests of one kind by outcome; requests in progress are in none."""
+
+    offered: int = 0
+    refused: int = 0
+    on_time: int = 0
+    late: int = 0
+    caller_left: int = 0
+
+    @property
+    def admitted(self) -> int:
+        """Requests that were placed on an engine and whose outcome is known."""
+        return self.on_time + self.late + self.caller_left
+
+
+@dataclasses.dataclass(kw_only=True)
+class _Run:
+    kind: RequestKind
+    key: str
+    sent_at: float
+    prefill_left: int
+    tokens_left: int
+    first_at: float | None = None
+
+    @property
+    def patience_s(self) -> float:
+        return max(MIN_PATIENCE_S, PATIENCE_TARGETS * self.kind.target_s)
+
+
+class _Engine:
+    """Runs ``slots`` requests at once and processes prompts in chunks between decoding steps."""
+
+    def __init__(self, *, slots: int) -> None:
+        self._slots = slots
+        self._waiting: list[tuple[int, int, _Run]] = []
+        self._running: list[_Run] = []
+        self._arrivals = itertools.count()
+
+    def add(self, run: _Run) -> None:
+        heapq.heappush(self._waiting, (run.kind.priority, next(self._arrivals), run))
+
+    def remove(self, run: _Run) -> None:
+        self._waiting = [item for item in self._waiting if item[2] is not run]
+        heapq.heapify(self._waiting)
+        if run in self._running:
+            self._running.remove(run)
+
+    def unanswered(self) -> list[_Run]:
+        runs = self._running + [run for _, _, run in self._waiting]
+        return [run for run in runs if run.first_at is None]
+
+    def step(self, now: float) -> tuple[float, list[_Run]]:
+        """Run one step from ``now``; return its end and the requests that got a token in it."""
+        while self._waiting and len(self._running) < self._slots:
+            self._running.append(heapq.heappop(self._waiting)[2])
+        chunk_left = CHUNK_TOKENS
+        for run in self._running:
+            processed = min(run.prefill_left, chunk_left)
+            run.prefill_left -= processed
+            chunk_left -= processed
+        prefill_s = (CHUNK_TOKENS - chunk_left) / PREFILL_TOKENS_PER_S
+        end = now + STEP_S + STEP_PER_REQUEST_S * len(self._running) + prefill_s
+        decoded = [run for run in self._running if run.prefill_left == 0]
+        for run in decoded:
+            run.tokens_left -= 1
+        self._running = [run for run in self._running if run.tokens_left > 0]
+        return end, decoded
+
+
+class SimulatedRegion:
+    """One entry and several engines under a constant load."""
+
+    def __init__(self, *, engines: int, slots: int, seed: int) -> None:
+        self._rng = random.Random(seed)
+        self._candidates = _candidates(engines, slots=slots)
+        self._trackers = {item.backend.name: item.tracker for item in self._candidates}
+        self._engines = {name: _Engine(slots=slots) for name in self._trackers}
+        self._keys = itertools.count()
+
+    def run(self, kinds: list[RequestKind], *, duration_s: float) -> dict[str, KindResult]:
+        """Offer requests for ``duration_s`` and return the result of each kind by name."""
+        results = {kind.name: KindResult() for kind in kinds}
+        events: list[tuple[float, int, RequestKind | str]] = []
+        order = itertools.count()
+        for kind in kinds:
+            heapq.heappush(events, (self._rng.expovariate(kind.per_s), next(order), kind))
+        for name in self._engines:
+            heapq.heappush(events, (0.0, next(order), name))
+        while True:
+            now, _, item = heapq.heappop(events)
+            if now >= duration_s:
+                return results
+            if isinstance(item, str):
+                next_at = self._step(item, results, now)
+            else:
+                self._offer(item, results[item.name], now)
+                next_at = now + self._rng.expovariate(item.per_s)
+            heapq.heappush(events, (next_at, next(order), item))
+
+    def _offer(self, kind: RequestKind, result: KindResult, now: float) -> None:
+        demand = Demand(
+            request_id=str(next(self._keys)),
+            member="",
+            service="s",
+            priority=kind.priority,
+            deadline_s=DEADLINE_S,
+            prompt_tokens=kind.prompt_tokens,
+            output_tokens=kind.output_tokens,
+        )
+        result.offered += 1
+        choice = choose(demand, self._candidates, [], rng=self._rng, now=now)
+        if (
+            choice is None
+            or choice.backend is None
+            or refuse_late(
+                demand,
+                choice,
+                target_s=kind.target_s,
+                max_target_multiple=MAX_TARGET_MULTIPLE,
+                rng=self._rng,
+            )
+        ):
+            result.refused += 1
+            return
+        name = choice.backend.name
+        self._trackers[name].note_sent(
+            demand.request_id,
+            demand,
+            prefill=choice.prefill,
+            memory=kind.prompt_tokens + kind.output_tokens,
+            expected_s=choice.expected_s,
+            now=now,
+        )
+        self._engines[name].add(
+            _Run(
+                kind=kind,
+                key=demand.request_id,
+                sent_at=now,
+                prefill_left=kind.prompt_tokens,
+                tokens_left=kind.output_tokens,
+            )
+        )
+
+    def _step(self, name: str, results: dict[str, KindResult], now: float) -> float:
+        engine, tracker = self._engines[name], self._trackers[name]
+        for run in engine.unanswered():
+            if now - run.sent_at > run.patience_s:
+                engine.remove(run)
+                tracker.note_ended(run.key, failed=False, now=now)
+                results[run.kind.name].caller_left += 1
+        end, decoded = engine.step(now)
+        for run in decoded:
+            if run.first_at is None:
+                run.first_at = end
+                tracker.note_first_byte(run.key, now=end)
+                on_time = end - run.sent_at <= run.kind.target_s
+                results[run.kind.name].on_time += on_time
+                results[run.kind.name].late += not on_time
+            if run.tokens_left <= 0:
+                tracker.note_ended(run.key, failed=False, now=end)
+        return end
+
+
+def _candidates(count: int, *, slots: int) -> list[Candidate]:
+    fleet = Fleet()
+    for number in range(count):
+        record = BackendRecord(
+            name=f"i-{number}",
+            born=1,
+            sequence=1,
+            service="s",
+            address=f"10.0.0.{number}:80",
+            zone="z",
+            state=BackendState.SERVING,
+            slots=slots,
+            warmup_s=0.0,
+            age_s=0.0,
+        )
+        fleet.apply(record, now=0.0)
+    return [
+        Candidate(
+            backend=backend,
+            tracker=BackendLoadTracker(now=0.0),
+            slots=slots,
+            memory_tokens=MEMORY_TOKENS,
+        )
+        for backend in fleet.backends()
+    ]
