Refuse a request by the time that it waits for others, not by four targets

Cause: a request was accepted if it was expected to begin within four targets. Under lasting overload the queue grows to that limit and stays there, so each request waits as long as the limit allows, begins late and has taken engine time; a longer queue serves nobody more. Class of fault: a queue bounded far beyond the time in which its entries are useful. Forwarded requests weren't checked at all on arrival, and a request that a region had bounced wasn't checked again at home.

Now the wait for other requests is limited to half the target, on every placement until something may have run, also for forwarded requests. The time that a request itself takes doesn't count, so that long prompts are refused no sooner. Before a refusal the region is searched for an engine with a short wait. Expected times are corrected by the measured ones of the same priority, since reports are late and more urgent requests overtake. Less urgent classes leave some slots free for the others, since a long stream keeps its slot for seconds.

The simulated engines now process the prompts of urgent requests first, as the measured times show of the real ones: checks began after 0.2 s on engines with 75,000 tokens of other prompts waiting.

--- a/figpaddle/regional/_attempts.py
+++ b/figpaddle/regional/_attempts.py
@@ -109,8 +109,7 @@
             took_s = tracker.note_first_byte(attempt_key, now=self._clock())
             if took_s is not None:
                 self._placer.fleet.note_reached(backend.name)
-                context.first_byte_s = took_s
-                self._record_first_byte(context, took_s, expected_s=choice.expected_s)
+                self._record_first_byte(context, choice, took_s)
 
         def decode_head(head: ResponseHead) -> BackendAnswer:
             answer = self._dialect.read_answer(head)
@@ -138,12 +137,12 @@
         await self._record_failure(context, backend.name, backend.address, result)
         return result
 
-    def _record_first_byte(
-        self, context: RequestContext, took_s: float, *, expected_s: float
-    ) -> None:
+    def _record_first_byte(self, context: RequestContext, choice: Choice, took_s: float) -> None:
+        context.first_byte_s = took_s
+        self._placer.note_first_byte(context, choice, took_s=took_s)
         labels = {"service": context.service.name, "priority": str(context.route.priority)}
         self._metrics.record_duration("first_byte_seconds", took_s, **labels)
-        self._metrics.record_duration("first_byte_expected_seconds", expected_s, **labels)
+        self._metrics.record_duration("first_byte_expected_seconds", choice.expected_s, **labels)
 
     async def _record_failure(
         self, context: RequestContext, backend: str, address: str, result: AttemptResult
@@ -226,13 +225,18 @@
             left_s=round(context.remaining_s(now=now), 3),
             revision=context.revision,
         )
+
+        def note_first_byte_time(_: BackendAnswer) -> None:
+            if context.first_byte_s is None:
+                self._record_first_byte(context, choice, self._clock() - now)
+
         result = await Exchange(
             context=context,
             upstream=upstream,
             pool=self._mesh.pool,
             responder=responder,
             decode_head=lambda head: _decode_forwarded_answer(self._dialect, head, context),
-            before_relay=lambda _: None,
+            before_relay=note_first_byte_time,
             is_retryable=lambda answer: header(answer.headers, OUTCOME_FIELD) is not None,
             clock=self._clock,
         ).run()
--- a/figpaddle/regional/_gateway.py
+++ b/figpaddle/regional/_gateway.py
@@ -40,8 +40,6 @@
 #: Delay before a stream is resumed at another backend server, seconds. The previous one must have
 #: noticed that its connection is closed.
 RESUME_DELAY_S = 0.1
-#: Multiple of the latency target up to which the expected start of an answer is accepted.
-MAX_TARGET_MULTIPLE = 4.0
 #: Base of Retry-After for a caller that should use another entry, seconds.
 OTHER_ENTRY_RETRY_AFTER_S = 0.01
 #: Base of Retry-After while there is no configuration, seconds: the usual time from the start of an
@@ -242,13 +240,9 @@
             if choice is None:
                 await self._fail_unplaced(context, responder)
                 return
-            if context.attempt == 0 and not context.forwarded:
+            if not context.may_have_run and not responder.started:
                 refusal = refuse_late(
-                    context.demand(now=now),
-                    choice,
-                    target_s=context.route.target_s,
-                    max_target_multiple=MAX_TARGET_MULTIPLE,
-                    rng=self._rng,
+                    context.demand(now=now), choice, max_wait_s=context.max_wait_s, rng=self._rng
                 )
                 if refusal is not None:
                     self._log.warning(
@@ -257,6 +251,7 @@
                         service=context.service.name,
                         place=choice.region or (choice.backend.name if choice.backend else ""),
                         expected_s=round(choice.expected_s, 3),
+                        wait_s=round(choice.wait_s, 3),
                         target_s=context.route.target_s,
                         left_s=round(context.remaining_s(now=now), 3),
                         retry_after_s=refusal.retry_after_s,
--- a/figpaddle/regional/_placer.py
+++ b/figpaddle/regional/_placer.py
@@ -20,6 +20,7 @@
     Candidate,
     Choice,
     ColdLimit,
+    ExpectationModel,
     Fleet,
     FleetBackend,
     PeerLoad,
@@ -77,6 +78,7 @@
         self._last_evacuated: set[str] = set()
         # Backend servers in the last load report of each other entry.
         self._reported_by_peer: dict[str, set[str]] = {}
+        self._expectations = ExpectationModel()
         self._forwarded_counts: dict[tuple[str, str], SlidingCount] = {}
         self._cold_limit = ColdLimit(
             name=settings.ip,
@@ -105,7 +107,15 @@
         remote_regions = [] if context.forwarded else self._remote_regions(context, now=now)
         demand = context.demand(now=now)
         entries = 1 + len(self._mesh.live_entries(self._settings.region))
-        choice = choose(demand, candidates, remote_regions, rng=self._rng, now=now, entries=entries)
+        choice = choose(
+            demand,
+            candidates,
+            remote_regions,
+            rng=self._rng,
+            now=now,
+            entries=entries,
+            max_wait_s=context.max_wait_s,
+        )
         if choice is None and context.backends_tried and context.route.repeat is not Repeat.ONCE:
             # No other place is left, and a server that failed a request may succeed the second time.
             tried_candidates = self._candidates(context, now=now, include_tried=True)
@@ -132,6 +142,15 @@
             now=now,
         )
 
+    def note_first_byte(self, context: RequestContext, choice: Choice, *, took_s: float) -> None:
+        """Compare the time to the first byte with the one that was expected of ``choice``."""
+        self._expectations.note(
+            _kind_of(context, choice.region),
+            expected_s=choice.expected_s / choice.correction,
+            measured_s=took_s,
+            now=self._clock(),
+        )
+
     def pick_entry(self, region: str) -> str | None:
         """Return the name of a ready entry of another region, or None if there is none."""
         ready = [
@@ -166,12 +185,18 @@
         loads = []
         for service in configuration.services:
             backends = self._usable(service.name, now=now)
-            candidates = [
-                self._candidate(backend, service.slots, service.memory_tokens)
-                for backend in backends
-                if not backend.may_be_cold(now=now)
-            ]
+            warm_backends = [backend for backend in backends if not backend.may_be_cold(now=now)]
             for priority in configuration.priorities_of(service.name):
+                classes_above = self._classes_above(service.name, priority)
+                candidates = [
+                    self._candidate(
+                        backend,
+                        service.slots,
+                        service.memory_tokens,
+                        classes_above=classes_above,
+                    )
+                    for backend in warm_backends
+                ]
                 load = summarize_load(candidates, priority=priority, now=now)
                 loads.append(
                     RegionalLoad(
@@ -247,6 +272,8 @@
         entries = [
             heartbeat.name for heartbeat in self._mesh.live_entries(self._settings.region)
         ] + [self._settings.ip]
+        correction = self._expectations.correction(_kind_of(context, ""), now=now)
+        classes_above = self._classes_above(context.service.name, context.route.priority)
         candidates = []
         for backend in self._usable(context.service.name, now=now):
             if backend.name in context.backends_tried and not include_tried:
@@ -258,21 +285,43 @@
             if not self._has_free_connection(backend, context, len(entries)):
                 continue
             candidates.append(
-                self._candidate(backend, context.service.slots, context.service.memory_tokens)
+                self._candidate(
+                    backend,
+                    context.service.slots,
+                    context.service.memory_tokens,
+                    correction=correction,
+                    classes_above=classes_above,
+                )
             )
         return candidates
 
     def _is_cold(self, backend: FleetBackend, context: RequestContext, now: float) -> bool:
         return context.service.cold_per_s > 0 and backend.may_be_cold(now=now)
 
-    def _candidate(self, backend: FleetBackend, slots: int, memory_tokens: int) -> Candidate:
+    def _candidate(
+        self,
+        backend: FleetBackend,
+        slots: int,
+        memory_tokens: int,
+        *,
+        correction: float = 1.0,
+        classes_above: int = 0,
+    ) -> Candidate:
         return Candidate(
             backend=backend,
             tracker=self.tracker_of(backend.name),
             slots=backend.record.slots or slots or 1,
             memory_tokens=memory_tokens,
+            correction=correction,
+            classes_above=classes_above,
         )
 
+    def _classes_above(self, service: str, priority: int) -> int:
+        """Return the number of priorities of a service that are more urgent than ``priority``."""
+        configuration = self._follower.configuration
+        priorities = () if configuration is None else configuration.priorities_of(service)
+        return sum(other < priority for other in priorities)
+
     def _usable(self, service: str, *, now: float) -> list[FleetBackend]:
         evacuated = set(self._follower.state.evacuated)
         for zone in self._last_evacuated - evacuated:
@@ -315,6 +364,7 @@
                     recently_sent=(
                         forwarded_count.total(now=now) if forwarded_count is not None else 0
                     ),
+                    correction=self._expectations.correction(_kind_of(context, region), now=now),
                 )
             )
         return options
@@ -385,3 +435,8 @@
                     prefill=work.prefill,
                 )
                 tracker.note_peer_load(message.name, peer_load, now=now)
+
+
+def _kind_of(context: RequestContext, region: str) -> tuple[str, int, str]:
+    """Return the key of ``ExpectationModel`` for a request in a region, "" for the own one."""
+    return context.service.name, context.route.priority, region
--- a/figpaddle/regional/_request_context.py
+++ b/figpaddle/regional/_request_context.py
@@ -11,6 +11,10 @@
 from figpaddle.regional._dialect import BackendAnswer, CallerRequest
 from figpaddle.routing import Demand
 
+#: Longest time that a request may wait for others, as a fraction of its latency target. A longer
+#: queue would make all requests late under lasting overload, without serving more of them.
+MAX_WAIT_FRACTION = 0.5
+
 
 class AttemptOutcome(enum.Enum):
     """How an attempt ended."""
@@ -104,6 +108,11 @@
         """Whether the request was forwarded by an entry of another region."""
         return bool(self.origin)
 
+    @property
+    def max_wait_s(self) -> float:
+        """Longest time that it may wait for other requests, seconds."""
+        return MAX_WAIT_FRACTION * self.route.target_s
+
     def remaining_s(self, *, now: float) -> float:
         """Return the time until the deadline, seconds; negative after it."""
         return self.deadline_at - now
--- a/figpaddle/regional/tests/simulated_region.py
+++ b/figpaddle/regional/tests/simulated_region.py
@@ -7,8 +7,17 @@
 import itertools
 import random
 
-from figpaddle.regional._gateway import MAX_TARGET_MULTIPLE
-from figpaddle.routing import BackendLoadTracker, Candidate, Demand, Fleet, choose, refuse_late
+from figpaddle.regional._request_context import MAX_WAIT_FRACTION
+from figpaddle.routing import (
+    BackendLoadTracker,
+    Candidate,
+    Choice,
+    Demand,
+    ExpectationModel,
+    Fleet,
+    choose,
+    refuse_late,
+)
 from figpaddle.wire import BackendRecord, BackendState
 
 #: Duration of a decoding step without requests, and the additional time for each request, seconds.
@@ -60,6 +69,7 @@
 class _Run:
     kind: RequestKind
     key: str
+    choice: Choice
     sent_at: float
     prefill_left: int
     tokens_left: int
@@ -97,7 +107,7 @@
         while self._waiting and len(self._running) < self._slots:
             self._running.append(heapq.heappop(self._waiting)[2])
         chunk_left = CHUNK_TOKENS
-        for run in self._running:
+        for run in sorted(self._running, key=lambda run: run.kind.priority):
             processed = min(run.prefill_left, chunk_left)
             run.prefill_left -= processed
             chunk_left -= processed
@@ -118,6 +128,7 @@
         self._candidates = _candidates(engines, slots=slots)
         self._trackers = {item.backend.name: item.tracker for item in self._candidates}
         self._engines = {name: _Engine(slots=slots) for name in self._trackers}
+        self._expectations = ExpectationModel()
         self._keys = itertools.count()
 
     def run(self, kinds: list[RequestKind], *, duration_s: float) -> dict[str, KindResult]:
@@ -151,17 +162,17 @@
             output_tokens=kind.output_tokens,
         )
         result.offered += 1
-        choice = choose(demand, self._candidates, [], rng=self._rng, now=now)
+        max_wait_s = MAX_WAIT_FRACTION * kind.target_s
+        correction = self._expectations.correction(kind.name, now=now)
+        candidates = [
+            dataclasses.replace(item, correction=correction, classes_above=kind.priority)
+            for item in self._candidates
+        ]
+        choice = choose(demand, candidates, [], rng=self._rng, now=now, max_wait_s=max_wait_s)
         if (
             choice is None
             or choice.backend is None
-            or refuse_late(
-                demand,
-                choice,
-                target_s=kind.target_s,
-                max_target_multiple=MAX_TARGET_MULTIPLE,
-                rng=self._rng,
-            )
+            or refuse_late(demand, choice, max_wait_s=max_wait_s, rng=self._rng)
         ):
             result.refused += 1
             return
@@ -178,6 +189,7 @@
             _Run(
                 kind=kind,
                 key=demand.request_id,
+                choice=choice,
                 sent_at=now,
                 prefill_left=kind.prompt_tokens,
                 tokens_left=kind.output_tokens,
@@ -196,6 +208,12 @@
             if run.first_at is None:
                 run.first_at = end
                 tracker.note_first_byte(run.key, now=end)
+                self._expectations.note(
+                    run.kind.name,
+                    expected_s=run.choice.expected_s / run.choice.correction,
+                    measured_s=end - run.sent_at,
+                    now=end,
+                )
                 on_time = end - run.sent_at <= run.kind.target_s
                 results[run.kind.name].on_time += on_time
                 results[run.kind.name].late += not on_time
--- a/figpaddle/routing/_regional_placement.py
+++ b/figpaddle/routing/_regional_placement.py
@@ -21,6 +21,12 @@
 MAX_MEMORY_FRACTION = 0.92
 #: Fraction of an engine's slots up to which requests start without queueing.
 SLOTS_FRACTION = 1.0
+#: Fraction of an engine's slots that a request leaves free for each more urgent priority class, times
+#: the number of those classes: the classes in between leave some free too. Long streams keep a slot
+#: for seconds; with all slots taken by less urgent ones, an urgent request would wait for one to end.
+RESERVED_FRACTION_PER_CLASS = 0.06
+#: Largest fraction of the slots that is left free in this way.
+MAX_RESERVED_FRACTION = 0.36
 #: Penalty for full utilization of an engine, seconds of waiting. It spreads requests before queues
 #: build up.
 UTILIZATION_PENALTY_S = 0.15
@@ -65,6 +71,8 @@
 #: How long a request sent to another region counts there in addition to the reported load, seconds:
 #: one heartbeat interval and half a round trip.
 REMOTE_REPORT_DELAY_S = 0.7
+#: Fraction of the remaining time within which a response must be expected to begin.
+MAX_DEADLINE_FRACTION = 0.8
 #: Mean prompt length, used where one figure stands for a region's load, tokens.
 MEAN_PROMPT_TOKENS = 3000
 
@@ -77,10 +85,14 @@
     tracker: BackendLoadTracker
     #: Number of requests that it processes at once.
     slots: int
+    #: Number of priority classes at the service that are more urgent than the request.
+    classes_above: int = 0
     #: Memory of an engine, tokens; 0 for a plain server, which is not a model engine.
     memory_tokens: int
     #: Whether all entries of the region prefer this engine for the prompt's shared prefix.
     is_preferred: bool = False
+    #: Factor on the estimated time to the first byte, from ``ExpectationModel``.
+    correction: float = 1.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -98,6 +110,8 @@
     round_trip_s: float
     #: Requests that this entry sent there recently and that the reported load may not include yet.
     recently_sent: int
+    #: Factor on the estimated time to the first byte, from ``ExpectationModel``.
+    correction: float = 1.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -110,6 +124,10 @@
     region: str
     #: Expected time to the first byte, seconds.
     expected_s: float
+    #: The part of it that the request spends waiting because of other requests, seconds.
+    wait_s: float
+    #: The factor in ``expected_s`` by which the estimate was corrected.
+    correction: float = 1.0
     #: Prompt tokens to be computed.
     prefill: float
     #: Score in seconds; the lowest one wins.
@@ -152,7 +170,8 @@
     """
     tracker = candidate.tracker
     requests = tracker.requests(now=now)
-    slots = max(1.0, candidate.slots * SLOTS_FRACTION)
+    reserved = min(MAX_RESERVED_FRACTION, RESERVED_FRACTION_PER_CLASS * candidate.classes_above**2)
+    slots = max(1.0, candidate.slots * SLOTS_FRACTION * (1.0 - reserved))
     slowness = tracker.slowness(demand.priority, now=now)
     utilization = requests / slots
     prefill = 0.0
@@ -168,7 +187,8 @@
         cached = tracker.cache.cached_tokens(demand.prefixes, now=now)
         prefill = max(0.0, demand.prompt_tokens - cached)
         ahead = tracker.work_ahead(demand.priority, slots=slots, now=now)
-        expected_s = BASE_FIRST_TOKEN_S + (ahead.prefill + prefill) / PREFILL_TOKENS_PER_S
+        unloaded_s = BASE_FIRST_TOKEN_S + prefill / PREFILL_TOKENS_PER_S
+        expected_s = unloaded_s + ahead.prefill / PREFILL_TOKENS_PER_S
         utilization = max(
             utilization,
             (used_tokens + request_tokens) / (candidate.memory_tokens * MAX_MEMORY_FRACTION),
@@ -181,9 +201,10 @@
             expected_s += (ahead.requests + 1) / slots * tracker.mean_stream_s
     else:
         waiting = max(0.0, requests + 1 - slots)
-        expected_s = tracker.mean_plain_request_s * (1.0 + waiting / slots)
+        unloaded_s = tracker.mean_plain_request_s
+        expected_s = unloaded_s * (1.0 + waiting / slots)
         utilization_penalty_s = PLAIN_UTILIZATION_PENALTY * tracker.mean_plain_request_s
-    expected_s *= slowness
+    expected_s *= slowness * candidate.correction
     score = expected_s + utilization_penalty_s * utilization * utilization
     if not candidate.is_preferred and demand.prompt_tokens:
         recomputed_tokens = max(
@@ -192,7 +213,13 @@
         score += PREFIX_RECOMPUTE_PENALTY * recomputed_tokens / PREFILL_TOKENS_PER_S
     score += FAILURE_PENALTY_S * tracker.failure_rate(now=now)
     return Choice(
-        backend=candidate.backend, region="", expected_s=expected_s, prefill=prefill, score=score
+        backend=candidate.backend,
+        region="",
+        expected_s=expected_s,
+        wait_s=expected_s - unloaded_s,
+        correction=candidate.correction,
+        prefill=prefill,
+        score=score,
     )
 
 
@@ -206,11 +233,16 @@
         prefill_s = queue_s = 0.0
     expected_s = (
         max(BASE_FIRST_TOKEN_S, option.expected_s + prefill_s) + queue_s + option.round_trip_s
+    ) * option.correction
+    unloaded_s = (
+        BASE_FIRST_TOKEN_S + demand.prompt_tokens / PREFILL_TOKENS_PER_S + option.round_trip_s
     )
     return Choice(
         backend=None,
         region=option.region,
         expected_s=expected_s,
+        wait_s=expected_s - unloaded_s,
+        correction=option.correction,
         prefill=float(demand.prompt_tokens),
         score=expected_s
         + _remote_penalty_s(demand)
@@ -265,9 +297,12 @@
     rng: random.Random,
     now: float,
     entries: int = 1,
+    max_wait_s: float = math.inf,
 ) -> Choice | None:
     """Return the best choice for a request, or None if no option has capacity.
 
+    Choices where it waits longer than ``max_wait_s`` are returned only if there are no others.
+
     All entries of a region place requests at the same time and know each other's load up to half a
     second late. If each chose the apparently best engine, all would choose the same one. Therefore
     each entry samples its share of the engines and uses the best of the sample; ``entries`` is the
@@ -291,6 +326,19 @@
         for choice in (estimate_remote(option, demand) for option in remote_regions)
         if choice is not None
     ]
+    if any(choice.wait_s <= max_wait_s for choice in sampled + remote_choices):
+        sampled = [choice for choice in sampled if choice.wait_s <= max_wait_s]
+        remote_choices = [choice for choice in remote_choices if choice.wait_s <= max_wait_s]
+    elif math.isfinite(max_wait_s):
+        # Before a refusal the whole region is searched. Any engine with a short queue will do: if
+        # all entries chose the shortest one, it would be the longest until they learn of it.
+        short_waits = [
+            choice
+            for candidate in healthy
+            if (choice := estimate(candidate, demand, now=now)) and choice.wait_s <= max_wait_s
+        ]
+        if short_waits:
+            return rng.choice(short_waits)
     best_remote = min(remote_choices, key=_score, default=None)
     if not sampled:
         return best_remote
@@ -360,21 +408,18 @@
 
 
 def refuse_late(
-    demand: Demand,
-    choice: Choice,
-    *,
-    target_s: float,
-    max_target_multiple: float,
-    rng: random.Random,
+    demand: Demand, choice: Choice, *, max_wait_s: float, rng: random.Random
 ) -> Refusal | None:
     """Return a refusal if the response would begin too late to be useful, else None.
 
-    ``max_target_multiple`` is the maximum time to the first byte as a multiple of the target.
+    ``max_wait_s`` limits the wait for other requests. The time that the request itself needs is not
+    limited, so long prompts are refused no sooner than short ones.
     """
-    limit_s = min(target_s * max_target_multiple, demand.deadline_s * 0.8)
-    if choice.expected_s <= limit_s:
+    late_s = max(
+        choice.wait_s - max_wait_s, choice.expected_s - MAX_DEADLINE_FRACTION * demand.deadline_s
+    )
+    if late_s <= 0:
         return None
-    late_s = choice.expected_s - limit_s
     return Refusal(
         reason="late",
         retry_after_s=jittered_retry_after(late_s, remaining_s=demand.deadline_s, rng=rng),
--- a/figpaddle/routing/tests/test_regional_placement.py
+++ b/figpaddle/routing/tests/test_regional_placement.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import dataclasses
 import itertools
 import random
 
@@ -283,15 +284,66 @@
 def test_requests_expected_far_too_late_are_refused_at_once(
     expected_s: float, refused: bool
 ) -> None:
-    choice = Choice(backend=None, region="far", expected_s=expected_s, prefill=0.0, score=0.0)
-    refusal = refuse_late(
-        demand(), choice, target_s=1.0, max_target_multiple=4.0, rng=random.Random(1)
+    choice = Choice(
+        backend=None,
+        region="far",
+        expected_s=expected_s,
+        wait_s=expected_s,
+        prefill=0.0,
+        score=0.0,
     )
+    refusal = refuse_late(demand(), choice, max_wait_s=4.0, rng=random.Random(1))
     assert (refusal is not None) is refused
     if refusal is not None:
         assert refusal.retry_after_s > 0
 
 
+def test_long_prompts_are_refused_no_sooner_than_short_ones() -> None:
+    engine = candidates(1)[0]
+    for prompt in (500, 60_000):
+        choice = estimate(engine, demand(prompt), now=0.0)
+        assert choice is not None
+        assert refuse_late(demand(prompt), choice, max_wait_s=0.1, rng=random.Random(1)) is None
+
+
+def test_a_region_is_searched_for_an_engine_with_a_short_wait_before_a_request_is_refused() -> None:
+    engines = candidates(12, slots=32)
+    queued = PeerLoad(requests=50, memory=0, unanswered=(20,), prefill=(200_000,))
+    for engine in engines[1:]:
+        engine.tracker.note_peer_load("e", queued, now=0.0)
+    rng = random.Random(1)
+    for _ in range(20):
+        choice = choose(
+            demand(priority=0), engines, [], rng=rng, now=0.0, entries=12, max_wait_s=0.3
+        )
+        assert choice is not None and choice.backend is engines[0].backend
+
+
+def test_a_short_wait_in_another_region_is_preferred_to_a_refusal() -> None:
+    """The quiet region scores worse, because leaving the region is penalized for short prompts."""
+    engine = candidates(1, slots=32)[0]
+    queued = PeerLoad(requests=20, memory=0, unanswered=(10,), prefill=(28_000,))
+    engine.tracker.note_peer_load("e", queued, now=0.0)
+    request = demand(500, priority=0)
+    arguments = {"rng": random.Random(1), "now": 0.0}
+    local_choice = choose(request, [engine], [remote_region()], **arguments)  # type: ignore[arg-type]
+    assert local_choice is not None and local_choice.backend is engine.backend
+    remote_choice = choose(
+        request, [engine], [remote_region()], max_wait_s=0.3, **arguments  # type: ignore[arg-type]
+    )
+    assert remote_choice is not None and remote_choice.region == "far"
+
+
+def test_less_urgent_requests_leave_slots_free_for_urgent_ones() -> None:
+    engine = dataclasses.replace(candidates(1, slots=32)[0], classes_above=2)
+    busy = PeerLoad(requests=26, memory=100_000)
+    engine.tracker.note_peer_load("e", busy, now=0.0)
+    patient = estimate(engine, demand(priority=2), now=0.0)
+    urgent = estimate(dataclasses.replace(engine, classes_above=0), demand(priority=0), now=0.0)
+    assert patient is not None and urgent is not None
+    assert patient.wait_s > 0.05 and urgent.wait_s < 0.01
+
+
 def test_retry_delays_of_refused_callers_are_spread() -> None:
     rng = random.Random(1)
     times = sorted(jittered_retry_after(0.6, rng=rng) for _ in range(100))
