Abandon a silent backend server only while another one can take the request

Cause: the timeouts for the first byte and between events ended the attempt whether or not a second one could follow. Under overload a pause means a preempted request that would have gone on. Class of fault: a timeout that gives up what works before it knows of anything better.

When such a timeout ends, the entry now looks for a place with a short wait and a retry in the budget, and otherwise goes on waiting. Both rows of the new test failed before: the stream was run twice and cut.

--- a/figpaddle/regional/_attempts.py
+++ b/figpaddle/regional/_attempts.py
@@ -8,7 +8,7 @@
 from figpaddle.deployment import Repeat
 from figpaddle.http1 import ConnectionPool, Responder, ResponseHead, header
 from figpaddle.regional._dialect import BackendAnswer, Dialect
-from figpaddle.regional._exchange import LATE_ANSWER_GRACE_S, Exchange, UpstreamRequest
+from figpaddle.regional._exchange import Exchange, UpstreamRequest
 from figpaddle.regional._forwarding import (
     NOT_RUN,
     OUTCOME_FIELD,
@@ -33,7 +33,10 @@
 
 
 class AttemptRunner:
-    """Sends requests and records the results for later placements."""
+    """Sends requests and records the results for later placements.
+
+    ``can_retry`` returns whether the retry budget of a service allows another attempt.
+    """
 
     def __init__(
         self,
@@ -44,6 +47,7 @@
         placer: Placer,
         pool: ConnectionPool,
         quarantine: RequestQuarantine,
+        can_retry: Callable[[str], bool],
         clock: Callable[[], float],
         log: Log,
         metrics: MetricsRegistry,
@@ -54,6 +58,7 @@
         self._placer = placer
         self._pool = pool
         self._quarantine = quarantine
+        self._can_retry = can_retry
         self._clock = clock
         self._log = log
         self._metrics = metrics
@@ -80,7 +85,7 @@
                 last_event=context.last_event,
             ),
             connect_timeout_s=min(BACKEND_CONNECT_TIMEOUT_S, context.remaining_s(now=now)),
-            answer_head_timeout_s=self._answer_head_timeout_s(context, choice, now=now),
+            first_byte_timeout_s=self._first_byte_timeout_s(context, choice),
             stream_idle_timeout_s=self._stream_idle_timeout_s(context),
         )
         context.sent_at = now
@@ -126,6 +131,7 @@
                 decode_head=decode_head,
                 before_relay=note_first_byte_time,
                 is_retryable=lambda answer: self._is_retryable(context, answer),
+                may_abandon=lambda: self._may_abandon(context),
                 clock=self._clock,
             ).run()
         finally:
@@ -208,7 +214,6 @@
             address=self._mesh.peer_address(entry),
             headers=forwarding_headers(context.request, terms),
             connect_timeout_s=min(FORWARD_CONNECT_TIMEOUT_S, context.remaining_s(now=now)),
-            answer_head_timeout_s=max(0.0, context.remaining_s(now=now) + LATE_ANSWER_GRACE_S),
         )
         self._placer.note_sent(context, choice)
         self._mesh.warm_connections(entry)
@@ -238,6 +243,7 @@
             decode_head=lambda head: _decode_forwarded_answer(self._dialect, head, context),
             before_relay=note_first_byte_time,
             is_retryable=lambda answer: header(answer.headers, OUTCOME_FIELD) is not None,
+            may_abandon=lambda: False,
             clock=self._clock,
         ).run()
         if result.outcome is not AttemptOutcome.ANSWERED:
@@ -258,20 +264,23 @@
             context.attempts_left = 0
         return result
 
-    def _answer_head_timeout_s(
-        self, context: RequestContext, choice: Choice, *, now: float
-    ) -> float:
-        remaining_s = max(0.0, context.remaining_s(now=now) + LATE_ANSWER_GRACE_S)
+    def _first_byte_timeout_s(self, context: RequestContext, choice: Choice) -> float | None:
         if not _may_retry(context):
-            return remaining_s
-        limit_s = first_byte_timeout_s(
-            target_s=context.route.target_s, expected_s=choice.expected_s
-        )
-        return min(remaining_s, limit_s)
+            return None
+        return first_byte_timeout_s(target_s=context.route.target_s, expected_s=choice.expected_s)
 
     def _stream_idle_timeout_s(self, context: RequestContext) -> float | None:
         return event_gap_timeout_s(gap_s=context.route.gap_s) if _may_retry(context) else None
 
+    def _may_abandon(self, context: RequestContext) -> bool:
+        """Return whether another place could begin a request that is still unanswered here."""
+        if not self._can_retry(context.service.name):
+            return False
+        choice = self._placer.place(context)
+        if choice is None or choice.wait_s > context.max_wait_s:
+            return False
+        return choice.backend is None or choice.backend.name not in context.backends_tried
+
     def _is_retryable(self, context: RequestContext, answer: BackendAnswer) -> bool:
         """Return whether an answer is a failure that a retry may replace."""
         return answer.status >= 500 and _may_retry(context)
--- a/figpaddle/regional/_exchange.py
+++ b/figpaddle/regional/_exchange.py
@@ -34,9 +34,10 @@
     headers: Headers
     #: Timeout for connecting, seconds.
     connect_timeout_s: float
-    #: Timeout for the head of the answer, seconds.
-    answer_head_timeout_s: float
-    #: Longest pause within a stream, seconds; None if no other backend server could resume it.
+    #: Time after which a request without an answer is abandoned for another attempt, seconds; None if
+    #: no other backend server could take it.
+    first_byte_timeout_s: float | None = None
+    #: The same for a pause within a stream.
     stream_idle_timeout_s: float | None = None
 
 
@@ -49,7 +50,9 @@
 
     ``decode_head`` decodes the head of an answer, and ``is_retryable`` returns whether an answer is
     a failure that a retry may replace. ``before_relay`` is called each time before something is
-    relayed: a whole answer, the head of a stream or a batch of its events.
+    relayed: a whole answer, the head of a stream or a batch of its events. ``may_abandon`` is called
+    when a timeout of ``upstream`` ends: a silent backend server is abandoned only while another one
+    can take the request, since it may still answer.
     """
 
     def __init__(
@@ -62,6 +65,7 @@
         decode_head: Callable[[ResponseHead], BackendAnswer],
         before_relay: Callable[[BackendAnswer], None],
         is_retryable: Callable[[BackendAnswer], bool],
+        may_abandon: Callable[[], bool],
         clock: Callable[[], float],
     ) -> None:
         self._context = context
@@ -71,6 +75,7 @@
         self._decode_head = decode_head
         self._before_relay = before_relay
         self._is_retryable = is_retryable
+        self._may_abandon = may_abandon
         self._clock = clock
 
     async def run(self) -> AttemptResult:
@@ -93,23 +98,14 @@
         return result
 
     async def _send_and_relay(self, connection: HttpClientConnection) -> AttemptResult:
-        request = self._context.request
-        head_timeout_s = self._upstream.answer_head_timeout_s
-        with anyio.move_on_after(head_timeout_s) as scope:
-            try:
-                await connection.send(
-                    method=request.method,
-                    target=request.target,
-                    headers=self._upstream.headers,
-                    body=request.body,
-                )
-                head = await connection.read_head(self._answers_this_request)
-            except TransportError as error:
-                is_lost = isinstance(error, ConnectionLostError)
-                return AttemptResult(
-                    outcome=AttemptOutcome.UNKNOWN, reason=_reason(error), closed_unanswered=is_lost
-                )
-        if scope.cancelled_caught:
+        try:
+            head = await self._send_and_read_head(connection)
+        except TransportError as error:
+            is_lost = isinstance(error, ConnectionLostError)
+            return AttemptResult(
+                outcome=AttemptOutcome.UNKNOWN, reason=_reason(error), closed_unanswered=is_lost
+            )
+        if head is None:
             connection.close()
             return AttemptResult(outcome=AttemptOutcome.UNKNOWN, reason="no answer in time")
         answer = self._decode_head(head)
@@ -126,6 +122,30 @@
             return await self._relay_stream(connection, answer)
         return await self._relay_whole(connection, answer)
 
+    async def _send_and_read_head(self, connection: HttpClientConnection) -> ResponseHead | None:
+        """Send the request and return the head of the answer, or None if it takes too long."""
+        request = self._context.request
+        attempt_deadline = anyio.current_time() + self._remaining_s()
+        sent = False
+        while True:
+            deadline = _earlier(attempt_deadline, self._upstream.first_byte_timeout_s)
+            with anyio.CancelScope(deadline=deadline):
+                if not sent:
+                    await connection.send(
+                        method=request.method,
+                        target=request.target,
+                        headers=self._upstream.headers,
+                        body=request.body,
+                    )
+                    sent = True
+                return await connection.read_head(self._answers_this_request)
+            if not sent or self._must_end(attempt_deadline):
+                return None
+
+    def _must_end(self, attempt_deadline: float) -> bool:
+        """Return whether the attempt ends, after one of its timeouts."""
+        return anyio.current_time() >= attempt_deadline or self._may_abandon()
+
     def _answers_this_request(self, head: ResponseHead) -> bool:
         return self._decode_head(head).request_id in ("", self._context.request_id)
 
@@ -174,26 +194,28 @@
         """Relay whole events as they arrive."""
         splitter = EventSplitter(last_event=self._context.last_event)
         attempt_deadline = anyio.current_time() + self._remaining_s()
-        has_idle_timeout = self._upstream.stream_idle_timeout_s is not None
-        with anyio.CancelScope(deadline=self._idle_deadline(attempt_deadline)) as scope:
-            try:
-                async for chunk in connection.read_body():
-                    if has_idle_timeout:
-                        # Time spent writing to a slow caller doesn't count as a pause of the server.
+        idle_timeout_s = self._upstream.stream_idle_timeout_s
+        while True:
+            idle_deadline = _earlier(attempt_deadline, idle_timeout_s)
+            with anyio.CancelScope(deadline=idle_deadline) as scope:
+                try:
+                    async for chunk in connection.read_body():
+                        # Time spent writing to a slow caller is no pause of the server.
                         scope.deadline = attempt_deadline
-                    await self._relay_events(splitter.feed(chunk), answer, splitter)
-                    if has_idle_timeout:
-                        scope.deadline = self._idle_deadline(attempt_deadline)
-            except TransportError as error:
-                if isinstance(error, CallerGoneError):
-                    raise
-                return self._interrupted_result(_reason(error))
-        if scope.cancelled_caught:
-            connection.close()
-            is_past_deadline = anyio.current_time() >= attempt_deadline
-            return self._interrupted_result(
-                "the stream took too long" if is_past_deadline else "no event in time"
-            )
+                        await self._relay_events(splitter.feed(chunk), answer, splitter)
+                        scope.deadline = _earlier(attempt_deadline, idle_timeout_s)
+                except TransportError as error:
+                    if isinstance(error, CallerGoneError):
+                        raise
+                    return self._interrupted_result(_reason(error))
+            if not scope.cancelled_caught:
+                break
+            if self._must_end(attempt_deadline):
+                connection.close()
+                is_past_deadline = anyio.current_time() >= attempt_deadline
+                return self._interrupted_result(
+                    "the stream took too long" if is_past_deadline else "no event in time"
+                )
         if splitter.incomplete:
             return self._interrupted_result("the stream ended within an event")
         await self._relay_events([], answer, splitter)
@@ -229,15 +251,16 @@
             reason=reason,
         )
 
-    def _idle_deadline(self, attempt_deadline: float) -> float:
-        """Return when a pause that begins now ends the attempt, time of the event loop."""
-        if self._upstream.stream_idle_timeout_s is None:
-            return attempt_deadline
-        return min(attempt_deadline, anyio.current_time() + self._upstream.stream_idle_timeout_s)
-
     def _remaining_s(self) -> float:
         return max(0.0, self._context.remaining_s(now=self._clock()) + LATE_ANSWER_GRACE_S)
 
 
 def _reason(error: TransportError) -> str:
     return f"{type(error).__name__}: {error.what}"
+
+
+def _earlier(attempt_deadline: float, timeout_s: float | None) -> float:
+    """Return when a timeout that begins now ends an attempt, time of the event loop."""
+    if timeout_s is None:
+        return attempt_deadline
+    return min(attempt_deadline, anyio.current_time() + timeout_s)
--- a/figpaddle/regional/_gateway.py
+++ b/figpaddle/regional/_gateway.py
@@ -83,6 +83,7 @@
             placer=placer,
             pool=pool,
             quarantine=quarantine,
+            can_retry=lambda service: self.retry_budget.allows(service, now=clock()),
             clock=clock,
             log=log,
             metrics=metrics,
--- a/figpaddle/routing/_rate_limits.py
+++ b/figpaddle/routing/_rate_limits.py
@@ -105,13 +105,17 @@
         """Count a request of a caller."""
         self._counter(self._requests, service).add(now=now)
 
+    def allows(self, service: str, *, now: float) -> bool:
+        """Return whether the budget has a retry left."""
+        earned = self._ratio * self._counter(self._requests, service).total(now=now)
+        used = self._counter(self._retries, service).total(now=now)
+        return used + 1 <= earned + self._slack_share(now)
+
     def try_take(self, service: str, *, now: float) -> bool:
         """Use one retry if the budget allows it; return whether it did."""
-        retries = self._counter(self._retries, service)
-        earned = self._ratio * self._counter(self._requests, service).total(now=now)
-        if retries.total(now=now) + 1 > earned + self._slack_share(now):
+        if not self.allows(service, now=now):
             return False
-        retries.add(now=now)
+        self._counter(self._retries, service).add(now=now)
         return True
 
     def remaining(self, *, now: float) -> dict[str, float]:
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -40,6 +40,8 @@
 HEARTBEAT_INTERVAL_S = 0.3
 #: Time to the first event of a slow response, seconds.
 SLOW_FIRST_EVENT_S = 2.6
+#: Pause in the middle of a stream; longer than a server may be silent while another is free.
+PAUSE_S = 2.0
 #: Lines in /proc/PID/status with the masks of the ignored and of the handled signals.
 SIGNAL_MASK_FIELDS = ("SigIgn:", "SigCgt:")
 #: The region of each availability zone.
@@ -149,6 +151,8 @@
                     return
                 if failure == "stall" and number == 2:
                     await anyio.sleep_forever()
+                if failure == "pause" and number == 2:
+                    await anyio.sleep(PAUSE_S)
                 await anyio.sleep(self.event_interval_s)
             await responder.finish()
         except anyio.get_cancelled_exc_class():
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -274,6 +274,21 @@
         assert sum(len(engine.executed) for engine in platform.engines) == 1
 
 
+@pytest.mark.parametrize("failure", ["pause", "slow"])
+async def test_a_repeatable_stream_stays_with_a_silent_server_while_no_other_is_free(
+    failure: str,
+) -> None:
+    async with platform_deployment(engines=False) as platform:
+        await platform.send_operator_command("POST", "/v1/config/put", configuration(2))
+        silent = await platform.add_engine(MODEL_SERVICE, "n-a", event_count=6)
+        silent.failure = failure
+        await anyio.sleep(0.6)
+        request_id, reply = await platform.send_request("m-4", "/plan/1", deadline_ms=6000)
+        assert silent.executed == [request_id]
+        assert reply.status == 200
+        assert reply.body == b"".join(b"id: %d\ndata: %d\n\n" % (n, n) for n in range(1, 7))
+
+
 async def test_an_at_most_once_request_stays_with_a_silent_server() -> None:
     async with platform_deployment(engines=False) as platform:
         await platform.send_operator_command("POST", "/v1/config/put", configuration(2))
