Leave late requests of low priority out of a target's slowdown for urgent ones (daemon)

Overdue first tokens and the lateness ratio now count for their own and less urgent classes. The new test failed before: 0.125 s were expected for an urgent request beside four that had waited for 9 s, instead of 0.0125 s.

--- a/figpaddle/routing/_scored.py
+++ b/figpaddle/routing/_scored.py
@@ -121,7 +121,7 @@
         model.note_incarnation(known.info.incarnation, now=now)
         slots = max(1.0, known.info.slots * model.ramp_fraction(now=now))
         load = self._load(known, model, options.placing_instances, demand.priority, now=now)
-        slowdown = model.slowdown(service.token_s, now=now)
+        slowdown = model.slowdown(service.token_s, priority=demand.priority, now=now)
         uncached_tokens = self._uncached_tokens(demand, model, now)
         prefill_s = uncached_tokens * service.prefill_s
         ahead_s = _prefill_ahead_s(known, model, service, demand.priority, now)
@@ -153,7 +153,7 @@
         since = option.received_at - REPORT_LAG_S - option.round_trip_s / 2
         load = option.load + model.sent_since(since) * options.placing_instances
         slots = max(1, option.slots)
-        slowdown = model.slowdown(service.token_s, now=now)
+        slowdown = model.slowdown(service.token_s, priority=demand.priority, now=now)
         prefill_s = self._uncached_tokens(demand, model, now) * service.prefill_s
         network_s = option.round_trip_s + self._transfer_s(demand, option, model, now)
         expected_s = network_s + slowdown * (
--- a/figpaddle/routing/_target_model.py
+++ b/figpaddle/routing/_target_model.py
@@ -55,8 +55,8 @@
         self._ended: collections.deque[float] = collections.deque(maxlen=256)
         self._token_s: float | None = None
         self._token_s_at = now
-        self._lateness_ratio = 1.0
-        self._lateness_at = now
+        # Moving average of the lateness ratio and the time of its last sample, by priority class.
+        self._lateness: dict[int, tuple[float, float]] = {}
 
     @property
     def in_flight(self) -> int:
@@ -98,10 +98,9 @@
             return None
         pending.first_at = now
         ratio = (now - pending.sent_at) / max(MIN_OVERDUE_S, pending.expected_s)
-        self._lateness_ratio = (
-            self._current_lateness_ratio(now) * (1 - SAMPLE_WEIGHT) + ratio * SAMPLE_WEIGHT
-        )
-        self._lateness_at = now
+        average, sampled_at = self._lateness.get(pending.priority, (1.0, now))
+        current = 1.0 + (average - 1.0) * self._decay(sampled_at, now)
+        self._lateness[pending.priority] = (current + (ratio - current) * SAMPLE_WEIGHT, now)
         return pending
 
     def finished(self, request_id: str, *, tokens: int, now: float) -> InFlightRequest | None:
@@ -156,11 +155,21 @@
                 remaining_s = max(remaining_s, pending.prefill_s - (now - pending.sent_at))
         return remaining_s
 
-    def slowdown(self, usual_token_s: float | None, *, now: float) -> float:
-        """Return how many times slower than usual the target is, at least 1."""
-        slowdown = max(
-            1.0, self._current_lateness_ratio(now) / OVERDUE_FACTOR, self._overdue_factor(now)
-        )
+    def slowdown(self, usual_token_s: float | None, *, priority: int, now: float) -> float:
+        """Return how many times slower than usual the target is for ``priority``, at least 1.
+
+        Late first tokens of less urgent requests are left out: those wait for the more urgent ones
+        also at a fast target.
+        """
+        slowdown = 1.0
+        for sampled_class, (average, sampled_at) in self._lateness.items():
+            if sampled_class <= priority:
+                ratio = 1.0 + (average - 1.0) * self._decay(sampled_at, now)
+                slowdown = max(slowdown, ratio / OVERDUE_FACTOR)
+        for pending in self._pending.values():
+            if pending.streamed and pending.first_at is None and pending.priority <= priority:
+                reference_s = max(MIN_OVERDUE_S, pending.expected_s)
+                slowdown = max(slowdown, (now - pending.sent_at) / reference_s / OVERDUE_FACTOR)
         if self._token_s is not None and usual_token_s:
             ratio = self._token_s / usual_token_s / 2.0
             slowdown = max(
@@ -168,17 +177,6 @@
             )
         return slowdown
 
-    def _overdue_factor(self, now: float) -> float:
-        factor = 1.0
-        for pending in self._pending.values():
-            if pending.streamed and pending.first_at is None:
-                reference_s = max(MIN_OVERDUE_S, pending.expected_s)
-                factor = max(factor, (now - pending.sent_at) / reference_s / OVERDUE_FACTOR)
-        return factor
-
-    def _current_lateness_ratio(self, now: float) -> float:
-        return 1.0 + (self._lateness_ratio - 1.0) * self._decay(self._lateness_at, now)
-
     @staticmethod
     def _decay(since: float, now: float) -> float:
         return float(0.5 ** ((now - since) / SLOWDOWN_HALF_LIFE_S))
--- a/figpaddle/routing/tests/test_placement.py
+++ b/figpaddle/routing/tests/test_placement.py
@@ -163,6 +163,20 @@
     assert all(placement is not None and placement.target == "b" for placement in later)
 
 
+def test_waiting_requests_of_low_priority_do_not_make_an_engine_slow_for_urgent_ones() -> None:
+    policy = ScoredPolicy(rng=random.Random(1))
+    options = PlacementOptions(backends=(backend("a"),))
+    for number in range(4):
+        waiting = demand(number, priority=2)
+        policy.place(waiting, options, now=0.0)
+        policy.observe(Sent(demand=waiting, target="a"), now=0.0)
+    urgent = policy.place(demand(9), options, now=9.0)
+    patient = policy.place(demand(10, priority=2), options, now=9.0)
+    assert urgent is not None and urgent.expected_s is not None
+    assert patient is not None and patient.expected_s is not None
+    assert urgent.expected_s < 0.1 < patient.expected_s
+
+
 def test_requests_sent_since_the_report_are_added_to_it() -> None:
     policy = new_policy()
     options = PlacementOptions(backends=(backend("a", running=10), backend("b", running=13)))
