Reuse the list of a region's live entries for 20 ms

One placement among 23 engines and 92 instances took 0.43 ms, half of it for five passes over all heartbeats.

--- a/figpaddle/regional/_mesh.py
+++ b/figpaddle/regional/_mesh.py
@@ -42,6 +42,10 @@
 DATAGRAM_PAUSE_S = 0.04
 #: Interval between checks for due heartbeats, seconds.
 HEARTBEAT_CHECK_INTERVAL_S = SAME_REGION_INTERVAL_S / 2
+#: Time for which the list of the live entries of a region is reused, seconds. Placement reads it
+#: several times for each request; it is short compared with the time after which an instance counts
+#: as silent.
+LIVE_ENTRIES_TTL_S = 0.02
 #: Path of queries on the port for other instances.
 QUERY_PATH = b"/question"
 #: Media type of queries and replies.
@@ -87,6 +91,8 @@
         self._metrics = metrics
         self._table: HeartbeatTable[InstanceHeartbeat] = HeartbeatTable()
         self._peer_names: set[str] = set(settings.seeds) - {settings.ip}
+        # The live entries of a region and until when they are reused, by region.
+        self._live_entries: dict[str, tuple[float, list[InstanceHeartbeat]]] = {}
         self._next_heartbeat_at: dict[str, float] = {}
         self._silent: set[str] = set()
         self._sequence = itertools.count(1)
@@ -150,11 +156,16 @@
 
     def live_entries(self, region: str) -> list[InstanceHeartbeat]:
         """Return the newest heartbeats of the live entries of ``region``."""
-        return [
-            heartbeat
-            for heartbeat in self.live_heartbeats()
-            if heartbeat.role is InstanceRole.ENTRY and heartbeat.region == region
-        ]
+        now = self._clock()
+        expires_at, entries = self._live_entries.get(region, (now, []))
+        if now >= expires_at:
+            entries = [
+                heartbeat
+                for heartbeat in self.live_heartbeats()
+                if heartbeat.role is InstanceRole.ENTRY and heartbeat.region == region
+            ]
+            self._live_entries[region] = (now + LIVE_ENTRIES_TTL_S, entries)
+        return list(entries)
 
     def live_controls(self) -> list[InstanceHeartbeat]:
         """Return the newest heartbeats of the live control instances."""
@@ -304,6 +315,7 @@
             return
         now = self._clock()
         if self._table.record(heartbeat, now=now):
+            self._live_entries.clear()
             self._silent.discard(heartbeat.name)
             self._log.info(
                 "instance_heard",
