Let each entry use a few engines of its region, so that it knows their load

Cause: the entries of a region learn each other's load up to 0.5 s late and all send to the engine that looks free. Sampling two engines of the region, and even more comparing all of them before a refusal, makes few engines the choice of everyone. Class of fault: many deciders on the same late figures.

Each entry uses three engines of the region, and each engine is used by a few entries. It goes beyond them only for one that probably caches the prompt, or if none is healthy.

--- a/figpaddle/regional/_placer.py
+++ b/figpaddle/regional/_placer.py
@@ -26,6 +26,7 @@
     PeerLoad,
     RemoteRegion,
     SlidingCount,
+    backend_subset,
     choose,
     choose_forwarding_peer,
     summarize_load,
@@ -76,6 +77,8 @@
         self._fleet = Fleet()
         self._trackers: dict[str, BackendLoadTracker] = {}
         self._last_evacuated: set[str] = set()
+        # Backend servers and entries of the region, and the subset that follows from them, by service.
+        self._subsets: dict[str, tuple[tuple[str, ...], tuple[str, ...], frozenset[str]]] = {}
         # Backend servers in the last load report of each other entry.
         self._reported_by_peer: dict[str, set[str]] = {}
         self._expectations = ExpectationModel()
@@ -114,6 +117,7 @@
             rng=self._rng,
             now=now,
             entries=entries,
+            subset=self._subset(context.service.name, now=now),
             max_wait_s=context.max_wait_s,
         )
         if choice is None and context.backends_tried and context.route.repeat is not Repeat.ONCE:
@@ -316,6 +320,18 @@
             classes_above=classes_above,
         )
 
+    def _subset(self, service: str, *, now: float) -> frozenset[str]:
+        """Return the backend servers of a service that this entry uses in the first place."""
+        backends = tuple(backend.name for backend in self._usable(service, now=now))
+        entries = tuple(
+            heartbeat.name for heartbeat in self._mesh.live_entries(self._settings.region)
+        )
+        known = self._subsets.get(service)
+        if known is None or known[:2] != (backends, entries):
+            subset = backend_subset(self._settings.ip, list(entries), list(backends))
+            known = self._subsets[service] = (backends, entries, subset)
+        return known[2]
+
     def _classes_above(self, service: str, priority: int) -> int:
         """Return the number of priorities of a service that are more urgent than ``priority``."""
         configuration = self._follower.configuration
--- a/figpaddle/regional/tests/simulated_region.py
+++ b/figpaddle/regional/tests/simulated_region.py
@@ -15,6 +15,7 @@
     Demand,
     ExpectationModel,
     Fleet,
+    backend_subset,
     choose,
     refuse_late,
 )
@@ -30,6 +31,8 @@
 MEMORY_TOKENS = 10_000_000
 #: Multiple of the target after which a caller leaves, and the shortest such time, seconds.
 PATIENCE_TARGETS, MIN_PATIENCE_S = 4.0, 2.0
+#: Interval at which entries report their load to each other, seconds.
+REPORT_INTERVAL_S = 0.5
 #: Deadline of all requests, seconds.
 DEADLINE_S = 12.0
 
@@ -69,6 +72,7 @@
 class _Run:
     kind: RequestKind
     key: str
+    entry: _Entry
     choice: Choice
     sent_at: float
     prefill_left: int
@@ -120,38 +124,62 @@
         return end, decoded
 
 
+class _Entry:
+    """An entry with its view of the engines."""
+
+    def __init__(self, *, name: str, candidates: list[Candidate]) -> None:
+        self.name = name
+        self.candidates = candidates
+        self.trackers = {item.backend.name: item.tracker for item in candidates}
+        self.subset: frozenset[str] = frozenset()
+        self.expectations = ExpectationModel()
+
+
 class SimulatedRegion:
-    """One entry and several engines under a constant load."""
+    """Entries and engines under a constant load; entries learn each other's load from reports."""
 
-    def __init__(self, *, engines: int, slots: int, seed: int) -> None:
+    def __init__(self, *, engines: int, slots: int, seed: int, entries: int = 1) -> None:
         self._rng = random.Random(seed)
-        self._candidates = _candidates(engines, slots=slots)
-        self._trackers = {item.backend.name: item.tracker for item in self._candidates}
-        self._engines = {name: _Engine(slots=slots) for name in self._trackers}
-        self._expectations = ExpectationModel()
+        self._entries = [
+            _Entry(name=f"e-{number}", candidates=_candidates(engines, slots=slots))
+            for number in range(entries)
+        ]
+        self._engines = {name: _Engine(slots=slots) for name in self._entries[0].trackers}
+        for entry in self._entries:
+            entry.subset = backend_subset(
+                entry.name, [other.name for other in self._entries], list(self._engines)
+            )
         self._keys = itertools.count()
 
     def run(self, kinds: list[RequestKind], *, duration_s: float) -> dict[str, KindResult]:
         """Offer requests for ``duration_s`` and return the result of each kind by name."""
         results = {kind.name: KindResult() for kind in kinds}
-        events: list[tuple[float, int, RequestKind | str]] = []
+        events: list[tuple[float, int, RequestKind | str | _Entry]] = []
         order = itertools.count()
         for kind in kinds:
             heapq.heappush(events, (self._rng.expovariate(kind.per_s), next(order), kind))
         for name in self._engines:
             heapq.heappush(events, (0.0, next(order), name))
+        if len(self._entries) > 1:
+            for entry in self._entries:
+                first_at = self._rng.uniform(0.0, REPORT_INTERVAL_S)
+                heapq.heappush(events, (first_at, next(order), entry))
         while True:
             now, _, item = heapq.heappop(events)
             if now >= duration_s:
                 return results
             if isinstance(item, str):
                 next_at = self._step(item, results, now)
+            elif isinstance(item, _Entry):
+                self._report_load(item, now)
+                next_at = now + REPORT_INTERVAL_S
             else:
                 self._offer(item, results[item.name], now)
                 next_at = now + self._rng.expovariate(item.per_s)
             heapq.heappush(events, (next_at, next(order), item))
 
     def _offer(self, kind: RequestKind, result: KindResult, now: float) -> None:
+        entry = self._rng.choice(self._entries)
         demand = Demand(
             request_id=str(next(self._keys)),
             member="",
@@ -163,12 +191,21 @@
         )
         result.offered += 1
         max_wait_s = MAX_WAIT_FRACTION * kind.target_s
-        correction = self._expectations.correction(kind.name, now=now)
+        correction = entry.expectations.correction(kind.name, now=now)
         candidates = [
             dataclasses.replace(item, correction=correction, classes_above=kind.priority)
-            for item in self._candidates
+            for item in entry.candidates
         ]
-        choice = choose(demand, candidates, [], rng=self._rng, now=now, max_wait_s=max_wait_s)
+        choice = choose(
+            demand,
+            candidates,
+            [],
+            rng=self._rng,
+            now=now,
+            entries=len(self._entries),
+            subset=entry.subset,
+            max_wait_s=max_wait_s,
+        )
         if (
             choice is None
             or choice.backend is None
@@ -177,7 +214,7 @@
             result.refused += 1
             return
         name = choice.backend.name
-        self._trackers[name].note_sent(
+        entry.trackers[name].note_sent(
             demand.request_id,
             demand,
             prefill=choice.prefill,
@@ -189,6 +226,7 @@
             _Run(
                 kind=kind,
                 key=demand.request_id,
+                entry=entry,
                 choice=choice,
                 sent_at=now,
                 prefill_left=kind.prompt_tokens,
@@ -197,18 +235,19 @@
         )
 
     def _step(self, name: str, results: dict[str, KindResult], now: float) -> float:
-        engine, tracker = self._engines[name], self._trackers[name]
+        engine = self._engines[name]
         for run in engine.unanswered():
             if now - run.sent_at > run.patience_s:
                 engine.remove(run)
-                tracker.note_ended(run.key, failed=False, now=now)
+                run.entry.trackers[name].note_ended(run.key, failed=False, now=now)
                 results[run.kind.name].caller_left += 1
         end, decoded = engine.step(now)
         for run in decoded:
+            tracker = run.entry.trackers[name]
             if run.first_at is None:
                 run.first_at = end
                 tracker.note_first_byte(run.key, now=end)
-                self._expectations.note(
+                run.entry.expectations.note(
                     run.kind.name,
                     expected_s=run.choice.expected_s / run.choice.correction,
                     measured_s=end - run.sent_at,
@@ -221,6 +260,12 @@
                 tracker.note_ended(run.key, failed=False, now=end)
         return end
 
+    def _report_load(self, entry: _Entry, now: float) -> None:
+        for name, tracker in entry.trackers.items():
+            for other in self._entries:
+                if other is not entry:
+                    other.trackers[name].note_peer_load(entry.name, tracker.local_load, now=now)
+
 
 def _candidates(count: int, *, slots: int) -> list[Candidate]:
     fleet = Fleet()
--- a/figpaddle/regional/tests/test_overload.py
+++ b/figpaddle/regional/tests/test_overload.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import dataclasses
+
 import pytest
 
 from figpaddle.regional.tests.simulated_region import KindResult, RequestKind, SimulatedRegion
@@ -37,3 +39,13 @@
 def test_admitted_requests_begin_within_their_target(results: dict[str, KindResult]) -> None:
     result = results["review"]
     assert result.on_time >= 0.8 * result.admitted, result
+
+
+def test_entries_with_late_reports_do_not_all_use_the_engine_that_looks_free() -> None:
+    """Fourteen entries place twice the reviews that fit, and report their load twice a second."""
+    region = SimulatedRegion(engines=12, slots=SLOTS, seed=19, entries=14)
+    kinds = [dataclasses.replace(kind, per_s=3 * kind.per_s) for kind in (CHECK, CHAT, REVIEW)]
+    results = region.run(kinds, duration_s=8.0)
+    review = results["review"]
+    assert review.on_time >= 0.8 * review.admitted, review
+    assert results["check"].on_time >= 0.95 * results["check"].admitted, results["check"]
--- a/figpaddle/routing/_regional_placement.py
+++ b/figpaddle/routing/_regional_placement.py
@@ -297,6 +297,7 @@
     rng: random.Random,
     now: float,
     entries: int = 1,
+    subset: frozenset[str] | None = None,
     max_wait_s: float = math.inf,
 ) -> Choice | None:
     """Return the best choice for a request, or None if no option has capacity.
@@ -305,8 +306,9 @@
 
     All entries of a region place requests at the same time and know each other's load up to half a
     second late. If each chose the apparently best engine, all would choose the same one. Therefore
-    each entry samples its share of the engines and uses the best of the sample; ``entries`` is the
-    number of entries.
+    each entry uses only the engines named in ``subset``, if one of them is healthy, and one that
+    probably caches the prompt. It samples its share of them and uses the best of the sample;
+    ``entries`` is the number of entries.
 
     When a region has more load than its engines can serve and another region is quiet, a request
     leaves as soon as the other region scores better than the best sampled engine. It isn't compared
@@ -318,9 +320,11 @@
     for candidate in candidates:
         is_healthy = _is_healthy(candidate, demand.priority, now=now)
         (healthy if is_healthy else unhealthy).append(candidate)
+    eligible = [item for item in healthy if subset is None or item.backend.name in subset]
+    eligible = eligible or healthy
     sampled = _sampled_choices(
-        healthy, demand, preferred, entries, rng=rng, now=now
-    ) or _sampled_choices(unhealthy, demand, preferred, entries, rng=rng, now=now)
+        healthy, eligible, demand, preferred, entries, rng=rng, now=now
+    ) or _sampled_choices(unhealthy, unhealthy, demand, preferred, entries, rng=rng, now=now)
     remote_choices = [
         choice
         for choice in (estimate_remote(option, demand) for option in remote_regions)
@@ -330,11 +334,10 @@
         sampled = [choice for choice in sampled if choice.wait_s <= max_wait_s]
         remote_choices = [choice for choice in remote_choices if choice.wait_s <= max_wait_s]
     elif math.isfinite(max_wait_s):
-        # Before a refusal the whole region is searched. Any engine with a short queue will do: if
-        # all entries chose the shortest one, it would be the longest until they learn of it.
+        # Before a refusal all eligible engines are compared, not only the sample.
         short_waits = [
             choice
-            for candidate in healthy
+            for candidate in eligible
             if (choice := estimate(candidate, demand, now=now)) and choice.wait_s <= max_wait_s
         ]
         if short_waits:
@@ -360,6 +363,7 @@
 
 def _sampled_choices(
     candidates: list[Candidate],
+    eligible: list[Candidate],
     demand: Demand,
     preferred: str,
     entries: int,
@@ -367,7 +371,7 @@
     rng: random.Random,
     now: float,
 ) -> list[Choice]:
-    """Return the choices to compare: a random sample and engines that save prefill.
+    """Return the choices to compare: a sample of ``eligible``, and of all those that save prefill.
 
     Only these are estimated, because a region may have dozens of engines.
     """
@@ -378,7 +382,10 @@
         return estimate(dataclasses.replace(candidate, is_preferred=is_preferred), demand, now=now)
 
     sample_size = max(MIN_SAMPLED, math.ceil(len(candidates) / max(1, entries)))
-    for candidate in rng.sample(candidates, len(candidates)):
+    if len(eligible) < len(candidates):
+        # The subset is a sample already, and the same one for all requests of this entry.
+        sample_size = len(eligible)
+    for candidate in rng.sample(eligible, len(eligible)):
         choice = estimate_candidate(candidate)
         if choice is not None:
             sampled.append(choice)
