--- a/figpaddle/routing/_regional_placement.py
+++ b/figpaddle/routing/_regional_placement.py
@@ -24,7 +24,7 @@
 #: Fraction of an engine's slots that a request leaves free for each more urgent priority class, times
 #: the number of those classes: the classes in between leave some free too. Long streams keep a slot
 #: for seconds; with all slots taken by less urgent ones, an urgent request would wait for one to end.
-RESERVED_FRACTION_PER_CLASS = 0.06
+RESERVED_FRACTION_PER_CLASS = 0.05
 #: Largest fraction of the slots that is left free in this way.
 MAX_RESERVED_FRACTION = 0.36
 #: Penalty for full utilization of an engine, seconds of waiting. It spreads requests before queues
