Obey backend servers that say in an answer that they leave or want a pause

No line of figpaddle.regional or platform/ read either field.

The entry marks the start of the backend server that it asked as leaving, or paused until the given time, in the fleet that every placement reads; entries of the region are told of one that leaves. If all that could serve a request pause, its caller comes back after the first pause.

--- a/figpaddle/regional/_attempts.py
+++ b/figpaddle/regional/_attempts.py
@@ -107,6 +107,7 @@
             revision=context.revision,
         )
         attempt_key = context.attempt_key
+        born = backend.record.born
         tracker = self._placer.tracker_of(backend.name)
         result = AttemptResult(outcome=AttemptOutcome.UNKNOWN, reason="caller left")
 
@@ -120,6 +121,10 @@
             answer = self._dialect.read_answer(head)
             if answer.load is not None:
                 tracker.note_backend_report(answer.load, now=self._clock())
+            if answer.leaving or answer.pause_s is not None:
+                self._placer.note_backend_notice(
+                    backend.name, answer, born=born, request_id=context.request_id
+                )
             return answer
 
         try:
--- a/figpaddle/regional/_dialect.py
+++ b/figpaddle/regional/_dialect.py
@@ -43,6 +43,10 @@
     wrong_server: bool
     #: Requests running or queued at the backend server; None if the answer doesn't state it.
     load: int | None
+    #: Whether the backend server states that it is leaving.
+    leaving: bool = dataclasses.field(default=False, kw_only=True)
+    #: Time for which it asks for no further requests, seconds; None if it doesn't.
+    pause_s: float | None = dataclasses.field(default=None, kw_only=True)
     #: Header fields to relay to the caller.
     headers: Headers
 
--- a/figpaddle/regional/_gateway.py
+++ b/figpaddle/regional/_gateway.py
@@ -303,9 +303,9 @@
                 context, AttemptResult(outcome=AttemptOutcome.UNKNOWN, reason=reason), responder
             )
             return
-        await self._refuse(
-            context, responder, reason, self._retry_after_s(DEFAULT_RETRY_AFTER_S, context)
-        )
+        pause_left_s = self._placer.pause_left_s(context.service.name)
+        wait_s = DEFAULT_RETRY_AFTER_S if usable or pause_left_s is None else pause_left_s
+        await self._refuse(context, responder, reason, self._retry_after_s(wait_s, context))
 
     async def _fail_expired(
         self, context: RequestContext, responder: Responder, reason: str
--- a/figpaddle/regional/_placer.py
+++ b/figpaddle/regional/_placer.py
@@ -10,6 +10,7 @@
 from figpaddle.deployment import Repeat
 from figpaddle.http1 import ConnectionPool
 from figpaddle.regional._cluster import ClusterFollower
+from figpaddle.regional._dialect import BackendAnswer
 from figpaddle.regional._mesh import Mesh, is_ready
 from figpaddle.regional._request_context import RequestContext
 from figpaddle.regional._settings import ProcessSettings
@@ -155,6 +156,41 @@
             now=self._clock(),
         )
 
+    def note_backend_notice(
+        self, name: str, answer: BackendAnswer, *, born: int, request_id: str
+    ) -> None:
+        """Act on what a backend server says of itself in an answer: that it leaves, or a pause.
+
+        ``born`` is the start time of the process that the request was sent to.
+        """
+        now = self._clock()
+        if answer.leaving:
+            record = self._fleet.note_leaving(name, born=born)
+            if record is not None:
+                self._log.info("backend_leaving", backend=name, born=born, request=request_id)
+                self._metrics.count("backend_notices_total", kind="leaving")
+                neighbours = self._mesh.live_entries(self._settings.region)
+                self._mesh.send_datagrams(
+                    BackendNews(records=(record,)), [neighbour.name for neighbour in neighbours]
+                )
+        if answer.pause_s is not None:
+            is_news = self._fleet.note_pause(name, answer.pause_s, born=born, now=now)
+            if is_news:
+                self._log.info(
+                    "backend_pausing",
+                    backend=name,
+                    born=born,
+                    pause_s=answer.pause_s,
+                    request=request_id,
+                )
+                self._metrics.count("backend_notices_total", kind="pause")
+
+    def pause_left_s(self, service: str) -> float | None:
+        """Return the time until a backend server of a service ends its pause; None without any."""
+        now = self._clock()
+        ends_at = self._fleet.earliest_pause_end(service, now=now)
+        return None if ends_at is None else ends_at - now
+
     def pick_entry(self, region: str) -> str | None:
         """Return the name of a ready entry of another region, or None if there is none."""
         ready = [
@@ -220,6 +256,7 @@
         for backend in self._fleet.backends():
             counts_by_state[backend.record.state.value] += 1
             counts_by_state["resting"] += backend.backoff_until > now
+            counts_by_state["pausing"] += backend.paused_until > now
             counts_by_state["cold"] += backend.may_be_cold(now=now)
         return dict(counts_by_state)
 
--- a/figpaddle/routing/_fleet.py
+++ b/figpaddle/routing/_fleet.py
@@ -17,6 +17,9 @@
 INITIAL_BACKOFF_S = 0.4
 #: Longest backoff, seconds.
 MAX_BACKOFF_S = 2.0
+#: Longest pause that a backend server may ask for, seconds; a malformed value must not exclude it for
+#: good.
+MAX_PAUSE_S = 300.0
 #: Number of consecutive connections closed without a byte of a response after which a backend
 #: server is backed off. A single one may be a connection reset in the network.
 DISCONNECTS_BEFORE_BACKOFF = 3
@@ -45,6 +48,8 @@
     reported_at: float
     #: End of the backoff, seconds.
     backoff_until: float = 0.0
+    #: End of the pause that it asked for, seconds.
+    paused_until: float = 0.0
     #: Consecutive failures to reach it.
     consecutive_failures: int = 0
     #: Consecutive connections that were closed without a byte of a response.
@@ -123,9 +128,51 @@
             and backend.record.zone in region_zones
             and backend.record.zone not in evacuated
             and backend.backoff_until <= now
+            and backend.paused_until <= now
             and now - backend.reported_at <= REPORT_TIMEOUT_S
         ]
 
+    def earliest_pause_end(self, service: str, *, now: float) -> float | None:
+        """Return when the first pause of a backend server of ``service`` ends; None without any."""
+        return min(
+            (
+                backend.paused_until
+                for backend in self._backends_by_name.values()
+                if backend.record.service == service
+                and backend.record.state is BackendState.SERVING
+                and backend.paused_until > now
+            ),
+            default=None,
+        )
+
+    def note_leaving(self, name: str, *, born: int) -> BackendRecord | None:
+        """Record that a backend server said in an answer that it leaves.
+
+        ``born`` is the start time of the process that was asked; a later one hasn't said so. Returns
+        the changed record, or None if nothing changed.
+        """
+        backend = self._backends_by_name.get(name)
+        if (
+            backend is None
+            or backend.record.born != born
+            or backend.record.state is not BackendState.SERVING
+        ):
+            return None
+        backend.record = dataclasses.replace(backend.record, state=BackendState.LEAVING)
+        return backend.record
+
+    def note_pause(self, name: str, pause_s: float, *, born: int, now: float) -> bool:
+        """Record that a backend server asked for a pause; return whether that is news.
+
+        Unlike a backoff, a pause doesn't end with the success of another request.
+        """
+        backend = self._backends_by_name.get(name)
+        if backend is None or backend.record.born != born:
+            return False
+        is_news = backend.paused_until <= now
+        backend.paused_until = max(backend.paused_until, now + min(MAX_PAUSE_S, pause_s))
+        return is_news
+
     def note_unreachable(self, name: str, *, now: float) -> float:
         """Back off from a backend server; return the backoff, seconds."""
         backend = self._backends_by_name.get(name)
--- a/figpaddle/routing/tests/test_fleet.py
+++ b/figpaddle/routing/tests/test_fleet.py
@@ -8,6 +8,7 @@
 import pytest
 
 from figpaddle.routing import Fleet, RecordChange
+from figpaddle.routing._fleet import MAX_PAUSE_S
 from figpaddle.wire import BackendRecord, BackendState
 
 ZONES = frozenset({"z"})
@@ -161,3 +162,35 @@
         fleet.note_disconnect("i-1", now=0.0)
         fleet.note_reached("i-1")
     assert usable(fleet) == ["i-1"]
+
+
+def test_a_backend_server_that_said_it_leaves_stays_unusable_until_it_restarts() -> None:
+    fleet = Fleet()
+    fleet.apply(record(sequence=1), now=0.0)
+    assert fleet.note_leaving("i-1", born=BORN) is not None
+    assert fleet.note_leaving("i-1", born=BORN) is None
+    fleet.apply(record(sequence=2), now=0.1)
+    fleet.note_reached("i-1")
+    assert usable(fleet, now=0.2) == []
+    fleet.apply(record(sequence=1, born=BORN + 5), now=0.3)
+    assert fleet.note_leaving("i-1", born=BORN) is None
+    assert usable(fleet, now=0.4) == ["i-1"]
+
+
+def test_a_pause_ends_with_its_time_or_a_restart_and_not_with_a_success() -> None:
+    fleet = Fleet()
+    fleet.apply(record(sequence=1), now=0.0)
+    assert fleet.note_pause("i-1", 2.0, born=BORN, now=0.0)
+    assert not fleet.note_pause("i-1", 1.0, born=BORN, now=0.5)
+    fleet.note_reached("i-1")
+    fleet.apply(record(sequence=2), now=0.6)
+    assert usable(fleet, now=1.9) == []
+    assert fleet.earliest_pause_end("s", now=1.9) == 2.0
+    assert usable(fleet, now=2.0) == ["i-1"]
+    fleet.note_pause("i-1", 1e12, born=BORN, now=3.0)
+    assert usable(fleet, now=4.0) == []
+    fleet.apply(record(sequence=1, born=BORN + 5), now=4.0)
+    assert usable(fleet, now=4.0) == ["i-1"]
+    fleet.note_pause("i-1", 1e12, born=BORN + 5, now=5.0)
+    fleet.apply(record(sequence=9, born=BORN + 5), now=5.0 + MAX_PAUSE_S)
+    assert usable(fleet, now=5.0 + MAX_PAUSE_S) == ["i-1"]
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -109,6 +109,12 @@
         self, request: HttpRequest, request_id: str, echoed_headers: Headers, responder: Responder
     ) -> None:
         failure = self.failure or self.draw_failure()
+        if failure == "busy":
+            refusal = ((b"X-Figpaddle-Not-Executed", b"full"), (b"Retry-After", b"1.5"))
+            await responder.answer(503, (*echoed_headers, *refusal), b"")
+            return
+        if failure == "leaving":
+            echoed_headers = (*echoed_headers, (b"Server-Leaving", b"1"))
         if failure == "full":
             await responder.answer(
                 503, (*echoed_headers, (b"X-Figpaddle-Not-Executed", b"full")), b""
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -137,6 +137,26 @@
     assert (response.not_run, response.wrong_server, response.load) == (not_run, wrong, load)
 
 
+@pytest.mark.parametrize(
+    ("status", "fields", "leaving", "pause_s"),
+    [
+        (200, ((b"Server-Leaving", b"1"),), True, None),
+        (500, ((b"server-leaving", b"1"), (b"Retry-After", b"2")), True, None),
+        (200, ((b"Server-Leaving", b"0"),), False, None),
+        (503, ((b"Retry-After", b"1.5"),), False, 1.5),
+        (503, ((b"Retry-After", b"0"),), False, 0.0),
+        (503, ((b"Retry-After", b"-3"),), False, None),
+        (503, ((b"Retry-After", b"nan"),), False, None),
+        (503, ((b"Retry-After", b"Fri, 04 Dec 2026 07:14:10 GMT"),), False, None),
+    ],
+)
+def test_an_answer_says_whether_its_server_leaves_or_asks_for_a_pause(
+    status: int, fields: Headers, leaving: bool, pause_s: float | None
+) -> None:
+    answer = DIALECT.read_answer(ResponseHead(status=status, headers=fields))
+    assert (answer.leaving, answer.pause_s) == (leaving, pause_s)
+
+
 @pytest.mark.parametrize(
     ("method", "target", "call"),
     [
