Use the other engines of a region when those of an entry's subset have no room

A request was refused as without room, or went to an unhealthy engine, while healthy ones outside the three engines of its entry had memory: the subset was left only if none of it was healthy. Found on reading; the new test failed before.

--- a/figpaddle/routing/_regional_placement.py
+++ b/figpaddle/routing/_regional_placement.py
@@ -320,11 +320,13 @@
     for candidate in candidates:
         is_healthy = _is_healthy(candidate, demand.priority, now=now)
         (healthy if is_healthy else unhealthy).append(candidate)
-    eligible = [item for item in healthy if subset is None or item.backend.name in subset]
-    eligible = eligible or healthy
-    sampled = _sampled_choices(
-        healthy, eligible, demand, preferred, entries, rng=rng, now=now
-    ) or _sampled_choices(unhealthy, unhealthy, demand, preferred, entries, rng=rng, now=now)
+    in_subset = [item for item in healthy if subset is None or item.backend.name in subset]
+
+    def sample(pool: list[Candidate], eligible: list[Candidate]) -> list[Choice]:
+        return _sampled_choices(pool, eligible, demand, preferred, entries, rng=rng, now=now)
+
+    # Without room at the engines of the subset, the others are used, and unhealthy ones at last.
+    sampled = sample(healthy, in_subset) or sample(healthy, healthy) or sample(unhealthy, unhealthy)
     remote_choices = [
         choice
         for choice in (estimate_remote(option, demand) for option in remote_regions)
@@ -334,10 +336,10 @@
         sampled = [choice for choice in sampled if choice.wait_s <= max_wait_s]
         remote_choices = [choice for choice in remote_choices if choice.wait_s <= max_wait_s]
     elif math.isfinite(max_wait_s):
-        # Before a refusal all eligible engines are compared, not only the sample.
+        # Before a refusal all engines of the subset are compared, not only the sample.
         short_waits = [
             choice
-            for candidate in eligible
+            for candidate in in_subset
             if (choice := estimate(candidate, demand, now=now)) and choice.wait_s <= max_wait_s
         ]
         if short_waits:
--- a/figpaddle/routing/tests/test_regional_placement.py
+++ b/figpaddle/routing/tests/test_regional_placement.py
@@ -319,6 +319,27 @@
         assert choice is not None and choice.backend is engines[0].backend
 
 
+def test_an_entry_leaves_its_subset_only_without_a_healthy_engine_with_room_there() -> None:
+    engines = candidates(6, slots=32)
+    subset = frozenset(engine.backend.name for engine in engines[:3])
+
+    def chosen() -> set[str]:
+        rng = random.Random(1)
+        choices = [
+            choose(demand(), engines, [], rng=rng, now=0.0, entries=4, subset=subset)
+            for _ in range(30)
+        ]
+        return {choice.backend.name for choice in choices if choice and choice.backend}
+
+    busy = PeerLoad(requests=40, memory=200_000, unanswered=(0, 8), prefill=(0, 60_000))
+    for engine in engines[:3]:
+        engine.tracker.note_peer_load("e", busy, now=0.0)
+    assert chosen() == subset
+    for engine in engines[:3]:
+        engine.tracker.note_peer_load("e", PeerLoad(requests=40, memory=MEMORY), now=0.0)
+    assert chosen() == {engine.backend.name for engine in engines[3:]}
+
+
 def test_a_short_wait_in_another_region_is_preferred_to_a_refusal() -> None:
     """The quiet region scores worse, because leaving the region is penalized for short prompts."""
     engine = candidates(1, slots=32)[0]
