Keep heartbeats understood by entries of builds without priorities

While a deployment is updated in turn, entries of the former build would have refused the heartbeats with load by priority, and the other way round, so each would have counted as silent. The load by priority is now an additional field, and a region's load without a priority counts as that of the most urgent.

--- a/figpaddle/regional/_placer.py
+++ b/figpaddle/regional/_placer.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import itertools
 import random
 from collections.abc import Callable
 from typing import Any
@@ -209,8 +210,10 @@
                 backend=name,
                 requests=load.requests,
                 tokens=load.memory,
-                unanswered=load.unanswered,
-                prefill=load.prefill,
+                prefill=sum(load.prefill),
+                waiting=tuple(
+                    itertools.chain.from_iterable(zip(load.unanswered, load.prefill, strict=True))
+                ),
             )
             for name, tracker in self._trackers.items()
             if (load := tracker.local_load).requests
@@ -484,8 +487,9 @@
                 peer_load = PeerLoad(
                     requests=work.requests,
                     memory=work.tokens,
-                    unanswered=work.unanswered,
-                    prefill=work.prefill,
+                    unanswered=work.waiting[::2],
+                    # Without classes, the prompts count as ahead of every request.
+                    prefill=work.waiting[1::2] or (work.prefill,),
                 )
                 tracker.note_peer_load(message.name, peer_load, now=now)
 
--- a/figpaddle/wire/_regional_messages.py
+++ b/figpaddle/wire/_regional_messages.py
@@ -36,10 +36,11 @@
     requests: int
     #: KV cache that they occupy, tokens.
     tokens: int
-    #: Requests whose answer hasn't begun, by priority class from 0; absent classes have none.
-    unanswered: tuple[int, ...]
-    #: Their prompt tokens, likewise.
-    prefill: tuple[int, ...]
+    #: Prompt tokens of requests whose answer hasn't begun.
+    prefill: int
+    #: The same by priority class from 0: for each, the number of these requests and their prompt
+    #: tokens in turn. Absent classes have none; empty from instances that don't tell classes apart.
+    waiting: tuple[int, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -49,7 +50,7 @@
     #: Name of the service.
     service: str
     #: Priority class of the requests.
-    priority: int
+    priority: int = 0
     #: Number of backend servers that can receive requests.
     backends: int
     #: Expected time to first token of a new request of mean size, seconds.
