Assign backend servers to entries by what all entries of a region know

The subset of an entry followed from the backend servers that were usable to it, so one in backoff at one entry shifted that entry's whole subset against those of the others. It follows from the reports of the backend servers and the evacuated zones now. Found on reading.

--- a/figpaddle/regional/_placer.py
+++ b/figpaddle/regional/_placer.py
@@ -119,7 +119,7 @@
             rng=self._rng,
             now=now,
             entries=entries,
-            subset=self._subset(context.service.name, now=now),
+            subset=self._subset(context.service.name),
             max_wait_s=context.max_wait_s,
         )
         if choice is None and context.backends_tried and context.route.repeat is not Repeat.ONCE:
@@ -360,9 +360,13 @@
             classes_above=classes_above,
         )
 
-    def _subset(self, service: str, *, now: float) -> frozenset[str]:
+    def _subset(self, service: str) -> frozenset[str]:
         """Return the backend servers of a service that this entry uses in the first place."""
-        backends = tuple(backend.name for backend in self._usable(service, now=now))
+        backends = self._fleet.serving_names(
+            service,
+            region_zones=self._settings.zones_of_region,
+            evacuated=self._follower.state.evacuated,
+        )
         entries = tuple(
             heartbeat.name for heartbeat in self._mesh.live_entries(self._settings.region)
         )
--- a/figpaddle/routing/_fleet.py
+++ b/figpaddle/routing/_fleet.py
@@ -132,6 +132,23 @@
             and now - backend.reported_at <= REPORT_TIMEOUT_S
         ]
 
+    def serving_names(
+        self, service: str, *, region_zones: frozenset[str], evacuated: tuple[str, ...]
+    ) -> tuple[str, ...]:
+        """Return the names of the backend servers that serve ``service`` by their own report.
+
+        Unlike ``usable``, this doesn't depend on what this instance alone observed, so instances of
+        a region agree on it.
+        """
+        return tuple(
+            backend.name
+            for backend in self._backends_by_name.values()
+            if backend.record.service == service
+            and backend.record.state is BackendState.SERVING
+            and backend.record.zone in region_zones
+            and backend.record.zone not in evacuated
+        )
+
     def earliest_pause_end(self, service: str, *, now: float) -> float | None:
         """Return when the first pause of a backend server of ``service`` ends; None without any."""
         return min(
--- a/figpaddle/routing/tests/test_fleet.py
+++ b/figpaddle/routing/tests/test_fleet.py
@@ -194,3 +194,16 @@
     fleet.note_pause("i-1", 1e12, born=BORN + 5, now=5.0)
     fleet.apply(record(sequence=9, born=BORN + 5), now=5.0 + MAX_PAUSE_S)
     assert usable(fleet, now=5.0 + MAX_PAUSE_S) == ["i-1"]
+
+
+def test_instances_agree_on_the_serving_servers_whatever_each_observed() -> None:
+    fleet = Fleet()
+    for name, zone in (("i-1", "z"), ("i-2", "z"), ("i-3", "y")):
+        fleet.apply(record(name, zone=zone, address=f"{name}:80"), now=0.0)
+    fleet.note_unreachable("i-1", now=0.0)
+    fleet.note_pause("i-2", 5.0, born=BORN, now=0.0)
+    zones = frozenset({"z", "y"})
+    names = fleet.serving_names("s", region_zones=zones, evacuated=("y",))
+    assert names == ("i-1", "i-2")
+    fleet.note_leaving("i-1", born=BORN)
+    assert fleet.serving_names("s", region_zones=zones, evacuated=()) == ("i-2", "i-3")
