Replace an engine of an entry's subset that isn't available by the next one

A subset is the first three available ones of an order of its own now. Found on reading, the added test of an entry without its first engine failed before.

--- a/figpaddle/regional/_placer.py
+++ b/figpaddle/regional/_placer.py
@@ -19,6 +19,7 @@
     PRIORITY_CLASSES,
     REMOTE_REPORT_DELAY_S,
     BackendLoadTracker,
+    BackendSubset,
     Candidate,
     Choice,
     ColdLimit,
@@ -80,7 +81,7 @@
         self._trackers: dict[str, BackendLoadTracker] = {}
         self._last_evacuated: set[str] = set()
         # Backend servers and entries of the region, and the subset that follows from them, by service.
-        self._subsets: dict[str, tuple[tuple[str, ...], tuple[str, ...], frozenset[str]]] = {}
+        self._subsets: dict[str, tuple[tuple[str, ...], tuple[str, ...], BackendSubset]] = {}
         # Backend servers in the last load report of each other entry.
         self._reported_by_peer: dict[str, set[str]] = {}
         self._expectations = ExpectationModel()
@@ -360,7 +361,7 @@
             classes_above=classes_above,
         )
 
-    def _subset(self, service: str) -> frozenset[str]:
+    def _subset(self, service: str) -> BackendSubset:
         """Return the backend servers of a service that this entry uses in the first place."""
         backends = self._fleet.serving_names(
             service,
--- a/figpaddle/regional/tests/simulated_region.py
+++ b/figpaddle/regional/tests/simulated_region.py
@@ -10,6 +10,7 @@
 from figpaddle.regional._request_context import MAX_WAIT_FRACTION
 from figpaddle.routing import (
     BackendLoadTracker,
+    BackendSubset,
     Candidate,
     Choice,
     Demand,
@@ -131,7 +132,7 @@
         self.name = name
         self.candidates = candidates
         self.trackers = {item.backend.name: item.tracker for item in candidates}
-        self.subset: frozenset[str] = frozenset()
+        self.subset: BackendSubset | None = None
         self.expectations = ExpectationModel()
 
 
--- a/figpaddle/routing/__init__.py
+++ b/figpaddle/routing/__init__.py
@@ -57,9 +57,10 @@
 from figpaddle.routing._retry_after import jittered_retry_after
 from figpaddle.routing._retry_budget import RetryBudget
 from figpaddle.routing._scored import Estimate, PolicyName, ScoredPolicy, make_policy
-from figpaddle.routing._subsets import backend_subset
+from figpaddle.routing._subsets import BackendSubset, backend_subset
 
 __all__ = [
+    "BackendSubset",
     "backend_subset",
     "PRIORITY_CLASSES",
     "KnownEntry",
--- a/figpaddle/routing/_regional_placement.py
+++ b/figpaddle/routing/_regional_placement.py
@@ -15,6 +15,7 @@
 from figpaddle.routing._fleet import FleetBackend
 from figpaddle.routing._ranking import highest_ranked, unit_weight
 from figpaddle.routing._retry_after import jittered_retry_after
+from figpaddle.routing._subsets import BackendSubset
 
 #: Fraction of an engine's memory that running requests may take. Above it the engine preempts
 #: requests and has to recompute their prompts.
@@ -297,7 +298,7 @@
     rng: random.Random,
     now: float,
     entries: int = 1,
-    subset: frozenset[str] | None = None,
+    subset: BackendSubset | None = None,
     max_wait_s: float = math.inf,
 ) -> Choice | None:
     """Return the best choice for a request, or None if no option has capacity.
@@ -306,8 +307,8 @@
 
     All entries of a region place requests at the same time and know each other's load up to half a
     second late. If each chose the apparently best engine, all would choose the same one. Therefore
-    each entry uses only the engines named in ``subset``, if one of them is healthy, and one that
-    probably caches the prompt. It samples its share of them and uses the best of the sample;
+    each entry uses only the healthy engines that ``subset`` selects, and one that probably caches the
+    prompt. It samples its share of them and uses the best of the sample;
     ``entries`` is the number of entries.
 
     When a region has more load than its engines can serve and another region is quiet, a request
@@ -320,7 +321,10 @@
     for candidate in candidates:
         is_healthy = _is_healthy(candidate, demand.priority, now=now)
         (healthy if is_healthy else unhealthy).append(candidate)
-    in_subset = [item for item in healthy if subset is None or item.backend.name in subset]
+    in_subset = healthy
+    if subset is not None:
+        selected = subset.select({candidate.backend.name for candidate in healthy})
+        in_subset = [candidate for candidate in healthy if candidate.backend.name in selected]
 
     def sample(pool: list[Candidate], eligible: list[Candidate]) -> list[Choice]:
         return _sampled_choices(pool, eligible, demand, preferred, entries, rng=rng, now=now)
--- a/figpaddle/routing/_subsets.py
+++ b/figpaddle/routing/_subsets.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import math
 import random
 
@@ -11,28 +12,50 @@
 MIN_SUBSET, MIN_COVERAGE = 3, 3
 
 
-def backend_subset(name: str, entries: list[str], backends: list[str]) -> frozenset[str]:
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class BackendSubset:
+    """The backend servers that an entry uses in the first place.
+
+    >>> subset = BackendSubset(order=("v", "w", "x", "y"), size=2)
+    >>> sorted(subset.select({"v", "x", "y"}))
+    ['v', 'x']
+    """
+
+    #: All backend servers, the first ones preferred.
+    order: tuple[str, ...]
+    #: How many of them the entry uses.
+    size: int
+
+    def select(self, available: set[str]) -> set[str]:
+        """Return the first ones of ``available``; one that isn't makes room for the next."""
+        selected: set[str] = set()
+        for name in self.order:
+            if name in available:
+                selected.add(name)
+                if len(selected) == self.size:
+                    break
+        return selected
+
+
+def backend_subset(name: str, entries: list[str], backends: list[str]) -> BackendSubset:
     """Return the backend servers that the entry ``name`` uses in the first place.
 
     The entries take equal parts of a sequence of shuffles in turn, so about the same number of them
     uses each backend server. Entries that know the same instances agree without coordination.
 
     >>> entries = ["a", "b", "c", "d"]
-    >>> subsets = [backend_subset(name, entries, list("vwxyz")) for name in entries]
-    >>> [len(subset) for subset in subsets]
+    >>> [backend_subset(name, entries, list("vwxyz")).size for name in entries]
     [4, 4, 4, 4]
     """
     ordered_entries, ordered_backends = sorted({*entries, name}), sorted(backends)
     count = len(ordered_backends)
     size = max(MIN_SUBSET, math.ceil(MIN_COVERAGE * count / len(ordered_entries)))
-    if size >= count:
-        return frozenset(ordered_backends)
-    subset: set[str] = set()
+    order: dict[str, None] = {}
     position = ordered_entries.index(name) * size
-    while len(subset) < size:
-        subset.add(_shuffled(ordered_backends, position // count)[position % count])
+    while len(order) < count:
+        order[_shuffled(ordered_backends, position // count)[position % count]] = None
         position += 1
-    return frozenset(subset)
+    return BackendSubset(order=tuple(order), size=size)
 
 
 def _shuffled(backends: list[str], round_number: int) -> list[str]:
--- a/figpaddle/routing/tests/test_regional_placement.py
+++ b/figpaddle/routing/tests/test_regional_placement.py
@@ -12,6 +12,7 @@
 from figpaddle.routing import (
     REMOTE_REPORT_DELAY_S,
     BackendLoadTracker,
+    BackendSubset,
     Candidate,
     Choice,
     Demand,
@@ -319,14 +320,15 @@
         assert choice is not None and choice.backend is engines[0].backend
 
 
-def test_an_entry_leaves_its_subset_only_without_a_healthy_engine_with_room_there() -> None:
+def test_an_entry_leaves_its_subset_only_without_an_engine_with_room_there() -> None:
     engines = candidates(6, slots=32)
-    subset = frozenset(engine.backend.name for engine in engines[:3])
+    names = [engine.backend.name for engine in engines]
+    subset = BackendSubset(order=tuple(names), size=3)
 
-    def chosen() -> set[str]:
+    def chosen(available: list[Candidate] = engines) -> set[str]:
         rng = random.Random(1)
         choices = [
-            choose(demand(), engines, [], rng=rng, now=0.0, entries=4, subset=subset)
+            choose(demand(), available, [], rng=rng, now=0.0, entries=4, subset=subset)
             for _ in range(30)
         ]
         return {choice.backend.name for choice in choices if choice and choice.backend}
@@ -334,10 +336,11 @@
     busy = PeerLoad(requests=40, memory=200_000, unanswered=(0, 8), prefill=(0, 60_000))
     for engine in engines[:3]:
         engine.tracker.note_peer_load("e", busy, now=0.0)
-    assert chosen() == subset
+    assert chosen() == set(names[:3])
+    assert chosen(engines[1:]) == {names[3]}
     for engine in engines[:3]:
         engine.tracker.note_peer_load("e", PeerLoad(requests=40, memory=MEMORY), now=0.0)
-    assert chosen() == {engine.backend.name for engine in engines[3:]}
+    assert chosen() == set(names[3:])
 
 
 def test_a_short_wait_in_another_region_is_preferred_to_a_refusal() -> None:
