Refuse no request for the slowness of an engine that has no queue

Where the only engine of a region is slow, each request was refused as waiting too long: the time by which a slow engine takes longer counted as waiting for others. Found on reading; the new test failed before (a wait of 2.1 s at an engine without requests).

--- a/figpaddle/routing/_regional_placement.py
+++ b/figpaddle/routing/_regional_placement.py
@@ -217,7 +217,8 @@
         backend=candidate.backend,
         region="",
         expected_s=expected_s,
-        wait_s=expected_s - unloaded_s,
+        # An engine that is slow by itself makes nobody wait for others, and may be the only one.
+        wait_s=expected_s - unloaded_s * slowness if requests else 0.0,
         correction=candidate.correction,
         prefill=prefill,
         score=score,
--- a/figpaddle/routing/tests/test_regional_placement.py
+++ b/figpaddle/routing/tests/test_regional_placement.py
@@ -307,6 +307,20 @@
         assert refuse_late(demand(prompt), choice, max_wait_s=0.1, rng=random.Random(1)) is None
 
 
+def test_a_slow_engine_without_other_requests_refuses_nothing() -> None:
+    """Its region may have no other engine, and a late answer is better than none."""
+    engine = dataclasses.replace(candidates(1)[0], correction=3.0)
+    for number in range(40):
+        engine.tracker.note_sent(
+            str(number), demand(priority=0), prefill=0, memory=0, expected_s=0.1, now=0.0
+        )
+        engine.tracker.note_first_byte(str(number), now=0.8)
+        engine.tracker.note_ended(str(number), failed=False, now=0.9)
+    choice = estimate(engine, demand(), now=1.0)
+    assert choice is not None and choice.expected_s > 0.9
+    assert refuse_late(demand(), choice, max_wait_s=0.3, rng=random.Random(1)) is None
+
+
 def test_a_region_is_searched_for_an_engine_with_a_short_wait_before_a_request_is_refused() -> None:
     engines = candidates(12, slots=32)
     queued = PeerLoad(requests=50, memory=0, unanswered=(20,), prefill=(200_000,))
