--- a/figpaddle/regional/_attempts.py
+++ b/figpaddle/regional/_attempts.py
@@ -192,6 +192,8 @@
             attempt=context.attempt,
             fate=result.outcome.value,
             reason=result.reason,
+            answered=context.first_byte_s is not None,
+            parts=",".join(context.caller.shared_parts),
             rest_s=round(backoff_s, 2),
             left_s=round(context.remaining_s(now=now), 3),
         )
--- a/figpaddle/regional/_dialect.py
+++ b/figpaddle/regional/_dialect.py
@@ -26,6 +26,8 @@
     output_tokens: int
     #: Prefixes of the prompt that other prompts may share, shortest first.
     prefixes: tuple[Prefix, ...]
+    #: Identifiers of the prompt's parts that other prompts may have too, each once.
+    shared_parts: tuple[str, ...] = ()
     #: Id of the last event received from a stream that the caller resumes; empty for none.
     last_event: str
 
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -65,6 +65,23 @@
     assert [prefix.tokens for prefix in caller.prefixes] == [800, 1210]
 
 
+@pytest.mark.parametrize(
+    ("parts", "expected"),
+    [
+        ("5c1e:800,91bd:410,e4:20", ("5c1e", "91bd")),
+        ("91BD:410, 5c1e:800,91bd:410,e4:20", ("91bd", "5c1e")),
+        ("e4:20", ()),
+        ("", ()),
+        (",,e4", ()),
+    ],
+)
+def test_shared_parts_are_all_but_the_last_wherever_they_stand(
+    parts: str, expected: tuple[str, ...]
+) -> None:
+    headers = ((b"X-Figpaddle-Request-Id", b"a"), (b"X-Figpaddle-Prompt-Prefix", parts.encode()))
+    assert DIALECT.read_request(request(headers=headers)).shared_parts == expected
+
+
 def test_equal_parts_after_different_ones_are_different_prefixes() -> None:
     def digest(parts: bytes) -> int:
         headers = (*FULL_HEADERS[:2], (b"X-Figpaddle-Prompt-Prefix", parts))
