--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -48,6 +48,7 @@
 ZONES = {"n-a": "north", "s-a": "south"}
 MODEL_SERVICE, PLAIN_SERVICE = "model", "plain"
 HOST = "guide.example"
+PROMPT_PARTS_HEADER = b"x-figpaddle-prompt-prefix"
 
 #: Draws addresses and ports, so that deployments of concurrent test processes don't collide.
 _rng = random.SystemRandom()
@@ -81,6 +82,11 @@
     draw_failure: Callable[[], str] = str
     #: Request body that crashes the engine permanently; empty for none.
     crash_body: bytes = b""
+    #: Parts of a prompt that crash the engine once it begins to answer a request with one of them
+    #: that isn't the last part.
+    crash_parts: frozenset[str] = frozenset()
+    #: Time from the start of a run to the crash by one of ``crash_parts``, seconds.
+    crash_delay_s: float = 0.05
     crashed: anyio.Event = dataclasses.field(default_factory=anyio.Event)
     #: Arrival time and id of each request, including requests that the engine then rejected.
     arrivals: list[tuple[float, str]] = dataclasses.field(default_factory=list)
@@ -127,6 +133,10 @@
         if self.crash_body and request.body == self.crash_body:
             self.crashed.set()
             return
+        if self.crash_parts & set(_shared_parts(request)):
+            await anyio.sleep(self.crash_delay_s)
+            self.crashed.set()
+            return
         if failure == "reset":
             return
         if failure == "mute":
@@ -174,6 +184,12 @@
             raise
 
 
+def _shared_parts(request: HttpRequest) -> list[str]:
+    """Return the ids of the parts of a request's prompt without the last, which is its own."""
+    parts = (header(request.headers, PROMPT_PARTS_HEADER) or b"").decode().split(",")
+    return [part.partition(":")[0] for part in parts[:-1]]
+
+
 class PlatformDeployment:
     """Processes of figpaddle on loopback addresses, with the engines of the stand-in platform."""
 
