--- a/figpaddle/errors/__init__.py
+++ b/figpaddle/errors/__init__.py
@@ -57,6 +57,7 @@
     UnauthorizedError,
 )
 from figpaddle.errors._transport import (
+    AnswerTooLargeError,
     ConnectFailedError,
     ConnectionLostError,
     MalformedAnswerError,
@@ -67,6 +68,7 @@
 __all__ = [
     "ConnectFailedError",
     "ConnectionLostError",
+    "AnswerTooLargeError",
     "MalformedAnswerError",
     "MalformedRequestError",
     "TransportError",
--- a/figpaddle/errors/_transport.py
+++ b/figpaddle/errors/_transport.py
@@ -30,6 +30,10 @@
     """The received bytes are not a valid HTTP response to the request."""
 
 
+class AnswerTooLargeError(MalformedAnswerError):
+    """An answer, or a part of one that has to be read as a whole, exceeds its limit."""
+
+
 class MalformedRequestError(TransportError):
     """A caller sent an invalid HTTP request, or one that exceeds the limits.
 
--- a/figpaddle/http1/_client.py
+++ b/figpaddle/http1/_client.py
@@ -8,12 +8,16 @@
 
 import h11
 
-from figpaddle.errors import ConnectionLostError, MalformedAnswerError
+from figpaddle.errors import AnswerTooLargeError, ConnectionLostError, MalformedAnswerError
 from figpaddle.http1._channel import Channel, PeerClose, connect
 from figpaddle.http1._messages import Headers, header
 
 #: Number of discarded responses to other requests after which an exchange fails.
 MAX_MISMATCHED_RESPONSES = 4
+#: Largest size of the body of a discarded response, bytes.
+MAX_DISCARDED_BODY_BYTES = 256 * 1024
+#: Number of interim responses (1xx) before a response after which an exchange fails.
+MAX_INTERIM_RESPONSES = 8
 #: Time for which an idle connection is kept if the server announces no timeout, seconds.
 DEFAULT_IDLE_TIMEOUT_S = 8.0
 #: Fraction of the server's idle timeout during which a connection is reused; the rest is a margin
@@ -100,9 +104,13 @@
 
         Raises ConnectionLostError or MalformedAnswerError.
         """
+        interim_count = 0
         for _ in range(MAX_MISMATCHED_RESPONSES):
             event = await self._next_event()
             while isinstance(event, h11.InformationalResponse):
+                interim_count += 1
+                if interim_count > MAX_INTERIM_RESPONSES:
+                    raise self._too_large_error("too many interim responses")
                 event = await self._next_event()
             if not isinstance(event, h11.Response):
                 raise self._malformed_error(f"{type(event).__name__} before the response head")
@@ -110,11 +118,26 @@
             if accept(head):
                 self._update_keep_alive(head)
                 return head
-            async for _ in self.read_body():
-                pass
+            discarded_bytes = 0
+            async for chunk in self.read_body():
+                discarded_bytes += len(chunk)
+                if discarded_bytes > MAX_DISCARDED_BODY_BYTES:
+                    raise self._too_large_error("the body of a response to another request")
             self._expect_another_response()
         raise self._malformed_error("only responses to other requests")
 
+    async def read_whole_body(self, *, max_bytes: int) -> bytes:
+        """Return the whole body; raises AnswerTooLargeError once it exceeds ``max_bytes``.
+
+        Raises the errors of ``read_body`` too.
+        """
+        body = bytearray()
+        async for chunk in self.read_body():
+            body += chunk
+            if len(body) > max_bytes:
+                raise self._too_large_error(f"a body of more than {max_bytes} bytes")
+        return bytes(body)
+
     async def read_body(self) -> AsyncIterator[bytes]:
         """Yield the chunks of the body as they arrive.
 
@@ -192,6 +215,9 @@
             received=self._channel.received_bytes > 0,
         )
 
+    def _too_large_error(self, what: str) -> AnswerTooLargeError:
+        return AnswerTooLargeError(what=what, where=self._channel.peer)
+
     def _malformed_error(self, what: str) -> MalformedAnswerError:
         return MalformedAnswerError(what=what, where=self._channel.peer)
 
--- a/figpaddle/http1/tests/test_http1.py
+++ b/figpaddle/http1/tests/test_http1.py
@@ -400,3 +400,37 @@
         await anyio.sleep(0.2)
         await stream.send(b"GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
         assert (await read_all(stream)).startswith(b"HTTP/1.1 200 ")
+
+
+async def send_endlessly(stream: anyio.abc.SocketStream, head: bytes, piece: bytes) -> None:
+    await stream.receive()
+    with contextlib.suppress(anyio.BrokenResourceError, anyio.ClosedResourceError):
+        await stream.send(head)
+        while True:
+            await stream.send(piece)
+
+
+@pytest.mark.parametrize(
+    ("head", "piece"),
+    [
+        (b"HTTP/1.1 200 OK\r\n", b"X-More: " + b"x" * 1000 + b"\r\n"),
+        (b"", b"x" * 1000),
+        (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+        (b"HTTP/1.1 200 OK\r\nid: zero\r\n\r\n", b"x" * 1000),
+        (b"HTTP/1.1 200 OK\r\nid: one\r\n\r\n", b"x" * 1000),
+        (b"HTTP/1.1 200 OK\r\nid: one\r\nTransfer-Encoding: chunked\r\n\r\n", b"1;" + b"x" * 999),
+    ],
+    ids=["head", "status line", "interim", "body of another", "body", "chunk extension"],
+)
+async def test_bytes_without_end_are_given_up_at_a_bound(head: bytes, piece: bytes) -> None:
+    async def script(stream: anyio.abc.SocketStream) -> None:
+        await send_endlessly(stream, head, piece)
+
+    async with server(script) as address, pool() as connections:
+        connection = await connections.acquire(address, timeout_s=STEP_TIMEOUT_S)
+        with anyio.fail_after(STEP_TIMEOUT_S), pytest.raises(MalformedAnswerError):
+            await connection.send(method=b"GET", target=b"/", headers=((b"Host", b"a"),), body=b"")
+            await connection.read_head(lambda head: header(head.headers, b"id") == b"one")
+            await connection.read_whole_body(max_bytes=100_000)
+        assert connection.channel.received_bytes < 2_000_000
+        connection.close()
--- a/figpaddle/regional/_attempts.py
+++ b/figpaddle/regional/_attempts.py
@@ -179,7 +179,7 @@
             # retry still counts against the retry budget.
             context.attempts_left += 1
         elif result.outcome in (AttemptOutcome.UNKNOWN, AttemptOutcome.BROKEN):
-            if result.closed_unanswered:
+            if result.closed_unanswered or result.too_large:
                 backoff_s = self._placer.fleet.note_disconnect(backend, now=now)
             if now - context.sent_at >= STALE_CONNECTION_S:
                 # Other connections that were open as long may be half-open too.
--- a/figpaddle/regional/_events.py
+++ b/figpaddle/regional/_events.py
@@ -4,6 +4,13 @@
 
 import re
 
+from figpaddle.errors import AnswerTooLargeError
+
+#: Largest event, bytes.
+MAX_EVENT_BYTES = 1024 * 1024
+
+#: Length of the longest end of an event, bytes.
+_MAX_END_BYTES = 4
 _EVENT_END = re.compile(rb"\r?\n\r?\n")
 
 
@@ -22,7 +29,9 @@
 
     def __init__(self, *, last_event: str) -> None:
         self._last_event = last_event
-        self._incomplete = b""
+        self._incomplete = bytearray()
+        # Up to here ``_incomplete`` holds no end of an event.
+        self._searched = 0
 
     @property
     def last_event(self) -> str:
@@ -32,22 +41,28 @@
     @property
     def incomplete(self) -> bytes:
         """Bytes of the event whose end hasn't arrived."""
-        return self._incomplete
+        return bytes(self._incomplete)
 
     def feed(self, data: bytes) -> list[bytes]:
-        """Return the events that ``data`` completes."""
+        """Return the events that ``data`` completes.
+
+        Raises AnswerTooLargeError once an event without its end exceeds ``MAX_EVENT_BYTES``.
+        """
         self._incomplete += data
         events: list[bytes] = []
-        while True:
-            match = _EVENT_END.search(self._incomplete)
-            if match is None:
-                return events
-            event, self._incomplete = (
-                self._incomplete[: match.end()],
-                self._incomplete[match.end() :],
-            )
+        start = 0
+        for match in _EVENT_END.finditer(self._incomplete, self._searched):
+            event = bytes(self._incomplete[start : match.end()])
+            start = match.end()
             if self._accept(event):
                 events.append(event)
+        del self._incomplete[:start]
+        if len(self._incomplete) > MAX_EVENT_BYTES:
+            raise AnswerTooLargeError(
+                what=f"an event of more than {MAX_EVENT_BYTES} bytes", where="stream"
+            )
+        self._searched = max(0, len(self._incomplete) - _MAX_END_BYTES + 1)
+        return events
 
     def _accept(self, event: bytes) -> bool:
         event_id = _event_id(event)
--- a/figpaddle/regional/_exchange.py
+++ b/figpaddle/regional/_exchange.py
@@ -7,7 +7,12 @@
 
 import anyio
 
-from figpaddle.errors import ConnectFailedError, ConnectionLostError, TransportError
+from figpaddle.errors import (
+    AnswerTooLargeError,
+    ConnectFailedError,
+    ConnectionLostError,
+    TransportError,
+)
 from figpaddle.http1 import ConnectionPool, Headers, HttpClientConnection, Responder, ResponseHead
 from figpaddle.regional._dialect import BackendAnswer
 from figpaddle.regional._events import EventSplitter
@@ -18,6 +23,10 @@
     RequestContext,
 )
 
+#: Largest answer that is relayed as a whole, bytes.
+MAX_WHOLE_ANSWER_BYTES = 4 * 1024 * 1024
+#: Largest body of a failure that is kept while a retry may replace it, bytes.
+MAX_FAILURE_BODY_BYTES = 256 * 1024
 #: Timeout for reading the body of an answer that isn't relayed immediately, seconds.
 FAILURE_BODY_TIMEOUT_S = 1.0
 #: Time after the deadline in which an answer may still arrive, seconds.
@@ -101,9 +110,12 @@
         try:
             head = await self._send_and_read_head(connection)
         except TransportError as error:
-            is_lost = isinstance(error, ConnectionLostError)
+            connection.close()
             return AttemptResult(
-                outcome=AttemptOutcome.UNKNOWN, reason=_reason(error), closed_unanswered=is_lost
+                outcome=AttemptOutcome.UNKNOWN,
+                reason=_reason(error),
+                closed_unanswered=isinstance(error, ConnectionLostError),
+                too_large=isinstance(error, AnswerTooLargeError),
             )
         if head is None:
             connection.close()
@@ -153,7 +165,7 @@
         """Return the body of an answer that isn't relayed yet, or None if it is incomplete."""
         try:
             with anyio.fail_after(FAILURE_BODY_TIMEOUT_S):
-                return b"".join([chunk async for chunk in connection.read_body()])
+                return await connection.read_whole_body(max_bytes=MAX_FAILURE_BODY_BYTES)
         except (TransportError, TimeoutError):
             connection.close()
             return None
@@ -162,13 +174,17 @@
         self, connection: HttpClientConnection, answer: BackendAnswer
     ) -> AttemptResult:
         """Relay an answer once it is complete, so that a retry can replace an incomplete one."""
-        chunks = []
+        body = b""
         with anyio.move_on_after(self._remaining_s()) as scope:
             try:
-                async for chunk in connection.read_body():
-                    chunks.append(chunk)
+                body = await connection.read_whole_body(max_bytes=MAX_WHOLE_ANSWER_BYTES)
             except TransportError as error:
-                return AttemptResult(outcome=AttemptOutcome.UNKNOWN, reason=_reason(error))
+                connection.close()
+                return AttemptResult(
+                    outcome=AttemptOutcome.UNKNOWN,
+                    reason=_reason(error),
+                    too_large=isinstance(error, AnswerTooLargeError),
+                )
         if scope.cancelled_caught:
             connection.close()
             return AttemptResult(
@@ -181,7 +197,7 @@
             )
         self._context.answer_started_at = self._clock()
         try:
-            await self._responder.answer(answer.status, answer.headers, b"".join(chunks))
+            await self._responder.answer(answer.status, answer.headers, body)
         except ConnectionLostError as error:
             raise CallerGoneError(
                 what="the caller closed the connection", where="caller"
@@ -202,12 +218,18 @@
                     async for chunk in connection.read_body():
                         # Time spent writing to a slow caller is no pause of the server.
                         scope.deadline = attempt_deadline
-                        await self._relay_events(splitter.feed(chunk), answer, splitter)
+                        events = splitter.feed(chunk)
+                        if events:
+                            await self._relay_events(events, answer, splitter)
                         scope.deadline = _earlier(attempt_deadline, idle_timeout_s)
                 except TransportError as error:
                     if isinstance(error, CallerGoneError):
                         raise
-                    return self._interrupted_result(_reason(error))
+                    connection.close()
+                    return dataclasses.replace(
+                        self._interrupted_result(_reason(error)),
+                        too_large=isinstance(error, AnswerTooLargeError),
+                    )
             if not scope.cancelled_caught:
                 break
             if self._must_end(attempt_deadline):
--- a/figpaddle/regional/_mesh.py
+++ b/figpaddle/regional/_mesh.py
@@ -50,6 +50,8 @@
 QUERY_PATH = b"/question"
 #: Media type of queries and replies.
 CBOR_TYPE = b"application/cbor"
+#: Largest reply to a query, bytes; a configuration with thousands of routes fits.
+MAX_REPLY_BYTES = 16 * 1024 * 1024
 #: Timeout for connecting to another instance, seconds; over six times the longest round trip.
 CONNECT_TIMEOUT_S = 1.0
 
@@ -268,7 +270,7 @@
             )
             await connection.send(method=b"POST", target=QUERY_PATH, headers=headers, body=body)
             head = await connection.read_head(lambda _: True)
-            data = b"".join([chunk async for chunk in connection.read_body()])
+            data = await connection.read_whole_body(max_bytes=MAX_REPLY_BYTES)
             complete = True
         finally:
             if complete:
--- a/figpaddle/regional/_request_context.py
+++ b/figpaddle/regional/_request_context.py
@@ -43,6 +43,8 @@
     reached_backend: bool = True
     #: Whether the connection ended before a byte of the answer arrived.
     closed_unanswered: bool = False
+    #: Whether the answer exceeded a limit and was given up.
+    too_large: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/figpaddle/regional/tests/test_events.py
+++ b/figpaddle/regional/tests/test_events.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from figpaddle.regional._events import EventSplitter
+from figpaddle.errors import AnswerTooLargeError
+from figpaddle.regional._events import MAX_EVENT_BYTES, EventSplitter
 
 STREAM = b"".join(b"id: %d\ndata: piece %d\n\n" % (number, number) for number in range(1, 5))
 
@@ -36,3 +37,23 @@
 def test_lines_may_end_with_carriage_returns() -> None:
     splitter = EventSplitter(last_event="")
     assert len(splitter.feed(b"id: 1\r\ndata: a\r\n\r\nid: 2\r\n\r\n")) == 2
+
+
+def test_an_event_without_end_is_given_up_at_a_bound() -> None:
+    splitter = EventSplitter(last_event="")
+    piece = b"data: " + bytes(16 * 1024)
+    received = 0
+    with pytest.raises(AnswerTooLargeError):
+        while True:
+            splitter.feed(piece)
+            received += len(piece)
+            assert received <= MAX_EVENT_BYTES
+
+
+def test_an_event_is_searched_once_however_small_its_pieces() -> None:
+    splitter = EventSplitter(last_event="")
+    body = b"id: 1\ndata: " + b"x" * (MAX_EVENT_BYTES // 2)
+    for start in range(0, len(body), 64):
+        assert splitter.feed(body[start : start + 64]) == []
+    assert splitter.feed(b"\r\n\r") == []
+    assert splitter.feed(b"\n") == [body + b"\r\n\r\n"]
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -42,6 +42,8 @@
 SLOW_FIRST_EVENT_S = 2.6
 #: Pause in the middle of a stream; longer than a server may be silent while another is free.
 PAUSE_S = 2.0
+#: Size of the pieces of an answer without end, bytes.
+ENDLESS_PIECE_BYTES = 16 * 1024
 #: Lines in /proc/PID/status with the masks of the ignored and of the handled signals.
 SIGNAL_MASK_FIELDS = ("SigIgn:", "SigCgt:")
 #: The region of each availability zone.
@@ -139,6 +141,8 @@
             return
         if failure == "reset":
             return
+        if failure == "endless":
+            await self._answer_without_end(echoed_headers, request_id, responder)
         if failure == "mute":
             await self._never_respond(request_id)
         if failure == "error":
@@ -175,6 +179,20 @@
             self.cancelled.append(request_id)
             raise
 
+    async def _answer_without_end(
+        self, headers: Headers, request_id: str, responder: Responder
+    ) -> None:
+        """Begin an answer and send bytes without an event's end until the connection closes."""
+        try:
+            await responder.start(
+                200, (*headers, (b"X-Figpaddle-Server-Seal", b"endless")), length=None
+            )
+            while True:
+                await responder.write(bytes(ENDLESS_PIECE_BYTES))
+        except (TransportError, anyio.get_cancelled_exc_class()):
+            self.cancelled.append(request_id)
+            raise
+
     async def _never_respond(self, request_id: str) -> None:
         """Send no response, and record when the request is cancelled."""
         try:
@@ -275,6 +293,12 @@
         masks = [line.split()[1] for line in status.splitlines() if line[:7] in SIGNAL_MASK_FIELDS]
         return any(int(mask, 16) & 1 << signal.SIGHUP - 1 for mask in masks)
 
+    def memory_bytes(self, name: str) -> int:
+        """Return the resident memory of a process, bytes."""
+        status = pathlib.Path(f"/proc/{self._processes[name].pid}/status").read_text("utf-8")
+        (line,) = (line for line in status.splitlines() if line.startswith("VmRSS:"))
+        return int(line.split()[1]) * 1024
+
     def mapped_files(self, name: str) -> str:
         """Return the memory map of a process, which lists the extension modules it has loaded."""
         return pathlib.Path(f"/proc/{self._processes[name].pid}/maps").read_text("utf-8")
