--- a/figpaddle/regional/_attempts.py
+++ b/figpaddle/regional/_attempts.py
@@ -124,6 +124,10 @@
             answer = self._dialect.read_answer(head)
             if answer.load is not None:
                 tracker.note_backend_report(answer.load, now=self._clock())
+            if not answer.wrong_server:
+                self._placer.note_backend_limit(
+                    backend.name, answer, born=born, request_id=context.request_id
+                )
             if answer.leaving or answer.pause_s is not None:
                 self._placer.note_backend_notice(
                     backend.name, answer, born=born, request_id=context.request_id
--- a/figpaddle/regional/_dialect.py
+++ b/figpaddle/regional/_dialect.py
@@ -49,6 +49,10 @@
     leaving: bool = dataclasses.field(default=False, kw_only=True)
     #: Time for which it asks for no further requests, seconds; None if it doesn't.
     pause_s: float | None = dataclasses.field(default=None, kw_only=True)
+    #: Requests a second that it takes from all entries together; None if it states no limit.
+    limit_per_s: float | None = dataclasses.field(default=None, kw_only=True)
+    #: Whether it states a limit that can't be read.
+    limit_unreadable: bool = dataclasses.field(default=False, kw_only=True)
     #: Header fields to relay to the caller.
     headers: Headers
 
--- a/figpaddle/regional/_placer.py
+++ b/figpaddle/regional/_placer.py
@@ -80,6 +80,8 @@
         self._metrics = metrics
         self._fleet = Fleet()
         self._trackers: dict[str, BackendLoadTracker] = {}
+        # Start time and limit of each backend server that has stated one.
+        self._stated_limits: dict[str, tuple[int, float | None]] = {}
         self._last_evacuated: set[str] = set()
         # Backend servers and entries of the region, and the subset that follows from them, by service.
         self._subsets: dict[str, tuple[tuple[str, ...], tuple[str, ...], BackendSubset]] = {}
@@ -193,6 +195,29 @@
                 )
                 self._metrics.count("backend_notices_total", kind="pause")
 
+    def note_backend_limit(
+        self, name: str, answer: BackendAnswer, *, born: int, request_id: str
+    ) -> None:
+        """Log and count the limit that a backend server states in an answer, if it is news."""
+        if answer.limit_unreadable:
+            self._metrics.count("backend_notices_total", kind="unreadable_limit")
+            self._log.warning(
+                "backend_limit_unreadable", backend=name, born=born, request=request_id
+            )
+            return
+        known = self._stated_limits.get(name)
+        if known == (born, answer.limit_per_s) or (known is None and answer.limit_per_s is None):
+            return
+        self._stated_limits[name] = (born, answer.limit_per_s)
+        self._metrics.count("backend_notices_total", kind="limit")
+        self._log.info(
+            "backend_limit",
+            backend=name,
+            born=born,
+            limit_per_s=answer.limit_per_s,
+            request=request_id,
+        )
+
     def pause_left_s(self, service: str) -> float | None:
         """Return the time until a backend server of a service ends its pause; None without any."""
         now = self._clock()
@@ -312,6 +337,8 @@
         for name in list(self._trackers):
             if name not in known and not self._trackers[name].local_requests:
                 del self._trackers[name]
+        for name in self._stated_limits.keys() - known:
+            del self._stated_limits[name]
         for name in self._reported_by_peer.keys() - set(self._mesh.known_names()):
             del self._reported_by_peer[name]
 
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -97,13 +97,17 @@
     ended_at: dict[str, float] = dataclasses.field(default_factory=dict)
     cancelled: list[str] = dataclasses.field(default_factory=list)
     request_headers: dict[str, dict[str, str]] = dataclasses.field(default_factory=dict)
+    #: Limit that it names in its answers, requests a second; empty for none.
+    limit: str = ""
     sequence: int = 0
     state: str = "ready"
 
     async def handle(self, request: HttpRequest, responder: Responder) -> None:
         request_id = (header(request.headers, b"x-figpaddle-request-id") or b"").decode()
         expected = header(request.headers, b"x-figpaddle-expect-instance")
-        echoed_headers = ((b"X-Figpaddle-Request-Id", request_id.encode()),)
+        echoed_headers: Headers = ((b"X-Figpaddle-Request-Id", request_id.encode()),)
+        if self.limit:
+            echoed_headers = (*echoed_headers, (b"Server-Limit", self.limit.encode()))
         if expected not in (None, self.name.encode()):
             await responder.answer(421, echoed_headers, b"")
             return
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -82,6 +82,27 @@
     assert DIALECT.read_request(request(headers=headers)).shared_parts == expected
 
 
+@pytest.mark.parametrize(
+    ("field", "limit_per_s", "unreadable"),
+    [
+        (b"1.2", 1.2, False),
+        (b"0", 0.0, False),
+        (b"1e9", 1e9, False),
+        (b"-1", None, True),
+        (b"nan", None, True),
+        (b"inf", None, True),
+        (b"many", None, True),
+        (None, None, False),
+    ],
+)
+def test_the_limit_that_a_backend_server_names_is_decoded(
+    field: bytes | None, limit_per_s: float | None, unreadable: bool
+) -> None:
+    headers = () if field is None else ((b"Server-Limit", field),)
+    answer = DIALECT.read_answer(ResponseHead(status=200, headers=headers))
+    assert (answer.limit_per_s, answer.limit_unreadable) == (limit_per_s, unreadable)
+
+
 def test_equal_parts_after_different_ones_are_different_prefixes() -> None:
     def digest(parts: bytes) -> int:
         headers = (*FULL_HEADERS[:2], (b"X-Figpaddle-Prompt-Prefix", parts))
