--- a/figpaddle/regional/_attempts.py
+++ b/figpaddle/regional/_attempts.py
@@ -124,7 +124,7 @@
             answer = self._dialect.read_answer(head)
             if answer.load is not None:
                 tracker.note_backend_report(answer.load, now=self._clock())
-            if not answer.wrong_server:
+            if not answer.wrong_server and answer.request_id in ("", context.request_id):
                 self._placer.note_backend_limit(
                     backend.name, answer, born=born, request_id=context.request_id
                 )
--- a/figpaddle/regional/_entry.py
+++ b/figpaddle/regional/_entry.py
@@ -128,6 +128,7 @@
             revision=self._follower.state.revision,
             founding=False,
             work=self._placer.own_work() if same_region else (),
+            limits=self._placer.named_limits() if same_region else (),
             loads=self._placer.regional_loads() if not same_region and self._reports_load() else (),
             acquaintances=self._mesh.sample_live_names(same_region=same_region),
         )
--- a/figpaddle/regional/_gateway.py
+++ b/figpaddle/regional/_gateway.py
@@ -307,6 +307,11 @@
                 context, AttemptResult(outcome=AttemptOutcome.UNKNOWN, reason=reason), responder
             )
             return
+        limited_for_s = self._placer.limited_for_s(context.service.name)
+        if limited_for_s is not None:
+            wait_s = max(DEFAULT_RETRY_AFTER_S, limited_for_s)
+            await self._refuse(context, responder, "limited", self._retry_after_s(wait_s, context))
+            return
         pause_left_s = self._placer.pause_left_s(context.service.name)
         wait_s = DEFAULT_RETRY_AFTER_S if usable or pause_left_s is None else pause_left_s
         await self._refuse(context, responder, reason, self._retry_after_s(wait_s, context))
--- a/figpaddle/regional/_placer.py
+++ b/figpaddle/regional/_placer.py
@@ -16,6 +16,7 @@
 from figpaddle.regional._request_context import RequestContext
 from figpaddle.regional._settings import ProcessSettings
 from figpaddle.routing import (
+    MIN_LIMIT_PER_S,
     PRIORITY_CLASSES,
     REMOTE_REPORT_DELAY_S,
     BackendLoadTracker,
@@ -26,6 +27,7 @@
     ExpectationModel,
     Fleet,
     FleetBackend,
+    NamedLimits,
     PeerLoad,
     RemoteRegion,
     SlidingCount,
@@ -37,6 +39,8 @@
 )
 from figpaddle.telemetry import Log, MetricsRegistry
 from figpaddle.wire import (
+    BackendLimit,
+    BackendLimitNews,
     BackendNews,
     BackendState,
     BackendWork,
@@ -80,8 +84,7 @@
         self._metrics = metrics
         self._fleet = Fleet()
         self._trackers: dict[str, BackendLoadTracker] = {}
-        # Start time and limit of each backend server that has stated one.
-        self._stated_limits: dict[str, tuple[int, float | None]] = {}
+        self._named_limits = NamedLimits(name=settings.ip)
         self._last_evacuated: set[str] = set()
         # Backend servers and entries of the region, and the subset that follows from them, by service.
         self._subsets: dict[str, tuple[tuple[str, ...], tuple[str, ...], BackendSubset]] = {}
@@ -95,6 +98,7 @@
             slack=settings.bounds.cold_slack,
         )
         mesh.on_datagram(BackendNews, self._apply_backend_news)
+        mesh.on_datagram(BackendLimitNews, self._apply_limits)
         mesh.on_datagram(InstanceHeartbeat, self._apply_heartbeat)
 
     @property
@@ -148,6 +152,7 @@
             return
         if choice.backend.may_be_cold(now=now):
             self._cold_limit.note_sent(choice.backend.name, now=now)
+        self._named_limits.note_sent(choice.backend.name, now=now)
         self.tracker_of(choice.backend.name).note_sent(
             context.attempt_key,
             context.demand(now=now),
@@ -198,17 +203,19 @@
     def note_backend_limit(
         self, name: str, answer: BackendAnswer, *, born: int, request_id: str
     ) -> None:
-        """Log and count the limit that a backend server states in an answer, if it is news."""
+        """Obey the limit that a backend server names in an answer; tell the region if it is news.
+
+        ``born`` is the start time of the process that the request was sent to.
+        """
         if answer.limit_unreadable:
             self._metrics.count("backend_notices_total", kind="unreadable_limit")
             self._log.warning(
                 "backend_limit_unreadable", backend=name, born=born, request=request_id
             )
             return
-        known = self._stated_limits.get(name)
-        if known == (born, answer.limit_per_s) or (known is None and answer.limit_per_s is None):
+        now = self._clock()
+        if not self._named_limits.note_stated(name, answer.limit_per_s, born=born, now=now):
             return
-        self._stated_limits[name] = (born, answer.limit_per_s)
         self._metrics.count("backend_notices_total", kind="limit")
         self._log.info(
             "backend_limit",
@@ -217,6 +224,31 @@
             limit_per_s=answer.limit_per_s,
             request=request_id,
         )
+        limit = BackendLimit(backend=name, born=born, per_s=answer.limit_per_s, age_s=0.0)
+        neighbours = self._mesh.live_entries(self._settings.region)
+        self._mesh.send_datagrams(
+            BackendLimitNews(limits=(limit,)), [neighbour.name for neighbour in neighbours]
+        )
+
+    def named_limits(self) -> tuple[BackendLimit, ...]:
+        """Return the limits that backend servers named, for the heartbeats to other entries."""
+        return self._named_limits.records(now=self._clock())
+
+    def limited_for_s(self, service: str) -> float | None:
+        """Return the time until one of a service's backend servers, all limited, may get a request.
+
+        None if one of them isn't limited, or there is none.
+        """
+        now = self._clock()
+        entries = self._region_entries()
+        waits_s = []
+        for backend in self._usable(service, now=now):
+            limit = self._limit_of(backend, now=now)
+            if limit is None:
+                return None
+            turn_at = self._turn_at(backend, entries, now=now)
+            waits_s.append(1 / max(limit, MIN_LIMIT_PER_S) if turn_at is None else turn_at - now)
+        return max(0.0, min(waits_s)) if waits_s else None
 
     def pause_left_s(self, service: str) -> float | None:
         """Return the time until a backend server of a service ends its pause; None without any."""
@@ -260,7 +292,12 @@
         loads = []
         for service in configuration.services:
             backends = self._usable(service.name, now=now)
-            warm_backends = [backend for backend in backends if not backend.may_be_cold(now=now)]
+            # Cold and limited ones take requests of their own region only.
+            free_backends = [
+                backend
+                for backend in backends
+                if not backend.may_be_cold(now=now) and self._limit_of(backend, now=now) is None
+            ]
             for priority in configuration.priorities_of(service.name):
                 classes_above = self._classes_above(service.name, priority)
                 candidates = [
@@ -270,7 +307,7 @@
                         service.memory_tokens,
                         classes_above=classes_above,
                     )
-                    for backend in warm_backends
+                    for backend in free_backends
                 ]
                 load = summarize_load(candidates, priority=priority, now=now)
                 loads.append(
@@ -292,6 +329,7 @@
             counts_by_state[backend.record.state.value] += 1
             counts_by_state["resting"] += backend.backoff_until > now
             counts_by_state["pausing"] += backend.paused_until > now
+            counts_by_state["limited"] += self._limit_of(backend, now=now) is not None
             counts_by_state["cold"] += backend.may_be_cold(now=now)
         return dict(counts_by_state)
 
@@ -317,6 +355,7 @@
                 "age_s": round(now - backend.reported_at, 2),
                 "resting_s": round(max(0.0, backend.backoff_until - now), 2),
                 "may_be_cold": backend.may_be_cold(now=now),
+                "limit_per_s": self._limit_of(backend, now=now),
                 "requests": self.tracker_of(backend.name).requests(now=now),
                 "slowness": round(
                     self.tracker_of(backend.name).slowness(PRIORITY_CLASSES - 1, now=now), 2
@@ -337,8 +376,7 @@
         for name in list(self._trackers):
             if name not in known and not self._trackers[name].local_requests:
                 del self._trackers[name]
-        for name in self._stated_limits.keys() - known:
-            del self._stated_limits[name]
+        self._named_limits.expire(now=self._clock())
         for name in self._reported_by_peer.keys() - set(self._mesh.known_names()):
             del self._reported_by_peer[name]
 
@@ -347,20 +385,14 @@
     ) -> list[Candidate]:
         if not context.route.allows(self._settings.region):
             return []
-        entries = [
-            heartbeat.name for heartbeat in self._mesh.live_entries(self._settings.region)
-        ] + [self._settings.ip]
+        entries = self._region_entries()
         correction = self._expectations.correction(_kind_of(context, ""), now=now)
         classes_above = self._classes_above(context.service.name, context.route.priority)
         candidates = []
         for backend in self._usable(context.service.name, now=now):
             if backend.name in context.backends_tried and not include_tried:
                 continue
-            if self._is_cold(backend, context, now) and not self._cold_limit.allows(
-                backend.name, per_s=context.service.cold_per_s, entries=entries, now=now
-            ):
-                continue
-            if not self._has_free_connection(backend, context, len(entries)):
+            if not self._may_send(backend, context, entries, now=now):
                 continue
             candidates.append(
                 self._candidate(
@@ -373,6 +405,36 @@
             )
         return candidates
 
+    def _may_send(
+        self, backend: FleetBackend, context: RequestContext, entries: list[str], *, now: float
+    ) -> bool:
+        """Return whether a usable backend server may get one more request from this entry now.
+
+        This is where all requests, repeats too, obey what a backend server allows: while it is cold,
+        by its named limit, and by its connections. ``Fleet.usable`` leaves out those that leave or pause.
+        """
+        if self._is_cold(backend, context, now) and not self._cold_limit.allows(
+            backend.name, per_s=context.service.cold_per_s, entries=entries, now=now
+        ):
+            return False
+        turn_at = self._turn_at(backend, entries, now=now)
+        if turn_at is None or turn_at > now:
+            return False
+        return self._has_free_connection(backend, context, len(entries))
+
+    def _limit_of(self, backend: FleetBackend, *, now: float) -> float | None:
+        return self._named_limits.limit_of(backend.name, born=backend.record.born, now=now)
+
+    def _turn_at(self, backend: FleetBackend, entries: list[str], *, now: float) -> float | None:
+        return self._named_limits.turn_at(
+            backend.name, born=backend.record.born, entries=entries, now=now
+        )
+
+    def _region_entries(self) -> list[str]:
+        """Return the names of the live entries of the region, this one included."""
+        others = self._mesh.live_entries(self._settings.region)
+        return [heartbeat.name for heartbeat in others] + [self._settings.ip]
+
     def _is_cold(self, backend: FleetBackend, context: RequestContext, now: float) -> bool:
         return context.service.cold_per_s > 0 and backend.may_be_cold(now=now)
 
@@ -509,11 +571,16 @@
                 change=change.value,
             )
 
+    def _apply_limits(self, message: Message) -> None:
+        assert isinstance(message, BackendLimitNews)
+        self._named_limits.merge(message.limits, now=self._clock())
+
     def _apply_heartbeat(self, message: Message) -> None:
         assert isinstance(message, InstanceHeartbeat)
         if message.role is not InstanceRole.ENTRY or message.region != self._settings.region:
             return
         now = self._clock()
+        self._named_limits.merge(message.limits, now=now)
         reported = {work.backend for work in message.work}
         for name in self._reported_by_peer.get(message.name, set()) - reported:
             if name in self._trackers:
--- a/figpaddle/routing/__init__.py
+++ b/figpaddle/routing/__init__.py
@@ -27,6 +27,7 @@
 from figpaddle.routing._fleet import Fleet, FleetBackend, RecordChange
 from figpaddle.routing._forwarding import MAX_CROSSINGS, check_forward, permitted_service
 from figpaddle.routing._forwarding_peers import choose_forwarding_peer
+from figpaddle.routing._named_limits import MIN_LIMIT_PER_S, NamedLimits
 from figpaddle.routing._part_quarantine import PartQuarantine
 from figpaddle.routing._policy import (
     LeastLoadPolicy,
@@ -67,6 +68,8 @@
 )
 
 __all__ = [
+    "MIN_LIMIT_PER_S",
+    "NamedLimits",
     "PartQuarantine",
     "Process",
     "RequestTraits",
--- a/figpaddle/wire/__init__.py
+++ b/figpaddle/wire/__init__.py
@@ -89,6 +89,8 @@
 from figpaddle.wire._regional_messages import (
     AcceptReply,
     AcceptRequest,
+    BackendLimit,
+    BackendLimitNews,
     BackendNews,
     BackendRecord,
     BackendWork,
@@ -109,6 +111,8 @@
 from figpaddle.wire._request_authentication import EXCHANGE_NONCE_BYTES, ExchangeAuthenticator
 
 __all__ = [
+    "BackendLimit",
+    "BackendLimitNews",
     "StateChange",
     "StateChangeReply",
     "AcceptReply",
--- a/figpaddle/wire/_regional_messages.py
+++ b/figpaddle/wire/_regional_messages.py
@@ -59,6 +59,29 @@
     room: int
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class BackendLimit:
+    """Limit that one process of a backend server named in an answer."""
+
+    #: Name of the backend server.
+    backend: str
+    #: Start time of its process, milliseconds of Unix time.
+    born: int
+    #: Requests a second that it takes from all entries together; None once it names none any more.
+    per_s: float | None
+    #: Time since the answer, seconds.
+    age_s: float
+
+
+@message("regional.limits")
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class BackendLimitNews(Message):
+    """Limits that backend servers of the region have just named, changed or ended."""
+
+    #: The limits.
+    limits: tuple[BackendLimit, ...]
+
+
 @message("regional.heartbeat")
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class InstanceHeartbeat(Message):
@@ -84,6 +107,8 @@
     founding: bool
     #: Its requests in flight at the backend servers of the region.
     work: tuple[BackendWork, ...]
+    #: Limits that backend servers of the region named, or ended a short time ago.
+    limits: tuple[BackendLimit, ...] = ()
     #: Load of the region's services, as estimated by this entry instance.
     loads: tuple[RegionalLoad, ...]
     #: Names of some other instances, gossiped so that all instances discover each other.
