--- a/tests/fault_soak.py
+++ b/tests/fault_soak.py
@@ -27,6 +27,7 @@
 from tests.fault_proxy import FaultProxy
 from tests.platform_standin import (
     HOST,
+    PROMPT_PARTS_HEADER,
     ZONES,
     Engine,
     PlatformDeployment,
@@ -36,6 +37,7 @@
 from tests.soak_record import (
     CommandPeriod,
     FaultPeriod,
+    LimitPeriod,
     SoakRecord,
     SoakRequest,
     version_of,
@@ -61,6 +63,14 @@
 EXIT_NOTICE_S = 0.3
 #: Events of a stream and the time between them, seconds.
 EVENT_COUNT, EVENT_INTERVAL_S = 12, 0.04
+#: Part that the prompts of all callers share, and parts that crash engines.
+SHARED_PART, CRASH_PARTS = "5c1e07a2", ("bad00001", "bad00002")
+#: Requests with each part that crashes engines, and the time between them, seconds.
+CRASHING_REQUESTS, CRASHING_INTERVAL_S = 12, 0.35
+#: Time after which an engine that such a part crashed is replaced, seconds.
+REPLACEMENT_S = 1.0
+#: Troubles of each run beside its faults, drawn apart so that a seed keeps its faults.
+TROUBLE_COUNT = 2
 CONTROLS, ENTRIES = ("m-1", "m-2", "m-3"), ("m-4", "m-5", "m-6")
 ROUTES = ("chat", "plan", "hold", "read")
 
@@ -123,6 +133,7 @@
     ) -> None:
         self._rng = random.Random(seed)
         self._failure_rng = random.Random(seed)
+        self._trouble_rng = random.Random(f"{seed}/troubles")
         self._faults_ended = False
         self._platform = platform
         self._proxy = proxy
@@ -155,6 +166,11 @@
             "changes": self._changes,
         }
 
+        self._trouble_kinds: dict[str, Callable[[random.Random, float], Awaitable[None]]] = {
+            "crashing_parts": self._crashing_parts,
+            "limit": self._limit,
+        }
+
     def configuration(self, version: int) -> dict[str, Any]:
         """Return a configuration with two attempts on every route, also for at-most-once requests."""
         document = configuration(version)
@@ -167,6 +183,7 @@
         for engine in self._platform.engines:
             engine.event_count, engine.event_interval_s = EVENT_COUNT, EVENT_INTERVAL_S
             engine.draw_failure = self._draw_failure
+            engine.crash_parts = frozenset(CRASH_PARTS)
 
     async def run(self) -> list[str]:
         """Run the load and the faults; return the invariants violated, one line each."""
@@ -174,6 +191,7 @@
             for number in range(CALLER_COUNT):
                 load.start_soon(self._call, random.Random(self._rng.random()), number)
             load.start_soon(self._read_configurations)
+            load.start_soon(self._replace_ended_engines)
             async with anyio.create_task_group() as faults:
                 for _ in range(FAULT_COUNT):
                     kind = self._rng.choice(list(self._fault_kinds))
@@ -181,6 +199,13 @@
                     duration_s = self._rng.uniform(0.4, 4.0)
                     rng = random.Random(self._rng.random())
                     faults.start_soon(self._apply_fault, kind, start_after_s, duration_s, rng)
+                kinds = list(self._trouble_kinds)
+                self._trouble_rng.shuffle(kinds)
+                for kind in itertools.islice(itertools.cycle(kinds), TROUBLE_COUNT):
+                    start_after_s = self._trouble_rng.uniform(0.0, FAULT_WINDOW_S)
+                    duration_s = self._trouble_rng.uniform(0.4, 4.0)
+                    rng = random.Random(self._trouble_rng.random())
+                    faults.start_soon(self._apply_fault, kind, start_after_s, duration_s, rng)
             self._proxy.heal()
             self._faults_ended = True
             await self._recover()
@@ -195,7 +220,7 @@
     ) -> None:
         await anyio.sleep(start_after_s)
         self.history.append(f"{start_after_s:.2f} s {kind} for {duration_s:.2f} s")
-        await self._fault_kinds[kind](rng, duration_s)
+        await {**self._fault_kinds, **self._trouble_kinds}[kind](rng, duration_s)
 
     # Process faults.
 
@@ -363,6 +388,74 @@
                     self.record.acknowledged.append((anyio.current_time(), version))
             await anyio.sleep(duration_s / 4)
 
+    # Troubles of engines: parts that crash them, and limits that they name.
+
+    async def _crashing_parts(self, rng: random.Random, duration_s: float) -> None:
+        """Send requests with one or two parts that crash engines, no two alike, at any entry."""
+        parts = CRASH_PARTS[: rng.choice((1, 2))]
+        async with anyio.create_task_group() as tasks:
+            for _ in range(CRASHING_REQUESTS):
+                for part in parts:
+                    tasks.start_soon(self._send_crashing_request, rng.choice(ENTRIES), part)
+                await anyio.sleep(CRASHING_INTERVAL_S)
+
+    async def _send_crashing_request(self, entry: str, part: str) -> None:
+        request_id = f"b{next(self._ids)}"
+        request = SoakRequest(
+            request_id=request_id,
+            route="chat",
+            entry=entry,
+            body=request_id.encode(),
+            sent_at=anyio.current_time(),
+            deadline_s=3.0,
+            outcome="probe",
+        )
+        self.record.requests[request_id] = request
+        self.record.crashing_requests[request_id] = part
+        await self._platform.send_request(
+            entry,
+            "/chat/1",
+            body=request.body,
+            deadline_ms=3000,
+            request_id=request_id,
+            extra_headers=((PROMPT_PARTS_HEADER, _prompt_parts(request_id, part)),),
+        )
+        request.ended_at = anyio.current_time()
+
+    async def _replace_ended_engines(self) -> None:
+        """Replace each engine that a part crashed, as the platform does."""
+        async with anyio.create_task_group() as tasks:
+            while True:
+                for engine in self._live_engines():
+                    if engine.crashed.is_set():
+                        engine.state = "crashed"
+                        tasks.start_soon(self._replace_after, engine, REPLACEMENT_S)
+                await anyio.sleep(0.02)
+
+    async def _replace_after(self, engine: Engine, delay_s: float) -> None:
+        started_at = anyio.current_time() - 0.1
+        await anyio.sleep(delay_s)
+        await self._add_engine(engine)
+        self._record_fault_period(engine.name, started_at)
+
+    async def _limit(self, rng: random.Random, duration_s: float) -> None:
+        """Have an engine name a limit, then another one, then none."""
+        engine = rng.choice(self._live_engines())
+        for _ in range(2):
+            limit = rng.choice((0.3, 1.0, 1.5, 4.0))
+            engine.limit = str(limit)
+            started_at = anyio.current_time()
+            await anyio.sleep(duration_s + 4.0)
+            self.record.limited.append(
+                LimitPeriod(
+                    engine=engine.name,
+                    per_s=limit,
+                    started_at=started_at,
+                    ended_at=anyio.current_time(),
+                )
+            )
+        engine.limit = ""
+
     # Load.
 
     async def _call(self, rng: random.Random, number: int) -> None:
@@ -475,6 +568,7 @@
             event_count=EVENT_COUNT,
             event_interval_s=EVENT_INTERVAL_S,
             draw_failure=self._draw_failure,
+            crash_parts=frozenset(CRASH_PARTS),
         )
 
     def _draw_failure(self) -> str:
@@ -504,6 +598,7 @@
         (b"Content-Length", str(len(request.body)).encode()),
         (b"X-Figpaddle-Request-Id", request.request_id.encode()),
         (b"X-Figpaddle-Deadline-Ms", str(int(request.deadline_s * 1000)).encode()),
+        (PROMPT_PARTS_HEADER, _prompt_parts(request.request_id)),
     )
     target = f"/{request.route}/1".encode()
     await connection.send(method=b"POST", target=target, headers=headers, body=request.body)
@@ -514,6 +609,12 @@
         request.response_body += piece
 
 
+def _prompt_parts(request_id: str, *middle_parts: str) -> bytes:
+    """Return the parts of a prompt: the shared one, others, and one of its own."""
+    parts = (SHARED_PART, *middle_parts, request_id)
+    return ",".join(f"{part}:20" for part in parts).encode()
+
+
 async def run_soak(
     seed: int, *, log_folder: pathlib.Path | None = None
 ) -> tuple[list[str], list[str]]:
--- a/tests/soak_record.py
+++ b/tests/soak_record.py
@@ -34,6 +34,13 @@
 #: Length of the window, seconds, allowed ratio of retries to requests in it, and retries allowed
 #: in addition.
 RETRY_BUDGET_WINDOW_S, RETRY_BUDGET_SHARE, RETRY_BUDGET_SLACK = 10.0, 0.2, 54.0
+#: Most engines that requests with one part may end.
+MAX_ENDED_ENGINES = 5
+#: Window in which requests to an engine with a named limit are counted, seconds, and how many may
+#: arrive: a multiple of what the limit allows, and some more.
+LIMIT_WINDOW_S, LIMIT_OVERSHOOT, LIMIT_SLACK = 4.0, 1.5, 5
+#: Longest time from the first request in a period with a limit until all entries keep it, seconds.
+LIMIT_PROPAGATION_S = 0.5
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -74,6 +81,17 @@
     ended_at: float
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class LimitPeriod:
+    """A period in which an engine named a limit in its answers."""
+
+    engine: str
+    #: Requests a second.
+    per_s: float
+    started_at: float
+    ended_at: float
+
+
 @dataclasses.dataclass(kw_only=True)
 class SoakRecord:
     """Everything that was observed in a run."""
@@ -86,6 +104,9 @@
     read: list[tuple[float, int]] = dataclasses.field(default_factory=list)
     drained: list[CommandPeriod] = dataclasses.field(default_factory=list)
     evacuated: list[CommandPeriod] = dataclasses.field(default_factory=list)
+    limited: list[LimitPeriod] = dataclasses.field(default_factory=list)
+    #: The part that crashes engines in each request that has one.
+    crashing_requests: dict[str, str] = dataclasses.field(default_factory=dict)
     #: Violations that were detected during the run.
     findings: list[str] = dataclasses.field(default_factory=list)
 
@@ -142,6 +163,8 @@
     findings += _configuration_violations(record)
     findings += _engine_violations(record, engines)
     findings += _retry_budget_violations(record, engines)
+    findings += _crashing_part_violations(record, engines)
+    findings += _limit_violations(record, engines)
     return findings
 
 
@@ -285,6 +308,48 @@
     return findings
 
 
+def _crashing_part_violations(record: SoakRecord, engines: list[Engine]) -> list[str]:
+    findings = []
+    for part in sorted(set(record.crashing_requests.values())):
+        ended = [
+            engine.name
+            for engine in engines
+            if any(
+                record.crashing_requests.get(request_id) == part for request_id in engine.executed
+            )
+        ]
+        if len(ended) > MAX_ENDED_ENGINES:
+            findings.append(f"requests with part {part} ended {len(ended)} engines: {ended}")
+    return findings
+
+
+def _limit_violations(record: SoakRecord, engines: list[Engine]) -> list[str]:
+    findings = []
+    for period in record.limited:
+        arrivals = [
+            at
+            for engine in engines
+            if engine.name == period.engine
+            for at, _ in engine.arrivals
+            if period.started_at <= at <= period.ended_at
+        ]
+        if not arrivals:
+            continue
+        told_at = arrivals[0] + LIMIT_PROPAGATION_S + SCHEDULING_ALLOWANCE_S
+        counted = [at for at in arrivals if at >= told_at]
+        allowed = LIMIT_OVERSHOOT * period.per_s * LIMIT_WINDOW_S + LIMIT_SLACK
+        most = max(
+            (sum(start <= at < start + LIMIT_WINDOW_S for at in counted) for start in counted),
+            default=0,
+        )
+        if most > allowed:
+            findings.append(
+                f"{period.engine} named {period.per_s} a second and got {most} requests in "
+                f"{LIMIT_WINDOW_S} s"
+            )
+    return findings
+
+
 def version_of(body: bytes) -> int:
     """Return the version of a configuration that was read back."""
     document: dict[str, Any] = json.loads(body)
