--- a/figpaddle/http1/_client.py
+++ b/figpaddle/http1/_client.py
@@ -52,6 +52,7 @@
         self._idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
         self._exchange_complete = True
         self._must_close = False
+        self._ends_with_connection = False
         self._exchange_count = 0
 
     @property
@@ -64,6 +65,15 @@
         """Whether the current exchange is the first on this connection."""
         return self._exchange_count <= 1
 
+    @property
+    def ends_with_connection(self) -> bool:
+        """Whether the body of the last response has neither a length nor chunks.
+
+        It is complete when the server closes the connection, so that a server which crashes may
+        leave a body that looks complete.
+        """
+        return self._ends_with_connection
+
     @property
     def reusable(self) -> bool:
         """Whether the last exchange ended cleanly and the connection may be used for another."""
@@ -117,6 +127,9 @@
             head = ResponseHead(status=event.status_code, headers=tuple(event.headers.raw_items()))
             if accept(head):
                 self._update_keep_alive(head)
+                self._ends_with_connection = not any(
+                    header(head.headers, name) for name in (b"content-length", b"transfer-encoding")
+                )
                 return head
             discarded_bytes = 0
             async for chunk in self.read_body():
--- a/figpaddle/regional/_attempts.py
+++ b/figpaddle/regional/_attempts.py
@@ -172,6 +172,8 @@
         backend = process[0]
         now = self._clock()
         if result.outcome is AttemptOutcome.ANSWERED:
+            if result.ends_with_connection:
+                self._quarantine.note_unmarked_end(context.traits, process, address)
             return
         backoff_s = 0.0
         if result.outcome is AttemptOutcome.NOT_SENT:
--- a/figpaddle/regional/_exchange.py
+++ b/figpaddle/regional/_exchange.py
@@ -240,6 +240,8 @@
                 )
         if splitter.incomplete:
             return self._interrupted_result("the stream ended within an event")
+        if not self._responder.started and connection.ends_with_connection:
+            return self._interrupted_result("the stream ended before its first event")
         await self._relay_events([], answer, splitter)
         try:
             await self._responder.finish()
@@ -247,7 +249,11 @@
             raise CallerGoneError(
                 what="the caller closed the connection", where="caller"
             ) from error
-        return AttemptResult(outcome=AttemptOutcome.ANSWERED, reason="stream complete")
+        return AttemptResult(
+            outcome=AttemptOutcome.ANSWERED,
+            reason="stream complete",
+            ends_with_connection=connection.ends_with_connection,
+        )
 
     async def _relay_events(
         self, events: list[bytes], answer: BackendAnswer, splitter: EventSplitter
--- a/figpaddle/regional/_request_context.py
+++ b/figpaddle/regional/_request_context.py
@@ -43,6 +43,8 @@
     reached_backend: bool = True
     #: Whether the connection ended before a byte of the answer arrived.
     closed_unanswered: bool = False
+    #: Whether only the end of the connection marked the end of a whole answer.
+    ends_with_connection: bool = False
     #: Whether the answer exceeded a limit and was given up.
     too_large: bool = False
 
--- a/figpaddle/regional/_request_quarantine.py
+++ b/figpaddle/regional/_request_quarantine.py
@@ -163,6 +163,14 @@
             self._probes[process] = anyio.Event()
             self._tasks.start_soon(self._probe, process, address)
 
+    def note_unmarked_end(self, traits: RequestTraits, process: Process, address: str) -> None:
+        """Probe a backend server whose answer ended with its connection, as after a crash.
+
+        Requests whose parts all have settled answers need no probe.
+        """
+        if not self._parts.is_proven(traits.parts):
+            self.note_lost_connection(process, address)
+
     async def may_retry(self, traits: RequestTraits, *, process: Process) -> bool:
         """Return whether a request that lost its connection to ``process`` may be sent again.
 
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -97,6 +97,10 @@
     ended_at: dict[str, float] = dataclasses.field(default_factory=dict)
     cancelled: list[str] = dataclasses.field(default_factory=list)
     request_headers: dict[str, dict[str, str]] = dataclasses.field(default_factory=dict)
+    #: Bytes after the last event of its streams.
+    partial_event: bytes = b""
+    #: Whether its streams have neither a length nor chunks and end with their connection.
+    unmarked_ends: bool = False
     #: Limit that it names in its answers, requests a second; empty for none.
     limit: str = ""
     sequence: int = 0
@@ -140,7 +144,15 @@
             self.crashed.set()
             return
         if self.crash_parts & set(_shared_parts(request)):
-            await anyio.sleep(self.crash_delay_s)
+            if self.unmarked_ends:
+                # The crash falls between two events, so that the answer looks complete.
+                responder = UnmarkedResponder(responder)
+                seal = (b"X-Figpaddle-Server-Seal", f"seal-{request_id}".encode())
+                await responder.start(200, (*echoed_headers, seal), length=None)
+                await responder.write(b"id: 1\ndata: 1\n\n")
+                await responder.finish()
+            else:
+                await anyio.sleep(self.crash_delay_s)
             self.crashed.set()
             return
         if failure == "reset":
@@ -165,6 +177,8 @@
         try:
             if failure == "slow":
                 await anyio.sleep(SLOW_FIRST_EVENT_S)
+            if self.unmarked_ends:
+                responder = UnmarkedResponder(responder)
             await responder.start(
                 200, (*sealed_headers, (b"Content-Type", b"text/event-stream")), length=None
             )
@@ -178,6 +192,8 @@
                 if failure == "pause" and number == 2:
                     await anyio.sleep(PAUSE_S)
                 await anyio.sleep(self.event_interval_s)
+            if self.partial_event:
+                await responder.write(self.partial_event)
             await responder.finish()
         except anyio.get_cancelled_exc_class():
             self.cancelled.append(request_id)
@@ -206,6 +222,30 @@
             raise
 
 
+class UnmarkedResponder(Responder):
+    """Sends a body that has neither a length nor chunks, and ends it with the connection."""
+
+    def __init__(self, responder: Responder) -> None:
+        self._channel: Channel = responder._channel  # type: ignore[attr-defined]
+        self._started = False
+
+    @property
+    def started(self) -> bool:
+        return self._started
+
+    async def start(self, status: int, headers: Headers, *, length: int | None) -> None:
+        self._started = True
+        lines = [b"HTTP/1.1 %d OK" % status, b"Connection: close"]
+        lines += [name + b": " + value for name, value in headers]
+        await self._channel.send(b"\r\n".join(lines) + b"\r\n\r\n")
+
+    async def write(self, data: bytes) -> None:
+        await self._channel.send(data)
+
+    async def finish(self) -> None:
+        self._channel.finish_sending()
+
+
 def _shared_parts(request: HttpRequest) -> list[str]:
     """Return the ids of the parts of a request's prompt without the last, which is its own."""
     parts = (header(request.headers, PROMPT_PARTS_HEADER) or b"").decode().split(",")
--- a/tests/test_crashing_prompt_parts.py
+++ b/tests/test_crashing_prompt_parts.py
@@ -34,8 +34,15 @@
 class Callers:
     """Callers of sound requests, and of requests with a part that crashes engines."""
 
-    def __init__(self, platform: PlatformDeployment, *, crash_parts: tuple[str, ...]) -> None:
+    def __init__(
+        self,
+        platform: PlatformDeployment,
+        *,
+        crash_parts: tuple[str, ...],
+        unmarked_ends: bool = False,
+    ) -> None:
         self._platform = platform
+        self._unmarked_ends = unmarked_ends
         self._crash_parts = frozenset(crash_parts)
         self._numbers = itertools.count(1)
         self.sound_replies: list[tuple[float, Reply]] = []
@@ -47,7 +54,12 @@
 
     async def add_engines(self, zone: str, count: int) -> None:
         for _ in range(count):
-            await self._platform.add_engine(MODEL_SERVICE, zone, crash_parts=self._crash_parts)
+            await self._platform.add_engine(
+                MODEL_SERVICE,
+                zone,
+                crash_parts=self._crash_parts,
+                unmarked_ends=self._unmarked_ends,
+            )
 
     async def send(self, entry: str, *middle_parts: str) -> Reply:
         """Send a request whose prompt has the shared part, some more, and a part of its own."""
@@ -78,11 +90,17 @@
             await anyio.sleep(0.2)
 
 
-async def test_a_prompt_part_that_crashes_engines_ends_at_most_three_of_them() -> None:
-    """No two of the requests are alike; sound ones share their first part and their caller."""
+@pytest.mark.parametrize("unmarked_ends", [False, True], ids=["reset", "complete by its looks"])
+async def test_a_prompt_part_that_crashes_engines_ends_at_most_three_of_them(
+    unmarked_ends: bool,
+) -> None:
+    """No two of the requests are alike; sound ones share their first part and their caller.
+
+    Answers may have neither a length nor chunks, so that a crash between two events doesn't show.
+    """
     bad_part = "bad00bad:60"
     async with platform_deployment(engines=False) as platform, anyio.create_task_group() as tasks:
-        callers = Callers(platform, crash_parts=("bad00bad",))
+        callers = Callers(platform, crash_parts=("bad00bad",), unmarked_ends=unmarked_ends)
         for zone in ("n-a", "s-a"):
             await callers.add_engines(zone, 4)
         for entry in ENTRIES:
@@ -106,3 +124,20 @@
         dump = json.loads((await platform.metrics("m-4", "/state")).body)["quarantined_parts"]
         assert part["part"] not in {item["part"] for item in dump if item["verdict"] != "clear"}
         tasks.cancel_scope.cancel()
+
+
+async def test_a_stream_without_length_or_chunks_is_relayed_whole_and_not_when_broken_off() -> None:
+    async with platform_deployment(engines=False) as platform:
+        callers = Callers(platform, crash_parts=(), unmarked_ends=True)
+        await callers.add_engines("s-a", 1)
+        await anyio.sleep(1.0)
+        whole = b"".join(b"id: %d\ndata: %d\n\n" % (n, n) for n in (1, 2, 3))
+        for entry in ("m-6", "m-4"):
+            reply = await callers.send(entry)
+            assert (reply.status, reply.body) == (200, whole), entry
+        (engine,) = platform.engines
+        for event_count, partial in ((2, b"id: 3\nda"), (0, b"id: 1\n"), (0, b"")):
+            engine.event_count, engine.partial_event = event_count, partial
+            for entry in ("m-6", "m-4"):
+                reply = await callers.send(entry)
+                assert reply.status != 200, (entry, event_count, partial, reply)
