--- a/figpaddle/regional/_request_quarantine.py
+++ b/figpaddle/regional/_request_quarantine.py
@@ -11,7 +11,7 @@
 import anyio.abc
 
 from figpaddle.errors import ConnectFailedError
-from figpaddle.http1 import connect
+from figpaddle.http1 import PeerClose, connect
 from figpaddle.regional._backend_records import is_record_sender
 from figpaddle.regional._mesh import Mesh
 from figpaddle.regional._settings import ProcessSettings
@@ -46,6 +46,9 @@
 PROBE_DELAY_S = 0.05
 #: Time within which a live backend server accepts a connection, seconds.
 PROBE_TIMEOUT_S = 0.4
+#: Time within which a probe's connection must not be closed in an orderly way, seconds. A load
+#: balancer before a crashed server does so; a live server with too many connections resets one.
+PROBE_HOLD_S = 0.1
 #: Delays, each after the one before, until a server that accepted the probe is compared with its
 #: record again, seconds. One that restarted at once reports a new incarnation by then.
 RECHECK_DELAYS_S = (0.6, 1.5)
@@ -221,15 +224,13 @@
         closed_at = self._clock()
         await anyio.sleep(PROBE_DELAY_S)
         try:
-            channel = await connect(address, timeout_s=PROBE_TIMEOUT_S, ack_timeout_s=1.0)
-            channel.close()
-            reason = ""
-        except ConnectFailedError as error:
-            reason = error.what
-            self._note_lost(process, lost_at=closed_at, reason=reason)
+            failure = await _probe_failure(address)
+            if failure:
+                self._note_lost(process, lost_at=closed_at, reason=failure)
+                return
         finally:
             self._probes.pop(process).set()
-        for delay_s in () if reason else RECHECK_DELAYS_S:
+        for delay_s in RECHECK_DELAYS_S:
             await anyio.sleep(delay_s)
             if self._is_replaced(*process):
                 self._note_lost(process, lost_at=closed_at, reason="it has restarted")
@@ -363,3 +364,16 @@
                     answers=record.answers,
                     lost=" ".join(f"{loss.backend}:{loss.age_s:.2f}s" for loss in record.losses),
                 )
+
+
+async def _probe_failure(address: str) -> str:
+    """Return why ``address`` doesn't accept and keep a connection; empty if it does."""
+    try:
+        channel = await connect(address, timeout_s=PROBE_TIMEOUT_S, ack_timeout_s=1.0)
+    except ConnectFailedError as error:
+        return error.what
+    with anyio.move_on_after(PROBE_HOLD_S):
+        await channel.wait_for_peer_close()
+    closed = channel.peer_close is PeerClose.CLOSED
+    channel.close()
+    return "it closes new connections" if closed else ""
