--- a/figpaddle/regional/_request_quarantine.py
+++ b/figpaddle/regional/_request_quarantine.py
@@ -311,7 +311,7 @@
     def _send_records(self, records: tuple[SuspectRecord, ...], names: list[str]) -> None:
         for start in range(0, len(records), RECORDS_PER_DATAGRAM):
             batch = records[start : start + RECORDS_PER_DATAGRAM]
-            self._mesh.send_datagrams(SuspectNews(records=batch), names)
+            self._mesh.send_datagrams(SuspectNews(records=(), parts=batch), names)
 
     def _entries(self) -> list[str]:
         return [
@@ -339,7 +339,7 @@
     def _apply_news(self, news: Message) -> None:
         assert isinstance(news, SuspectNews)
         now = self._clock()
-        self._parts.merge(news.records, now=now)
+        self._parts.merge(news.parts, now=now)
         lost = self._parts.processes_lost(now=now)
         self._examined &= lost.keys()
         for process in lost.keys() - self._examined:
--- a/figpaddle/routing/_part_quarantine.py
+++ b/figpaddle/routing/_part_quarantine.py
@@ -5,7 +5,7 @@
 import collections
 import dataclasses
 
-from figpaddle.routing._quarantine import LOSS_TTL_S, Quarantine, QuarantineVerdict
+from figpaddle.routing._quarantine import LOSS_TTL_S, Loss, Quarantine, QuarantineVerdict
 from figpaddle.routing._unsettled_attempts import Process
 from figpaddle.wire import SuspectRecord
 
@@ -19,7 +19,8 @@
 MAX_LOSSES = 2
 #: The same for a part with settled answers, or if another part explains the same losses as well.
 MAX_AMBIGUOUS_LOSSES = 3
-#: Losses of one moment count as one, seconds: a power failure ends many backend servers at once.
+#: Losses within this time of each other count as one, seconds: a power failure ends many backend
+#: servers at once.
 SAME_MOMENT_S = 0.2
 #: Largest number of parts whose answers are counted; beyond it, the least recently answered part of
 #: the member with the most is dropped.
@@ -137,7 +138,8 @@
 
     def refused_for_s(self, part: bytes, *, now: float) -> float:
         """Return the time until a refused part may be refused no longer, seconds."""
-        times = sorted(self._quarantine.active_losses(now=now).get(part, {}).values())
+        losses = self._quarantine.active_losses(now=now).get(part, {})
+        times = sorted(loss.lost_at for loss in losses.values())
         if len(times) < MAX_LOSSES:
             return 0.0
         return max(0.0, times[-MAX_LOSSES] + self._loss_ttl_s - now)
@@ -175,8 +177,8 @@
         """Return when each process was lost that counts against some part."""
         lost: dict[Process, float] = {}
         for losses in self._quarantine.active_losses(now=now).values():
-            for process, lost_at in losses.items():
-                lost[process] = min(lost_at, lost.get(process, lost_at))
+            for process, loss in losses.items():
+                lost[process] = min(loss.lost_at, lost.get(process, loss.lost_at))
         return lost
 
     def _matters(self, digest: bytes, losses: int) -> bool:
@@ -217,7 +219,7 @@
             decided_at=now,
         )
 
-    def _best_explanations(self, unexplained: dict[bytes, dict[Process, float]]) -> set[bytes]:
+    def _best_explanations(self, unexplained: dict[bytes, dict[Process, Loss]]) -> set[bytes]:
         """Return the parts that explain several losses best: those with the fewest answers for each."""
 
         def rank(digest: bytes) -> tuple[float, int]:
@@ -229,7 +231,7 @@
         return {digest for digest in candidates if rank(digest) == best_rank}
 
     def _enough_losses(
-        self, parts: set[bytes], unexplained: dict[bytes, dict[Process, float]]
+        self, parts: set[bytes], unexplained: dict[bytes, dict[Process, Loss]]
     ) -> set[bytes]:
         """Return those of equally good explanations whose losses are enough to refuse them."""
         enough = set()
@@ -242,7 +244,7 @@
                 enough.add(digest)
         return enough
 
-    def _least_proven(self, unexplained: dict[bytes, dict[Process, float]]) -> set[bytes]:
+    def _least_proven(self, unexplained: dict[bytes, dict[Process, Loss]]) -> set[bytes]:
         """Return, for each loss, the parts with the fewest answers among those that it may be due to."""
         by_process: dict[Process, list[bytes]] = collections.defaultdict(list)
         for digest, losses in unexplained.items():
@@ -290,12 +292,15 @@
                 del self._counts[largest]
 
 
-def _moments(losses: dict[Process, float]) -> int:
-    """Return the number of moments of losses, where those within ``SAME_MOMENT_S`` are one."""
+def _moments(losses: dict[Process, Loss]) -> int:
+    """Return the number of moments of losses, where those within ``SAME_MOMENT_S`` are one.
+
+    A loss of a process that got a request after an earlier loss is another moment.
+    """
     count = 0
     moment_at = float("-inf")
-    for lost_at in sorted(losses.values()):
-        if lost_at - moment_at > SAME_MOMENT_S:
+    for loss in sorted(losses.values(), key=lambda loss: loss.lost_at):
+        if loss.lost_at - moment_at > SAME_MOMENT_S or loss.sent_at > moment_at:
             count += 1
-            moment_at = lost_at
+            moment_at = loss.lost_at
     return count
--- a/figpaddle/routing/_quarantine.py
+++ b/figpaddle/routing/_quarantine.py
@@ -31,15 +31,20 @@
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
-class _Loss:
+class Loss:
+    """The loss of a process with one request, or requests with one prompt part."""
+
+    #: When it was first noticed, seconds.
     lost_at: float
+    #: When the last of these requests was sent there, seconds.
+    sent_at: float
     pardoned: bool
 
 
 @dataclasses.dataclass(kw_only=True)
 class _Suspect:
     member: str
-    losses: dict[tuple[str, int], _Loss]
+    losses: dict[tuple[str, int], Loss]
 
 
 class Quarantine:
@@ -103,7 +108,7 @@
         """
         if sent_at > self._crash_noticed_at.setdefault((backend, incarnation), now):
             return False
-        loss = _Loss(lost_at=now, pardoned=False)
+        loss = Loss(lost_at=now, sent_at=sent_at, pardoned=False)
         is_new = self._add(member, digest, (backend, incarnation), loss)
         self._evict_excess_records()
         return is_new
@@ -121,20 +126,24 @@
         """Merge the records of another instance."""
         for record in records:
             for reported in record.losses:
-                loss = _Loss(lost_at=now - max(0.0, reported.age_s), pardoned=reported.pardoned)
+                loss = Loss(
+                    lost_at=now - max(0.0, reported.age_s),
+                    sent_at=now - max(0.0, reported.sent_age_s),
+                    pardoned=reported.pardoned,
+                )
                 if now - loss.lost_at < self._loss_ttl_s:
                     key = (reported.backend, reported.incarnation)
                     self._add(record.member, record.digest, key, loss)
         self._evict_excess_records()
 
-    def active_losses(self, *, now: float) -> dict[bytes, dict[tuple[str, int], float]]:
-        """Return when each process was lost that counts against a digest, by digest."""
+    def active_losses(self, *, now: float) -> dict[bytes, dict[tuple[str, int], Loss]]:
+        """Return the losses that count against each digest, by process."""
         return {
             digest: losses
             for digest, suspect in self._suspects.items()
             if (
                 losses := {
-                    key: loss.lost_at
+                    key: loss
                     for key, loss in suspect.losses.items()
                     if not loss.pardoned and now - loss.lost_at < self._loss_ttl_s
                 }
@@ -152,7 +161,7 @@
             if member in (None, suspect.member) and digest in (None, key)
         )
 
-    def _active_losses(self, digest: bytes, now: float) -> list[_Loss]:
+    def _active_losses(self, digest: bytes, now: float) -> list[Loss]:
         suspect = self._suspects.get(digest)
         if suspect is None:
             return []
@@ -161,12 +170,14 @@
             loss for loss in losses if not loss.pardoned and now - loss.lost_at < self._loss_ttl_s
         ]
 
-    def _add(self, member: str, digest: bytes, key: tuple[str, int], loss: _Loss) -> bool:
+    def _add(self, member: str, digest: bytes, key: tuple[str, int], loss: Loss) -> bool:
         suspect = self._suspects.setdefault(digest, _Suspect(member=member, losses={}))
         known = suspect.losses.get(key)
         if known is not None:
-            loss = _Loss(
-                lost_at=min(known.lost_at, loss.lost_at), pardoned=known.pardoned or loss.pardoned
+            loss = Loss(
+                lost_at=min(known.lost_at, loss.lost_at),
+                sent_at=max(known.sent_at, loss.sent_at),
+                pardoned=known.pardoned or loss.pardoned,
             )
         suspect.losses[key] = loss
         return known is None or known.pardoned is not loss.pardoned
@@ -201,6 +212,7 @@
             backend=backend,
             incarnation=incarnation,
             age_s=now - loss.lost_at,
+            sent_age_s=now - loss.sent_at,
             pardoned=loss.pardoned,
         )
         for (backend, incarnation), loss in sorted(suspect.losses.items())
--- a/figpaddle/routing/tests/test_part_quarantine.py
+++ b/figpaddle/routing/tests/test_part_quarantine.py
@@ -30,10 +30,17 @@
         self._quarantine = quarantine
         self._numbers = itertools.count()
 
-    def add(self, *requests: tuple[bytes, ...], at: float, backend: str = "") -> None:
+    def add(
+        self,
+        *requests: tuple[bytes, ...],
+        at: float,
+        backend: str = "",
+        sent_at: float | None = None,
+    ) -> None:
         process = (backend or f"e{next(self._numbers)}", 1)
+        sent_at = at - 0.1 if sent_at is None else sent_at
         for parts in requests:
-            self._quarantine.note_loss("m", parts, process=process, sent_at=at - 0.1, now=at)
+            self._quarantine.note_loss("m", parts, process=process, sent_at=sent_at, now=at)
 
 
 def verdicts(quarantine: PartQuarantine, *parts: bytes, at: float) -> list[QuarantineVerdict]:
@@ -88,11 +95,19 @@
     """A power failure ends several backend servers with the same part in progress."""
     quarantine = PartQuarantine()
     crashes = Crashes(quarantine)
-    for number in range(5):
-        crashes.add((OTHER,), at=1.0 + number * 0.05)
+    for number in range(4):
+        crashes.add((OTHER,), at=1.0 + number * 0.05, sent_at=0.9)
     assert verdicts(quarantine, OTHER, at=2.0) == [SUSPECT]
 
 
+def test_a_crash_by_a_request_sent_after_the_crash_before_counts_apart() -> None:
+    quarantine = PartQuarantine()
+    crashes = Crashes(quarantine)
+    crashes.add((BAD,), at=1.0)
+    crashes.add((BAD,), at=1.1, sent_at=1.05)
+    assert verdicts(quarantine, BAD, at=1.1) == [REFUSED]
+
+
 def test_a_part_of_which_only_some_requests_crash_is_refused_and_a_shared_one_not() -> None:
     quarantine = PartQuarantine()
     crashes = Crashes(quarantine)
--- a/figpaddle/wire/_messages.py
+++ b/figpaddle/wire/_messages.py
@@ -220,6 +220,8 @@
     body_bytes: int = 0
     #: Whether the answer is streamed token by token.
     streamed: bool = False
+    #: Hashes of the parts that other prompts may have too.
+    shared_parts: tuple[bytes, ...] = ()
 
 
 @message("forward.open")
--- a/figpaddle/wire/_quarantine_messages.py
+++ b/figpaddle/wire/_quarantine_messages.py
@@ -19,6 +19,8 @@
     age_s: float
     #: Whether the crash no longer counts against the request.
     pardoned: bool
+    #: Time since the request was sent, seconds; long ago from instances that don't report it.
+    sent_age_s: float = 3600.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -41,8 +43,10 @@
 class SuspectNews(Message):
     """Records that changed at the sender, or all of its records."""
 
-    #: The records.
+    #: Records of whole requests.
     records: tuple[SuspectRecord, ...]
+    #: Records of prompt parts; none from instances that don't keep them.
+    parts: tuple[SuspectRecord, ...] = ()
 
 
 @message("quarantine.slot")
