--- a/figpaddle/daemon/_gateway.py
+++ b/figpaddle/daemon/_gateway.py
@@ -38,6 +38,7 @@
     KnownBackend,
     Placement,
     QuarantineVerdict,
+    RequestTraits,
     RetryBudget,
     check_forward,
     permitted_service,
@@ -146,13 +147,14 @@
             service=head.service, retry_after_s=NO_BACKEND_RETRY_AFTER_S
         )
         digest = self._quarantine.digest(head, body)
+        traits = self._quarantine.traits(head, digest)
         await self._wait_for_announcements(head)
         while True:
-            placement = await self._place_isolated(head, service.regions, attempts, digest)
+            placement = await self._place_isolated(head, service.regions, attempts, traits)
             if placement is None:
                 raise failure
             try:
-                await self._run_attempt(head, body, sink, placement, attempts.tried, digest)
+                await self._run_attempt(head, body, sink, placement, attempts.tried, traits)
                 return
             except RequestError as error:
                 attempts.record_failure(error)
@@ -172,18 +174,27 @@
             await anyio.sleep(WARM_UP_POLL_INTERVAL_S)
 
     async def _place_isolated(
-        self, head: RequestHead, allowed_regions: tuple[str, ...], attempts: Attempts, digest: bytes
+        self,
+        head: RequestHead,
+        allowed_regions: tuple[str, ...],
+        attempts: Attempts,
+        traits: RequestTraits,
     ) -> Placement | None:
         """Return a placement, or None if no target is available.
 
         A request that is suspected of crashing backend servers gets only a backend server on which
-        no other suspect runs. Raises RequestQuarantinedError for a quarantined request.
+        no other suspect runs, and one with a suspect prompt part goes alone in its region. Raises
+        RequestQuarantinedError for a quarantined request.
         """
+        digest = traits.fingerprint
         try:
+            part = self._quarantine.check_parts(traits)
             verdict = self._quarantine.check(digest)
         except RequestQuarantinedError as error:
             attempts.apply_overall_outcome(error)
             raise
+        if part is not None:
+            return await self._place_alone(head, allowed_regions, attempts, part)
         if verdict is QuarantineVerdict.CLEAR:
             return self._place(head, allowed_regions, attempts, attempts.tried)
         while self._clock() < head.deadline_at:
@@ -199,6 +210,23 @@
             await anyio.sleep(SLOT_POLL_INTERVAL_S)
         return None
 
+    async def _place_alone(
+        self,
+        head: RequestHead,
+        allowed_regions: tuple[str, ...],
+        attempts: Attempts,
+        part: bytes,
+    ) -> Placement | None:
+        """Return a place once no other request with a suspect part is in progress in the region."""
+        while self._clock() < head.deadline_at:
+            if await self._quarantine.acquire_slot(part.hex(), head.request_id.encode()):
+                placement = self._place(head, allowed_regions, attempts, attempts.tried)
+                if placement is None:
+                    self._quarantine.release_slot(part.hex(), head.request_id.encode())
+                return placement
+            await anyio.sleep(SLOT_POLL_INTERVAL_S)
+        return None
+
     def _place(
         self,
         head: RequestHead,
@@ -219,14 +247,14 @@
         sink: ResponseSink,
         placement: Placement,
         tried: set[str],
-        digest: bytes,
+        traits: RequestTraits,
     ) -> None:
         progress = self._placer.start_progress(head, placement)
         progress_sink = ProgressSink(sink=sink, progress=progress)
         try:
             if placement.backend is not None:
                 tried.add(placement.backend.info.name)
-                await self._send(head, body, progress_sink, placement.backend, digest)
+                await self._send(head, body, progress_sink, placement.backend, traits)
             elif placement.region is not None:
                 spilled = self._backends.ever_offered(head.service_key)
                 forwarded_head = dataclasses.replace(head, spilled=spilled)
@@ -235,6 +263,8 @@
                 )
         finally:
             progress.record_end()
+            for part in traits.parts:
+                self._quarantine.release_slot(part.hex(), head.request_id.encode())
 
     async def _send(
         self,
@@ -242,12 +272,18 @@
         body: BodySource,
         sink: ResponseSink,
         backend: KnownBackend,
-        digest: bytes,
+        traits: RequestTraits,
     ) -> None:
         name = backend.info.name
+        digest = traits.fingerprint
         self._backends.started(name)
-        deadline_sink = DeadlineSink(sink=sink)
         sent_at = self._clock()
+        attempt = f"{head.request_id}/{name}/{sent_at}"
+        deadline_sink = DeadlineSink(
+            sink=sink, on_bytes=lambda: self._quarantine.note_progress(attempt)
+        )
+        process = (name, backend.info.incarnation)
+        self._quarantine.note_sent(attempt, traits, process=process)
         remaining = head.deadline_at - sent_at
         try:
             with anyio.CancelScope(deadline=anyio.current_time() + remaining) as scope:
@@ -255,18 +291,21 @@
                 await self._client.send(head, body, backend, deadline_sink)
                 self._backends.note_connection(name, opened=True)
                 self._quarantine.report_completed(digest)
+                self._quarantine.note_ended(attempt, complete=True)
             if scope.cancelled_caught:
                 raise DeadlineExceededError(deadline_s=head.deadline_s, outcome=Outcome.UNKNOWN)
         except NoBackendServerError:
             self._backends.note_connection(name, opened=False)
             raise
         except BackendServerLostError:
+            self._quarantine.note_ended(attempt, complete=False)
             if await self._quarantine.report_lost_connection(
                 head, digest, backend, sent_at=sent_at
             ):
                 self._backends.note_lost(name)
             raise
         finally:
+            self._quarantine.note_ended(attempt, complete=False)
             self._backends.finished(name)
             self._quarantine.release_slot(name, digest)
 
@@ -274,8 +313,9 @@
 class DeadlineSink(ResponseSink):
     """Removes the deadline of the request when the response starts."""
 
-    def __init__(self, *, sink: ResponseSink) -> None:
+    def __init__(self, *, sink: ResponseSink, on_bytes: Callable[[], None]) -> None:
         self._sink = sink
+        self._on_bytes = on_bytes
         #: Cancel scope with the deadline.
         self.scope: anyio.CancelScope | None = None
 
@@ -292,6 +332,7 @@
 
     async def write(self, data: bytes) -> None:
         """Pass a chunk of the body on."""
+        self._on_bytes()
         await self._sink.write(data)
 
     async def finish(self) -> None:
--- a/figpaddle/daemon/_quarantine.py
+++ b/figpaddle/daemon/_quarantine.py
@@ -18,7 +18,16 @@
 from figpaddle.daemon._request_response import BodySource, BufferedBody, RequestHead
 from figpaddle.daemon._sockets import split_address
 from figpaddle.errors import PeerUnreachableError, RequestQuarantinedError
-from figpaddle.routing import KnownBackend, Quarantine, QuarantineVerdict, SuspectSlots
+from figpaddle.routing import (
+    KnownBackend,
+    PartQuarantine,
+    Process,
+    Quarantine,
+    QuarantineVerdict,
+    RequestTraits,
+    SuspectSlots,
+    UnsettledAttempts,
+)
 from figpaddle.telemetry import Log
 from figpaddle.wire import (
     InstanceState,
@@ -39,6 +48,8 @@
 PROBE_HOLD_S = 0.2
 #: Domain separation of the digests from other uses of the deployment key.
 DIGEST_DOMAIN = b"figpaddle request content"
+#: The same of digests of prompt parts.
+PART_DIGEST_DOMAIN = b"figpaddle prompt part"
 
 
 class QuarantineComponent(Component):
@@ -65,6 +76,10 @@
         self._clock = clock
         self._log = log
         self._quarantine = Quarantine()
+        self._parts = PartQuarantine()
+        self._attempts = UnsettledAttempts()
+        #: Lost processes at which this instance has looked for its own unsettled attempts.
+        self._examined: set[Process] = set()
         self._slots = SuspectSlots()
         #: Slots held by in-flight requests: granting instance by backend server and digest.
         self._acquired_slots: dict[tuple[str, bytes], str] = {}
@@ -77,9 +92,10 @@
         return "quarantine"
 
     def dump(self, *, now: float, member: str | None) -> Any:
-        """Return the recorded requests by digest, of one ``member`` if given."""
+        """Return the recorded requests and prompt parts, of one ``member`` if given."""
         return [
             {
+                "kind": "request",
                 "member": record.member,
                 "digest": record.digest.hex(),
                 "verdict": self._quarantine.verdict(record.digest, now=now).value,
@@ -88,6 +104,19 @@
                 ],
             }
             for record in self._quarantine.records(now=now, member=member)
+        ] + [
+            {
+                "kind": "part",
+                "member": record.member,
+                "digest": record.digest.hex(),
+                "verdict": self._parts.verdict((record.digest,), now=now).value,
+                "answers": record.answers,
+                "losses": [
+                    {"backend": loss.backend, "pardoned": loss.pardoned} for loss in record.losses
+                ],
+            }
+            for record in self._parts.records(now=now)
+            if member in (None, record.member)
         ]
 
     def digest(self, head: RequestHead, body: BodySource) -> bytes:
@@ -96,6 +125,42 @@
             return b""
         return content_digest(head, body.data, key=self._key)
 
+    def traits(self, head: RequestHead, digest: bytes) -> RequestTraits:
+        """Return what a request may share with others that crash backend servers."""
+        return RequestTraits(
+            member=head.member,
+            fingerprint=digest,
+            parts=tuple(
+                _keyed_digest(self._key, PART_DIGEST_DOMAIN, head.member, head.service, part.hex())
+                for part in head.prompt.shared_parts
+            ),
+        )
+
+    def check_parts(self, traits: RequestTraits) -> bytes | None:
+        """Return a suspect part of a prompt, or None.
+
+        Raises RequestQuarantinedError if a part is refused.
+        """
+        now = self._clock()
+        refused = self._parts.refused_part(traits.parts, now=now)
+        if refused is not None:
+            raise RequestQuarantinedError(retry_after_s=self._parts.refused_for_s(refused, now=now))
+        return self._parts.suspect_part(traits.parts, now=now)
+
+    def note_sent(self, key: str, traits: RequestTraits, *, process: Process) -> None:
+        """Record that an attempt is being sent; ``key`` identifies it until it ends."""
+        self._attempts.note_sent(key, traits, process=process, now=self._clock())
+
+    def note_progress(self, key: str) -> None:
+        """Record that bytes of the answer to an attempt arrived."""
+        traits = self._attempts.note_progress(key, now=self._clock())
+        if traits is not None:
+            self._parts.note_answer(traits.member, traits.parts)
+
+    def note_ended(self, key: str, *, complete: bool) -> None:
+        """Record the end of an attempt; ``complete`` tells whether its whole answer arrived."""
+        self._attempts.note_ended(key, complete=complete, now=self._clock())
+
     def check(self, digest: bytes) -> QuarantineVerdict:
         """Return the verdict on a request; raises RequestQuarantinedError if it is refused."""
         now = self._clock()
@@ -111,6 +176,14 @@
         An operator of one ``member`` can do so only for requests of this member.
         """
         now = self._clock()
+        if any(
+            member in (None, record.member)
+            for record in self._parts.records(now=now, parts=(digest,))
+        ):
+            self._parts.pardon(digest, now=now)
+            self._log.info("quarantine_lifted", part=digest.hex())
+            self._broadcast_parts((digest,))
+            return True
         if not self._quarantine.records(now=now, member=member, digest=digest):
             return False
         self._log.info("quarantine_lifted", digest=digest.hex())
@@ -128,8 +201,10 @@
 
         A loss is recorded as caused by the request, which was sent at ``sent_at``.
         """
+        lost_at = self._clock()
         if await _keeps_connection(backend.info.address):
             return False
+        self._blame((backend.info.name, backend.info.incarnation), lost_at=lost_at)
         if digest and self._quarantine.note_loss(
             head.member,
             digest,
@@ -164,12 +239,40 @@
     async def run(self) -> None:
         """Gossip the records to a random instance at each interval until cancelled."""
         while True:
-            records = self._quarantine.records(now=self._clock())
+            now = self._clock()
             peers = self._directory.peers()
-            if records and peers:
-                self._network.post(self._rng.choice(peers).name, SuspectNews(records=records))
+            for traits in self._attempts.take_settled(now=now):
+                self._parts.note_answer(traits.member, traits.parts)
+            self._parts.note_instances(1 + len(peers))
+            records, parts = self._quarantine.records(now=now), self._parts.records(now=now)
+            if (records or parts) and peers:
+                news = SuspectNews(records=records, parts=parts)
+                self._network.post(self._rng.choice(peers).name, news)
             await anyio.sleep(GOSSIP_INTERVAL_S)
 
+    def _blame(self, process: Process, *, lost_at: float) -> None:
+        """Count a loss against the parts of the requests that hadn't settled at a process."""
+        self._examined.add(process)
+        now = self._clock()
+        news: dict[bytes, None] = {}
+        for suspect in self._attempts.take_lost(process, lost_at=lost_at):
+            parts = self._parts.note_loss(
+                suspect.traits.member,
+                suspect.traits.parts,
+                process=process,
+                sent_at=suspect.sent_at,
+                now=now,
+            )
+            news.update(dict.fromkeys(parts))
+        if news:
+            self._log.info("parts_suspected", backend=process[0], parts=len(news))
+            self._broadcast_parts(tuple(news))
+
+    def _broadcast_parts(self, parts: tuple[bytes, ...]) -> None:
+        records = self._parts.records(now=self._clock(), parts=parts)
+        for peer in self._directory.peers():
+            self._network.post(peer.name, SuspectNews(records=(), parts=records))
+
     def _clear(self, digest: bytes) -> None:
         if self._quarantine.pardon(digest, now=self._clock()):
             self._broadcast(digest)
@@ -199,7 +302,13 @@
         return self._slots.take(message.backend, message.digest, now=self._clock())
 
     async def _on_records(self, peer: str, message: SuspectNews) -> Message | None:
-        self._quarantine.merge(message.records, now=self._clock())
+        now = self._clock()
+        self._quarantine.merge(message.records, now=now)
+        self._parts.merge(message.parts, now=now)
+        lost = self._parts.processes_lost(now=now)
+        self._examined &= lost.keys()
+        for process in lost.keys() - self._examined:
+            self._blame(process, lost_at=lost[process])
         return None
 
     async def _on_slot(self, peer: str, message: SuspectSlot) -> Message | None:
@@ -212,8 +321,14 @@
 
 def content_digest(head: RequestHead, data: bytes, *, key: bytes) -> bytes:
     """Return the keyed digest of a request's member, service, method, target and body."""
-    digest = hmac.new(key, DIGEST_DOMAIN, hashlib.sha256)
-    for field in (head.member, head.service, head.method, head.target):
+    return _keyed_digest(
+        key, DIGEST_DOMAIN, head.member, head.service, head.method, head.target, data=data
+    )
+
+
+def _keyed_digest(key: bytes, domain: bytes, *fields: str, data: bytes = b"") -> bytes:
+    digest = hmac.new(key, domain, hashlib.sha256)
+    for field in fields:
         encoded = field.encode()
         digest.update(len(encoded).to_bytes(4, "big") + encoded)
     digest.update(data)
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import json
 
 import httpx
@@ -132,6 +133,52 @@
     )
 
 
+def test_a_prompt_part_that_crashes_engines_is_quarantined_and_other_members_are_served(
+    deployment: Deployment,
+) -> None:
+    """No two requests are alike; sound ones share the first message and are served throughout."""
+    start_deployment(deployment)
+    entries = [deployment.caller_address(name) for name in deployment.instances]
+    numbers = itertools.count()
+    sound_statuses: list[int] = []
+
+    async def send(client: httpx.AsyncClient, *contents: str) -> httpx.Response:
+        number = next(numbers)
+        messages = [
+            {"role": "user", "content": text} for text in ("shared", *contents, f"own {number}")
+        ]
+        return await client.post(
+            f"http://{entries[number % len(entries)]}/v1/chat/completions",
+            headers={"authorization": f"Bearer {HANBIT_KEY}"},
+            json={"model": "draft", "messages": messages, "max_tokens": 4},
+        )
+
+    async def run() -> list[httpx.Response]:
+        async with httpx.AsyncClient(trust_env=False, timeout=20.0) as client:
+            for _ in range(40):
+                sound_statuses.append((await send(client, "sound")).status_code)
+            await asyncio.sleep(2.5)
+            responses = []
+            for _ in range(10):
+                responses.append(await send(client, CRASHING_TEXT))
+                sound_statuses.append((await send(client, "sound")).status_code)
+            return responses
+
+    responses = asyncio.run(run())
+    assert exited_engines(deployment) <= 3
+    for response in responses[-5:]:
+        assert response.status_code == 422
+        assert response.json()["type"].endswith("request-quarantined")
+    assert set(sound_statuses) == {200}
+    for instance in deployment.instances.values():
+        refused = [row for row in state_dump(instance)["quarantine"] if row["verdict"] == "refused"]
+        assert "part" in {row["kind"] for row in refused}
+        assert CRASHING_TEXT not in json.dumps(state_dump(instance)) + "\n".join(instance.lines)
+    part = next(row["digest"] for row in refused if row["kind"] == "part")
+    assert not lift(instance, CUMBRE_TOKEN, part)
+    assert lift(instance, OPERATOR_TOKEN, part)
+
+
 def test_engines_killed_one_after_another_put_no_request_in_quarantine(
     proxied: Deployment,
 ) -> None:
