--- a/figpaddle/routing/_part_quarantine.py
+++ b/figpaddle/routing/_part_quarantine.py
@@ -9,11 +9,11 @@
 from figpaddle.routing._unsettled_attempts import Process
 from figpaddle.wire import SuspectRecord
 
-#: Settled answers that outweigh one loss. Parts that nearly all prompts share are in progress at
+#: Settled answers that outweigh the losses of one moment. Parts that nearly all prompts share are in progress at
 #: most crashes too, but have far more settled answers than losses.
 ANSWERS_PER_LOSS = 5
-#: Largest number of settled answers before the first loss that count. A part may begin to crash
-#: backend servers only with their next release.
+#: Settled answers before a loss that count beyond those that outweigh the losses before it. A part
+#: may begin to crash backend servers only with their next release.
 MAX_EARLIER_ANSWERS = 12
 #: Losses after which a part is refused for which no answer has settled.
 MAX_LOSSES = 2
@@ -97,9 +97,9 @@
         active = self._quarantine.active_losses(now=now)
         news = []
         for digest in parts:
-            losses = len(active.get(digest, ()))
-            if not losses:
-                self._answers.limit(digest, MAX_EARLIER_ANSWERS / self._instances)
+            moments = _moments(active.get(digest, {}))
+            earlier = MAX_EARLIER_ANSWERS + ANSWERS_PER_LOSS * moments
+            self._answers.limit(digest, earlier / self._instances)
             is_new = self._quarantine.note_loss(
                 member,
                 digest,
@@ -108,7 +108,7 @@
                 sent_at=sent_at,
                 now=now,
             )
-            if is_new and self._matters(digest, losses + 1):
+            if is_new and self._matters(digest, moments + 1):
                 news.append(digest)
         self._verdicts = None
         return tuple(news)
@@ -165,12 +165,23 @@
     def records(
         self, *, now: float, parts: tuple[bytes, ...] | None = None
     ) -> tuple[SuspectRecord, ...]:
-        """Return the records for other instances, only those of ``parts`` if given."""
+        """Return the records for other instances, only those of ``parts`` if given.
+
+        Otherwise parts whose answers far outweigh their losses are left out.
+        """
+        active = self._quarantine.active_losses(now=now)
+
+        def is_wanted(record: SuspectRecord) -> bool:
+            if parts is not None:
+                return record.digest in parts
+            return any(loss.pardoned for loss in record.losses) or self._matters(
+                record.digest, _moments(active.get(record.digest, {}))
+            )
+
         return tuple(
             dataclasses.replace(record, answers=int(self._answers_of(record.digest)))
             for record in self._quarantine.records(now=now)
-            if (parts is None or record.digest in parts)
-            and self._matters(record.digest, len(record.losses))
+            if is_wanted(record)
         )
 
     def processes_lost(self, *, now: float) -> dict[Process, float]:
@@ -181,9 +192,9 @@
                 lost[process] = min(loss.lost_at, lost.get(process, loss.lost_at))
         return lost
 
-    def _matters(self, digest: bytes, losses: int) -> bool:
+    def _matters(self, digest: bytes, moments: int) -> bool:
         """Return whether the losses of a part may soon outweigh its answers."""
-        return self._answers_of(digest) < ANSWERS_PER_LOSS * (losses + 2)
+        return self._answers_of(digest) < ANSWERS_PER_LOSS * (moments + 2)
 
     def _answers_of(self, digest: bytes) -> float:
         return self._answers.get(digest) * self._instances
@@ -198,7 +209,7 @@
         unexplained = {
             digest: losses
             for digest, losses in self._quarantine.active_losses(now=now).items()
-            if self._answers_of(digest) < ANSWERS_PER_LOSS * len(losses)
+            if self._answers_of(digest) < ANSWERS_PER_LOSS * _moments(losses)
         }
         refused: set[bytes] = set()
         suspect: set[bytes] = set()
--- a/figpaddle/routing/tests/test_part_quarantine.py
+++ b/figpaddle/routing/tests/test_part_quarantine.py
@@ -129,6 +129,26 @@
     assert verdicts(quarantine, BAD, at=float(needed)) == [REFUSED]
 
 
+def test_a_part_that_begins_to_crash_servers_after_an_old_loss_is_refused() -> None:
+    quarantine = PartQuarantine()
+    crashes = Crashes(quarantine)
+    answer(quarantine, BAD, 50)
+    crashes.add((BAD,), at=0.0)
+    answer(quarantine, BAD, 10_000)
+    for number in range(5):
+        crashes.add((BAD,), at=100.0 + number)
+    assert verdicts(quarantine, BAD, at=105.0) == [REFUSED]
+
+
+def test_a_shared_part_stays_clear_when_many_servers_lose_power_at_once() -> None:
+    quarantine = PartQuarantine()
+    crashes = Crashes(quarantine)
+    answer(quarantine, SHARED, 30)
+    for _ in range(15):
+        crashes.add((SHARED,), at=5.0, sent_at=4.0)
+    assert verdicts(quarantine, SHARED, at=5.0) == [CLEAR]
+
+
 def test_a_shared_part_stays_clear_at_many_crashes_for_another_reason() -> None:
     quarantine = PartQuarantine()
     answer(quarantine, SHARED, 30)
@@ -197,6 +217,21 @@
     assert verdicts(second, BAD, at=3.0) == [CLEAR]
 
 
+@pytest.mark.parametrize("by", ["report", "gossip"])
+def test_a_pardon_of_a_part_with_answers_reaches_other_instances(by: str) -> None:
+    first, second = PartQuarantine(), PartQuarantine()
+    answer(first, BAD, 11)
+    crashes = Crashes(first)
+    for at in (1.0, 2.0, 3.0):
+        crashes.add((BAD,), at=at)
+    second.merge(first.records(now=3.0), now=3.0)
+    first.pardon(BAD, now=4.0)
+    records = first.records(now=4.0, parts=(BAD,) if by == "report" else None)
+    assert all(loss.pardoned for record in records for loss in record.losses) and records
+    second.merge(records, now=4.0)
+    assert verdicts(second, BAD, at=4.0) == [CLEAR]
+
+
 def test_parts_of_one_member_do_not_push_out_those_of_another() -> None:
     quarantine = PartQuarantine()
     crashes = Crashes(quarantine)
