--- a/figpaddle/daemon/_gateway.py
+++ b/figpaddle/daemon/_gateway.py
@@ -220,9 +220,12 @@
         """Return a place once no other request with a suspect part is in progress in the region."""
         while self._clock() < head.deadline_at:
             if await self._quarantine.acquire_slot(part.hex(), head.request_id.encode()):
-                placement = self._place(head, allowed_regions, attempts, attempts.tried)
-                if placement is None:
-                    self._quarantine.release_slot(part.hex(), head.request_id.encode())
+                placement: Placement | None = None
+                try:
+                    placement = self._place(head, allowed_regions, attempts, attempts.tried)
+                finally:
+                    if placement is None:
+                        self._quarantine.release_slot(part.hex(), head.request_id.encode())
                 return placement
             await anyio.sleep(SLOT_POLL_INTERVAL_S)
         return None
