--- a/figpaddle/daemon/_quarantine.py
+++ b/figpaddle/daemon/_quarantine.py
@@ -204,7 +204,7 @@
         lost_at = self._clock()
         if await _keeps_connection(backend.info.address):
             return False
-        self._blame((backend.info.name, backend.info.incarnation), lost_at=lost_at)
+        self._count_loss((backend.info.name, backend.info.incarnation), lost_at=lost_at)
         if digest and self._quarantine.note_loss(
             head.member,
             digest,
@@ -250,23 +250,14 @@
                 self._network.post(self._rng.choice(peers).name, news)
             await anyio.sleep(GOSSIP_INTERVAL_S)
 
-    def _blame(self, process: Process, *, lost_at: float) -> None:
+    def _count_loss(self, process: Process, *, lost_at: float) -> None:
         """Count a loss against the parts of the requests that hadn't settled at a process."""
         self._examined.add(process)
-        now = self._clock()
-        news: dict[bytes, None] = {}
-        for suspect in self._attempts.take_lost(process, lost_at=lost_at):
-            parts = self._parts.note_loss(
-                suspect.traits.member,
-                suspect.traits.parts,
-                process=process,
-                sent_at=suspect.sent_at,
-                now=now,
-            )
-            news.update(dict.fromkeys(parts))
+        suspects = self._attempts.take_lost(process, lost_at=lost_at)
+        news = self._parts.note_crash(suspects, process=process, now=self._clock())
         if news:
             self._log.info("parts_suspected", backend=process[0], parts=len(news))
-            self._broadcast_parts(tuple(news))
+            self._broadcast_parts(news)
 
     def _broadcast_parts(self, parts: tuple[bytes, ...]) -> None:
         records = self._parts.records(now=self._clock(), parts=parts)
@@ -308,7 +299,7 @@
         lost = self._parts.processes_lost(now=now)
         self._examined &= lost.keys()
         for process in lost.keys() - self._examined:
-            self._blame(process, lost_at=lost[process])
+            self._count_loss(process, lost_at=lost[process])
         return None
 
     async def _on_slot(self, peer: str, message: SuspectSlot) -> Message | None:
--- a/figpaddle/regional/_request_quarantine.py
+++ b/figpaddle/regional/_request_quarantine.py
@@ -259,27 +259,16 @@
         )
         for report in reports:
             self._apply_report(report)
-        self._tasks.start_soon(self._broadcast, self._blame(process, suspects), reports)
+        self._tasks.start_soon(self._broadcast, self._count_loss(process, suspects), reports)
 
-    def _blame(self, process: Process, suspects: Iterable[SuspectedAttempt]) -> tuple[bytes, ...]:
+    def _count_loss(
+        self, process: Process, suspects: Iterable[SuspectedAttempt]
+    ) -> tuple[bytes, ...]:
         """Count a loss against the parts of the suspects; return the parts that others are told."""
         self._examined.add(process)
-        now = self._clock()
-        news: dict[bytes, None] = {}
-        for suspect in suspects:
-            news.update(
-                dict.fromkeys(
-                    self._parts.note_loss(
-                        suspect.traits.member,
-                        suspect.traits.parts,
-                        process=process,
-                        sent_at=suspect.sent_at,
-                        now=now,
-                    )
-                )
-            )
+        news = self._parts.note_crash(suspects, process=process, now=self._clock())
         self._log_verdicts()
-        return tuple(news)
+        return news
 
     async def _broadcast(
         self, parts: tuple[bytes, ...], reports: tuple[CrashReport, ...] = ()
@@ -344,7 +333,7 @@
         self._examined &= lost.keys()
         for process in lost.keys() - self._examined:
             suspects = self._attempts.take_lost(process, lost_at=lost[process])
-            parts = self._blame(process, suspects)
+            parts = self._count_loss(process, suspects)
             if parts:
                 self._tasks.start_soon(self._broadcast, parts)
         self._log_verdicts()
--- a/figpaddle/routing/_part_quarantine.py
+++ b/figpaddle/routing/_part_quarantine.py
@@ -4,9 +4,10 @@
 
 import collections
 import dataclasses
+from collections.abc import Iterable
 
 from figpaddle.routing._quarantine import LOSS_TTL_S, Loss, Quarantine, QuarantineVerdict
-from figpaddle.routing._unsettled_attempts import Process
+from figpaddle.routing._unsettled_attempts import Process, SuspectedAttempt
 from figpaddle.wire import SuspectRecord
 
 #: Settled answers that outweigh the losses of one moment. Parts that nearly all prompts share are in progress at
@@ -38,7 +39,7 @@
     decided_at: float
 
     @property
-    def blamed(self) -> frozenset[bytes]:
+    def not_clear(self) -> frozenset[bytes]:
         """All parts that aren't clear."""
         return self.refused | self.suspect
 
@@ -78,7 +79,7 @@
         """Count a settled answer to a request with ``parts``."""
         for digest in parts:
             self._answers.add(member, digest)
-            if self._verdicts is not None and digest in self._verdicts.blamed:
+            if self._verdicts is not None and digest in self._verdicts.not_clear:
                 self._verdicts = None
 
     def note_loss(
@@ -113,6 +114,22 @@
         self._verdicts = None
         return tuple(news)
 
+    def note_crash(
+        self, suspects: Iterable[SuspectedAttempt], *, process: Process, now: float
+    ) -> tuple[bytes, ...]:
+        """Record a loss for the parts of all suspects; return those that others have to be told."""
+        news: dict[bytes, None] = {}
+        for suspect in suspects:
+            parts = self.note_loss(
+                suspect.traits.member,
+                suspect.traits.parts,
+                process=process,
+                sent_at=suspect.sent_at,
+                now=now,
+            )
+            news.update(dict.fromkeys(parts))
+        return tuple(news)
+
     def verdict(self, parts: tuple[bytes, ...], *, now: float) -> QuarantineVerdict:
         """Return how a request with ``parts`` is handled."""
         verdicts = self._current_verdicts(now)
--- a/figpaddle/routing/_unsettled_attempts.py
+++ b/figpaddle/routing/_unsettled_attempts.py
@@ -1,4 +1,4 @@
-"""Attempts that a crash of their backend server may be blamed on."""
+"""Attempts that may have crashed their backend server."""
 
 from __future__ import annotations
 
--- a/figpaddle/routing/tests/test_part_quarantine.py
+++ b/figpaddle/routing/tests/test_part_quarantine.py
@@ -169,14 +169,14 @@
 
 def test_an_instance_without_answers_of_its_own_learns_them_with_the_losses() -> None:
     """An entry that has just started must not refuse a part that nearly all requests share."""
-    veteran, newcomer = PartQuarantine(), PartQuarantine()
-    answer(veteran, SHARED, 45)
-    crashes = Crashes(veteran)
+    running, started = PartQuarantine(), PartQuarantine()
+    answer(running, SHARED, 45)
+    crashes = Crashes(running)
     for at in (1.0, 2.0, 3.0):
         crashes.add((SHARED, BAD), at=at)
-        answer(veteran, SHARED, 9)
-    newcomer.merge(veteran.records(now=3.5), now=3.5)
-    assert verdicts(newcomer, SHARED, BAD, at=3.5) == [CLEAR, REFUSED]
+        answer(running, SHARED, 9)
+    started.merge(running.records(now=3.5), now=3.5)
+    assert verdicts(started, SHARED, BAD, at=3.5) == [CLEAR, REFUSED]
 
 
 def test_losses_of_different_instances_add_up_and_repeats_do_not() -> None:
--- a/figpaddle/routing/tests/test_unsettled_attempts.py
+++ b/figpaddle/routing/tests/test_unsettled_attempts.py
@@ -1,4 +1,4 @@
-"""Which requests the crash of a backend server may be blamed on."""
+"""Which requests may have crashed their backend server."""
 
 from __future__ import annotations
 
