--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,12 +1,14 @@
-"""A withdrawal of an evacuation that waited at a frozen node undoes a later, acknowledged evacuation."""
+"""A withdrawal of an evacuation that waits at a frozen node undoes a later, acknowledged evacuation."""
 
 from __future__ import annotations
 
 import asyncio
+import json
 import pathlib
 import signal
 import sys
 import time
+from typing import Any
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "common"))
@@ -23,50 +25,97 @@
 FRONTS = {"front-1": "seoul-a", "front-2": "busan-a", "front-3": "daejeon-a"}
 ENGINES = ["seoul-a", "seoul-a", "busan-a", "busan-a", "daejeon-a"]
 ZONE = "seoul-a"
+START, END = f"/v1/evacuate/{ZONE}/start", f"/v1/evacuate/{ZONE}/end"
+OTHERS = ["core-2", "core-3", "core-4", "core-5"]
+#: Routes that a change of the configuration adds; the site's big_config has 350.
+ROUTES = 350
+#: Changes of the configuration in progress at once beside the withdrawal; eight orders may be.
+CHANGES = 6
+#: Time from these orders to the freeze, seconds, try by try. They take about 0.1 s here, and some round
+#: trips between regions (0.16 s each) in the deployment.
+TRIES_S = (0.06, 0.04, 0.08, 0.03)
+#: Time after the freeze in which the rule's machines are out of touch (contact-ms), seconds.
+CONTACT_S = 6.0
 #: evacuate-ms plus max-skew-ms, by which an unstable core may stretch it, seconds.
 BOUND_S = 5.0 + 10.0
-CONTACT_S = 6.0
+
+
+def changed_configuration(version: int) -> dict[str, Any]:
+    """Return a configuration with many routes."""
+    document = standin.configuration(version)
+    document["routes"] += [standin.route(f"extra-{n}", "idempotent") for n in range(ROUTES)]
+    return document
+
+
+def runs_in_zone(deployment: standin.Deployment, since: float) -> int:
+    """Return how many requests engines of the zone have run since a time."""
+    return sum(
+        at >= since for engine in deployment.engines if engine.zone == ZONE for at, _ in engine.runs
+    )
+
+
+async def freeze_beside_orders(
+    deployment: standin.Deployment, version: int, delay_s: float
+) -> None:
+    """Freeze core-1 while it has orders in progress; they are then made through other nodes.
+
+    The configurations have the versions from ``version``.
+    """
+    core = deployment.address("core-1", "control")
+    documents = [changed_configuration(version + n) for n in range(CHANGES)]
+    orders = {f"version {document['version']}": document for document in documents}
+    calls = [
+        asyncio.create_task(
+            standin.call(core, "POST", "/v1/config/put", body=json.dumps(document).encode())
+        )
+        for document in documents
+    ]
+    await asyncio.sleep(0.005)
+    calls.append(asyncio.create_task(standin.call(core, "POST", END)))
+    await asyncio.sleep(delay_s)
+    deployment.signal("core-1", signal.SIGSTOP)
+    # The operator waits for a second, leaves, and goes to another node.
+    answers = await asyncio.gather(*calls)
+    for what, answer in zip((*orders, END), answers, strict=True):
+        deployment.record.note(f"operator: {what} at core-1 -> {answer.status or 'nothing'}")
+    await deployment.operator("POST", "/v1/config/put", documents[-1], order=OTHERS)
+    await deployment.operator("POST", END, order=OTHERS)
 
 
 async def play(deployment: standin.Deployment, trouble: bool) -> bool:
     """Evacuate the zone, withdraw that, evacuate again; return whether the zone stays evacuated."""
     await standin.begin(deployment, cores=CORES, fronts=FRONTS, engines=ENGINES)
-    start, end = f"/v1/evacuate/{ZONE}/start", f"/v1/evacuate/{ZONE}/end"
-    others = ["core-3", "core-4", "core-5"]
-    await deployment.operator("POST", start, order=["core-3"])
-    await asyncio.sleep(6.0)
-    if trouble:
-        # The core has no majority for two seconds, and the order reaches core-1 meanwhile.
-        for name in others:
-            deployment.signal(name, signal.SIGSTOP)
-        first = await standin.call(deployment.address("core-1", "control"), "POST", end)
-        deployment.record.note(f"operator: POST {end} at core-1 -> {first.status or 'nothing'}")
-        # Now core-1 freezes, and the others wake.
-        deployment.signal("core-1", signal.SIGSTOP)
-        for name in others:
-            deployment.signal(name, signal.SIGCONT)
-    await deployment.operator("POST", end, order=others)
-    await asyncio.sleep(0.5)
-    await deployment.operator("POST", start, order=others)
     acknowledged_at = time.monotonic()
-    if trouble:
-        deployment.signal("core-1", signal.SIGCONT)
-    deployment.record.note("the zone is evacuated, and stays so until the end of the run")
-    await asyncio.sleep(max(BOUND_S, CONTACT_S) + 1.0)
+    for number, delay_s in enumerate(TRIES_S):
+        version = 2 + number * CHANGES
+        await deployment.operator("POST", START, order=OTHERS)
+        await asyncio.sleep(1.5)
+        if trouble:
+            await freeze_beside_orders(deployment, version, delay_s)
+        else:
+            document = changed_configuration(version)
+            await deployment.operator("POST", "/v1/config/put", document, order=["core-1"])
+            await deployment.operator("POST", END, order=["core-1"])
+        await deployment.operator("POST", START, order=OTHERS)
+        acknowledged_at = time.monotonic()
+        deployment.record.note("the zone is evacuated")
+        if trouble:
+            deployment.signal("core-1", signal.SIGCONT)
+        await asyncio.sleep(2.0)
+        probed_at = time.monotonic()
+        await deployment.send("front-1", "/lookup/1")
+        if runs_in_zone(deployment, probed_at):
+            deployment.record.note("a request has reached the zone; the rule's bounds are awaited")
+            break
+    await asyncio.sleep(max(0.0, acknowledged_at + BOUND_S + CONTACT_S - time.monotonic()))
     checked_from = time.monotonic()
     for _ in range(40):
         await deployment.send("front-1", "/lookup/1")
         await asyncio.sleep(0.1)
-    late = [
-        (engine.name, request_id)
-        for engine in deployment.engines
-        if engine.zone == ZONE
-        for at, request_id in engine.runs
-        if at >= checked_from
-    ]
+    late = runs_in_zone(deployment, checked_from)
     deployment.record.note(
         f"requests at engines of {ZONE} later than {checked_from - acknowledged_at:.1f} s after the "
-        f"acknowledgement of its evacuation: {len(late)}"
+        f"acknowledgement of its evacuation: {late}"
     )
     return not late
 
--- a/review/common/standin.py
+++ b/review/common/standin.py
@@ -29,8 +29,8 @@
 ZONES = {"seoul-a": "kr-seoul", "busan-a": "kr-busan", "daejeon-a": "kr-daejeon"}
 HOST = "intake.example"
 SERVICE = "records"
-#: Prefix of the paths of requests that an engine answers with a stream of events.
-STREAM_PREFIX = "/review/"
+#: Prefixes of the paths of requests that an engine answers with a stream of events.
+STREAM_PREFIXES = ("/review/", "/chat/")
 #: Exit codes of a script.
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 #: Time after which an operator or an engine tries another node, seconds (PROTOCOL: a second).
@@ -442,9 +442,13 @@
         self,
         engine: Engine,
         request_id: str,
+        path: str,
         fields: dict[str, str],
         writer: asyncio.StreamWriter,
     ) -> None:
+        # A path may end with the number of events, as the length of an answer follows from its request.
+        last = path.rpartition("/")[2]
+        events = int(last) if last.isdigit() and path.count("/") > 2 else engine.events
         head = [
             "HTTP/1.1 200 OK",
             f"X-Figpaddle-Request-Id: {request_id}",
@@ -454,7 +458,7 @@
         ]
         writer.write("\r\n".join([*head, "", ""]).encode())
         first = int(fields.get("last-event-id", "0")) + 1
-        for number in range(first, engine.events + 1):
+        for number in range(first, events + 1):
             await asyncio.sleep(engine.event_interval_s)
             if writer.transport.is_closing():
                 self.record.note(f"engine {engine.name}: {request_id} cut off at event {number}")
@@ -490,8 +494,8 @@
         else:
             engine.runs.append((time.monotonic(), request_id))
             self.record.note(f"engine {engine.name} ({engine.zone}) runs {request_id} {path}")
-            if path.startswith(STREAM_PREFIX):
-                await self._stream(engine, request_id, fields, writer)
+            if path.startswith(STREAM_PREFIXES):
+                await self._stream(engine, request_id, path, fields, writer)
                 return
             await asyncio.sleep(engine.work_s)
             status, data = "200 OK", f"{engine.name} {request_id} {len(body)}".encode()
@@ -502,7 +506,12 @@
 
 
 async def read_stream(
-    address: str, path: str, request_id: str, *, deadline_ms: int
+    address: str,
+    path: str,
+    request_id: str,
+    *,
+    deadline_ms: int,
+    extra_lines: tuple[str, ...] = (),
 ) -> tuple[int, list[int], bool]:
     """Send a request for a stream; return the status, the ids of its events, and whether it is whole."""
     host, _, port = address.rpartition(":")
@@ -512,6 +521,7 @@
         f"Host: {HOST}",
         f"X-Figpaddle-Request-Id: {request_id}",
         f"X-Figpaddle-Deadline-Ms: {deadline_ms}",
+        *extra_lines,
         "Content-Length: 2",
     ]
     status, ids = 0, []
@@ -571,6 +581,7 @@
             route("lookup", "idempotent"),
             route("filing", "non_idempotent"),
             route("review", "streaming", **STREAM_ROUTE),
+            route("chat", "streaming", **{**STREAM_ROUTE, "max-attempts": 1, "resumable": False}),
         ],
         "services": [
             {
