--- a/review/2/case.py
+++ b/review/2/case.py
@@ -30,10 +30,12 @@
 #: Routes that a change of the configuration adds; the site's big_config has 350.
 ROUTES = 350
 #: Changes of the configuration in progress at once beside the withdrawal; eight orders may be.
-CHANGES = 6
-#: Time from these orders to the freeze, seconds, try by try. They take about 0.1 s here, and some round
-#: trips between regions (0.16 s each) in the deployment.
-TRIES_S = (0.06, 0.04, 0.08, 0.03)
+CHANGES = 7
+#: Time from these orders to the first freeze, seconds. They take about 0.1 s here, and some round trips
+#: between regions (0.16 s each) in the deployment. A freeze that comes after the withdrawal was answered
+#: is tried again sooner, one that comes before it was read later.
+FIRST_DELAY_S, SOONER, LATER = 0.06, 0.6, 1.4
+TRIES = 6
 #: Time after the freeze in which the rule's machines are out of touch (contact-ms), seconds.
 CONTACT_S = 6.0
 #: evacuate-ms plus max-skew-ms, by which an unstable core may stretch it, seconds.
@@ -56,10 +58,10 @@
 
 async def freeze_beside_orders(
     deployment: standin.Deployment, version: int, delay_s: float
-) -> None:
+) -> bool:
     """Freeze core-1 while it has orders in progress; they are then made through other nodes.
 
-    The configurations have the versions from ``version``.
+    The configurations have the versions from ``version``. Returns whether the withdrawal was answered.
     """
     core = deployment.address("core-1", "control")
     documents = [changed_configuration(version + n) for n in range(CHANGES)]
@@ -74,24 +76,30 @@
     calls.append(asyncio.create_task(standin.call(core, "POST", END)))
     await asyncio.sleep(delay_s)
     deployment.signal("core-1", signal.SIGSTOP)
-    # The operator waits for a second, leaves, and goes to another node.
+    # The operator waits for a second, leaves, and goes to another node with what wasn't answered.
     answers = await asyncio.gather(*calls)
     for what, answer in zip((*orders, END), answers, strict=True):
         deployment.record.note(f"operator: {what} at core-1 -> {answer.status or 'nothing'}")
-    await deployment.operator("POST", "/v1/config/put", documents[-1], order=OTHERS)
-    await deployment.operator("POST", END, order=OTHERS)
+    if not answers[-2].status:
+        await deployment.operator("POST", "/v1/config/put", documents[-1], order=OTHERS)
+    answered = answers[-1].status == 200
+    if not answered:
+        await deployment.operator("POST", END, order=OTHERS)
+    return answered
 
 
 async def play(deployment: standin.Deployment, trouble: bool) -> bool:
     """Evacuate the zone, withdraw that, evacuate again; return whether the zone stays evacuated."""
     await standin.begin(deployment, cores=CORES, fronts=FRONTS, engines=ENGINES)
     acknowledged_at = time.monotonic()
-    for number, delay_s in enumerate(TRIES_S):
+    delay_s = FIRST_DELAY_S
+    for number in range(TRIES):
         version = 2 + number * CHANGES
         await deployment.operator("POST", START, order=OTHERS)
         await asyncio.sleep(1.5)
         if trouble:
-            await freeze_beside_orders(deployment, version, delay_s)
+            answered = await freeze_beside_orders(deployment, version, delay_s)
+            delay_s *= SOONER if answered else LATER
         else:
             document = changed_configuration(version)
             await deployment.operator("POST", "/v1/config/put", document, order=["core-1"])
