--- a/figpaddle/coordination/__init__.py
+++ b/figpaddle/coordination/__init__.py
@@ -1,6 +1,6 @@
 """Coordination protocols without input or output: membership, replicated log, register, lease."""
 
-from figpaddle.coordination._bootstrap import VoterBootstrap, Voters
+from figpaddle.coordination._bootstrap import VoterBootstrap
 from figpaddle.coordination._directory import InstanceDirectory
 from figpaddle.coordination._heartbeats import (
     HEARTBEAT_TIMEOUT_S,
@@ -56,7 +56,6 @@
     Promise,
     Voter,
     VoterState,
-    is_chosen,
     majority,
     newest_value,
     recovery_quorum,
@@ -65,6 +64,8 @@
 from figpaddle.coordination._replica import Replica, first_snapshot
 from figpaddle.coordination._rosters import MEMBER_TIMEOUT_S, RosterCopy, RosterMaker
 from figpaddle.coordination._topology import Topology
+from figpaddle.coordination._voter_changes import VoterChanges
+from figpaddle.coordination._voter_set import MAX_VOTERS, VoterSet, is_chosen
 from figpaddle.coordination._zone_relays import MIN_RELAYED_INSTANCES, RELAYS_PER_ZONE, zone_relays
 
 __all__ = [
@@ -89,6 +90,7 @@
     "Log",
     "LogSettings",
     "LogStorage",
+    "MAX_VOTERS",
     "MEMBER_TIMEOUT_S",
     "MIN_RELAYED_INSTANCES",
     "MemberChanged",
@@ -126,8 +128,9 @@
     "Topology",
     "Voter",
     "VoterBootstrap",
+    "VoterChanges",
+    "VoterSet",
     "VoterState",
-    "Voters",
     "first_snapshot",
     "is_chosen",
     "majority",
--- a/figpaddle/coordination/_register.py
+++ b/figpaddle/coordination/_register.py
@@ -179,12 +179,3 @@
 def newest_value(promises: tuple[Promise, ...]) -> Promise:
     """Return the promise with the value that was accepted under the highest ballot."""
     return max(promises, key=lambda promise: promise.accepted)
-
-
-def is_chosen(promises: tuple[Promise, ...], *, voters: int) -> bool:
-    """Return whether a majority has accepted the newest value among ``promises``.
-
-    Such a value is chosen: it can be returned by a read without another accept phase.
-    """
-    newest = newest_value(promises).accepted
-    return sum(promise.accepted == newest for promise in promises) >= majority(voters)
--- a/figpaddle/coordination/tests/test_register.py
+++ b/figpaddle/coordination/tests/test_register.py
@@ -13,6 +13,7 @@
     Promise,
     Voter,
     VoterBootstrap,
+    VoterSet,
     VoterState,
     is_chosen,
     majority,
@@ -97,8 +98,9 @@
 
 
 def test_value_is_chosen_once_a_majority_has_accepted_it() -> None:
-    assert is_chosen((promise("a", 2), promise("b", 2), promise("c", 1)), voters=3)
-    assert not is_chosen((promise("a", 2), promise("b", 1)), voters=3)
+    voters = VoterSet(names=("a", "b", "c"))
+    assert is_chosen((promise("a", 2), promise("b", 2), promise("c", 1)), voters=voters)
+    assert not is_chosen((promise("a", 2), promise("b", 1)), voters=voters)
 
 
 @pytest.mark.parametrize("voters", range(1, 12))
@@ -108,11 +110,23 @@
     assert recovery_quorum(voters) + others_in_majority > others
 
 
-def test_only_the_lowest_seed_decides_and_waits_for_slow_nodes() -> None:
-    seeds = ("10.0.0.2", "10.0.0.1")
-    assert VoterBootstrap(name="10.0.0.2", seeds=seeds, now=0.0).decide(now=60.0) is None
-    bootstrap = VoterBootstrap(name="10.0.0.1", seeds=seeds, now=0.0)
+SEEDS = ("10.0.0.2", "10.0.0.1")
+
+
+def test_the_lowest_live_seed_proposes_and_waits_for_slow_nodes() -> None:
+    second = VoterBootstrap(name="10.0.0.2", seeds=SEEDS, now=0.0)
+    assert second.decide(live=("10.0.0.1",), now=60.0) is None
+    no_seed = VoterBootstrap(name="10.0.0.0", seeds=SEEDS, now=0.0)
+    assert no_seed.decide(live=(), now=60.0) is None
+    bootstrap = VoterBootstrap(name="10.0.0.1", seeds=SEEDS, now=0.0)
     bootstrap.add_candidate("10.0.0.2", now=3.0)
-    assert bootstrap.decide(now=4.0) is None
-    decision = bootstrap.decide(now=5.0)
-    assert decision is not None and decision.names == ("10.0.0.1", "10.0.0.2")
+    assert bootstrap.decide(live=("10.0.0.2",), now=4.0) is None
+    assert bootstrap.decide(live=("10.0.0.2",), now=5.0) == ("10.0.0.1", "10.0.0.2")
+
+
+def test_another_seed_proposes_the_voters_when_the_lowest_one_is_gone() -> None:
+    # Guards against a deployment without voters after the only deciding seed lost its disk.
+    bootstrap = VoterBootstrap(name="10.0.0.2", seeds=SEEDS, now=0.0)
+    bootstrap.add_candidate("10.0.0.1", now=0.1)
+    bootstrap.add_candidate("10.0.0.3", now=0.1)
+    assert bootstrap.decide(live=("10.0.0.3",), now=4.0) == ("10.0.0.2", "10.0.0.3")
--- a/figpaddle/deployment/__init__.py
+++ b/figpaddle/deployment/__init__.py
@@ -12,6 +12,7 @@
     EMPTY_STATE,
     ClusterState,
     decode_state,
+    decode_voters,
     encode_state,
 )
 from figpaddle.deployment._configuration import (
@@ -62,6 +63,7 @@
     "GatewayService",
     "Repeat",
     "decode_state",
+    "decode_voters",
     "encode_state",
     "MAX_ANSWERS_PER_MEMBER",
     "Answers",
--- a/figpaddle/deployment/_cluster_state.py
+++ b/figpaddle/deployment/_cluster_state.py
@@ -1,9 +1,16 @@
-"""Cluster state that all instances agree on: current configuration and evacuated zones."""
+"""Cluster state that all instances agree on: configuration, evacuated zones and voters.
+
+An encoded state is a CBOR array of four fields, which all builds read. A map with further fields may
+follow it. Earlier builds read the array and stop there, so they leave the map out of the states that
+they write.
+"""
 
 from __future__ import annotations
 
 import dataclasses
+import io
 import zlib
+from typing import Any
 
 import cbor2
 
@@ -29,6 +36,11 @@
     document: bytes
     #: Availability zones whose backend servers get no requests.
     evacuated: tuple[str, ...]
+    #: Names of the voters of the register, sorted; empty as long as they are those that were recorded
+    #: beside the register by an earlier build.
+    voters: tuple[str, ...] = ()
+    #: The voters before the change in progress; empty if there is none.
+    previous_voters: tuple[str, ...] = ()
 
     def with_configuration(self, version: int, document: bytes) -> ClusterState:
         """Return the state with a new configuration; a version that isn't higher is ignored."""
@@ -52,6 +64,18 @@
         evacuated = tuple(other for other in self.evacuated if other != zone)
         return dataclasses.replace(self, revision=self.revision + 1, evacuated=evacuated)
 
+    def with_voters(self, names: tuple[str, ...], *, previous: tuple[str, ...]) -> ClusterState:
+        """Return the state that begins the change from the voters ``previous`` to ``names``."""
+        return dataclasses.replace(
+            self, revision=self.revision + 1, voters=names, previous_voters=previous
+        )
+
+    def with_settled_voters(self) -> ClusterState:
+        """Return the state that ends the change of the voters in progress."""
+        if not self.previous_voters:
+            return self
+        return dataclasses.replace(self, revision=self.revision + 1, previous_voters=())
+
 
 #: Fastest zlib level. Configurations are repetitive, so that even this level shrinks them to a
 #: sixth. They are compressed because each change crosses the links between regions several times.
@@ -64,7 +88,13 @@
 def encode_state(state: ClusterState) -> bytes:
     """Return the encoded ``state``."""
     document = zlib.compress(state.document, COMPRESSION_LEVEL)
-    return cbor2.dumps([state.revision, state.version, document, list(state.evacuated)])
+    data = cbor2.dumps([state.revision, state.version, document, list(state.evacuated)])
+    fields: dict[str, Any] = {}
+    if state.voters:
+        fields["voters"] = list(state.voters)
+    if state.previous_voters:
+        fields["previous"] = list(state.previous_voters)
+    return data + cbor2.dumps(fields) if fields else data
 
 
 def decode_state(data: bytes) -> ClusterState:
@@ -75,10 +105,39 @@
     if not data:
         return EMPTY_STATE
     try:
-        revision, version, document, evacuated = cbor2.loads(data)
-        decompressed = zlib.decompress(document)
-    except (cbor2.CBORDecodeError, ValueError, TypeError, zlib.error) as error:
+        (revision, version, document, evacuated), fields = _decode_items(data)
+        return ClusterState(
+            revision=revision,
+            version=version,
+            document=zlib.decompress(document),
+            evacuated=tuple(evacuated),
+            voters=tuple(fields.get("voters", ())),
+            previous_voters=tuple(fields.get("previous", ())),
+        )
+    except (cbor2.CBORDecodeError, ValueError, TypeError, AttributeError, zlib.error) as error:
+        raise MalformedMessageError(what="not a cluster state", where="register") from error
+
+
+def decode_voters(data: bytes) -> tuple[tuple[str, ...], tuple[str, ...]]:
+    """Return the voters and the previous voters of an encoded state, without its document.
+
+    Raises MalformedMessageError.
+    """
+    if not data:
+        return (), ()
+    try:
+        fields = _decode_items(data)[1]
+        return tuple(fields.get("voters", ())), tuple(fields.get("previous", ()))
+    except (cbor2.CBORDecodeError, ValueError, TypeError, AttributeError) as error:
         raise MalformedMessageError(what="not a cluster state", where="register") from error
-    return ClusterState(
-        revision=revision, version=version, document=decompressed, evacuated=tuple(evacuated)
-    )
+
+
+def _decode_items(data: bytes) -> tuple[Any, Any]:
+    """Return the array of a state and the map that follows it, which may be absent."""
+    source = io.BytesIO(data)
+    decoder = cbor2.CBORDecoder(source)
+    array = decoder.decode()
+    try:
+        return array, decoder.decode()
+    except cbor2.CBORDecodeEOF:
+        return array, {}
--- a/figpaddle/regional/_cluster.py
+++ b/figpaddle/regional/_cluster.py
@@ -87,11 +87,11 @@
 
     @property
     def voters(self) -> tuple[str, ...]:
-        """The names of the voters; empty before they are known."""
+        """The names of the voters that are certainly in force; empty before they are known."""
         return self._voters
 
     def learn_voters(self, voters: tuple[str, ...]) -> None:
-        """Record the names of the voters; only the first non-empty tuple counts."""
+        """Record the names of the voters unless some are known; each installed state renews them."""
         if voters and not self._voters:
             self._voters = voters
             self._log.info("voters_known", voters=",".join(voters))
@@ -117,6 +117,7 @@
             evacuated=",".join(state.evacuated),
             source=source,
         )
+        self._renew_voters(state)
         if not self._installations:
             self._installations.append((float("-inf"), self._state.revision))
         self._installations.append((self._clock(), state.revision))
@@ -126,6 +127,12 @@
         self._installed.set()
         self._installed = anyio.Event()
 
+    def _renew_voters(self, state: ClusterState) -> None:
+        voters = state.previous_voters or state.voters
+        if voters and voters != self._voters:
+            self._log.info("voters_changed", voters=",".join(voters), revision=state.revision)
+            self._voters = voters
+
     async def wait_for_revision(self, revision: int, *, timeout_s: float) -> bool:
         """Return whether ``revision`` or a newer one is installed within ``timeout_s``."""
         with anyio.move_on_after(timeout_s):
@@ -179,8 +186,8 @@
             )
             if not isinstance(reply, StateReply):
                 raise MalformedMessageError(what="the reply is not a StateReply", where=source.name)
-            self.learn_voters(reply.voters)
             self.install(decode_state(reply.state), source=source.name)
+            self.learn_voters(reply.voters)
         except (PeerUnreachableError, MalformedMessageError) as error:
             self._log.warning("state_query_failed", peer=source.name, reason=str(error))
 
--- a/figpaddle/regional/_register_host.py
+++ b/figpaddle/regional/_register_host.py
@@ -12,11 +12,7 @@
     NO_BALLOT,
     Ballot,
     Promise,
-    VoterBootstrap,
-    is_chosen,
-    majority,
     newest_value,
-    recovery_quorum,
 )
 from figpaddle.deployment import ClusterState, decode_state, encode_state
 from figpaddle.errors import (
@@ -28,9 +24,11 @@
 from figpaddle.regional._delegation import Delegation
 from figpaddle.regional._mesh import Mesh
 from figpaddle.regional._register_store import RegisterStore
+from figpaddle.regional._register_voters import RegisterVoters
 from figpaddle.regional._settings import ProcessSettings
 from figpaddle.regional._tasks import ContainedTasks
 from figpaddle.regional._voter_client import VoterClient, ballot_to_wire
+from figpaddle.regional._voter_maintenance import VoterMaintenance
 from figpaddle.telemetry import Log
 from figpaddle.wire import (
     AcceptReply,
@@ -54,6 +52,9 @@
 #: a start), seconds.
 UPKEEP_INTERVAL_S = 0.25
 
+#: Has a majority accept the present state.
+CONFIRM = StateChange(kind="confirm", version=0, document=b"", zone="")
+
 #: Returns the cluster state after a change.
 StateTransform = Callable[[ClusterState], ClusterState]
 
@@ -64,6 +65,8 @@
 
     change: StateTransform
     done: anyio.Event
+    #: Whether it needs a round with a prepare phase, which tells the incarnations of all instances.
+    needs_promises: bool = False
     #: The state that includes the change; None while it may not be durable.
     state: ClusterState | None = None
 
@@ -83,7 +86,7 @@
 
     Concurrent changes share a round. The live control instance with the lowest name proposes for
     the others, so that proposers rarely compete; another instance proposes a change itself if that
-    one doesn't reply.
+    one doesn't reply. The same instance keeps the set of voters up to date.
     """
 
     def __init__(
@@ -105,16 +108,26 @@
         self._clock = clock
         self._rng = rng
         self._log = log
-        self._bootstrap = VoterBootstrap(name=settings.ip, seeds=settings.seeds, now=clock())
         self._pending: list[_PendingChange] = []
         self._change_added = anyio.Event()
         self._last_won_round: _WonRound | None = None
         self._delegation = Delegation(name=settings.ip, mesh=mesh, clock=clock, log=log)
-        self._voters_shared = False
         self._initial_read_done = False
+        self._candidates: tuple[str, ...] = ()
         self._voter_client = VoterClient(
             name=settings.ip, mesh=mesh, answer_self=self._answer_self, tasks=tasks, log=log
         )
+        self._maintenance = VoterMaintenance(
+            settings=settings,
+            mesh=mesh,
+            follower=follower,
+            store=store,
+            voter_client=self._voter_client,
+            change_voters=self._change_voters,
+            now=clock(),
+            log=log,
+        )
+        self._voters = RegisterVoters(seeds=settings.seeds, store=store, follower=follower)
         follower.learn_voters(store.voters)
         mesh.on_query(PrepareRequest, self._answer_prepare)
         mesh.on_query(AcceptRequest, self._answer_accept)
@@ -149,19 +162,24 @@
 
     async def read(self) -> ClusterState:
         """Return the newest cluster state; raises NoMajorityError without a majority."""
-        voters = self._voters()
-        chosen = await self._voter_client.gather_promises(
-            self._voters(), PeekRequest(), lambda promises: is_chosen(promises, voters=len(voters))
+        promises = await self._voter_client.gather_promises(
+            self._voters.targets(), PeekRequest(), self._voters.is_chosen
         )
-        if chosen is None:
+        if not promises or not self._voters.is_chosen(promises):
             # Some voter may lack the newest value: have a majority accept it before it is returned.
-            return await self.change(StateChange(kind="confirm", version=0, document=b"", zone=""))
-        state = decode_state(newest_value(chosen).value)
+            self._voters.learn(promises)
+            return await self.change(CONFIRM)
+        self._voters.forget_outdated()
+        state = decode_state(newest_value(promises).value)
         self._follower.install(state, source="majority")
         return state
 
     async def _change_locally(self, change_request: StateChange) -> ClusterState:
-        pending = _PendingChange(change=_state_transform(change_request), done=anyio.Event())
+        return await self._enqueue(
+            _PendingChange(change=_state_transform(change_request), done=anyio.Event())
+        )
+
+    async def _enqueue(self, pending: _PendingChange) -> ClusterState:
         self._pending.append(pending)
         self._change_added.set()
         await pending.done.wait()
@@ -182,6 +200,8 @@
             batch, self._pending = self._pending, []
             state: ClusterState | None = None
             try:
+                if any(pending.needs_promises for pending in batch):
+                    self._last_won_round = None
                 state = await self._run_rounds([pending.change for pending in batch])
             except (NoMajorityError, StorageError, MalformedMessageError) as error:
                 self._log.warning("change_not_made", changes=len(batch), reason=str(error))
@@ -191,10 +211,10 @@
                     pending.done.set()
 
     async def _run_rounds(self, transforms: list[StateTransform]) -> ClusterState:
-        await self._share_voters()
         state = await self._run_reserved_round(transforms)
         for attempt in range(MAX_ROUNDS):
             if state is not None:
+                state = await self._settle_voters(state)
                 self._follower.install(state, source="register")
                 return state
             if attempt:
@@ -204,17 +224,15 @@
             what="every round was lost, to other proposers or for lack of a majority"
         )
 
-    async def _share_voters(self) -> None:
-        """Return once a majority of the voters has recorded who they are; raises NoMajorityError.
+    async def _settle_voters(self, state: ClusterState) -> ClusterState:
+        """End a change of the voters once the state that began it was chosen.
 
-        If the only disk with their names were lost, a confirmed change could not be read again.
+        The reserved ballot is the one promised with that state, so no other state came between.
         """
-        if self._voters_shared:
-            return
-        voters = self._voters()
-        if not await self._voter_client.share_voters(voters, needed=majority(len(voters))):
-            raise NoMajorityError(what="too few voters have recorded who the voters are")
-        self._voters_shared = True
+        if not state.previous_voters:
+            return state
+        settled = await self._run_reserved_round([ClusterState.with_settled_voters])
+        return state if settled is None else settled
 
     async def _run_reserved_round(self, transforms: list[StateTransform]) -> ClusterState | None:
         """Send accepts with the ballot promised in the last won round, without a prepare phase."""
@@ -225,13 +243,8 @@
         return await self._run_accepts(last_round.reserved, state, last_round.incarnations, "short")
 
     async def _run_full_round(self, transforms: list[StateTransform]) -> ClusterState | None:
-        needed = majority(len(self._voters()))
         ballot = self._voter_client.next_ballot()
-        promises = await self._voter_client.gather_promises(
-            self._voters(),
-            PrepareRequest(ballot=ballot_to_wire(ballot)),
-            lambda promises: len(promises) >= needed,
-        )
+        promises = await self._gather_quorum(ballot, self._voters.is_quorum)
         if promises is None:
             self._log.info("round_lost", ballot=ballot.number, phase="prepare")
             return None
@@ -242,18 +255,39 @@
         incarnations = {**self._voter_client.incarnations, **promised_incarnations}
         return await self._run_accepts(ballot, state, incarnations, "accept")
 
+    async def _gather_quorum(
+        self, ballot: Ballot, is_enough: Callable[[tuple[Promise, ...]], bool]
+    ) -> tuple[Promise, ...] | None:
+        """Have instances promise ``ballot``; return the promises, or None if they are too few.
+
+        Instances that may become voters are asked too, since a new voter accepts a value only under
+        the incarnation that it stated.
+        """
+        names = {*self._voters.targets(), *self._candidates}
+        promises = await self._voter_client.gather_promises(
+            tuple(sorted(names)), PrepareRequest(ballot=ballot_to_wire(ballot)), is_enough
+        )
+        if promises and is_enough(promises):
+            self._voters.forget_outdated()
+            return promises
+        if self._voters.learn(promises):
+            self._log.info("voters_outdated", voters=",".join(self._voters.targets()))
+        return None
+
     async def _run_accepts(
         self, ballot: Ballot, state: ClusterState, incarnations: dict[str, str], phase: str
     ) -> ClusterState | None:
         reserved = self._voter_client.next_ballot()
-        accepted_by = await self._voter_client.gather_acceptances(
+        value = encode_state(state)
+        voters = self._voters.of_value(value)
+        won = await self._voter_client.gather_acceptances(
             ballot,
-            encode_state(state),
-            incarnations,
+            value,
+            {name: incarnations[name] for name in voters.members if name in incarnations},
             reserved=reserved,
-            needed=majority(len(self._voters())),
+            voters=voters,
         )
-        if accepted_by is None:
+        if not won:
             self._log.info("round_lost", ballot=ballot.number, phase=phase)
             return None
         self._last_won_round = _WonRound(
@@ -315,6 +349,7 @@
             promised=ballot_to_wire(state.promised),
             accepted=ballot_to_wire(state.accepted),
             value=state.value,
+            changes_voters=True,
         )
 
     async def _answer_voters(self, query: Message) -> Message:
@@ -337,59 +372,63 @@
         return StateChangeReply(done=True, state=encode_state(state))
 
     async def _upkeep(self) -> None:
-        if not self._follower.voters:
-            await self._decide_voters()
-        elif not self._store.voters and self._store.voter.state.complete:
-            await self._store.record_voters(self._voters())
-        elif not self._store.voter.state.complete and self._is_voter:
+        if not self._voters.known:
+            await self._maintenance.decide_first_voters(now=self._clock())
+        elif not self._store.voter.state.complete:
             await self._recover()
-        elif not self._voters_shared:
-            await self._share_voters()
+        elif not self._store.voters:
+            await self._store.record_voters(self._follower.voters)
         elif not self._initial_read_done:
             await self.read()
             self._initial_read_done = True
+        elif self._delegation.proposer() == self._settings.ip:
+            await self._settle_interrupted_change()
+            await self._maintenance.replace_silent_voters(now=self._clock())
 
-    async def _decide_voters(self) -> None:
-        now = self._clock()
-        for heartbeat in self._mesh.live_controls():
-            if heartbeat.founding:
-                self._bootstrap.add_candidate(heartbeat.name, now=now)
-        voters = self._bootstrap.decide(now=now) if self._settings.first_start else None
-        if voters is None:
-            return
-        names = await self._store.record_voters(voters.names)
-        self._log.info("voters_decided", voters=",".join(names))
-        self._follower.learn_voters(names)
+    async def _settle_interrupted_change(self) -> None:
+        """End a change of the voters that another proposer began and didn't end."""
+        if self._follower.state.previous_voters:
+            await self._change_locally(CONFIRM)
+
+    async def _change_voters(self, names: tuple[str, ...], present: tuple[str, ...]) -> None:
+        """Change the voters from ``present`` to ``names``, unless others changed them meanwhile."""
+
+        def begin_change(state: ClusterState) -> ClusterState:
+            if state.previous_voters or (state.voters and state.voters != present):
+                return state
+            return state.with_voters(names, previous=present)
+
+        self._candidates = names
+        try:
+            await self._enqueue(
+                _PendingChange(change=begin_change, done=anyio.Event(), needs_promises=True)
+            )
+        finally:
+            self._candidates = ()
 
     async def _recover(self) -> None:
-        """Restore the voter after its disk was lost.
+        """Restore the voter after its disk was lost, or prepare this instance to become a voter.
 
-        A recovery quorum of promises ensures that it can't contradict the votes on the lost disk.
+        A recovery quorum of promises ensures that it can't contradict the votes on a lost disk.
         """
-        needed = recovery_quorum(len(self._voters()))
-        ballot = self._voter_client.recovery_ballot()
-        promises = await self._voter_client.gather_promises(
-            self._voters(),
-            PrepareRequest(ballot=ballot_to_wire(ballot)),
-            lambda promises: len(promises) >= needed,
+
+        def is_enough(promises: tuple[Promise, ...]) -> bool:
+            return self._voters.is_recovery_quorum(promises, lost=self._settings.ip)
+
+        # The replies tell the ballots in use; a lower one would be refused.
+        peeked = await self._voter_client.gather_promises(
+            self._voters.targets(), PeekRequest(), is_enough
         )
+        self._voters.learn(peeked)
+        ballot = self._voter_client.recovery_ballot()
+        promises = await self._gather_quorum(ballot, is_enough)
         if promises is None:
-            self._log.warning("voter_not_recovered", needed=needed)
+            self._log.warning("voter_not_recovered", voters=",".join(self._voters.targets()))
             return
-        await self._store.record_voters(self._voters())
         await self._store.recover(promises, ballot)
+        await self._store.record_voters(self._follower.voters)
         self._log.info("voter_recovered", ballot=ballot.number, answers=len(promises))
 
-    @property
-    def _is_voter(self) -> bool:
-        return self._settings.ip in self._follower.voters
-
-    def _voters(self) -> tuple[str, ...]:
-        voters = self._follower.voters
-        if not voters:
-            raise NoMajorityError(what="the voters are not known yet")
-        return voters
-
 
 def _prepare_reply(promise: Promise) -> PrepareReply:
     return PrepareReply(
@@ -399,6 +438,7 @@
         promised=ballot_to_wire(promise.promised),
         accepted=ballot_to_wire(promise.accepted),
         value=promise.value,
+        changes_voters=True,
     )
 
 
--- a/figpaddle/regional/_register_store.py
+++ b/figpaddle/regional/_register_store.py
@@ -11,6 +11,7 @@
 import cbor2
 
 from figpaddle.coordination import Acceptance, Ballot, Promise, Voter, VoterState
+from figpaddle.deployment import decode_voters
 from figpaddle.errors import StorageCorruptError
 from figpaddle.storage import RecordFile
 
@@ -36,7 +37,10 @@
 
     @property
     def voters(self) -> tuple[str, ...]:
-        """The names of the deployment's voters; empty before they are known."""
+        """The names of the deployment's voters as recorded last; empty before they are known.
+
+        Earlier builds take them from here. The accepted value names them too once they were changed.
+        """
         return self._voters
 
     @property
@@ -92,7 +96,12 @@
         if state is not self.voter.state:
             # A cancelled request must not leave memory and disk with different states.
             with anyio.CancelScope(shield=True):
-                await self._write(state, self._voters)
+                voters = self._voters
+                if state.value != self.voter.state.value:
+                    names, previous = decode_voters(state.value)
+                    voters = previous or names or voters
+                await self._write(state, voters)
+                self._voters = voters
                 self.voter.set_state(state)
 
     async def _write(self, state: VoterState, voters: tuple[str, ...]) -> None:
--- a/figpaddle/regional/_voter_client.py
+++ b/figpaddle/regional/_voter_client.py
@@ -2,16 +2,23 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Collection
 
 import anyio
 
-from figpaddle.coordination import NO_BALLOT, RECOVERY_BALLOT_DISTANCE, Acceptance, Ballot, Promise
+from figpaddle.coordination import (
+    NO_BALLOT,
+    RECOVERY_BALLOT_DISTANCE,
+    Acceptance,
+    Ballot,
+    Promise,
+    VoterSet,
+)
 from figpaddle.errors import PeerUnreachableError, StorageError
 from figpaddle.regional._mesh import Mesh
 from figpaddle.regional._tasks import ContainedTasks
 from figpaddle.telemetry import Log
-from figpaddle.wire import AcceptReply, AcceptRequest, Message, PrepareReply, VotersDecision
+from figpaddle.wire import AcceptReply, AcceptRequest, Message, PeekRequest, PrepareReply
 
 #: Timeout of a voter's reply, seconds; three of the longest round trips and a slow disk write.
 VOTER_TIMEOUT_S = 0.8
@@ -66,8 +73,8 @@
         voters: tuple[str, ...],
         query: Message,
         is_enough: Callable[[tuple[Promise, ...]], bool],
-    ) -> tuple[Promise, ...] | None:
-        """Query all voters; return the granted promises once they are enough, or None.
+    ) -> tuple[Promise, ...]:
+        """Query all voters; return the granted promises once they are enough or all have replied.
 
         The queries to slower voters go on, and the incarnations in their replies are kept.
         """
@@ -89,8 +96,7 @@
         for name in voters:
             self._tasks.start_soon(ask_voter, name)
         await decided.wait()
-        granted = tuple(promises)
-        return granted if granted and is_enough(granted) else None
+        return tuple(promises)
 
     async def gather_acceptances(
         self,
@@ -99,19 +105,17 @@
         incarnations: dict[str, str],
         *,
         reserved: Ballot,
-        needed: int,
-    ) -> tuple[str, ...] | None:
-        """Ask the voters to accept; return the first ``needed`` that did, or None if too few did.
+        voters: VoterSet,
+    ) -> bool:
+        """Ask voters to accept; return whether a quorum of ``voters`` did.
 
         The requests to slower voters go on, so that these hold the newest value soon after.
         """
-        voter_count = len(incarnations)
-        granted: list[str] = []
-        reply_count = 0
+        granted: set[str] = set()
+        unanswered = set(incarnations)
         decided = anyio.Event()
 
         async def ask_voter(name: str, incarnation: str) -> None:
-            nonlocal reply_count
             query = AcceptRequest(
                 ballot=ballot_to_wire(ballot),
                 incarnation=incarnation,
@@ -121,37 +125,32 @@
             try:
                 reply = await self._request_acceptance(name, query)
                 if reply is not None and reply.granted:
-                    granted.append(name)
+                    granted.add(name)
             finally:
-                reply_count += 1
-                if len(granted) >= needed or reply_count - len(granted) > voter_count - needed:
+                unanswered.discard(name)
+                if voters.is_quorum(granted) or not voters.is_quorum(granted | unanswered):
                     decided.set()
 
+        if not voters.is_quorum(unanswered):
+            return False
         for name, incarnation in incarnations.items():
             self._tasks.start_soon(ask_voter, name, incarnation)
         await decided.wait()
-        return tuple(granted) if len(granted) >= needed else None
+        return voters.is_quorum(granted)
 
-    async def share_voters(self, voters: tuple[str, ...], *, needed: int) -> bool:
-        """Have the voters record their names; return whether ``needed`` of them have made it durable."""
-        recorded_count = 0
-        reply_count = 0
-        decided = anyio.Event()
+    async def peek(self, names: Collection[str]) -> dict[str, PrepareReply]:
+        """Return what instances hold as voters, by their names; those without a reply are left out."""
+        replies: dict[str, PrepareReply] = {}
 
         async def ask_voter(name: str) -> None:
-            nonlocal recorded_count, reply_count
-            try:
-                reply = await self._query_voter(name, VotersDecision(names=voters))
-                recorded_count += isinstance(reply, VotersDecision) and reply.names == voters
-            finally:
-                reply_count += 1
-                if recorded_count >= needed or reply_count == len(voters):
-                    decided.set()
-
-        for name in voters:
-            self._tasks.start_soon(ask_voter, name)
-        await decided.wait()
-        return recorded_count >= needed
+            reply = await self._query_voter(name, PeekRequest())
+            if isinstance(reply, PrepareReply):
+                replies[name] = reply
+
+        async with anyio.create_task_group() as tasks:
+            for name in sorted(names):
+                tasks.start_soon(ask_voter, name)
+        return replies
 
     async def _request_promise(self, name: str, query: Message) -> Promise | None:
         reply = await self._query_voter(name, query)
--- a/figpaddle/regional/tests/test_register_host.py
+++ b/figpaddle/regional/tests/test_register_host.py
@@ -23,7 +23,7 @@
 from figpaddle.regional._register_store import RegisterStore
 from figpaddle.regional._tasks import ContainedTasks
 from figpaddle.telemetry import MetricsRegistry
-from figpaddle.wire import InstanceRole, Message, StateChange, VotersDecision
+from figpaddle.wire import AcceptRequest, InstanceRole, Message, StateChange
 
 pytestmark = pytest.mark.anyio
 
@@ -186,11 +186,12 @@
     tmp_path: pathlib.Path,
 ) -> None:
     network = Network()
-    network.lost.add(VotersDecision)
+    network.lost.add(AcceptRequest)
     async with controls(network, tmp_path) as instances:
         with anyio.move_on_after(1.0) as unconfirmed:
             await confirmed_change(instances[0])
         assert unconfirmed.cancelled_caught
+        assert not any(instance.store.voter.state.value for instance in instances[1:])
         network.lost.clear()
         await confirmed_change(instances[0])
 
--- a/figpaddle/wire/_regional_messages.py
+++ b/figpaddle/wire/_regional_messages.py
@@ -207,6 +207,8 @@
     promised: tuple[int, str]
     accepted: tuple[int, str]
     value: bytes
+    #: Whether the sender's build reads the voters from the value; earlier ones never change them.
+    changes_voters: bool = False
 
 
 @message("regional.accept")
@@ -241,7 +243,10 @@
 @message("regional.voters")
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class VotersDecision(Message):
-    """Set of voters chosen by the instance that sets up the deployment."""
+    """Voters chosen by the instance that sets up the deployment; the reply has those recorded.
+
+    Earlier builds send it. The register itself holds the voters since then.
+    """
 
     names: tuple[str, ...]
 
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -384,6 +384,8 @@
         }
         self._processes: dict[str, subprocess.Popen[bytes]] = {}
         self._roles: dict[str, tuple[str, str]] = {}
+        #: Control instances whose addresses processes get at their start.
+        self.seeds = ("m-1", "m-2", "m-3")
         self._ids = itertools.count(1)
         self.engines: list[Engine] = []
         self._engine_listeners: list[EngineListener] = []
@@ -408,7 +410,7 @@
         """Start a process that writes its log to a file in the deployment's folder."""
         self._roles[name] = (role, zone)
         control = role == "control"
-        seeds = ",".join(self.address(f"m-{number}", "control") for number in (1, 2, 3))
+        seeds = ",".join(self.address(seed, "control") for seed in self.seeds)
         lines = [
             f"node-name={name}",
             f"serves={'control' if control else 'front,directory'}",
@@ -534,6 +536,24 @@
         role, zone = self._roles[name]
         self.start(name, role, zone, first=False)
 
+    async def replace_control(self, gone: str, successor: str) -> None:
+        """Remove a control instance for good and start another one with an empty disk in its place."""
+        self.signal(gone, signal.SIGKILL)
+        await self.wait_for_exit(gone)
+        role, zone = self._roles.pop(gone)
+        self.seeds = tuple(successor if seed == gone else seed for seed in self.seeds)
+        await anyio.sleep(1.0)
+        self.start(successor, role, zone, first=False)
+
+    async def wait_for_voter(self, name: str, *, timeout_s: float = WAIT_TIMEOUT_S) -> None:
+        """Wait until a control instance logs that it is one of the voters."""
+        with anyio.fail_after(timeout_s):
+            while not any(
+                "event=voters_changed" in line and self.ip(name) in line
+                for line in self.log(name).splitlines()
+            ):
+                await anyio.sleep(0.1)
+
     def ended(self) -> list[str]:
         """Return the names of the processes that have exited."""
         return [name for name, process in self._processes.items() if process.poll() is not None]
--- a/tests/test_builds_side_by_side.py
+++ b/tests/test_builds_side_by_side.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import pathlib
 import signal
 import subprocess
@@ -10,13 +11,20 @@
 import anyio
 import pytest
 
-from tests.platform_standin import PlatformDeployment, configuration, platform_deployment
+from tests.platform_standin import (
+    WAIT_TIMEOUT_S,
+    PlatformDeployment,
+    configuration,
+    platform_deployment,
+)
 
 pytestmark = pytest.mark.anyio
 
 ROOT = pathlib.Path(__file__).parent.parent
 #: The last two builds that were deployed.
 EARLIER_BUILDS = ["fea7b96", "cf33a69"]
+#: The last build whose voters stay those of the first start.
+FIXED_VOTERS_BUILD = "46c35a8"
 PROCESSES = ("m-1", "m-2", "m-3", "m-4", "m-5", "m-6")
 ENTRIES = ("m-4", "m-5", "m-6")
 REQUEST_INTERVAL_S = 0.04
@@ -66,7 +74,7 @@
 
 @pytest.mark.skipif(is_shallow_clone(), reason="a shallow clone has no earlier builds")
 @pytest.mark.parametrize("order", ["to this build", "back to the earlier one"])
-@pytest.mark.parametrize("commit", EARLIER_BUILDS)
+@pytest.mark.parametrize("commit", [*EARLIER_BUILDS, FIXED_VOTERS_BUILD])
 async def test_processes_are_replaced_one_at_a_time_without_failing_requests(
     commit: str, order: str, tmp_path: pathlib.Path
 ) -> None:
@@ -118,3 +126,70 @@
         assert not failed
         for name in PROCESSES:
             assert "unreadable" not in platform.log(name), name
+
+
+async def confirm(platform: PlatformDeployment, version: int) -> None:
+    change = configuration(version)
+    assert (await platform.send_operator_command("POST", "/v1/config/put", change)).status == 200
+
+
+@pytest.mark.skipif(is_shallow_clone(), reason="a shallow clone has no earlier builds")
+async def test_a_successor_votes_once_no_earlier_build_runs_and_earlier_entries_read_its_state(
+    tmp_path: pathlib.Path,
+) -> None:
+    # Guards against a set of voters that an earlier build doesn't know and counts without.
+    earlier = unpack_build(FIXED_VOTERS_BUILD, tmp_path)
+
+    class Deployment(MixedDeployment):
+        default_root = earlier
+
+    async with platform_deployment(make_deployment=Deployment) as platform:
+        assert isinstance(platform, Deployment)
+
+        async def update(name: str) -> None:
+            platform.signal(name, signal.SIGTERM)
+            platform.roots[name] = ROOT
+            await platform.restart(name)
+            await anyio.sleep(1.0)
+
+        await update("m-1")
+        await update("m-2")
+        platform.roots["m-7"] = ROOT
+        await platform.replace_control("m-1", "m-7")
+        await anyio.sleep(5.0)
+        await confirm(platform, 2)
+        assert "voters_proposed" not in platform.log("m-2") + platform.log("m-7")
+        await update("m-3")
+        await platform.wait_for_voter("m-7")
+        platform.signal("m-2", signal.SIGKILL)
+        await platform.wait_for_exit("m-2")
+        await confirm(platform, 3)
+        for name in ENTRIES:
+            with anyio.fail_after(WAIT_TIMEOUT_S):
+                while "version=3" not in platform.log(name):
+                    await anyio.sleep(0.05)
+            assert (await platform.send_request(name, "/read/1"))[1].status == 200
+            assert "unreadable" not in platform.log(name)
+
+
+@pytest.mark.skipif(is_shallow_clone(), reason="a shallow clone has no earlier builds")
+async def test_an_earlier_build_counts_with_the_voters_after_a_replacement(
+    tmp_path: pathlib.Path,
+) -> None:
+    # Guards against a step back to an earlier build that asks the voters of the first start.
+    earlier = unpack_build(FIXED_VOTERS_BUILD, tmp_path)
+    async with platform_deployment(make_deployment=MixedDeployment) as platform:
+        assert isinstance(platform, MixedDeployment)
+        await confirm(platform, 2)
+        await platform.replace_control("m-1", "m-7")
+        await platform.wait_for_voter("m-7")
+        for name in ("m-2", "m-3", "m-7"):
+            platform.signal(name, signal.SIGTERM)
+            platform.roots[name] = earlier
+            await platform.restart(name)
+            await anyio.sleep(1.0)
+        reply = await platform.send_operator_command("GET", "/v1/config/get")
+        assert json.loads(reply.body)["version"] == 2
+        platform.signal("m-2", signal.SIGKILL)
+        await platform.wait_for_exit("m-2")
+        await confirm(platform, 3)
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -135,6 +135,35 @@
         assert json.loads(reply.body)["version"] == 7
 
 
+async def test_the_configuration_outlives_all_control_instances_of_the_first_start() -> None:
+    # Guards against voters that stay those of the first start: after the third replacement of a
+    # control instance nothing could be read or changed any more.
+    async with control_instances() as platform:
+        reply = await platform.send_operator_command("POST", "/v1/config/put", configuration(7))
+        assert reply.status == 200
+        for number in (1, 2, 3):
+            await platform.replace_control(f"m-{number}", f"m-{number + 6}")
+            await platform.wait_for_voter(f"m-{number + 6}")
+        reply = await platform.send_operator_command("GET", "/v1/config/get")
+        assert json.loads(reply.body)["version"] == 7
+        reply = await platform.send_operator_command("POST", "/v1/config/put", configuration(8))
+        assert reply.status == 200
+
+
+async def test_voters_are_decided_without_the_lowest_seed_when_its_disk_is_lost() -> None:
+    # Guards against a deployment that never has voters: the only instance that decided them lost its
+    # disk in the first seconds.
+    async with control_instances() as platform:
+        await anyio.sleep(1.0)
+        platform.signal("m-1", signal.SIGKILL)
+        await platform.wait_for_exit("m-1")
+        await anyio.sleep(1.0)
+        await platform.restart("m-1", wipe=True)
+        reply = await platform.send_operator_command("POST", "/v1/config/put", configuration(7))
+        assert reply.status == 200
+        await platform.wait_for_voter("m-1")
+
+
 async def test_without_a_majority_nothing_is_acknowledged_or_read() -> None:
     async with platform_deployment(engines=False) as platform:
         for name in ("m-2", "m-3"):
