--- a/figpaddle/daemon/_gateway.py
+++ b/figpaddle/daemon/_gateway.py
@@ -102,15 +102,20 @@
         self._warm_up_ends_at = clock() + WARM_UP_S
         self._answer_times = AnswerTimes()
         self._stops_at: float | None = None
+        self._announced_at = math.inf
 
     @property
     def in_progress(self) -> int:
         """Number of in-flight requests of this instance."""
         return self._in_progress
 
-    def stop_at(self, stops_at: float) -> None:
-        """Begin only requests that end before ``stops_at``, seconds on the instance's clock."""
+    def stop_at(self, stops_at: float, *, announced_at: float) -> None:
+        """Begin only requests that end before ``stops_at``, seconds on the instance's clock.
+
+        Whoever sends one after ``announced_at`` knows that other instances serve it.
+        """
         self._stops_at = stops_at
+        self._announced_at = announced_at
 
     async def serve(
         self, head: RequestHead, body: BodySource, sink: ResponseSink, tracker: OutcomeTracker
@@ -171,12 +176,15 @@
         deadline_s = self.check_permitted(member, service, visited, crossings).deadline_s
         kinds = [(f"{member}/{service}", streamed) for streamed in (False, True)]
         if not any(
-            self._ends_before_stop(kind, repeatable=True, deadline_s=deadline_s) for kind in kinds
+            self._ends_before_stop(
+                kind, repeatable=True, deadline_s=deadline_s, received_at=self._clock()
+            )
+            for kind in kinds
         ):
             raise DrainingError(instance=self._directory.own.name)
 
     def _ends_before_stop(
-        self, kind: tuple[str, bool], *, repeatable: bool, deadline_s: float
+        self, kind: tuple[str, bool], *, repeatable: bool, deadline_s: float, received_at: float
     ) -> bool:
         """Return whether a request that begins now ends in time, if a planned stop has begun.
 
@@ -198,6 +206,8 @@
             deadline_s=deadline_s,
             # The deadline is that of the first bytes, of streams and of whole responses.
             deadline_ends=False,
+            # Nothing bounds the next stream, and one that has begun is cut at the end.
+            only_bounded=kind[1] and received_at > self._announced_at,
         )
 
     def _may_begin(self, head: RequestHead) -> bool:
@@ -206,6 +216,7 @@
             (head.service_key, head.prompt.streamed),
             repeatable=head.idempotent and not head.prompt.streamed,
             deadline_s=head.deadline_at - self._clock(),
+            received_at=head.deadline_at - head.deadline_s,
         )
 
     def _check_ends_before_stop(self, head: RequestHead, *, earlier: RequestError | None) -> None:
--- a/figpaddle/daemon/_instance.py
+++ b/figpaddle/daemon/_instance.py
@@ -315,7 +315,8 @@
         self._life_cycle.handle("stop")
         self._log.info("leaving", in_progress=self._gateway.in_progress)
         self._callers.leaving = True
-        self._gateway.stop_at(self._clock() + limits.leave_grace_s + limits.drain_s)
+        announced_at = self._clock() + limits.leave_grace_s
+        self._gateway.stop_at(announced_at + limits.drain_s, announced_at=announced_at)
         for component in self._components:
             await component.announce_leaving()
         await anyio.sleep(limits.leave_grace_s)
--- a/figpaddle/regional/_gateway.py
+++ b/figpaddle/regional/_gateway.py
@@ -43,6 +43,7 @@
     Choice,
     SharedRetryBudget,
     TransitTimes,
+    is_announced,
     jittered_retry_after,
     may_begin,
     refuse_late,
@@ -369,19 +370,31 @@
         if self._stopping_at is None:
             return True
         now = self._clock()
+        # A whole answer that doesn't come in time is replaced by a failure. A stream that has begun is cut,
+        # so one whose caller could have gone elsewhere begins only if its deadline bounds it.
+        only_bounded = context.route.streaming and is_announced(
+            stopping_at=self._stopping_at, received_at=context.request.received_at
+        )
         ends_by = self._stopping_at + self._settings.bounds.grace_s - CLOSE_RESERVE_S
         # Another entry serves a refused request at once. Where none does, one that may be repeated loses
         # less by an answer that comes too late than by waiting.
         another_serves = self._mesh.ready_entries(self._settings.region, since=self._stopping_at)
         answer_s = self._attempts.answer_s(context, choice, assumes_unmeasured=not another_serves)
         deadline_s = context.remaining_s(now=now)
-        if may_begin(now=now, ends_by=ends_by, answer_s=answer_s, deadline_s=deadline_s):
+        if may_begin(
+            now=now,
+            ends_by=ends_by,
+            answer_s=answer_s,
+            deadline_s=deadline_s,
+            only_bounded=only_bounded,
+        ):
             return True
         self._log.warning(
             "request_not_begun",
             request=context.request_id,
             service=context.service.name,
             answer_s=None if math.isinf(answer_s) else round(answer_s, 3),
+            only_bounded=only_bounded,
             deadline_s=round(deadline_s, 3),
             stops_in_s=round(ends_by - now, 3),
         )
--- a/figpaddle/routing/__init__.py
+++ b/figpaddle/routing/__init__.py
@@ -30,6 +30,8 @@
 from figpaddle.routing._draining import (
     CLOSE_MARGIN_S,
     CLOSE_RESERVE_S,
+    UNANNOUNCED_S,
+    is_announced,
     may_begin,
     may_stop_accepting,
 )
@@ -169,6 +171,7 @@
     "SuspectSlots",
     "SuspectedAttempt",
     "TargetEvent",
+    "UNANNOUNCED_S",
     "UnsettledAttempts",
     "TransitTimes",
     "VersionHistory",
@@ -184,6 +187,7 @@
     "event_gap_timeout_s",
     "first_byte_timeout_s",
     "highest_ranked",
+    "is_announced",
     "is_known_to_nobody",
     "majority_heard_at",
     "jittered_retry_after",
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -384,6 +384,8 @@
         }
         self._processes: dict[str, subprocess.Popen[bytes]] = {}
         self._roles: dict[str, tuple[str, str]] = {}
+        #: Grace period of the processes, seconds.
+        self.grace_s = 4
         #: Control instances whose addresses processes get at their start.
         self.seeds = ("m-1", "m-2", "m-3")
         self._ids = itertools.count(1)
@@ -421,7 +423,7 @@
             f"internal-ports={self._ports['peer']},{self._ports['peer'] + 3}",
             f"seeds={seeds}",
             f"bootstrap={'true' if first else 'false'}",
-            "bounds.grace-s=4",
+            f"bounds.grace-s={self.grace_s}",
         ]
         if control:
             lines += [f"listen.control={self.address(name, 'control')}"]
--- a/tests/test_planned_stops.py
+++ b/tests/test_planned_stops.py
@@ -8,6 +8,7 @@
 import signal
 import socket
 from collections.abc import AsyncIterator
+from typing import Any
 
 import anyio
 import pytest
@@ -52,6 +53,9 @@
 #: When large answers come, and how long after it their callers read them, seconds from the reserve.
 LARGE_ANSWERS_AT_S = (-0.5, -0.3, -0.05, -0.03)
 READ_DELAY_S = 0.03
+#: A longer grace period, and when requests are sent within it whose callers could have known of the stop,
+#: seconds.
+LONG_GRACE_S, LATE_STREAMS_AT_S = 8, (3.2, 3.6, 4.0, 4.4)
 #: Routes of whole answers, and all routes.
 WHOLE_ROUTES = ("hold", "read")
 ROUTES = (*WHOLE_ROUTES, "chat", "plan")
@@ -422,6 +426,44 @@
     assert set() < callers.statuses(*ROUTES) <= {200, 503}
 
 
+@pytest.fixture
+async def patient_platform() -> AsyncIterator[PlatformDeployment]:
+    """A deployment with the longer grace period ``LONG_GRACE_S``."""
+
+    class Deployment(PlatformDeployment):
+        def __init__(self, **options: Any) -> None:
+            super().__init__(**options)
+            self.grace_s = LONG_GRACE_S
+
+    async with platform_deployment(engines=False, make_deployment=Deployment) as running:
+        await add_engines(running, "n-a", "s-a")
+        yield running
+
+
+async def test_streams_longer_than_those_before_are_not_begun_late_in_a_stop(
+    patient_platform: PlatformDeployment,
+) -> None:
+    # Guards against streams that the last entry of a region begins late in its stop, because earlier
+    # ones were short, and cuts at the end of its grace.
+    platform = patient_platform
+    callers = Callers(platform=platform)
+    await callers.measure("m-6")
+    for engine in platform.engines:
+        engine.event_count, engine.event_interval_s = 40, 0.25
+    platform.signal("m-6", signal.SIGTERM)
+    stopped_at = anyio.current_time()
+    async with anyio.create_task_group() as tasks:
+        for number, sent_at_s in enumerate(LATE_STREAMS_AT_S):
+            await anyio.sleep_until(stopped_at + sent_at_s)
+            for route in ROUTES:
+                tasks.start_soon(callers.send, "m-6", route, f"late-{route}-{number}")
+    assert await platform.wait_for_exit("m-6") == 0
+    callers.check_answers("m-6")
+    assert callers.statuses("chat", "plan") == {503}
+    # Whole answers are measured, and a failure would replace one that came too late.
+    assert callers.statuses(*WHOLE_ROUTES) == {200}
+
+
 class SlowCallers:
     """Sends large requests, and reads their answers only once the others have been interrupted."""
 
