--- a/figpaddle/coordination/_heartbeats.py
+++ b/figpaddle/coordination/_heartbeats.py
@@ -49,6 +49,13 @@
     received_at: float
     #: When a heartbeat of this incarnation last came from the sender itself, seconds.
     direct_at: float = float("-inf")
+    #: When a relay last vouched for its sender, seconds, also while heartbeats came from the sender itself.
+    vouched_at: float = float("-inf")
+
+    @property
+    def alive_at(self) -> float:
+        """The last moment at which its sender was alive by any sign, seconds."""
+        return max(self.received_at, self.vouched_at)
 
 
 class HeartbeatTable(Generic[HeartbeatT]):
@@ -67,12 +74,12 @@
         self._newest[heartbeat.name] = ReceivedHeartbeat(
             heartbeat=heartbeat, received_at=now, direct_at=now
         )
-        if known is None or now - known.received_at > HEARTBEAT_TIMEOUT_S:
+        if known is None or now - known.alive_at > HEARTBEAT_TIMEOUT_S:
             return True
         return heartbeat.incarnation != known.heartbeat.incarnation
 
     def vouch(self, heartbeat: HeartbeatT, *, now: float) -> bool:
-        """Record that a relay vouches for the sender of ``heartbeat``, which it made from a roster.
+        """Record that a relay vouched at ``now`` for the sender of ``heartbeat``, made from its roster.
 
         Returns whether the sender was unknown, silent or has restarted. A newer heartbeat from the
         sender itself is kept, and its revision never falls.
@@ -92,17 +99,18 @@
         is_direct = now - known.direct_at <= DIRECT_TTL_S
         self._newest[heartbeat.name] = ReceivedHeartbeat(
             heartbeat=newest,
-            received_at=known.received_at if is_direct else now,
+            received_at=known.received_at if is_direct else max(known.received_at, now),
             direct_at=known.direct_at,
+            vouched_at=max(known.vouched_at, now),
         )
-        return now - known.received_at > HEARTBEAT_TIMEOUT_S
+        return now - known.alive_at > HEARTBEAT_TIMEOUT_S
 
     def live(self, *, now: float) -> list[HeartbeatT]:
         """Return the newest heartbeats of the live instances, ordered by name."""
         return [
             received.heartbeat
             for _, received in sorted(self._newest.items())
-            if now - received.received_at <= HEARTBEAT_TIMEOUT_S
+            if now - received.alive_at <= HEARTBEAT_TIMEOUT_S
         ]
 
     def heard_directly(self, max_age_s: float, *, now: float) -> list[HeartbeatT]:
--- a/figpaddle/regional/_mesh.py
+++ b/figpaddle/regional/_mesh.py
@@ -190,9 +190,9 @@
         """When the datagram arrived that is being handled; the present time outside of one."""
         return self._clock() if self._arrived_at is None else self._arrived_at
 
-    def vouch(self, heartbeats: Iterable[InstanceHeartbeat]) -> None:
-        """Take in the members of a roster, made into heartbeats."""
-        now = self.message_at
+    def vouch(self, heartbeats: Iterable[InstanceHeartbeat], *, heard_at: float) -> None:
+        """Take in the members of a roster that came at ``heard_at``, made into heartbeats."""
+        now = heard_at
         for heartbeat in heartbeats:
             if heartbeat.name == self._settings.ip:
                 continue
@@ -383,11 +383,7 @@
         self._next_check_at = now + SILENCE_CHECK_INTERVAL_S
         for name in self._table.names():
             heard = self._table.get(name)
-            if (
-                heard is None
-                or now - heard.received_at <= HEARTBEAT_TIMEOUT_S
-                or name in self._silent
-            ):
+            if heard is None or now - heard.alive_at <= HEARTBEAT_TIMEOUT_S or name in self._silent:
                 continue
             self._silent.add(name)
             self._log.warning(
@@ -395,7 +391,7 @@
                 peer=name,
                 role=heard.heartbeat.role.value,
                 region=heard.heartbeat.region,
-                silent_s=round(now - heard.received_at, 2),
+                silent_s=round(now - heard.alive_at, 2),
             )
         expired = self._table.expire(now=now)
         never_heard = [
--- a/figpaddle/regional/_relaying.py
+++ b/figpaddle/regional/_relaying.py
@@ -51,7 +51,7 @@
 #: Interval at which a relay sends its roster to other relays without a change, and the load of its
 #: region, seconds; at least two arrive before a silent instance is noticed.
 ROSTER_INTERVAL_S = 0.4
-#: Interval at which a relay passes on a roster without a change, seconds; ten times before its members
+#: Interval at which a relay passes on a roster without a change, seconds; eight times before its members
 #: count as silent, since its receivers have no second relay that does so.
 PASS_ON_INTERVAL_S = 0.25
 #: Interval at which the relays of all zones are chosen, seconds.
@@ -101,7 +101,7 @@
     state: tuple[int, int, int] = (0, 0, 0)
     passed_state: tuple[int, int, int] = (0, 0, 0)
     passed_at: float = float("-inf")
-    #: When its members were last counted as live.
+    #: When the message came by which its members were last counted as live.
     vouched_at: float = float("-inf")
 
 
@@ -285,6 +285,7 @@
         """Choose relays, and send as one if this instance is one."""
         self._choose_relays(now)
         self._expire(now)
+        self._vouch_for_members(now)
         self._is_relay = bool(self._reporters) or (
             self.enabled and self._settings.ip in self._relays
         )
@@ -523,20 +524,33 @@
         return zone in self._settings.zones_of_region
 
     def _rosters_to_pass_on(self, now: float) -> list[bytes]:
-        """Return the rosters, this relay's too, that changed or weren't passed on for long."""
+        """Return the rosters, this relay's too, that changed or weren't passed on for long.
+
+        Those without a change that list the same zone take turns, since a lost datagram would lose
+        both.
+        """
         own = self._own_roster
         message = self._maker.changes(now=now)
         own.data, own.heard_at, own.state = encode(message), now, _state_of(message)
         due = []
-        for roster in (own, *self._rosters.values()):
+        zones: set[str] = set()
+        rosters = {self._settings.ip: own, **self._rosters}
+        for name, roster in sorted(rosters.items(), key=lambda item: item[1].passed_at):
             if not roster.data or now - roster.heard_at > SENDER_TTL_S:
                 continue
-            is_due = now - roster.passed_at >= PASS_ON_INTERVAL_S
+            zone = self._zone_of(name)
+            is_due = now - roster.passed_at >= PASS_ON_INTERVAL_S and zone not in zones
             if is_due or roster.state != roster.passed_state:
+                zones.add(zone)
                 roster.passed_at, roster.passed_state = now, roster.state
                 due.append(roster.data)
         return due
 
+    def _zone_of(self, relay: str) -> str:
+        """Return the zone that the roster of a relay lists."""
+        newest = self._rosters[relay].copy.newest if relay in self._rosters else None
+        return self._settings.zone if newest is None else newest.zone
+
     def _loads_to_pass_on(self, now: float) -> list[bytes]:
         due = []
         for region, (load, received_at) in self._region_loads.items():
@@ -600,10 +614,23 @@
         has_changed = before is None or _state_of(before) != _state_of(message)
         is_new = roster.copy.newest is not before
         if is_new and (has_changed or now - roster.vouched_at >= VOUCH_INTERVAL_S):
-            roster.vouched_at = now
-            self._mesh.vouch(roster.copy.heartbeats)
+            self._vouch(roster)
         return roster
 
+    def _vouch(self, roster: _Roster) -> None:
+        roster.vouched_at = roster.copy.heard_at
+        self._mesh.vouch(roster.copy.heartbeats, heard_at=roster.copy.heard_at)
+
+    def _vouch_for_members(self, now: float) -> None:
+        """Count members as live by the messages that came too soon after the one before.
+
+        If these were passed over, a few lost datagrams later would make the members silent.
+        """
+        for roster in self._rosters.values():
+            is_due = now - roster.vouched_at >= VOUCH_INTERVAL_S
+            if is_due and roster.copy.heard_at > roster.vouched_at:
+                self._vouch(roster)
+
     def _receive_work(self, message: Message) -> None:
         assert isinstance(message, ZoneWork)
         known = self._zone_work.get(message.zone)
--- a/figpaddle/regional/tests/test_peer_reports.py
+++ b/figpaddle/regional/tests/test_peer_reports.py
@@ -29,10 +29,10 @@
     assert receiver.reports.regional_load("east", "draft", 0) is not None
     for _ in range(int(HEARTBEAT_TIMEOUT_S / VOUCH_S)):
         network.now += VOUCH_S
-        receiver.mesh.vouch([in_roster])
+        receiver.mesh.vouch([in_roster], heard_at=network.now)
     assert receiver.reports.regional_load("east", "draft", 0) is not None
     while network.now < SILENCE_S:
         network.now += VOUCH_S
-        receiver.mesh.vouch([in_roster])
+        receiver.mesh.vouch([in_roster], heard_at=network.now)
     assert [item.name for item in receiver.mesh.live_entries("east")] == [sender.name]
     assert receiver.reports.regional_load("east", "draft", 0) is None
--- a/figpaddle/regional/tests/test_relaying.py
+++ b/figpaddle/regional/tests/test_relaying.py
@@ -6,7 +6,9 @@
 
 import pytest
 
+from figpaddle.regional._relaying import RELAY_INTERVAL_S, VOUCH_INTERVAL_S
 from figpaddle.regional.tests.simulated_instances import (
+    CONTROLS,
     ZONES,
     Network,
     SimulatedInstance,
@@ -21,7 +23,10 @@
     InstanceRole,
     Message,
     RegionLoad,
+    RelayedNews,
     SuspectNews,
+    ZoneRoster,
+    decode,
 )
 
 pytestmark = pytest.mark.anyio
@@ -231,6 +236,50 @@
         assert_all_know(instances)
 
 
+async def test_every_roster_that_came_counts_for_its_members_before_a_loss() -> None:
+    # Guards against instances taken for silent after a few lost datagrams, because the last roster
+    # that came before them was passed over.
+    network, instances = await start(80)
+    relays = {name for instance in instances for name in instance.relaying.relays}
+    receiver = next(item for item in instances[CONTROLS:] if item.name not in relays)
+    for _ in range(40):
+        await network.run(0.05)
+        rosters = receiver.relaying._rosters.values()
+        if any(roster.copy.heard_at > roster.vouched_at for roster in rosters):
+            break
+    came = {
+        heartbeat.name: roster.copy.heard_at
+        for roster in rosters
+        for heartbeat in roster.copy.heartbeats
+        if heartbeat.name != receiver.name
+    }
+    network.blocks = lambda _, name: name == receiver.name
+    await network.run(VOUCH_INTERVAL_S + RELAY_INTERVAL_S)
+    for name, heard_at in came.items():
+        heard = receiver.mesh.last_heard(name)
+        assert heard is not None and heard.received_at >= heard_at
+
+
+async def test_no_datagram_carries_both_rosters_of_a_zone() -> None:
+    # Guards against a zone taken for silent after the loss of a few datagrams with all that tells of it.
+    network, instances = await start(80)
+    zones_sent: list[list[str]] = []
+    carry = network.send
+
+    def send(sender: str, data: bytes, receiver: str) -> None:
+        message = decode(data)
+        if isinstance(message, RelayedNews):
+            items = [decode(item) for item in message.items]
+            zones_sent.append([item.zone for item in items if isinstance(item, ZoneRoster)])
+        carry(sender, data, receiver)
+
+    network.send = send  # type: ignore[method-assign]
+    await network.run(3.0)
+    assert any(zones_sent)
+    assert not [zones for zones in zones_sent if len(zones) != len(set(zones))]
+    assert_all_know(instances)
+
+
 async def test_a_restart_and_a_change_of_readiness_reach_all() -> None:
     network, instances = await start(80)
     restarted = instances[50]
