--- a/figpaddle/regional/_attempts.py
+++ b/figpaddle/regional/_attempts.py
@@ -16,6 +16,7 @@
     VERSION_FIELD,
     ForwardingTerms,
     forwarding_headers,
+    stated_attempts,
     without_statements,
 )
 from figpaddle.regional._mesh import Mesh
@@ -327,6 +328,7 @@
                 digest=context.traits.fingerprint,
                 version=context.version,
                 reads_version=True,
+                reads_attempts=True,
                 sent_at_s=self._boot_clock(),
                 incarnation=self._mesh.incarnation,
             )
@@ -340,6 +342,7 @@
                 BACKEND_CONNECT_TIMEOUT_S if is_own_region else FORWARD_CONNECT_TIMEOUT_S,
                 context.remaining_s(now=now),
             ),
+            stream_idle_timeout_s=self._stream_idle_timeout_s(context),
         )
         self._placer.note_sent(context, choice)
         self._mesh.warm_connections(entry)
@@ -357,6 +360,13 @@
             revision=context.revision,
         )
 
+        used_there: int | None = None
+
+        def decode_head(head: ResponseHead) -> BackendAnswer:
+            nonlocal used_there
+            used_there = stated_attempts(head.headers)
+            return _decode_forwarded_answer(self._dialect, head, context)
+
         def note_first_byte_time(_: BackendAnswer) -> None:
             if context.first_byte_s is None:
                 self._record_first_byte(context, choice, self._clock() - now)
@@ -366,11 +376,12 @@
             upstream=upstream,
             pool=self._mesh.pool,
             responder=responder,
-            decode_head=lambda head: _decode_forwarded_answer(self._dialect, head, context),
+            decode_head=decode_head,
             before_relay=note_first_byte_time,
             may_join=self._join_check(context, _stated_version),
             is_retryable=lambda answer: header(answer.headers, OUTCOME_FIELD) is not None,
-            may_abandon=lambda: False,
+            may_abandon=lambda: used_there is not None
+            and self._may_abandon(context, used=used_there),
             clock=self._clock,
             on_relaying=lambda: self._note_relaying(attempt_key),
             on_relayed=lambda: self._note_relayed(attempt_key),
@@ -390,8 +401,15 @@
             context.attempts_left += 1
             return dataclasses.replace(result, reached_backend=False)
         if result.outcome is not AttemptOutcome.NOT_SENT:
-            # The other entry may have used all attempts that remained.
-            context.attempts_left = 0
+            # Unless the other entry states how many it used, that may be all that remained. The last one
+            # is counted with the attempts of this entry.
+            used = context.attempts_left if used_there is None else used_there
+            context.attempts_left -= max(0, used - 1)
+            if context.attempts_left > 1:
+                # Another entry of that region may serve it, or the same one if its server failed.
+                context.regions_tried.discard(choice.region)
+                if self._placer.is_ready(entry):
+                    context.entries_tried.discard(entry)
         return result
 
     def _join_check(
@@ -421,11 +439,17 @@
         return first_byte_timeout_s(target_s=context.route.target_s, expected_s=choice.expected_s)
 
     def _stream_idle_timeout_s(self, context: RequestContext) -> float | None:
-        return event_gap_timeout_s(gap_s=context.route.gap_s) if _may_retry(context) else None
+        if not _may_retry(context) or context.attempts_allowed is not None:
+            # The entry that forwarded a stream gives it up itself.
+            return None
+        return event_gap_timeout_s(gap_s=context.route.gap_s)
+
+    def _may_abandon(self, context: RequestContext, *, used: int = 1) -> bool:
+        """Return whether another place could begin a request that is still unanswered here.
 
-    def _may_abandon(self, context: RequestContext) -> bool:
-        """Return whether another place could begin a request that is still unanswered here."""
-        if not self._can_retry(context.service.name):
+        ``used`` is the number of attempts that the present one has used.
+        """
+        if context.attempts_left <= used or not self._can_retry(context.service.name):
             return False
         choice = self._placer.place(context)
         if choice is None or choice.wait_s > context.max_wait_s:
@@ -467,7 +491,7 @@
             answer,
             not_run=False,
             wrong_server=False,
-            headers=tuple(field for field in answer.headers if field[0].lower() != VERSION_FIELD),
+            headers=without_statements(answer.headers),
         )
     return dataclasses.replace(
         answer,
--- a/figpaddle/regional/_exchange.py
+++ b/figpaddle/regional/_exchange.py
@@ -24,7 +24,7 @@
 )
 from figpaddle.regional._dialect import BackendAnswer
 from figpaddle.regional._events import EventSplitter
-from figpaddle.regional._forwarding import VERSION_FIELD
+from figpaddle.regional._forwarding import ATTEMPTS_FIELD, VERSION_FIELD
 from figpaddle.regional._request_context import (
     AttemptOutcome,
     AttemptResult,
@@ -361,11 +361,14 @@
         self._on_relayed()
 
     def _stream_headers(self, answer: BackendAnswer) -> Headers:
-        """Return the header fields of a stream, with its version for the entry that forwarded it."""
-        version = self._context.version
+        """Return the header fields of a stream, with statements for the entry that forwarded it."""
+        headers, version = answer.headers, self._context.version
+        used = self._context.attempts_used(in_progress=True)
+        if used is not None:
+            headers = with_header(headers, ATTEMPTS_FIELD, str(used).encode())
         if not self._context.states_version or version is None:
-            return answer.headers
-        return with_header(answer.headers, VERSION_FIELD, version.encode().hex().encode())
+            return headers
+        return with_header(headers, VERSION_FIELD, version.encode().hex().encode())
 
     def _interrupted_result(self, reason: str) -> AttemptResult:
         return AttemptResult(
--- a/figpaddle/regional/_forwarding.py
+++ b/figpaddle/regional/_forwarding.py
@@ -21,6 +21,10 @@
 OUTCOME_FIELD = b"figpaddle-outcome"
 #: Header field of a stream that names the version that began it, UTF-8 in hexadecimal.
 VERSION_FIELD = b"figpaddle-version"
+#: Header field of a stream or of a failure that states how many attempts reached a backend server so far.
+ATTEMPTS_FIELD = b"figpaddle-attempts"
+#: Largest number of digits of such a statement.
+MAX_ATTEMPTS_DIGITS = 4
 #: Outcome of a request that did not and will not run.
 NOT_RUN = b"not run"
 #: Outcome of a request that may have run.
@@ -49,6 +53,8 @@
     version: str | None = None
     #: Whether the sender reads the version in the head of a stream.
     reads_version: bool = False
+    #: Whether the sender reads how many attempts were used, and takes up a stream itself once it has begun.
+    reads_attempts: bool = False
     #: When it was sent, seconds of a clock of the sender that goes on while its machine is suspended;
     #: None if the sender doesn't state it.
     sent_at_s: float | None = None
@@ -80,6 +86,7 @@
         "digest": terms.digest,
         "version": terms.version,
         "reads_version": terms.reads_version,
+        "reads_attempts": terms.reads_attempts,
         "sent_at_s": terms.sent_at_s,
         "incarnation": terms.incarnation,
     }
@@ -126,6 +133,7 @@
             digest=bytes(later_fields.get("digest", b"")),
             version=later_fields.get("version"),
             reads_version=bool(later_fields.get("reads_version", False)),
+            reads_attempts=bool(later_fields.get("reads_attempts", False)),
             sent_at_s=_optional_float(later_fields.get("sent_at_s")),
             incarnation=int(later_fields.get("incarnation", 0)),
         )
@@ -175,11 +183,16 @@
     return header(request.headers, TERMS_FIELD) is not None
 
 
+def stated_attempts(headers: Headers) -> int | None:
+    """Return how many attempts another entry states that it used; None if it states no sound number."""
+    value = header(headers, ATTEMPTS_FIELD) or b""
+    return int(value) if value.isdigit() and len(value) <= MAX_ATTEMPTS_DIGITS else None
+
+
 def without_statements(headers: Headers) -> Headers:
     """Return the header fields of a backend server's answer, without those that only entries set."""
-    return tuple(
-        field for field in headers if field[0].lower() not in (OUTCOME_FIELD, VERSION_FIELD)
-    )
+    statements = (OUTCOME_FIELD, VERSION_FIELD, ATTEMPTS_FIELD)
+    return tuple(field for field in headers if field[0].lower() not in statements)
 
 
 def without_terms(headers: Headers) -> Headers:
--- a/figpaddle/regional/_gateway.py
+++ b/figpaddle/regional/_gateway.py
@@ -18,6 +18,7 @@
 from figpaddle.regional._dialect import CallerRequest, Dialect
 from figpaddle.regional._exchange import MIN_REMAINING_S, CallerGoneError
 from figpaddle.regional._forwarding import (
+    ATTEMPTS_FIELD,
     NOT_RUN,
     OUTCOME_FIELD,
     UNKNOWN,
@@ -216,6 +217,7 @@
             origin_digest=terms.digest,
             version=terms.version,
             states_version=terms.reads_version,
+            attempts_allowed=terms.attempts if terms.reads_attempts else None,
         )
         if delay_s > _max_unread_s(terms.left_s):
             self._log.warning(
@@ -365,9 +367,12 @@
         configuration = self._follower.configuration
         return None if configuration is None else configuration.service(name)
 
-    def _may_begin(self, context: RequestContext, choice: Choice) -> bool:
-        """Return whether an attempt ends before this process does."""
-        if self._stopping_at is None:
+    def _may_begin(self, context: RequestContext, choice: Choice, responder: Responder) -> bool:
+        """Return whether an attempt ends before this process does.
+
+        A stream that is taken up would otherwise be broken off now, so it goes on for as long as it can.
+        """
+        if self._stopping_at is None or responder.started:
             return True
         now = self._clock()
         # A whole answer that doesn't come in time is replaced by a failure. A stream that has begun is cut,
@@ -416,7 +421,7 @@
             if choice is None:
                 await self._fail_unplaced(context, responder)
                 return
-            if not self._may_begin(context, choice):
+            if not self._may_begin(context, choice, responder):
                 await self._fail_leaving(context, responder)
                 return
             if not context.may_have_run and not responder.started:
@@ -463,6 +468,9 @@
                 return False
         if context.attempts_left <= 0 or context.remaining_s(now=now) < MIN_REMAINING_S:
             return False
+        if result.outcome is AttemptOutcome.BROKEN and context.attempts_allowed is not None:
+            # The entry that forwarded it knows what is left and takes the stream up, here or elsewhere.
+            return False
         if result.outcome is AttemptOutcome.BROKEN and not context.last_event:
             # Without ids the events of another attempt would repeat those that the caller has.
             return False
@@ -571,7 +579,10 @@
             return
         status = 504 if context.remaining_s(now=self._clock()) < MIN_REMAINING_S else 502
         self._record_end(context, f"{status}: {reason}", failed=True)
-        headers = ((OUTCOME_FIELD, UNKNOWN),) if context.forwarded else ()
+        headers: Headers = ((OUTCOME_FIELD, UNKNOWN),) if context.forwarded else ()
+        used = context.attempts_used(in_progress=context.is_sent)
+        if used is not None:
+            headers = (*headers, (ATTEMPTS_FIELD, str(used).encode()))
         await responder.answer(status, headers, b"")
 
     async def _refuse(
--- a/figpaddle/regional/_placer.py
+++ b/figpaddle/regional/_placer.py
@@ -14,7 +14,7 @@
 from figpaddle.regional._backend_records import reports_heard_at
 from figpaddle.regional._cluster import ClusterFollower
 from figpaddle.regional._dialect import BackendAnswer
-from figpaddle.regional._mesh import Mesh, accepting
+from figpaddle.regional._mesh import Mesh, accepting, is_ready
 from figpaddle.regional._peer_reports import PeerReports
 from figpaddle.regional._region_entries import RegionEntries
 from figpaddle.regional._request_context import RequestContext
@@ -371,6 +371,12 @@
 
         return choose_forwarding_peer(self._settings.ip, names, is_warm=is_warm, rng=self._rng)
 
+    def is_ready(self, entry: str) -> bool:
+        """Return whether another entry is live and accepts callers."""
+        heard = self._mesh.last_heard(entry)
+        live = {heartbeat.name for heartbeat in self._mesh.live_heartbeats()}
+        return entry in live and heard is not None and is_ready(heard.heartbeat)
+
     def warmth_questions(self) -> list[WarmthQuestion]:
         """Return the backend servers to ask whether they are cold.
 
--- a/figpaddle/regional/_request_context.py
+++ b/figpaddle/regional/_request_context.py
@@ -101,6 +101,9 @@
     version: str | None = None
     #: Whether the entry that forwarded it reads the version in the head of a stream.
     states_version: bool = False
+    #: Attempts that the entry that forwarded it allowed, if it reads how many were used and takes up the
+    #: stream itself once it has begun; None otherwise.
+    attempts_allowed: int | None = None
     #: Head of the answer that the caller got; None before.
     head: ResponseHead | None = None
     #: The last failure that a backend server answered; relayed if no retry succeeds.
@@ -124,6 +127,15 @@
     #: Number of the present attempt, from 1; 0 before the first.
     attempt: int = 0
 
+    def attempts_used(self, *, in_progress: bool) -> int | None:
+        """Return the attempts to state to the entry that forwarded the request; None if it reads none.
+
+        ``in_progress`` is whether the last one still counts among those left.
+        """
+        if self.attempts_allowed is None:
+            return None
+        return self.attempts_allowed - self.attempts_left + in_progress
+
     @property
     def request_id(self) -> str:
         """Identifier that the caller gave."""
--- a/tests/test_planned_stops.py
+++ b/tests/test_planned_stops.py
@@ -23,6 +23,7 @@
     PLAIN_SERVICE,
     WAIT_TIMEOUT_S,
     PlatformDeployment,
+    Reply,
     configuration,
     platform_deployment,
 )
@@ -464,6 +465,41 @@
     assert callers.statuses(*WHOLE_ROUTES) == {200}
 
 
+async def test_a_forwarded_stream_goes_on_elsewhere_when_the_other_entry_stops() -> None:
+    # Guards against streams that end in the middle, with attempts left, because the entry that they were
+    # forwarded to is stopped.
+    async with platform_deployment(engines=False) as platform:
+        await add_engines(platform, "n-a")
+        patient = configuration(3)
+        for route in patient["routes"]:
+            route["timeout-ms"] = route["target-latency-ms"] = TARGET_MS
+        await platform.send_operator_command("POST", "/v1/config/put", patient)
+        await anyio.sleep(1.0)
+        for engine in platform.engines:
+            engine.event_count, engine.event_interval_s = 24, 0.25
+        replies: dict[str, Reply] = {}
+
+        async def send(request_id: str) -> None:
+            _, replies[request_id] = await platform.send_request(
+                "m-6", "/plan/1", deadline_ms=12000, request_id=request_id, keep_partial=True
+            )
+
+        ids = [f"hop-{number}" for number in range(6)]
+        async with anyio.create_task_group() as tasks:
+            for request_id in ids:
+                tasks.start_soon(send, request_id)
+            await anyio.sleep(1.0)
+            platform.signal("m-4", signal.SIGTERM)
+        placed = platform.log("m-4")
+        assert any(f"event=request_placed instance=m-4 request={item}" in placed for item in ids)
+        for request_id in ids:
+            reply = replies[request_id]
+            events = [int(line[4:]) for line in reply.body.splitlines() if line.startswith(b"id: ")]
+            assert reply.complete and events == list(range(1, 25)), request_id
+        runs = [item for engine in platform.engines for item in engine.executed]
+        assert max(runs.count(item) for item in ids) <= 2
+
+
 class SlowCallers:
     """Sends large requests, and reads their answers only once the others have been interrupted."""
 
