--- a/figpaddle/deployment/_cluster_state.py
+++ b/figpaddle/deployment/_cluster_state.py
@@ -41,6 +41,9 @@
     voters: tuple[str, ...] = ()
     #: The voters before the change in progress; empty if there is none.
     previous_voters: tuple[str, ...] = ()
+    #: Number of orders that were confirmed for each availability zone, sorted by zone. It grows with orders
+    #: that change nothing, too, and the revision doesn't.
+    zone_orders: tuple[tuple[str, int], ...] = ()
 
     def with_configuration(self, version: int, document: bytes) -> ClusterState:
         """Return the state with a new configuration; a version that isn't higher is ignored."""
@@ -50,19 +53,45 @@
             self, revision=self.revision + 1, version=version, document=document
         )
 
+    def order_count(self, zone: str) -> int:
+        """Return the number of confirmed orders for an availability zone."""
+        return dict(self.zone_orders).get(zone, 0)
+
+    def overtakes(self, zone: str, *, evacuated: bool, base: int | None) -> bool:
+        """Return whether an order for ``zone`` must have no effect, since another one followed it.
+
+        ``base`` is the number of orders that were confirmed as this one was given; None if its sender
+        doesn't state it. An order that asks for what is in force is never overtaken.
+
+        >>> evacuated = EMPTY_STATE.with_evacuation("seoul-a")
+        >>> evacuated.overtakes("seoul-a", evacuated=False, base=0)
+        True
+        >>> evacuated.overtakes("seoul-a", evacuated=False, base=1)
+        False
+        """
+        if base is None or base == self.order_count(zone):
+            return False
+        return (zone in self.evacuated) != evacuated
+
     def with_evacuation(self, zone: str) -> ClusterState:
         """Return the state with ``zone`` evacuated."""
+        state = self._with_order(zone)
         if zone in self.evacuated:
-            return self
+            return state
         evacuated = tuple(sorted((*self.evacuated, zone)))
-        return dataclasses.replace(self, revision=self.revision + 1, evacuated=evacuated)
+        return dataclasses.replace(state, revision=self.revision + 1, evacuated=evacuated)
 
     def without_evacuation(self, zone: str) -> ClusterState:
         """Return the state with the evacuation of ``zone`` withdrawn."""
+        state = self._with_order(zone)
         if zone not in self.evacuated:
-            return self
+            return state
         evacuated = tuple(other for other in self.evacuated if other != zone)
-        return dataclasses.replace(self, revision=self.revision + 1, evacuated=evacuated)
+        return dataclasses.replace(state, revision=self.revision + 1, evacuated=evacuated)
+
+    def _with_order(self, zone: str) -> ClusterState:
+        orders = {**dict(self.zone_orders), zone: self.order_count(zone) + 1}
+        return dataclasses.replace(self, zone_orders=tuple(sorted(orders.items())))
 
     def with_voters(self, names: tuple[str, ...], *, previous: tuple[str, ...]) -> ClusterState:
         """Return the state that begins the change from the voters ``previous`` to ``names``."""
@@ -94,6 +123,8 @@
         fields["voters"] = list(state.voters)
     if state.previous_voters:
         fields["previous"] = list(state.previous_voters)
+    if state.zone_orders:
+        fields["orders"] = dict(state.zone_orders)
     return data + cbor2.dumps(fields) if fields else data
 
 
@@ -113,6 +144,7 @@
             evacuated=tuple(evacuated),
             voters=tuple(fields.get("voters", ())),
             previous_voters=tuple(fields.get("previous", ())),
+            zone_orders=tuple(sorted(fields.get("orders", {}).items())),
         )
     except (cbor2.CBORDecodeError, ValueError, TypeError, AttributeError, zlib.error) as error:
         raise MalformedMessageError(what="not a cluster state", where="register") from error
--- a/figpaddle/errors/_coordination.py
+++ b/figpaddle/errors/_coordination.py
@@ -30,6 +30,10 @@
     """A majority of the voters did not confirm; a proposed change may or may not take effect."""
 
 
+class OrderOvertakenError(CoordinationError):
+    """An order had no effect, since another one for the same zone was confirmed after it was given."""
+
+
 class StorageError(CoordinationError):
     """Durable state can't be read or written; the process must not acknowledge anything more."""
 
--- a/figpaddle/regional/_control.py
+++ b/figpaddle/regional/_control.py
@@ -6,7 +6,12 @@
 
 import anyio
 
-from figpaddle.errors import InvalidRequestError, NoMajorityError, StorageError
+from figpaddle.errors import (
+    InvalidRequestError,
+    NoMajorityError,
+    OrderOvertakenError,
+    StorageError,
+)
 from figpaddle.http1 import HttpRequest, Responder
 from figpaddle.regional._backend_records import send_records
 from figpaddle.regional._cluster import ClusterFollower
@@ -38,6 +43,9 @@
 #: Timeout of an operator's call, seconds. A longer one has no use, since operators try another
 #: instance after a second.
 CHANGE_TIMEOUT_S = 4.0
+#: Time from the arrival of an order for a zone until it has to be based on the state in force, seconds. Its
+#: operator has gone to another instance by then and may have followed it up with other orders.
+MAX_ORDER_AGE_S = 1.0
 #: Delays after which a changed record is sent again, seconds. If its only datagram were lost,
 #: entries could go on sending requests to a backend server that left.
 REPEAT_DELAYS_S = (0.15, 0.4, 0.9, 1.8)
@@ -61,6 +69,7 @@
         follower: ClusterFollower,
         register: RegisterHost,
         clock: Callable[[], float],
+        boot_clock: Callable[[], float],
         log: Log,
         metrics: MetricsRegistry,
     ) -> None:
@@ -71,6 +80,7 @@
         self._follower = follower
         self._register = register
         self._clock = clock
+        self._boot_clock = boot_clock
         self._log = log
         self._metrics = metrics
         self._fleet = Fleet()
@@ -89,7 +99,7 @@
             case GetConfiguration():
                 status, body = await self._get_configuration()
             case SetEvacuation():
-                status, body = await self._set_evacuation(call)
+                status, body = await self._set_evacuation(call, request, responder)
             case BackendCall():
                 status, body = await self._handle_backend_call(call, request)
             case _:
@@ -142,24 +152,39 @@
         self._log.info("configuration_read", version=state.version, revision=state.revision)
         return 200, state.document
 
-    async def _set_evacuation(self, call: SetEvacuation) -> tuple[int, bytes]:
+    async def _set_evacuation(
+        self, call: SetEvacuation, request: HttpRequest, responder: Responder
+    ) -> tuple[int, bytes]:
+        began_at = self._boot_clock()
         kind = "evacuate" if call.evacuated else "return"
         if call.zone not in self._settings.zones:
             self._log.warning("evacuation_refused", zone=call.zone, reason="unknown zone")
             return 404, b""
-        return (
-            await self._make_change(
-                StateChange(kind=kind, version=0, document=b"", zone=call.zone)
-            ),
-            b"",
-        )
+        try:
+            with anyio.fail_after(CHANGE_TIMEOUT_S):
+                base = (await self._register.read()).order_count(call.zone)
+        except (NoMajorityError, StorageError, TimeoutError) as error:
+            self._log.warning(
+                "evacuation_not_based", zone=call.zone, reason=str(error) or "timeout"
+            )
+            return 503, b""
+        # Whatever is confirmed from here on overtakes the order. What was confirmed before, while this
+        # process stood still, its operator may have sent after it.
+        age_s = self._boot_clock() - began_at + request.unread_s
+        if age_s > MAX_ORDER_AGE_S or responder.caller_left():
+            self._log.warning(
+                "evacuation_too_late", kind=kind, zone=call.zone, age_s=round(age_s, 3)
+            )
+            return 503, b""
+        order = StateChange(kind=kind, version=0, document=b"", zone=call.zone, base=base)
+        return await self._make_change(order), b""
 
     async def _make_change(self, change_request: StateChange) -> int:
         started_at = self._clock()
         try:
             with anyio.fail_after(CHANGE_TIMEOUT_S):
                 state = await self._register.change(change_request)
-        except (NoMajorityError, StorageError, TimeoutError) as error:
+        except (NoMajorityError, OrderOvertakenError, StorageError, TimeoutError) as error:
             self._log.warning(
                 "order_not_confirmed",
                 kind=change_request.kind,
--- a/figpaddle/regional/_control_process.py
+++ b/figpaddle/regional/_control_process.py
@@ -63,6 +63,7 @@
             follower=self._follower,
             register=self._register,
             clock=self._clock,
+            boot_clock=self._boot_clock,
             log=self._log,
             metrics=self._metrics,
         )
--- a/figpaddle/regional/_register_host.py
+++ b/figpaddle/regional/_register_host.py
@@ -18,6 +18,7 @@
 from figpaddle.errors import (
     MalformedMessageError,
     NoMajorityError,
+    OrderOvertakenError,
     StorageError,
 )
 from figpaddle.regional._cluster import ClusterFollower
@@ -67,9 +68,17 @@
     done: anyio.Event
     #: Whether it needs a round with a prepare phase, which tells the incarnations of all instances.
     needs_promises: bool = False
+    #: Returns whether the change must have no effect on a state, since others followed it.
+    is_overtaken: Callable[[ClusterState], bool] = lambda _: False
+    overtaken: bool = False
     #: The state that includes the change; None while it may not be durable.
     state: ClusterState | None = None
 
+    def apply(self, state: ClusterState) -> ClusterState:
+        """Return ``state`` after the change, which has no effect if it was overtaken."""
+        self.overtaken = self.is_overtaken(state)
+        return state if self.overtaken else self.change(state)
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class _WonRound:
@@ -149,7 +158,8 @@
     async def change(self, change_request: StateChange) -> ClusterState:
         """Make a change durable, through this or another control instance.
 
-        Raises NoMajorityError if the change may not be durable.
+        Raises NoMajorityError if the change may not be durable, and OrderOvertakenError if it had no effect
+        because another order followed it.
         """
         proposer = self._delegation.proposer()
         if proposer != self._settings.ip:
@@ -175,9 +185,7 @@
         return state
 
     async def _change_locally(self, change_request: StateChange) -> ClusterState:
-        return await self._enqueue(
-            _PendingChange(change=_state_transform(change_request), done=anyio.Event())
-        )
+        return await self._enqueue(_pending_change(change_request))
 
     async def _enqueue(self, pending: _PendingChange) -> ClusterState:
         self._pending.append(pending)
@@ -185,6 +193,8 @@
         await pending.done.wait()
         if pending.state is None:
             raise NoMajorityError(what="the change may not be durable")
+        if pending.overtaken:
+            raise OrderOvertakenError(what="another order for the zone followed it")
         return pending.state
 
     async def _propose(self) -> None:
@@ -202,7 +212,7 @@
             try:
                 if any(pending.needs_promises for pending in batch):
                     self._last_won_round = None
-                state = await self._run_rounds([pending.change for pending in batch])
+                state = await self._run_rounds([pending.apply for pending in batch])
             except (NoMajorityError, StorageError, MalformedMessageError) as error:
                 self._log.warning("change_not_made", changes=len(batch), reason=str(error))
             finally:
@@ -366,7 +376,7 @@
         assert isinstance(query, StateChange)
         try:
             state = await self._change_locally(query)
-        except NoMajorityError as error:
+        except (NoMajorityError, OrderOvertakenError) as error:
             self._log.warning("change_not_confirmed", kind=query.kind, reason=str(error))
             return StateChangeReply(done=False, state=b"")
         return StateChangeReply(done=True, state=encode_state(state))
@@ -448,18 +458,31 @@
     return state
 
 
-def _state_transform(change_request: StateChange) -> StateTransform:
+def _pending_change(change_request: StateChange) -> _PendingChange:
+    zone, base = change_request.zone, change_request.base
+    done = anyio.Event()
     match change_request.kind:
         case "confirm":
-            return lambda state: state
+            return _PendingChange(change=lambda state: state, done=done)
         case "configuration":
-            return lambda state: state.with_configuration(
-                change_request.version, change_request.document
+            return _PendingChange(
+                change=lambda state: state.with_configuration(
+                    change_request.version, change_request.document
+                ),
+                done=done,
             )
         case "evacuate":
-            return lambda state: state.with_evacuation(change_request.zone)
+            return _PendingChange(
+                change=lambda state: state.with_evacuation(zone),
+                is_overtaken=lambda state: state.overtakes(zone, evacuated=True, base=base),
+                done=done,
+            )
         case "return":
-            return lambda state: state.without_evacuation(change_request.zone)
+            return _PendingChange(
+                change=lambda state: state.without_evacuation(zone),
+                is_overtaken=lambda state: state.overtakes(zone, evacuated=False, base=base),
+                done=done,
+            )
     raise MalformedMessageError(
         what=f"unknown kind of change {change_request.kind!r}", where="register"
     )
--- a/figpaddle/regional/tests/test_register_host.py
+++ b/figpaddle/regional/tests/test_register_host.py
@@ -15,7 +15,7 @@
 import structlog
 
 from figpaddle.deployment import ClusterState
-from figpaddle.errors import NoMajorityError, PeerUnreachableError
+from figpaddle.errors import NoMajorityError, OrderOvertakenError, PeerUnreachableError
 from figpaddle.regional import Bounds, ProcessSettings
 from figpaddle.regional._cluster import ClusterFollower
 from figpaddle.regional._mesh import QueryHandler
@@ -62,6 +62,8 @@
         self.lost: set[type[Message]] = set()
         #: Instances to which sending a query raises an error that nothing anticipates.
         self.failing: set[str] = set()
+        #: Instances that are cut off from the others.
+        self.cut_off: set[str] = set()
         self.offset_s = 0.0
 
     def clock(self) -> float:
@@ -81,6 +83,8 @@
     def live_controls(self) -> list[Heartbeat]:
         return [Heartbeat(name=name) for name in NAMES if name != self._name]
 
+    live_heartbeats = live_controls
+
     def last_heard(self, name: str) -> ReceivedHeartbeat:
         return ReceivedHeartbeat(received_at=self._network.clock())
 
@@ -90,7 +94,7 @@
         await anyio.sleep(0)
         if name in self._network.failing:
             raise RuntimeError("sending failed")
-        if type(query) in self._network.lost:
+        if type(query) in self._network.lost or self._network.cut_off & {self._name, name}:
             raise PeerUnreachableError(what="no reply", where=name)
         return await self._network.handlers[name][type(query)](query)
 
@@ -151,6 +155,7 @@
         log=log,
     )
     contained.start_service(register.run)
+    contained.start_service(follower.run)
     return Control(store=store, register=register)
 
 
@@ -222,3 +227,66 @@
             with anyio.fail_after(1.0), pytest.raises(NoMajorityError):
                 await instances[0].register.change(CHANGE)
         await confirmed_change(instances[0])
+
+
+def order(kind: str, *, base: int) -> StateChange:
+    return StateChange(kind=kind, version=0, document=b"", zone="z", base=base)
+
+
+async def order_count(control: Control) -> int:
+    return (await control.register.read()).order_count("z")
+
+
+async def settle(instances: list[Control]) -> None:
+    """Evacuate the zone by an order that all instances know of."""
+    for instance in instances:
+        await confirmed_change(instance)
+
+
+async def test_an_order_that_waited_for_a_round_undoes_none_that_followed_it(
+    tmp_path: pathlib.Path,
+) -> None:
+    # Guards against a withdrawal that is proposed again after its caller went elsewhere, and undoes
+    # an evacuation that was confirmed since (review case 2).
+    network = Network()
+    async with controls(network, tmp_path) as instances:
+        await settle(instances)
+        stale = order("return", base=await order_count(instances[0]))
+        overtaken: list[bool] = []
+
+        async def send_stale() -> None:
+            try:
+                await instances[0].register.change(stale)
+            except OrderOvertakenError:
+                overtaken.append(True)
+
+        async with anyio.create_task_group() as tasks:
+            network.cut_off.add(NAMES[0])
+            tasks.start_soon(send_stale)
+            await anyio.sleep(0.05)
+            await instances[1].register.change(stale)
+            base = await order_count(instances[1])
+            await instances[2].register.change(order("evacuate", base=base))
+            network.cut_off.clear()
+        assert overtaken
+        assert (await instances[2].register.read()).evacuated == ("z",)
+
+
+async def test_an_order_that_is_sent_again_is_confirmed_again(tmp_path: pathlib.Path) -> None:
+    async with controls(Network(), tmp_path) as instances:
+        await settle(instances)
+        repeated = order("return", base=await order_count(instances[0]))
+        for instance in instances:
+            assert (await instance.register.change(repeated)).evacuated == ()
+
+
+async def test_a_confirmed_order_that_changes_nothing_overtakes_one_that_waits(
+    tmp_path: pathlib.Path,
+) -> None:
+    async with controls(Network(), tmp_path) as instances:
+        await settle(instances)
+        base = await order_count(instances[0])
+        await instances[1].register.change(order("evacuate", base=base))
+        with pytest.raises(OrderOvertakenError):
+            await instances[2].register.change(order("return", base=base))
+        assert (await instances[0].register.read()).evacuated == ("z",)
--- a/figpaddle/wire/_regional_messages.py
+++ b/figpaddle/wire/_regional_messages.py
@@ -280,6 +280,9 @@
     document: bytes
     #: Availability zone; empty for a configuration.
     zone: str
+    #: Number of orders for the zone that were confirmed as this one was given. It has no effect once others
+    #: were; None from earlier builds, whose orders always have.
+    base: int | None = None
 
 
 @message("regional.changed")
