--- a/figpaddle/regional/_process.py
+++ b/figpaddle/regional/_process.py
@@ -189,6 +189,7 @@
                 f"{self._settings.ip}:{self._settings.peer_port}",
                 self._handle_peer,
                 limits=lambda: PEER_LIMITS,
+                for_peers=True,
             )
             if self._settings.metrics_port:
                 self._listen(
@@ -246,13 +247,15 @@
         *,
         limits: Callable[[], HttpLimits] = HttpLimits,
         ack_timeout_s: float = CROSS_REGION_ACK_TIMEOUT_S,
+        for_peers: bool = False,
     ) -> HttpListener:
+        """Open a port; on one ``for_peers`` refusals state whether the request ran."""
         listener = HttpListener(
             address=address,
             handler=handler,
-            refusal_handler=self._refuse_over_limit,
+            refusal_handler=functools.partial(self._refuse_over_limit, for_peers=for_peers),
             on_over_limit=lambda answered: self._note_over_limit(address, answered=answered),
-            on_failure=self._answer_failure,
+            on_failure=functools.partial(self._answer_failure, for_peers=for_peers),
             clock=self._clock,
             limits=limits,
             close_after_response=lambda: self.leaving,
@@ -327,7 +330,9 @@
             )
             self._over_limit_logged_at, self._over_limit_count = now, 0
 
-    async def _refuse_over_limit(self, request: HttpRequest, responder: Responder) -> None:
+    async def _refuse_over_limit(
+        self, request: HttpRequest, responder: Responder, *, for_peers: bool
+    ) -> None:
         """Refuse a request on a connection beyond the limit; it hasn't been handled."""
         with unsent_on_error(responder):
             self._log.warning(
@@ -336,18 +341,18 @@
                 outcome="refused: too many connections",
                 revision=self._follower.state.revision,
             )
-            refusal = self._refusal(request, OVER_LIMIT_RETRY_AFTER_S)
+            refusal = self._refusal(OVER_LIMIT_RETRY_AFTER_S, for_peers=for_peers)
             await responder.answer(refusal.status, refusal.headers, b"")
 
-    def _refusal(self, request: HttpRequest, wait_s: float) -> FailureResponse:
+    def _refusal(self, wait_s: float, *, for_peers: bool) -> FailureResponse:
         """Return the answer that a request has not run and may be sent again in ``wait_s``, seconds."""
         retry_after_s = jittered_retry_after(wait_s, rng=self._rng)
         headers = [(b"Retry-After", f"{retry_after_s:.3f}".encode())]
-        if is_forwarded(request):
+        if for_peers:
             headers.append((OUTCOME_FIELD, NOT_RUN))
         return FailureResponse(status=503, headers=tuple(headers))
 
-    def _answer_failure(self, failure: HandlerFailure) -> FailureResponse:
+    def _answer_failure(self, failure: HandlerFailure, *, for_peers: bool) -> FailureResponse:
         """Log a request that its handler left unanswered; return the answer."""
         error = failure.error
         unsent = isinstance(error, UnsentRequestError)
@@ -357,8 +362,8 @@
                 error = error.error
             self._note_failure(failure, error, may_have_run=not unsent)
         if unsent:
-            return self._refusal(failure.request, INTERNAL_ERROR_RETRY_AFTER_S)
-        headers = ((OUTCOME_FIELD, UNKNOWN),) if is_forwarded(failure.request) else ()
+            return self._refusal(INTERNAL_ERROR_RETRY_AFTER_S, for_peers=for_peers)
+        headers = ((OUTCOME_FIELD, UNKNOWN),) if for_peers else ()
         return FailureResponse(headers=headers)
 
     def _note_failure(
@@ -383,7 +388,8 @@
         )
 
     async def _handle_peer(self, request: HttpRequest, responder: Responder) -> None:
-        if request.target == QUERY_PATH:
+        # A forwarded request has its caller's path, which may be any.
+        if not is_forwarded(request) and request.target == QUERY_PATH:
             await self._interruptible(self._mesh.answer_query)(request, responder)
         else:
             await self.handle_forwarded(request, responder)
