--- a/figpaddle/regional/_attempts.py
+++ b/figpaddle/regional/_attempts.py
@@ -9,7 +9,7 @@
 from figpaddle.deployment import Repeat
 from figpaddle.http1 import ConnectionPool, Headers, Responder, ResponseHead, header
 from figpaddle.regional._dialect import BackendAnswer, Dialect
-from figpaddle.regional._exchange import Exchange, UpstreamRequest
+from figpaddle.regional._exchange import MIN_REMAINING_S, Exchange, UpstreamRequest
 from figpaddle.regional._forwarding import (
     NOT_RUN,
     OUTCOME_FIELD,
@@ -33,6 +33,7 @@
     assumed_answer_s,
     event_gap_timeout_s,
     first_byte_timeout_s,
+    is_worth_abandoning,
 )
 from figpaddle.telemetry import Log, MetricsRegistry
 
@@ -48,7 +49,7 @@
 class AttemptRunner:
     """Sends requests and records the results for later placements.
 
-    ``can_retry`` returns whether the retry budget of a service allows another attempt.
+    ``take_retry`` charges the retry budget of a service with another attempt if there is one left.
     """
 
     def __init__(
@@ -61,7 +62,7 @@
         pool: ConnectionPool,
         quarantine: RequestQuarantine,
         streams: StreamOrigins,
-        can_retry: Callable[[str], bool],
+        take_retry: Callable[[str], bool],
         clock: Callable[[], float],
         boot_clock: Callable[[], float],
         log: Log,
@@ -75,7 +76,7 @@
         self._pool = pool
         self._quarantine = quarantine
         self._streams = streams
-        self._can_retry = can_retry
+        self._take_retry = take_retry
         self._clock = clock
         self._log = log
         self._metrics = metrics
@@ -205,7 +206,7 @@
                 before_relay=note_progress,
                 may_join=self._join_check(context, version_of_process),
                 is_retryable=lambda answer: self._is_retryable(context, answer),
-                may_abandon=lambda: self._may_abandon(context),
+                may_abandon=lambda since: self._may_abandon(context, responder, since),
                 clock=self._clock,
                 on_relaying=lambda: self._note_relaying(attempt_key),
                 on_relayed=lambda: self._note_relayed(attempt_key),
@@ -380,8 +381,8 @@
             before_relay=note_first_byte_time,
             may_join=self._join_check(context, _stated_version),
             is_retryable=lambda answer: header(answer.headers, OUTCOME_FIELD) is not None,
-            may_abandon=lambda: used_there is not None
-            and self._may_abandon(context, used=used_there),
+            may_abandon=lambda since: used_there is not None
+            and self._may_abandon(context, responder, since, used=used_there),
             clock=self._clock,
             on_relaying=lambda: self._note_relaying(attempt_key),
             on_relayed=lambda: self._note_relayed(attempt_key),
@@ -444,17 +445,33 @@
             return None
         return event_gap_timeout_s(gap_s=context.route.gap_s)
 
-    def _may_abandon(self, context: RequestContext, *, used: int = 1) -> bool:
-        """Return whether another place could begin a request that is still unanswered here.
+    def _may_abandon(
+        self, context: RequestContext, responder: Responder, silent_since: float, *, used: int = 1
+    ) -> bool:
+        """Return whether another place surely goes on with a request that is silent here.
 
-        ``used`` is the number of attempts that the present one has used.
+        ``used`` is the number of attempts that the present one has used. All that the next attempt
+        needs is asked for before the present one is given up, and its part of the retry budget is taken:
+        many requests become silent at the same moment, and the server may go on at any.
         """
-        if context.attempts_left <= used or not self._can_retry(context.service.name):
+        now = self._clock()
+        if context.attempts_left <= used or context.remaining_s(now=now) < MIN_REMAINING_S:
+            return False
+        if responder.started and not context.last_event:
+            return False
+        if self._quarantine.refuses_retry(context.traits):
             return False
         choice = self._placer.place(context)
         if choice is None or choice.wait_s > context.max_wait_s:
             return False
-        return choice.backend is None or choice.backend.name not in context.backends_tried
+        if choice.backend is not None:
+            if choice.backend.name in context.backends_tried:
+                return False
+            heard_at = self._placer.contact.heard_at(choice.backend.name)
+            if not is_worth_abandoning(silent_since=silent_since, other_heard_at=heard_at, now=now):
+                return False
+        context.retry_taken = self._take_retry(context.service.name)
+        return context.retry_taken
 
     def _is_retryable(self, context: RequestContext, answer: BackendAnswer) -> bool:
         """Return whether an answer is a failure that a retry may replace."""
--- a/figpaddle/regional/_exchange.py
+++ b/figpaddle/regional/_exchange.py
@@ -41,6 +41,8 @@
 FAILURE_BODY_TIMEOUT_S = 1.0
 #: Time until the deadline below which a request isn't sent any more, seconds.
 MIN_REMAINING_S = 0.03
+#: Interval at which it is asked again whether a silent server may be given up, seconds.
+ABANDON_CHECK_INTERVAL_S = 0.2
 #: Time after the deadline in which an answer may still arrive, seconds.
 LATE_ANSWER_GRACE_S = 0.1
 
@@ -80,8 +82,9 @@
     a failure that a retry may replace. ``before_relay`` is called each time before something is
     relayed: a whole answer, the head of a stream or a batch of its events. ``may_join`` returns, before
     the first events of a stream, whether they may follow what the caller has. ``may_abandon`` is called
-    when a timeout of ``upstream`` ends: a silent backend server is abandoned only while another one
-    can take the request, since it may still answer. ``on_relaying`` is called when an answer or a part of
+    with the time since which the server is silent when a timeout of ``upstream`` ends, and again while it
+    is: the server is abandoned only once another one surely goes on with the request, since it may
+    still answer. ``on_relaying`` is called when an answer or a part of
     it has come as a whole, before it is sent to the caller, and ``on_relayed`` when a part was sent.
     """
 
@@ -96,7 +99,7 @@
         before_relay: Callable[[BackendAnswer], None],
         may_join: Callable[[ResponseHead], bool],
         is_retryable: Callable[[BackendAnswer], bool],
-        may_abandon: Callable[[], bool],
+        may_abandon: Callable[[float], bool],
         clock: Callable[[], float],
         on_relaying: Callable[[], None] = _ignore,
         on_relayed: Callable[[], None] = _ignore,
@@ -191,8 +194,10 @@
         request = self._context.request
         attempt_deadline = anyio.current_time() + self._remaining_s()
         sent = False
+        silent_since = self._clock()
+        timeout_s = self._upstream.first_byte_timeout_s
         while True:
-            deadline = _earlier(attempt_deadline, self._upstream.first_byte_timeout_s)
+            deadline = _earlier(attempt_deadline, timeout_s)
             with anyio.CancelScope(deadline=deadline):
                 if not sent:
                     await connection.send(
@@ -207,12 +212,17 @@
                     lambda head: self._answers_this_request(head, connection)
                 )
             # A late event loop finds the timeout and the answer in one turn.
-            if not sent or not connection.has_input() and self._must_end(attempt_deadline):
+            if (
+                not sent
+                or not connection.has_input()
+                and self._must_end(attempt_deadline, silent_since)
+            ):
                 return None
+            timeout_s = ABANDON_CHECK_INTERVAL_S
 
-    def _must_end(self, attempt_deadline: float) -> bool:
+    def _must_end(self, attempt_deadline: float, silent_since: float) -> bool:
         """Return whether the attempt ends, after one of its timeouts."""
-        return anyio.current_time() >= attempt_deadline or self._may_abandon()
+        return anyio.current_time() >= attempt_deadline or self._may_abandon(silent_since)
 
     def _answers_this_request(self, head: ResponseHead, connection: HttpClientConnection) -> bool:
         request_id = self._decode_head(head).request_id
@@ -286,9 +296,10 @@
         splitter = EventSplitter(last_event=self._context.last_event, requires_ids=follows)
         attempt_deadline = anyio.current_time() + self._remaining_s()
         idle_timeout_s = self._upstream.stream_idle_timeout_s
+        idle_deadline = _earlier(attempt_deadline, idle_timeout_s)
+        silent_since = self._clock()
         joins = False
         while True:
-            idle_deadline = _earlier(attempt_deadline, idle_timeout_s)
             with anyio.CancelScope(deadline=idle_deadline) as scope:
                 try:
                     async for chunk in connection.read_body():
@@ -304,6 +315,7 @@
                             await self._relay_events(events, answer, splitter)
                             # Bytes without a whole event are no progress for the caller.
                             idle_deadline = _earlier(attempt_deadline, idle_timeout_s)
+                            silent_since = self._clock()
                         scope.deadline = idle_deadline
                 except TransportError as error:
                     if isinstance(error, CallerGoneError):
@@ -316,12 +328,13 @@
                     )
             if not scope.cancelled_caught:
                 break
-            if not connection.has_input() and self._must_end(attempt_deadline):
+            if not connection.has_input() and self._must_end(attempt_deadline, silent_since):
                 connection.close()
                 is_past_deadline = anyio.current_time() >= attempt_deadline
                 return self._interrupted_result(
                     "the stream took too long" if is_past_deadline else "no event in time"
                 )
+            idle_deadline = _earlier(attempt_deadline, ABANDON_CHECK_INTERVAL_S)
         if follows and not splitter.has_events:
             return self._interrupted_result("no events in mid-stream")
         if splitter.incomplete:
--- a/figpaddle/regional/_gateway.py
+++ b/figpaddle/regional/_gateway.py
@@ -113,7 +113,7 @@
             pool=pool,
             quarantine=quarantine,
             streams=streams,
-            can_retry=lambda service: self.retry_budget.allows(service, now=clock()),
+            take_retry=lambda service: self.retry_budget.try_take(service, now=clock()),
             clock=clock,
             boot_clock=boot_clock,
             log=log,
@@ -478,7 +478,12 @@
             if not await self._quarantine.may_retry(context.traits, process=context.lost_process):
                 return False
             now = self._clock()
-        if result.reached_backend and not self.retry_budget.try_take(context.service.name, now=now):
+        retry_taken, context.retry_taken = context.retry_taken, False
+        if (
+            result.reached_backend
+            and not retry_taken
+            and not self.retry_budget.try_take(context.service.name, now=now)
+        ):
             self._log.warning(
                 "retry_denied", request=context.request_id, service=context.service.name
             )
@@ -626,6 +631,7 @@
             host=caller.host,
             outcome=f"refused: {reason}",
             revision=self._follower.state.revision,
+            version=self._follower.state.version,
         )
         self._metrics.count("requests_total", service="", outcome=reason)
         headers: Headers = ()
--- a/figpaddle/regional/_placer.py
+++ b/figpaddle/regional/_placer.py
@@ -563,6 +563,7 @@
         for name in list(self._trackers):
             if name not in known and not self._trackers[name].local_requests:
                 del self._trackers[name]
+                self._contact.forget([name])
         self._named_limits.expire(now=self._clock())
         self._reports.expire()
 
--- a/figpaddle/regional/_request_context.py
+++ b/figpaddle/regional/_request_context.py
@@ -122,6 +122,8 @@
     first_byte_s: float | None = None
     #: When the answer to the caller was started, seconds of the monotonic clock; None before.
     answer_started_at: float | None = None
+    #: Whether the retry budget has been charged with the next attempt, before the present one was given up.
+    retry_taken: bool = False
     #: Reason for which the last attempt failed.
     last_failure: str = ""
     #: Number of the present attempt, from 1; 0 before the first.
--- a/figpaddle/regional/_request_quarantine.py
+++ b/figpaddle/regional/_request_quarantine.py
@@ -206,7 +206,11 @@
         ``process``. A suspect part ends the request: each request with that part would cost a server.
         """
         await self._wait_for_probe(traits, process)
-        return self.refusal(traits) is None and self.suspect_digest(traits) not in traits.parts
+        return not self.refuses_retry(traits)
+
+    def refuses_retry(self, traits: RequestTraits) -> bool:
+        """Return whether a request may not be sent again by what is known now."""
+        return self.refusal(traits) is not None or self.suspect_digest(traits) in traits.parts
 
     async def wait_until_reported(
         self, traits: RequestTraits, *, process: Process, timeout_s: float
--- a/figpaddle/routing/__init__.py
+++ b/figpaddle/routing/__init__.py
@@ -69,7 +69,11 @@
     estimate,
     refuse_late,
 )
-from figpaddle.routing._response_timeouts import event_gap_timeout_s, first_byte_timeout_s
+from figpaddle.routing._response_timeouts import (
+    event_gap_timeout_s,
+    first_byte_timeout_s,
+    is_worth_abandoning,
+)
 from figpaddle.routing._retry_after import jittered_retry_after
 from figpaddle.routing._retry_budget import RetryBudget
 from figpaddle.routing._scored import Estimate, PolicyName, ScoredPolicy, make_policy
@@ -189,6 +193,7 @@
     "highest_ranked",
     "is_announced",
     "is_known_to_nobody",
+    "is_worth_abandoning",
     "majority_heard_at",
     "jittered_retry_after",
     "make_policy",
--- a/figpaddle/routing/_backend_contact.py
+++ b/figpaddle/routing/_backend_contact.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
+
 #: Number of backend servers that must fail before an entry suspects its own connection; with fewer
 #: known, all of them.
 MIN_UNREACHED = 2
@@ -38,6 +40,8 @@
         self._cut_off_since: float | None = None
         self._kept_connections = False
         self._received_at = float("-inf")
+        #: When bytes of an answer last came from each server.
+        self._heard_at: dict[str, float] = {}
         self._checked_at = float("-inf")
 
     @property
@@ -61,10 +65,19 @@
 
     def note_received(self, name: str, *, now: float) -> None:
         """Record that bytes of an answer came from a server."""
-        self._received_at = now
+        self._received_at = self._heard_at[name] = now
         self._unreached_at.pop(name, None)
         self._unanswered_since.clear()
 
+    def heard_at(self, name: str) -> float:
+        """Return when bytes of an answer last came from a server; minus infinity for never."""
+        return self._heard_at.get(name, float("-inf"))
+
+    def forget(self, names: Collection[str]) -> None:
+        """Forget servers that are gone."""
+        for name in names:
+            self._heard_at.pop(name, None)
+
     def note_unreached(self, name: str, *, now: float) -> None:
         """Record that a server didn't accept a connection or lost one."""
         self._unreached_at[name] = now
--- a/figpaddle/routing/_rate_limits.py
+++ b/figpaddle/routing/_rate_limits.py
@@ -12,6 +12,9 @@
 #: Fraction of the shared retry slack that entries use. The rest covers entries that are not known
 #: yet.
 SLACK_FRACTION = 0.8
+#: Longest time that a repeat may wait at a silent backend server until it arrives, seconds. Repeats that were
+#: sent over a longer time than the window may arrive within it.
+MAX_ARRIVAL_DELAY_S = 1.5
 #: Window of the cold limit, seconds. Slightly longer than the one second of the limit, because
 #: requests sent further apart may arrive within one second.
 COLD_WINDOW_S = 1.15
@@ -101,19 +104,19 @@
 
     def note_request(self, service: str, *, now: float) -> None:
         """Count a request of a caller."""
-        self._counter(self._requests, service).add(now=now)
+        _counter(self._requests, service, self._window_s).add(now=now)
 
     def allows(self, service: str, *, now: float) -> bool:
         """Return whether the budget has a retry left."""
-        earned = self._ratio * self._counter(self._requests, service).total(now=now)
-        used = self._counter(self._retries, service).total(now=now)
+        earned = self._ratio * _counter(self._requests, service, self._window_s).total(now=now)
+        used = self._retry_counter(service).total(now=now)
         return used + 1 <= earned + self._slack_share(now)
 
     def try_take(self, service: str, *, now: float) -> bool:
         """Use one retry if the budget allows it; return whether it did."""
         if not self.allows(service, now=now):
             return False
-        self._counter(self._retries, service).add(now=now)
+        self._retry_counter(service).add(now=now)
         return True
 
     def remaining(self, *, now: float) -> dict[str, float]:
@@ -124,7 +127,7 @@
                 0.0,
                 self._ratio * requests.total(now=now)
                 + slack
-                - self._counter(self._retries, service).total(now=now),
+                - self._retry_counter(service).total(now=now),
             )
             for service, requests in list(self._requests.items())
         }
@@ -142,7 +145,11 @@
             return 0.0
         return self._slack * SLACK_FRACTION / self._max_entries_seen
 
-    def _counter(self, counts: dict[str, SlidingCount], service: str) -> SlidingCount:
-        if service not in counts:
-            counts[service] = SlidingCount(window_s=self._window_s)
-        return counts[service]
+    def _retry_counter(self, service: str) -> SlidingCount:
+        return _counter(self._retries, service, self._window_s + MAX_ARRIVAL_DELAY_S)
+
+
+def _counter(counts: dict[str, SlidingCount], service: str, window_s: float) -> SlidingCount:
+    if service not in counts:
+        counts[service] = SlidingCount(window_s=window_s)
+    return counts[service]
--- a/figpaddle/routing/_response_timeouts.py
+++ b/figpaddle/routing/_response_timeouts.py
@@ -13,6 +13,12 @@
 #: Timeout between events, as a multiple of the longest gap that is on time.
 GAP_MULTIPLE = 4.0
 
+#: Time within which a server that works was heard, seconds; some events of a stream.
+ALIVE_S = 0.5
+#: Longest time for which sound servers may be silent together, seconds; longer than a pause of a second or so
+#: and, with what a new attempt takes, shorter than the time after which callers abandon a stream.
+MAX_COMMON_SILENCE_S = 1.6
+
 
 def first_byte_timeout_s(*, target_s: float, expected_s: float) -> float:
     """Return the timeout for the first byte of a request that may run twice, seconds.
@@ -37,3 +43,19 @@
     1.2
     """
     return max(MIN_TIMEOUT_S, GAP_MULTIPLE * gap_s)
+
+
+def is_worth_abandoning(*, silent_since: float, other_heard_at: float, now: float) -> bool:
+    """Return whether a silent server may be given up for another one after its timeout.
+
+    ``other_heard_at`` is when the other one was last heard, seconds. If that isn't just now, it may be silent
+    for the same reason, and the request would run twice for nothing.
+
+    >>> is_worth_abandoning(silent_since=0.0, other_heard_at=1.1, now=1.2)
+    True
+    >>> is_worth_abandoning(silent_since=0.0, other_heard_at=0.1, now=1.2)
+    False
+    >>> is_worth_abandoning(silent_since=0.0, other_heard_at=0.1, now=1.7)
+    True
+    """
+    return now - other_heard_at <= ALIVE_S or now - silent_since >= MAX_COMMON_SILENCE_S
--- a/figpaddle/routing/tests/test_rate_limits.py
+++ b/figpaddle/routing/tests/test_rate_limits.py
@@ -130,3 +130,15 @@
             retry_times = [first_at + step * 0.1 for step in range(50)]
             retries += [now for now in retry_times if budget.try_take("s", now=now)]
     assert sum(0.0 <= now < 10.0 for now in retries) <= slack
+
+
+def test_repeats_that_a_silent_server_reads_late_stay_within_the_window() -> None:
+    # Guards against repeats sent over more than a window that arrive within one.
+    budget = SharedRetryBudget(ratio=0.2, window_s=10.0, slack=0.0, now=0.0)
+    for sent_at in (0.0, 10.2):
+        for _ in range(10):
+            budget.note_request("s", now=sent_at)
+        if not sent_at:
+            assert budget.try_take("s", now=0.1) and budget.try_take("s", now=0.1)
+    assert not budget.try_take("s", now=10.2)
+    assert budget.try_take("s", now=11.7)
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -126,6 +126,8 @@
     limit: str = ""
     #: When it is no longer cold.
     cold_until: float = 0.0
+    #: When it sends again; until then it is sound and silent.
+    silent_until: float = 0.0
     #: Refusals in a second that it says it bears, for want of room; empty for none.
     brittle: str = ""
     #: Slots that its heartbeats state.
@@ -142,6 +144,7 @@
         request_id = (header(request.headers, b"x-figpaddle-request-id") or b"").decode()
         expected = header(request.headers, b"x-figpaddle-expect-instance")
         echoed_headers: Headers = ((b"X-Figpaddle-Request-Id", request_id.encode()),)
+        await anyio.sleep_until(self.silent_until)
         if self.limit:
             echoed_headers = (*echoed_headers, (b"Server-Limit", self.limit.encode()))
         if expected not in (None, self.name.encode()):
@@ -248,6 +251,7 @@
                 padding = "x" * self.padding_bytes
                 data = f"{number}{self.event_text}{padding}"
                 id_line = f"id: {number}\n" if self.has_event_ids else ""
+                await anyio.sleep_until(self.silent_until)
                 await responder.write(f"{id_line}data: {data}\n\n".encode())
                 if failure == "midway" and number == 2:
                     return
--- /dev/null
+++ b/tests/test_silent_backend_servers.py
@@ -0,0 +1,112 @@
+"""Sound backend servers that fall silent for a second go on with what they have begun."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+
+import anyio
+import pytest
+
+from tests.platform_standin import (
+    MODEL_SERVICE,
+    WAIT_TIMEOUT_S,
+    PlatformDeployment,
+    Reply,
+    configuration,
+    platform_deployment,
+)
+
+pytestmark = pytest.mark.anyio
+
+#: Streams of a test, and their events.
+STREAMS, EVENTS, EVENT_INTERVAL_S = 24, 30, 0.1
+#: When servers fall silent, and for how long, seconds.
+SILENT_AT_S, SILENT_FOR_S = 1.0, 1.3
+#: A silence after which a server is given up while another one is heard, seconds.
+LONG_SILENCE_S = 3.0
+#: Repeats of the deployment in a window beyond those that requests earn, and the share that they earn.
+RETRY_SLACK, RETRY_RATIO = 58, 0.2
+#: Entries that share the slack.
+ENTRIES = 3
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    return "asyncio"
+
+
+@pytest.fixture
+async def platform() -> AsyncIterator[PlatformDeployment]:
+    """A deployment with three model servers in the north and none elsewhere."""
+    async with platform_deployment(engines=False) as running:
+        for _ in range(3):
+            await running.add_engine(MODEL_SERVICE, "n-a", slots=100)
+        patient = configuration(2)
+        for route in patient["routes"]:
+            route.update({"timeout-ms": 15000, "target-latency-ms": 4000})
+        await running.send_operator_command("POST", "/v1/config/put", patient)
+        with anyio.fail_after(WAIT_TIMEOUT_S):
+            while (await running.send_request("m-4", "/plan/1"))[1].status != 200:
+                await anyio.sleep(0.1)
+        for engine in running.engines:
+            engine.event_count, engine.event_interval_s = EVENTS, EVENT_INTERVAL_S
+            engine.executed.clear()
+        yield running
+
+
+async def run_streams(
+    platform: PlatformDeployment, *, count: int, silent: int, silent_for_s: float
+) -> list[Reply]:
+    """Run streams beside which the first ``silent`` servers fall silent; return their replies."""
+    replies: list[Reply] = []
+
+    async def send(number: int) -> None:
+        _, reply = await platform.send_request(
+            "m-4", f"/plan/{number}", deadline_ms=14000, keep_partial=True
+        )
+        replies.append(reply)
+
+    async with anyio.create_task_group() as tasks:
+        for number in range(count):
+            tasks.start_soon(send, number)
+        await anyio.sleep(SILENT_AT_S)
+        for engine in platform.engines[:silent]:
+            engine.silent_until = anyio.current_time() + silent_for_s
+    return replies
+
+
+def assert_whole(replies: list[Reply], count: int) -> None:
+    assert len(replies) == count
+    for reply in replies:
+        events = [int(line[4:]) for line in reply.body.splitlines() if line.startswith(b"id: ")]
+        assert reply.status == 200 and reply.complete
+        assert events == list(range(1, EVENTS + 1))
+
+
+async def test_streams_stay_where_they_are_while_all_servers_are_silent(
+    platform: PlatformDeployment,
+) -> None:
+    # Guards against repeats at servers that are silent for the same reason.
+    replies = await run_streams(platform, count=STREAMS, silent=3, silent_for_s=SILENT_FOR_S)
+    assert_whole(replies, STREAMS)
+    runs = [request_id for engine in platform.engines for request_id in engine.executed]
+    assert len(runs) == len(set(runs))
+
+
+async def test_streams_for_which_no_repeat_is_left_wait_for_their_silent_server(
+    platform: PlatformDeployment,
+) -> None:
+    # Guards against streams that are given up all at once, and only then lack what a repeat needs.
+    count = 72
+    replies = await run_streams(platform, count=count, silent=2, silent_for_s=LONG_SILENCE_S)
+    assert_whole(replies, count)
+    runs = [request_id for engine in platform.engines for request_id in engine.executed]
+    assert 0 < len(runs) - len(set(runs)) <= RETRY_RATIO * (count + 1) + RETRY_SLACK / ENTRIES
+
+
+async def test_streams_leave_a_silent_server_for_one_that_is_heard(
+    platform: PlatformDeployment,
+) -> None:
+    replies = await run_streams(platform, count=6, silent=1, silent_for_s=60.0)
+    assert_whole(replies, 6)
+    assert "no event in time" in platform.log("m-4")
