--- a/figpaddle/daemon/_log_file.py
+++ b/figpaddle/daemon/_log_file.py
@@ -155,11 +155,25 @@
 
     def _rewrite(self, state: DurableState) -> None:
         data = pack_record(_encode(_Record(state=state)))
-        replace_file(self._path, data)
+        try:
+            replace_file(self._path, data)
+        except StorageError:
+            # What is appended to a file that has lost its name ends with the process.
+            self._write_failed = self._descriptor is not None and not self._has_name()
+            raise
         self.close()
         self._size = len(data)
         self._open()
 
+    def _has_name(self) -> bool:
+        """Return whether the path still names the open file."""
+        assert self._descriptor is not None
+        try:
+            named = self._path.stat()
+        except OSError:
+            return False
+        return os.path.samestat(named, os.fstat(self._descriptor))
+
     def _open(self) -> None:
         self._descriptor = os.open(self._path, os.O_WRONLY | os.O_APPEND)
 
--- a/figpaddle/daemon/tests/test_log_file.py
+++ b/figpaddle/daemon/tests/test_log_file.py
@@ -133,6 +133,41 @@
         storage.save(batch(6))
 
 
+def test_a_snapshot_whose_name_was_not_synced_fails_all_later_saves(
+    tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Guards against entries that are appended to the file that the snapshot replaced.
+    storage = make_filled_storage(tmp_path)
+
+    def fail(folder: pathlib.Path) -> None:
+        raise OSError(errno.ENOSPC, "no space left on device")
+
+    monkeypatch.setattr("figpaddle.daemon._log_file.sync_folder", fail)
+    snapshot = first_snapshot(LogMembership(voters=(storage.load().peer,)), b"state")
+    with pytest.raises(StorageError):
+        storage.save((Persist(hard=HardState(term=2), snapshot=snapshot),))
+    monkeypatch.undo()
+    with pytest.raises(StorageError):
+        storage.save(batch(6))
+
+
+def test_a_full_disk_during_a_snapshot_fails_no_later_save(
+    tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    storage = make_filled_storage(tmp_path)
+
+    def fail(descriptor: Any) -> None:
+        raise OSError(errno.ENOSPC, "no space left on device")
+
+    monkeypatch.setattr(os, "fsync", fail)
+    snapshot = first_snapshot(LogMembership(voters=(storage.load().peer,)), b"state")
+    with pytest.raises(StorageFullError):
+        storage.save((Persist(hard=HardState(term=2), snapshot=snapshot),))
+    monkeypatch.undo()
+    storage.save(batch(6))
+    assert reload_state(tmp_path) == storage.load()
+
+
 def test_log_of_another_instance_is_rejected(tmp_path: pathlib.Path) -> None:
     make_filled_storage(tmp_path)
     with pytest.raises(StorageCorruptError):
--- a/figpaddle/storage/_record_file.py
+++ b/figpaddle/storage/_record_file.py
@@ -29,6 +29,10 @@
         self._path = path
         self._descriptor: int | None = None
         self._size = 0
+        # Whether bytes of a failed append may follow the last record, and whether a replaced file's name
+        # may not be durable.
+        self._has_remainder = False
+        self._is_name_unsynced = False
 
     @property
     def size_bytes(self) -> int:
@@ -64,28 +68,41 @@
             raise StorageError(what="the file is not open", where=str(self._path))
         data = b"".join(_encode_record(payload) for payload in payloads)
         try:
+            self._repair(self._descriptor)
+            self._has_remainder = True
             _write_all(self._descriptor, data)
             os.fsync(self._descriptor)
         except OSError as error:
-            self._truncate_failed_append(self._descriptor)
+            with contextlib.suppress(OSError):
+                self._repair(self._descriptor)
             raise self._storage_error(error) from error
+        self._has_remainder = False
         self._size += len(data)
 
     def replace(self, payloads: Iterable[bytes]) -> None:
         """Replace the whole file by ``payloads`` and return once that is durable."""
         data = b"".join(_encode_record(payload) for payload in payloads)
         temporary_path = self._path.with_suffix(".new")
+        descriptor: int | None = None
         try:
             descriptor = os.open(temporary_path, os.O_RDWR | os.O_CREAT | os.O_TRUNC, 0o600)
             _write_all(descriptor, data)
             os.fsync(descriptor)
             os.replace(temporary_path, self._path)
-            _sync_directory(self._path.parent)
         except OSError as error:
+            if descriptor is not None:
+                os.close(descriptor)
+            with contextlib.suppress(OSError):
+                temporary_path.unlink()
             raise self._storage_error(error) from error
+        # From here on the old file has no name, so whatever is appended to it would be lost.
         self.close()
-        self._descriptor = descriptor
-        self._size = len(data)
+        self._descriptor, self._size = descriptor, len(data)
+        self._has_remainder, self._is_name_unsynced = False, True
+        try:
+            self._repair(descriptor)
+        except OSError as error:
+            raise self._storage_error(error) from error
 
     def close(self) -> None:
         """Close the file."""
@@ -93,11 +110,15 @@
             os.close(self._descriptor)
             self._descriptor = None
 
-    def _truncate_failed_append(self, descriptor: int) -> None:
-        """Remove the bytes of a failed append, so that the next record follows an intact one."""
-        with contextlib.suppress(OSError):
+    def _repair(self, descriptor: int) -> None:
+        """Undo what an earlier failure left, so that the next record follows an intact one and lasts."""
+        if self._has_remainder:
             os.ftruncate(descriptor, self._size)
             os.lseek(descriptor, self._size, os.SEEK_SET)
+            self._has_remainder = False
+        if self._is_name_unsynced:
+            _sync_directory(self._path.parent)
+            self._is_name_unsynced = False
 
     def _parse(self, data: bytes) -> tuple[tuple[bytes, ...], int]:
         """Return the payloads of the intact records and the offset at which the last one ends."""
--- a/figpaddle/storage/tests/test_record_file.py
+++ b/figpaddle/storage/tests/test_record_file.py
@@ -89,3 +89,68 @@
     file.close()
     os.truncate(path, size + incomplete_bytes)
     assert RecordFile(path=path).open() == (b"one",)
+
+
+def full(*_: object) -> int:
+    raise OSError(errno.ENOSPC, "no space left on device")
+
+
+def test_a_full_disk_during_a_replacement_leaves_nothing_open_and_nothing_behind(
+    tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Guards against a process that runs out of descriptors while its disk is full, and stays so.
+    file = open_file(tmp_path / "records")
+    file.append([b"one"])
+    open_before = len(os.listdir("/proc/self/fd"))
+    with monkeypatch.context() as full_disk:
+        full_disk.setattr(os, "write", full)
+        for _ in range(20):
+            with pytest.raises(StorageFullError):
+                file.replace([b"two"])
+    assert len(os.listdir("/proc/self/fd")) == open_before
+    assert os.listdir(tmp_path) == ["records"]
+    file.append([b"three"])
+    file.close()
+    assert RecordFile(path=tmp_path / "records").open() == (b"one", b"three")
+
+
+def test_records_after_a_failed_append_that_could_not_be_undone_are_readable(
+    tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Guards against a file that can't be read after a restart, since a part of a record lies in it.
+    path = tmp_path / "records"
+    file = open_file(path)
+    file.append([b"one"])
+    write = os.write
+
+    def write_partly(descriptor: int, data: bytes) -> int:
+        write(descriptor, bytes(data)[:5])
+        return full()
+
+    with monkeypatch.context() as full_disk:
+        full_disk.setattr(os, "write", write_partly)
+        full_disk.setattr(os, "ftruncate", full)
+        for _ in range(2):
+            with pytest.raises(StorageFullError):
+                file.append([b"two"])
+    file.append([b"three"])
+    file.close()
+    assert RecordFile(path=path).open() == (b"one", b"three")
+
+
+def test_records_after_a_replacement_whose_name_was_not_synced_are_kept(
+    tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Guards against records that are appended to the file that was replaced, and end with the process.
+    path = tmp_path / "records"
+    file = open_file(path)
+    file.append([b"one"])
+    with monkeypatch.context() as full_disk:
+        full_disk.setattr("figpaddle.storage._record_file._sync_directory", full)
+        with pytest.raises(StorageFullError):
+            file.replace([b"two"])
+        with pytest.raises(StorageFullError):
+            file.append([b"unsynced"])
+    file.append([b"three"])
+    file.close()
+    assert RecordFile(path=path).open() == (b"two", b"three")
