--- a/figpaddle/regional/_attempts.py
+++ b/figpaddle/regional/_attempts.py
@@ -464,12 +464,13 @@
         choice = self._placer.place(context)
         if choice is None or choice.wait_s > context.max_wait_s:
             return False
+        heard_at = float("-inf")
         if choice.backend is not None:
             if choice.backend.name in context.backends_tried:
                 return False
             heard_at = self._placer.contact.heard_at(choice.backend.name)
-            if not is_worth_abandoning(silent_since=silent_since, other_heard_at=heard_at, now=now):
-                return False
+        if not is_worth_abandoning(silent_since=silent_since, other_heard_at=heard_at, now=now):
+            return False
         context.retry_taken = self._take_retry(context.service.name)
         return context.retry_taken
 
--- a/figpaddle/routing/_response_timeouts.py
+++ b/figpaddle/routing/_response_timeouts.py
@@ -48,8 +48,8 @@
 def is_worth_abandoning(*, silent_since: float, other_heard_at: float, now: float) -> bool:
     """Return whether a silent server may be given up for another one after its timeout.
 
-    ``other_heard_at`` is when the other one was last heard, seconds. If that isn't just now, it may be silent
-    for the same reason, and the request would run twice for nothing.
+    ``other_heard_at`` is when the other one was last heard, seconds; minus infinity if it is in another region.
+    If that isn't just now, it may be silent for the same reason, and the request would run twice for nothing.
 
     >>> is_worth_abandoning(silent_since=0.0, other_heard_at=1.1, now=1.2)
     True
--- a/tests/test_silent_backend_servers.py
+++ b/tests/test_silent_backend_servers.py
@@ -55,14 +55,19 @@
 
 
 async def run_streams(
-    platform: PlatformDeployment, *, count: int, silent: int, silent_for_s: float
+    platform: PlatformDeployment,
+    *,
+    count: int,
+    silent: int,
+    silent_for_s: float,
+    entry: str = "m-4",
 ) -> list[Reply]:
     """Run streams beside which the first ``silent`` servers fall silent; return their replies."""
     replies: list[Reply] = []
 
     async def send(number: int) -> None:
         _, reply = await platform.send_request(
-            "m-4", f"/plan/{number}", deadline_ms=14000, keep_partial=True
+            entry, f"/plan/{number}", deadline_ms=14000, keep_partial=True
         )
         replies.append(reply)
 
@@ -93,6 +98,18 @@
     assert len(runs) == len(set(runs))
 
 
+async def test_forwarded_streams_stay_where_they_are_while_all_servers_are_silent(
+    platform: PlatformDeployment,
+) -> None:
+    # Guards against repeats by the entry that forwarded a stream, whose servers it doesn't hear.
+    replies = await run_streams(
+        platform, count=STREAMS, silent=3, silent_for_s=SILENT_FOR_S, entry="m-6"
+    )
+    assert_whole(replies, STREAMS)
+    runs = [request_id for engine in platform.engines for request_id in engine.executed]
+    assert len(runs) == len(set(runs))
+
+
 async def test_streams_for_which_no_repeat_is_left_wait_for_their_silent_server(
     platform: PlatformDeployment,
 ) -> None:
