--- a/figpaddle/regional/_attempts.py
+++ b/figpaddle/regional/_attempts.py
@@ -3,13 +3,18 @@
 from __future__ import annotations
 
 import dataclasses
+import functools
 import math
 from collections.abc import Callable
 
 from figpaddle.deployment import Repeat
 from figpaddle.http1 import ConnectionPool, Headers, Responder, ResponseHead, header
 from figpaddle.regional._dialect import BackendAnswer, Dialect
-from figpaddle.regional._exchange import MIN_REMAINING_S, Exchange, UpstreamRequest
+from figpaddle.regional._exchange import (
+    MIN_REMAINING_S,
+    Exchange,
+    UpstreamRequest,
+)
 from figpaddle.regional._forwarding import (
     NOT_RUN,
     OUTCOME_FIELD,
@@ -50,6 +55,7 @@
     """Sends requests and records the results for later placements.
 
     ``take_retry`` charges the retry budget of a service with another attempt if there is one left.
+    ``may_begin`` returns whether an attempt at a place ends before this process does.
     """
 
     def __init__(
@@ -63,6 +69,7 @@
         quarantine: RequestQuarantine,
         streams: StreamOrigins,
         take_retry: Callable[[str], bool],
+        may_begin: Callable[[RequestContext, Choice, Responder], bool],
         clock: Callable[[], float],
         boot_clock: Callable[[], float],
         log: Log,
@@ -77,6 +84,7 @@
         self._quarantine = quarantine
         self._streams = streams
         self._take_retry = take_retry
+        self._may_begin = may_begin
         self._clock = clock
         self._log = log
         self._metrics = metrics
@@ -206,7 +214,7 @@
                 before_relay=note_progress,
                 may_join=self._join_check(context, version_of_process),
                 is_retryable=lambda answer: self._is_retryable(context, answer),
-                may_abandon=lambda since: self._may_abandon(context, responder, since),
+                may_abandon=functools.partial(self._may_abandon, context, responder),
                 clock=self._clock,
                 on_relaying=lambda: self._note_relaying(attempt_key),
                 on_relayed=lambda: self._note_relayed(attempt_key),
@@ -287,7 +295,8 @@
                 # Other connections that were open as long may be half-open too.
                 self._pool.close_idle(address)
             self._quarantine.note_lost_connection(process, address)
-            context.lost_process = process
+            if context.reserved is None:
+                context.lost_process = process
         self._log.warning(
             "attempt_failed",
             request=context.request_id,
@@ -311,11 +320,18 @@
         if entry is None or not is_own_region:
             context.regions_tried.add(choice.region)
         if entry is None:
+            self._placer.cancel_reservation(context)
             return AttemptResult(
                 outcome=AttemptOutcome.NOT_SENT, reason="no ready entry in that region"
             )
         context.entries_tried.add(entry)
         attempt_key = context.attempt_key
+        used_there: int | None = None
+
+        def may_abandon(silent_since: float) -> bool:
+            return used_there is not None and self._may_abandon(
+                context, responder, silent_since, used=used_there
+            )
 
         def make_headers(remaining_s: float) -> Headers:
             terms = ForwardingTerms(
@@ -361,8 +377,6 @@
             revision=context.revision,
         )
 
-        used_there: int | None = None
-
         def decode_head(head: ResponseHead) -> BackendAnswer:
             nonlocal used_there
             used_there = stated_attempts(head.headers)
@@ -381,8 +395,7 @@
             before_relay=note_first_byte_time,
             may_join=self._join_check(context, _stated_version),
             is_retryable=lambda answer: header(answer.headers, OUTCOME_FIELD) is not None,
-            may_abandon=lambda since: used_there is not None
-            and self._may_abandon(context, responder, since, used=used_there),
+            may_abandon=may_abandon,
             clock=self._clock,
             on_relaying=lambda: self._note_relaying(attempt_key),
             on_relayed=lambda: self._note_relayed(attempt_key),
@@ -446,33 +459,60 @@
         return event_gap_timeout_s(gap_s=context.route.gap_s)
 
     def _may_abandon(
-        self, context: RequestContext, responder: Responder, silent_since: float, *, used: int = 1
+        self,
+        context: RequestContext,
+        responder: Responder,
+        silent_since: float,
+        *,
+        used: int = 1,
     ) -> bool:
         """Return whether another place surely goes on with a request that is silent here.
 
-        ``used`` is the number of attempts that the present one has used. All that the next attempt
-        needs is asked for before the present one is given up, and its part of the retry budget is taken:
-        many requests become silent at the same moment, and the server may go on at any.
+        ``used`` is the number of attempts that the present one has used. All that the next attempt needs is taken before the present one is given up,
+        its place and its part of the retry budget: many requests become silent at the same moment,
+        and the server may go on at any.
         """
+        obstacle = "no attempt left"
+        if context.attempts_left > used:
+            choice = self._placer.place(context)
+            obstacle = self._obstacle(context, choice, responder, silent_since)
+            if choice is not None and not obstacle:
+                self._placer.reserve(context, choice)
+                return True
+        self._metrics.count(
+            "silent_attempts_kept_total", service=context.service.name, reason=obstacle
+        )
+        return False
+
+    def _obstacle(
+        self,
+        context: RequestContext,
+        choice: Choice | None,
+        responder: Responder,
+        silent_since: float,
+    ) -> str:
+        """Return why ``choice`` may not go on with a silent request, or charge the budget and return ""."""
         now = self._clock()
-        if context.attempts_left <= used or context.remaining_s(now=now) < MIN_REMAINING_S:
-            return False
         if responder.started and not context.last_event:
-            return False
+            return "no event ids"
         if self._quarantine.refuses_retry(context.traits):
-            return False
-        choice = self._placer.place(context)
+            return "suspected of a crash"
         if choice is None or choice.wait_s > context.max_wait_s:
-            return False
+            return "no room"
+        if context.remaining_s(now=now) < MIN_REMAINING_S:
+            return "too late"
         heard_at = float("-inf")
         if choice.backend is not None:
             if choice.backend.name in context.backends_tried:
-                return False
+                return "no room"
             heard_at = self._placer.contact.heard_at(choice.backend.name)
+        elif self._placer.pick_entry(choice.region, context) is None:
+            return "no entry"
         if not is_worth_abandoning(silent_since=silent_since, other_heard_at=heard_at, now=now):
-            return False
-        context.retry_taken = self._take_retry(context.service.name)
-        return context.retry_taken
+            return "common silence"
+        if not self._may_begin(context, choice, responder):
+            return "stopping"
+        return "" if self._take_retry(context.service.name) else "no repeat left"
 
     def _is_retryable(self, context: RequestContext, answer: BackendAnswer) -> bool:
         """Return whether an answer is a failure that a retry may replace."""
--- a/figpaddle/regional/_gateway.py
+++ b/figpaddle/regional/_gateway.py
@@ -114,6 +114,7 @@
             quarantine=quarantine,
             streams=streams,
             take_retry=lambda service: self.retry_budget.try_take(service, now=clock()),
+            may_begin=self._may_begin,
             clock=clock,
             boot_clock=boot_clock,
             log=log,
@@ -290,6 +291,8 @@
         except anyio.get_cancelled_exc_class():
             self._record_end(context, "caller left")
             raise
+        finally:
+            self._placer.cancel_reservation(context)
 
     async def _serve(self, context: RequestContext, responder: Responder) -> None:
         if self._stopped_accepting:
@@ -416,8 +419,10 @@
             if quarantine is not None:
                 await self._fail_quarantined(context, quarantine, responder)
                 return
-            context.confined_by = self._quarantine.suspect_digest(context.traits)
-            choice = self._placer.place(context)
+            choice = context.reserved
+            if choice is None:
+                context.confined_by = self._quarantine.suspect_digest(context.traits)
+                choice = self._placer.place(context)
             if choice is None:
                 await self._fail_unplaced(context, responder)
                 return
@@ -468,6 +473,7 @@
                 return False
         if context.attempts_left <= 0 or context.remaining_s(now=now) < MIN_REMAINING_S:
             return False
+        is_reserved = context.reserved is not None
         if result.outcome is AttemptOutcome.BROKEN and context.attempts_allowed is not None:
             # The entry that forwarded it knows what is left and takes the stream up, here or elsewhere.
             return False
@@ -478,10 +484,9 @@
             if not await self._quarantine.may_retry(context.traits, process=context.lost_process):
                 return False
             now = self._clock()
-        retry_taken, context.retry_taken = context.retry_taken, False
         if (
             result.reached_backend
-            and not retry_taken
+            and not is_reserved
             and not self.retry_budget.try_take(context.service.name, now=now)
         ):
             self._log.warning(
--- a/figpaddle/regional/_placer.py
+++ b/figpaddle/regional/_placer.py
@@ -205,8 +205,28 @@
             choice = self._through_neighbour(choice, context, now=now)
         return choice
 
+    def reserve(self, context: RequestContext, choice: Choice) -> None:
+        """Count the next attempt at the chosen place, which is made once the present one has ended."""
+        context.reserved = choice
+        self._take_share(context, choice)
+        self._track(context, choice, context.next_attempt_key)
+
+    def cancel_reservation(self, context: RequestContext) -> None:
+        """Stop counting a reserved attempt, if there is one, that won't be made."""
+        choice, context.reserved = context.reserved, None
+        if choice is not None and choice.backend is not None:
+            self.tracker_of(choice.backend.name).note_withdrawn(context.next_attempt_key)
+            self.note_accepted(choice.backend.name, context.next_attempt_key)
+
     def note_sent(self, context: RequestContext, choice: Choice) -> None:
         """Count a request that is being sent to the chosen place."""
+        reserved, context.reserved = context.reserved, None
+        if choice is not reserved:
+            self._take_share(context, choice)
+        self._track(context, choice, context.attempt_key)
+
+    def _take_share(self, context: RequestContext, choice: Choice) -> None:
+        """Count an attempt against what the chosen place may get in a time."""
         now = self._clock()
         if choice.backend is None:
             count_key = (choice.region, context.service.name)
@@ -227,10 +247,16 @@
                 uptime_s=round(self._mesh.uptime_s, 2),
             )
         self._named_limits.note_sent(choice.backend.name, now=now)
-        self._brittle.note_sent(choice.backend.name, context.attempt_key, now=now)
+
+    def _track(self, context: RequestContext, choice: Choice, attempt_key: str) -> None:
+        """Count an attempt as in progress at the chosen backend server, from now on."""
+        if choice.backend is None:
+            return
+        now = self._clock()
+        self._brittle.note_sent(choice.backend.name, attempt_key, now=now)
         self._contact.note_sent(choice.backend.name, now=now)
         self.tracker_of(choice.backend.name).note_sent(
-            context.attempt_key,
+            attempt_key,
             context.demand(now=now),
             prefill=choice.prefill,
             memory=context.caller.prompt_tokens + context.caller.output_tokens,
--- a/figpaddle/regional/_request_context.py
+++ b/figpaddle/regional/_request_context.py
@@ -10,7 +10,7 @@
 from figpaddle.deployment import GatewayRoute, GatewayService, Repeat
 from figpaddle.http1 import HttpRequest, ResponseHead
 from figpaddle.regional._dialect import BackendAnswer, CallerRequest
-from figpaddle.routing import Demand, Process, RequestTraits
+from figpaddle.routing import Choice, Demand, Process, RequestTraits
 
 #: Longest time that a request may wait for others, as a fraction of its latency target. A longer
 #: queue would make all requests late under lasting overload, without serving more of them.
@@ -122,8 +122,9 @@
     first_byte_s: float | None = None
     #: When the answer to the caller was started, seconds of the monotonic clock; None before.
     answer_started_at: float | None = None
-    #: Whether the retry budget has been charged with the next attempt, before the present one was given up.
-    retry_taken: bool = False
+    #: Place of the next attempt if it was reserved, and the retry budget charged, before the present one was
+    #: given up.
+    reserved: Choice | None = None
     #: Reason for which the last attempt failed.
     last_failure: str = ""
     #: Number of the present attempt, from 1; 0 before the first.
@@ -148,6 +149,11 @@
         """Identifier of the present attempt within this process."""
         return f"{self.request_id}/{self.attempt}"
 
+    @property
+    def next_attempt_key(self) -> str:
+        """Identifier of the attempt after the present one."""
+        return f"{self.request_id}/{self.attempt + 1}"
+
     @property
     def forwarded(self) -> bool:
         """Whether the request was forwarded by an entry of another region."""
--- a/figpaddle/routing/_backend_load.py
+++ b/figpaddle/routing/_backend_load.py
@@ -214,6 +214,10 @@
         self._add_slowness_sample(_priority_class(request.priority), sample, now)
         return elapsed_s
 
+    def note_withdrawn(self, key: str) -> None:
+        """Forget a request that isn't sent after all."""
+        self._local_requests.pop(key, None)
+
     def note_ended(self, key: str, *, failed: bool, now: float) -> None:
         """Record the end of a request."""
         request = self._local_requests.pop(key, None)
--- a/tests/test_silent_backend_servers.py
+++ b/tests/test_silent_backend_servers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import AsyncIterator
+from typing import Any
 
 import anyio
 import pytest
@@ -28,6 +29,10 @@
 RETRY_SLACK, RETRY_RATIO = 58, 0.2
 #: Entries that share the slack.
 ENTRIES = 3
+#: Silence of servers that hang for good, seconds.
+HANGS_S = 60.0
+#: Requests a second that a cold server bears, and for how long it is cold, seconds.
+COLD_PER_S, COLD_S = 0.5, 60.0
 
 
 @pytest.fixture
@@ -35,16 +40,22 @@
     return "asyncio"
 
 
+def patient_configuration(version: int) -> dict[str, Any]:
+    """Return a configuration with long timeouts, and connections for all streams at any server."""
+    patient = configuration(version)
+    patient["services"][0]["max-conns"] = 600
+    for route in patient["routes"]:
+        route.update({"timeout-ms": 15000, "target-latency-ms": 4000})
+    return patient
+
+
 @pytest.fixture
 async def platform() -> AsyncIterator[PlatformDeployment]:
     """A deployment with three model servers in the north and none elsewhere."""
     async with platform_deployment(engines=False) as running:
         for _ in range(3):
             await running.add_engine(MODEL_SERVICE, "n-a", slots=100)
-        patient = configuration(2)
-        for route in patient["routes"]:
-            route.update({"timeout-ms": 15000, "target-latency-ms": 4000})
-        await running.send_operator_command("POST", "/v1/config/put", patient)
+        await running.send_operator_command("POST", "/v1/config/put", patient_configuration(2))
         with anyio.fail_after(WAIT_TIMEOUT_S):
             for name in ("m-4", "m-6"):
                 while (await running.send_request(name, "/plan/1"))[1].status != 200:
@@ -81,15 +92,25 @@
     return replies
 
 
+def log_of(platform: PlatformDeployment, reply: Reply) -> list[str]:
+    """Return the lines of all entries about the request of a reply."""
+    request_id = reply.headers.get("x-figpaddle-request-id", "")
+    lines = [line for name in ("m-4", "m-5", "m-6") for line in platform.log(name).splitlines()]
+    return [line for line in lines if f"request={request_id} " in line]
+
+
+def repeats(platform: PlatformDeployment) -> int:
+    """Return how many runs weren't the first of their request."""
+    runs = [request_id for engine in platform.engines for request_id in engine.executed]
+    return len(runs) - len(set(runs))
+
+
 def assert_whole(platform: PlatformDeployment, replies: list[Reply], count: int) -> None:
     assert len(replies) == count
-    log = platform.log("m-4").splitlines()
     for reply in replies:
         events = [int(line[4:]) for line in reply.body.splitlines() if line.startswith(b"id: ")]
-        request_id = reply.headers.get("x-figpaddle-request-id", "")
-        lines = [line for line in log if f"request={request_id} " in line]
-        assert reply.status == 200 and reply.complete, lines
-        assert events == list(range(1, EVENTS + 1)), lines
+        assert reply.status == 200 and reply.complete, log_of(platform, reply)
+        assert events == list(range(1, EVENTS + 1)), log_of(platform, reply)
 
 
 async def test_streams_stay_where_they_are_while_all_servers_are_silent(
@@ -98,8 +119,7 @@
     # Guards against repeats at servers that are silent for the same reason.
     replies = await run_streams(platform, count=STREAMS, silent=3, silent_for_s=SILENT_FOR_S)
     assert_whole(platform, replies, STREAMS)
-    runs = [request_id for engine in platform.engines for request_id in engine.executed]
-    assert len(runs) == len(set(runs))
+    assert not repeats(platform)
 
 
 async def test_forwarded_streams_stay_where_they_are_while_all_servers_are_silent(
@@ -110,8 +130,7 @@
         platform, count=STREAMS, silent=3, silent_for_s=SILENT_FOR_S, entry="m-6"
     )
     assert_whole(platform, replies, STREAMS)
-    runs = [request_id for engine in platform.engines for request_id in engine.executed]
-    assert len(runs) == len(set(runs))
+    assert not repeats(platform)
 
 
 async def test_streams_for_which_no_repeat_is_left_wait_for_their_silent_server(
@@ -121,13 +140,29 @@
     count = 72
     replies = await run_streams(platform, count=count, silent=2, silent_for_s=LONG_SILENCE_S)
     assert_whole(platform, replies, count)
-    runs = [request_id for engine in platform.engines for request_id in engine.executed]
-    assert 0 < len(runs) - len(set(runs)) <= RETRY_RATIO * (count + 1) + RETRY_SLACK / ENTRIES
+    assert 0 < repeats(platform) <= RETRY_RATIO * (count + 1) + RETRY_SLACK / ENTRIES
 
 
 async def test_streams_leave_a_silent_server_for_one_that_is_heard(
     platform: PlatformDeployment,
 ) -> None:
-    replies = await run_streams(platform, count=6, silent=1, silent_for_s=60.0)
+    replies = await run_streams(platform, count=6, silent=1, silent_for_s=HANGS_S)
     assert_whole(platform, replies, 6)
     assert "no event in time" in platform.log("m-4")
+
+
+async def test_streams_are_given_up_only_for_places_that_can_take_them(
+    platform: PlatformDeployment,
+) -> None:
+    # Guards against a place that is asked for and not taken: many streams become silent at once.
+    silent, leaving, cold = platform.engines
+    leaving.state = "draining"
+    cold.cold_until = anyio.current_time() + COLD_S
+    brittle = patient_configuration(3)
+    brittle["services"][0].update({"warmup-s": COLD_S, "cold-per-s": COLD_PER_S})
+    await platform.send_operator_command("POST", "/v1/config/put", brittle)
+    await anyio.sleep(1.0)
+    replies = await run_streams(platform, count=STREAMS, silent=1, silent_for_s=LONG_SILENCE_S)
+    assert_whole(platform, replies, STREAMS)
+    assert not leaving.executed
+    assert len(silent.executed) == len(set(silent.executed))
