--- a/figpaddle/regional/_attempts.py
+++ b/figpaddle/regional/_attempts.py
@@ -31,6 +31,7 @@
 from figpaddle.regional._settings import ProcessSettings
 from figpaddle.regional._stream_origins import StreamOrigins
 from figpaddle.routing import (
+    ALIVE_S,
     AnswerTimes,
     Choice,
     FleetBackend,
@@ -474,7 +475,7 @@
         """
         obstacle = "no attempt left"
         if context.attempts_left > used:
-            choice = self._placer.place(context)
+            choice = self._placer.place_again(context, silent_s=ALIVE_S)
             obstacle = self._obstacle(context, choice, responder, silent_since)
             if choice is not None and not obstacle:
                 self._placer.reserve(context, choice)
@@ -501,14 +502,12 @@
             return "no room"
         if context.remaining_s(now=now) < MIN_REMAINING_S:
             return "too late"
-        heard_at = float("-inf")
+        is_steady = False
         if choice.backend is not None:
-            if choice.backend.name in context.backends_tried:
-                return "no room"
-            heard_at = self._placer.contact.heard_at(choice.backend.name)
+            is_steady = self._placer.contact.is_steady(choice.backend.name, now=now)
         elif self._placer.pick_entry(choice.region, context) is None:
             return "no entry"
-        if not is_worth_abandoning(silent_since=silent_since, other_heard_at=heard_at, now=now):
+        if not is_worth_abandoning(silent_since=silent_since, other_is_steady=is_steady, now=now):
             return "common silence"
         if not self._may_begin(context, choice, responder):
             return "stopping"
--- a/figpaddle/regional/_placer.py
+++ b/figpaddle/regional/_placer.py
@@ -205,6 +205,28 @@
             choice = self._through_neighbour(choice, context, now=now)
         return choice
 
+    def place_again(self, context: RequestContext, *, silent_s: float) -> Choice | None:
+        """Return the place for another attempt of a request that its server doesn't answer, or None.
+
+        It is no server that was tried, nor one that owes this entry an answer and hasn't been heard for
+        ``silent_s``.
+        """
+        now, tried = self._clock(), context.backends_tried
+        silent = {
+            name
+            for name, tracker in self._trackers.items()
+            if tracker.local_requests and now - self._contact.heard_at(name) > silent_s
+        }
+        context.backends_tried = tried | silent
+        try:
+            choice = self.place(context)
+            if choice is not None and choice.backend is not None:
+                # Where no other place is left, servers that were tried are.
+                return choice if choice.backend.name not in context.backends_tried else None
+        finally:
+            context.backends_tried = tried
+        return choice
+
     def reserve(self, context: RequestContext, choice: Choice) -> None:
         """Count the next attempt at the chosen place, which is made once the present one has ended."""
         context.reserved = choice
--- a/figpaddle/routing/__init__.py
+++ b/figpaddle/routing/__init__.py
@@ -2,7 +2,7 @@
 
 from figpaddle.routing._admission import Admission
 from figpaddle.routing._answer_times import MIN_FAILURE_STATUS, AnswerTimes, assumed_answer_s
-from figpaddle.routing._backend_contact import BackendContact
+from figpaddle.routing._backend_contact import ALIVE_S, BackendContact
 from figpaddle.routing._backend_load import PRIORITY_CLASSES, BackendLoadTracker, PeerLoad
 from figpaddle.routing._backends import (
     ANNOUNCEMENT_TTL_S,
@@ -101,6 +101,7 @@
 from figpaddle.routing._zone_work import OwnWorkHistory, newest_limits, peer_load, sum_work
 
 __all__ = [
+    "ALIVE_S",
     "ASKED_AHEAD_S",
     "ASKED_PER_REGION",
     "ANNOUNCEMENT_TTL_S",
--- a/figpaddle/routing/_backend_contact.py
+++ b/figpaddle/routing/_backend_contact.py
@@ -12,6 +12,8 @@
 #: Time without a byte from any backend server after which requests sent to several of them count as
 #: failures, seconds; longer than most answers take to begin.
 SILENCE_S = 0.8
+#: Longest pause between bytes of a server that works, seconds; some events of a stream.
+ALIVE_S = 0.5
 #: Interval between checks, seconds: while the entry is cut off, and while it isn't.
 CUT_CHECK_INTERVAL_S, CHECK_INTERVAL_S = 0.5, 1.0
 
@@ -42,6 +44,8 @@
         self._received_at = float("-inf")
         #: When bytes of an answer last came from each server.
         self._heard_at: dict[str, float] = {}
+        #: Since when they have come without a pause.
+        self._heard_since: dict[str, float] = {}
         self._checked_at = float("-inf")
 
     @property
@@ -65,6 +69,8 @@
 
     def note_received(self, name: str, *, now: float) -> None:
         """Record that bytes of an answer came from a server."""
+        if now - self.heard_at(name) > ALIVE_S:
+            self._heard_since[name] = now
         self._received_at = self._heard_at[name] = now
         self._unreached_at.pop(name, None)
         self._unanswered_since.clear()
@@ -73,10 +79,19 @@
         """Return when bytes of an answer last came from a server; minus infinity for never."""
         return self._heard_at.get(name, float("-inf"))
 
+    def is_steady(self, name: str, *, now: float) -> bool:
+        """Return whether bytes of answers have come from a server for some time without a pause.
+
+        One that has just woken up from a silence isn't steady: others that were silent with it may follow.
+        """
+        is_alive = now - self.heard_at(name) <= ALIVE_S
+        return is_alive and now - self._heard_since[name] >= ALIVE_S
+
     def forget(self, names: Collection[str]) -> None:
         """Forget servers that are gone."""
         for name in names:
             self._heard_at.pop(name, None)
+            self._heard_since.pop(name, None)
 
     def note_unreached(self, name: str, *, now: float) -> None:
         """Record that a server didn't accept a connection or lost one."""
--- a/figpaddle/routing/_response_timeouts.py
+++ b/figpaddle/routing/_response_timeouts.py
@@ -13,8 +13,6 @@
 #: Timeout between events, as a multiple of the longest gap that is on time.
 GAP_MULTIPLE = 4.0
 
-#: Time within which a server that works was heard, seconds; some events of a stream.
-ALIVE_S = 0.5
 #: Longest time for which sound servers may be silent together, seconds; longer than a pause of a second or so
 #: and, with what a new attempt takes, shorter than the time after which callers abandon a stream.
 MAX_COMMON_SILENCE_S = 1.6
@@ -45,17 +43,17 @@
     return max(MIN_TIMEOUT_S, GAP_MULTIPLE * gap_s)
 
 
-def is_worth_abandoning(*, silent_since: float, other_heard_at: float, now: float) -> bool:
+def is_worth_abandoning(*, silent_since: float, other_is_steady: bool, now: float) -> bool:
     """Return whether a silent server may be given up for another one after its timeout.
 
-    ``other_heard_at`` is when the other one was last heard, seconds; minus infinity if it is in another region.
-    If that isn't just now, it may be silent for the same reason, and the request would run twice for nothing.
+    ``other_is_steady`` is whether the other one was heard all the while; false if it is in another region.
+    Else it may be silent for the same reason, and the request would run twice for nothing.
 
-    >>> is_worth_abandoning(silent_since=0.0, other_heard_at=1.1, now=1.2)
+    >>> is_worth_abandoning(silent_since=0.0, other_is_steady=True, now=1.2)
     True
-    >>> is_worth_abandoning(silent_since=0.0, other_heard_at=0.1, now=1.2)
+    >>> is_worth_abandoning(silent_since=0.0, other_is_steady=False, now=1.2)
     False
-    >>> is_worth_abandoning(silent_since=0.0, other_heard_at=0.1, now=1.7)
+    >>> is_worth_abandoning(silent_since=0.0, other_is_steady=False, now=1.7)
     True
     """
-    return now - other_heard_at <= ALIVE_S or now - silent_since >= MAX_COMMON_SILENCE_S
+    return other_is_steady or now - silent_since >= MAX_COMMON_SILENCE_S
--- a/figpaddle/routing/tests/test_backend_contact.py
+++ b/figpaddle/routing/tests/test_backend_contact.py
@@ -57,3 +57,18 @@
 def test_no_check_is_due_without_servers() -> None:
     contact = cut_off_contact(now=1.0)
     assert not contact.needs_check(servers=0, now=9.0)
+
+
+def test_a_server_that_wakes_up_from_a_silence_is_not_steady_at_once() -> None:
+    # Guards against giving up servers of a common silence for the first of them that goes on.
+    contact = BackendContact()
+    for tenth in (0, 3, 6):
+        contact.note_received("e1", now=tenth / 10)
+    assert contact.is_steady("e1", now=0.7)
+    assert not contact.is_steady("e1", now=1.9)
+    contact.note_received("e1", now=2.0)
+    assert not contact.is_steady("e1", now=2.1)
+    contact.note_received("e1", now=2.4)
+    assert contact.is_steady("e1", now=2.5)
+    contact.forget(["e1"])
+    assert not contact.is_steady("e1", now=2.5)
