--- a/figpaddle/regional/_attempts.py
+++ b/figpaddle/regional/_attempts.py
@@ -500,7 +500,9 @@
             return "suspected of a crash"
         if choice is None or choice.wait_s > context.max_wait_s:
             return "no room"
-        if context.remaining_s(now=now) < MIN_REMAINING_S:
+        rest_s = self._rest_s(context, choice, silent_since=silent_since, now=now)
+        if context.remaining_s(now=now) < max(MIN_REMAINING_S, rest_s):
+            # It would take what the budget allows from a request that can still end in time.
             return "too late"
         is_steady = False
         if choice.backend is not None:
@@ -513,6 +515,18 @@
             return "stopping"
         return "" if self._take_retry(context.service.name) else "no repeat left"
 
+    def _rest_s(
+        self, context: RequestContext, choice: Choice, *, silent_since: float, now: float
+    ) -> float:
+        """Return the time that another attempt takes to its end as a rule, seconds."""
+        scale_s = assumed_answer_s(context.caller.output_tokens)
+        answer_s = self._answer_times.median_s(
+            _kind_of(context), scale_s=scale_s, unmeasured_s=scale_s, now=now
+        )
+        begun_at = context.answer_started_at
+        streamed_s = 0.0 if begun_at is None else silent_since - begun_at
+        return max(choice.expected_s, answer_s - streamed_s)
+
     def _is_retryable(self, context: RequestContext, answer: BackendAnswer) -> bool:
         """Return whether an answer is a failure that a retry may replace."""
         return answer.status >= 500 and _may_retry(context)
--- a/tests/test_silent_backend_servers.py
+++ b/tests/test_silent_backend_servers.py
@@ -72,6 +72,8 @@
     count: int,
     silent: int,
     silent_for_s: float,
+    silent_at_s: float = SILENT_AT_S,
+    deadline_ms: int = 14000,
     entry: str = "m-4",
 ) -> list[Reply]:
     """Run streams beside which the first ``silent`` servers fall silent; return their replies."""
@@ -79,14 +81,14 @@
 
     async def send(number: int) -> None:
         _, reply = await platform.send_request(
-            entry, f"/plan/{number}", deadline_ms=14000, keep_partial=True
+            entry, f"/plan/{number}", deadline_ms=deadline_ms, keep_partial=True
         )
         replies.append(reply)
 
     async with anyio.create_task_group() as tasks:
         for number in range(count):
             tasks.start_soon(send, number)
-        await anyio.sleep(SILENT_AT_S)
+        await anyio.sleep(silent_at_s)
         for engine in platform.engines[:silent]:
             engine.silent_until = anyio.current_time() + silent_for_s
     return replies
@@ -166,3 +168,20 @@
     assert_whole(platform, replies, STREAMS)
     assert not leaving.executed
     assert len(silent.executed) == len(set(silent.executed))
+
+
+async def test_a_stream_is_not_given_up_for_a_repeat_that_its_deadline_would_cut(
+    platform: PlatformDeployment,
+) -> None:
+    whole_s = EVENTS * EVENT_INTERVAL_S
+    await run_streams(platform, count=6, silent=0, silent_for_s=0.0)
+    replies = await run_streams(
+        platform,
+        count=6,
+        silent=1,
+        silent_for_s=HANGS_S,
+        silent_at_s=0.5,
+        deadline_ms=int(1000 * (whole_s + 0.5)),
+    )
+    assert any(not reply.complete for reply in replies)
+    assert not repeats(platform)
