--- a/figpaddle/regional/_attempts.py
+++ b/figpaddle/regional/_attempts.py
@@ -5,21 +5,28 @@
 import dataclasses
 import functools
 import math
+import secrets
 from collections.abc import Callable
 
 from figpaddle.deployment import Repeat
+from figpaddle.errors import ConnectionLostError
 from figpaddle.http1 import ConnectionPool, Headers, Responder, ResponseHead, header
 from figpaddle.regional._dialect import BackendAnswer, Dialect
 from figpaddle.regional._exchange import (
+    ABANDON_CHECK_INTERVAL_S,
     MIN_REMAINING_S,
+    CallerGoneError,
     Exchange,
     UpstreamRequest,
 )
 from figpaddle.regional._forwarding import (
     NOT_RUN,
     OUTCOME_FIELD,
+    STATEMENT_KEY_BYTES,
     VERSION_FIELD,
     ForwardingTerms,
+    decode_statement,
+    encode_statement,
     forwarding_headers,
     stated_attempts,
     without_statements,
@@ -39,6 +46,7 @@
     assumed_answer_s,
     event_gap_timeout_s,
     first_byte_timeout_s,
+    forwarded_gap_timeout_s,
     is_worth_abandoning,
 )
 from figpaddle.telemetry import Log, MetricsRegistry
@@ -108,6 +116,7 @@
         )
         answered = False
         try:
+            await self._state_attempt(context, responder)
             if choice.backend is None:
                 result = await self._forward(context, choice, responder)
             else:
@@ -117,6 +126,18 @@
             self._answer_times.note_ended(attempt_key, answered=answered, now=self._clock())
         return result
 
+    async def _state_attempt(self, context: RequestContext, responder: Responder) -> None:
+        """Tell the entry that forwarded a stream which has begun that another attempt is made here."""
+        used = context.attempts_used(in_progress=True)
+        if used is None or not context.statement_key or not responder.started:
+            return
+        try:
+            await responder.write(encode_statement(context.statement_key, used))
+        except ConnectionLostError as error:
+            raise CallerGoneError(
+                what="the caller closed the connection", where="caller"
+            ) from error
+
     def answer_s(
         self, context: RequestContext, choice: Choice, *, assumes_unmeasured: bool
     ) -> float:
@@ -215,7 +236,7 @@
                 before_relay=note_progress,
                 may_join=self._join_check(context, version_of_process),
                 is_retryable=lambda answer: self._is_retryable(context, answer),
-                may_abandon=functools.partial(self._may_abandon, context, responder),
+                may_abandon=functools.partial(self._may_abandon, context, choice, responder),
                 clock=self._clock,
                 on_relaying=lambda: self._note_relaying(attempt_key),
                 on_relayed=lambda: self._note_relayed(attempt_key),
@@ -327,11 +348,20 @@
             )
         context.entries_tried.add(entry)
         attempt_key = context.attempt_key
+        statement_key = secrets.token_bytes(STATEMENT_KEY_BYTES)
         used_there: int | None = None
 
+        def is_statement(event: bytes) -> bool:
+            nonlocal used_there
+            stated = decode_statement(statement_key, event)
+            if stated is None:
+                return False
+            used_there = stated
+            return True
+
         def may_abandon(silent_since: float) -> bool:
             return used_there is not None and self._may_abandon(
-                context, responder, silent_since, used=used_there
+                context, choice, responder, silent_since, used=used_there, entry=entry
             )
 
         def make_headers(remaining_s: float) -> Headers:
@@ -347,6 +377,7 @@
                 version=context.version,
                 reads_version=True,
                 reads_attempts=True,
+                statement_key=statement_key,
                 sent_at_s=self._boot_clock(),
                 incarnation=self._mesh.incarnation,
             )
@@ -360,7 +391,8 @@
                 BACKEND_CONNECT_TIMEOUT_S if is_own_region else FORWARD_CONNECT_TIMEOUT_S,
                 context.remaining_s(now=now),
             ),
-            stream_idle_timeout_s=self._stream_idle_timeout_s(context),
+            stream_idle_timeout_s=self._forwarded_idle_timeout_s(context),
+            is_statement=is_statement,
         )
         self._placer.note_sent(context, choice)
         self._mesh.warm_connections(entry)
@@ -454,28 +486,40 @@
         return first_byte_timeout_s(target_s=context.route.target_s, expected_s=choice.expected_s)
 
     def _stream_idle_timeout_s(self, context: RequestContext) -> float | None:
-        if not _may_retry(context) or context.attempts_allowed is not None:
-            # The entry that forwarded a stream gives it up itself.
+        if not _may_retry(context) or context.leaves_retries:
             return None
         return event_gap_timeout_s(gap_s=context.route.gap_s)
 
+    def _forwarded_idle_timeout_s(self, context: RequestContext) -> float | None:
+        """Return the timeout between two events of a stream that another entry serves, seconds."""
+        if not _may_retry(context):
+            return None
+        return forwarded_gap_timeout_s(
+            gap_s=context.route.gap_s,
+            check_interval_s=ABANDON_CHECK_INTERVAL_S,
+            round_trip_s=ROUND_TRIP_S,
+        )
+
     def _may_abandon(
         self,
         context: RequestContext,
+        present: Choice,
         responder: Responder,
         silent_since: float,
         *,
         used: int = 1,
+        entry: str = "",
     ) -> bool:
-        """Return whether another place surely goes on with a request that is silent here.
+        """Return whether another place surely goes on with a request that is silent at ``present``.
 
-        ``used`` is the number of attempts that the present one has used. All that the next attempt needs is taken before the present one is given up,
+        ``used`` is the number of attempts that the present one has used, and ``entry`` the one that serves
+        it if it was forwarded. All that the next attempt needs is taken before the present one is given up,
         its place and its part of the retry budget: many requests become silent at the same moment,
         and the server may go on at any.
         """
         obstacle = "no attempt left"
         if context.attempts_left > used:
-            choice = self._placer.place_again(context, silent_s=ALIVE_S)
+            choice = self._next_place(context, present, entry)
             obstacle = self._obstacle(context, choice, responder, silent_since)
             if choice is not None and not obstacle:
                 self._placer.reserve(context, choice)
@@ -515,6 +559,19 @@
             return "stopping"
         return "" if self._take_retry(context.service.name) else "no repeat left"
 
+    def _next_place(self, context: RequestContext, present: Choice, entry: str) -> Choice | None:
+        """Return the place of the attempt after the one at ``present``, which ``entry`` may serve."""
+        if not entry or self._placer.is_ready(entry):
+            return self._placer.place_again(context, silent_s=ALIVE_S)
+        # Others of its region may go on with what an entry has that isn't heard any more.
+        was_tried = present.region in context.regions_tried
+        context.regions_tried.discard(present.region)
+        try:
+            return self._placer.place_again(context, silent_s=ALIVE_S)
+        finally:
+            if was_tried:
+                context.regions_tried.add(present.region)
+
     def _rest_s(
         self, context: RequestContext, choice: Choice, *, silent_since: float, now: float
     ) -> float:
--- a/figpaddle/regional/_events.py
+++ b/figpaddle/regional/_events.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+from collections.abc import Callable
 
 from figpaddle.errors import AnswerTooLargeError, MalformedAnswerError
 from figpaddle.wire import digits
@@ -20,7 +21,8 @@
 
     Events up to ``last_event`` are dropped, so that a resumed stream doesn't repeat events that the
     caller already has. With ``requires_ids`` an event without an id is an error: what follows the
-    events of another server has to show that it belongs there.
+    events of another server has to show that it belongs there. Events for which ``is_statement`` is true
+    are statements of another entry and not of the stream, so they are dropped.
 
     >>> splitter = EventSplitter(last_event="")
     >>> splitter.feed(b"id: 1\\ndata: a\\n\\nid: 2")
@@ -29,7 +31,14 @@
     ('1', b'id: 2')
     """
 
-    def __init__(self, *, last_event: str, requires_ids: bool = False) -> None:
+    def __init__(
+        self,
+        *,
+        last_event: str,
+        requires_ids: bool = False,
+        is_statement: Callable[[bytes], bool] = lambda event: False,
+    ) -> None:
+        self._is_statement = is_statement
         self._last_event = last_event
         self._requires_ids = requires_ids
         self._has_events = False
@@ -75,6 +84,8 @@
         return events
 
     def _accept(self, event: bytes) -> bool:
+        if self._is_statement(event):
+            return False
         event_id = _event_id(event)
         self._has_events = True
         if event_id is None:
--- a/figpaddle/regional/_exchange.py
+++ b/figpaddle/regional/_exchange.py
@@ -65,6 +65,9 @@
     first_byte_timeout_s: float | None = None
     #: The same for a pause within a stream.
     stream_idle_timeout_s: float | None = None
+    #: Returns whether an event of a stream is a statement of the other entry that it goes on with another
+    #: attempt. Such an event ends a pause and isn't relayed.
+    is_statement: Callable[[bytes], bool] = lambda event: False
 
 
 class CallerGoneError(TransportError):
@@ -293,7 +296,17 @@
         if follows and not _is_event_stream(head):
             connection.close()
             return self._interrupted_result("no events in mid-stream")
-        splitter = EventSplitter(last_event=self._context.last_event, requires_ids=follows)
+        has_statement = False
+
+        def take_statement(event: bytes) -> bool:
+            nonlocal has_statement
+            is_statement = self._upstream.is_statement(event)
+            has_statement = has_statement or is_statement
+            return is_statement
+
+        splitter = EventSplitter(
+            last_event=self._context.last_event, requires_ids=follows, is_statement=take_statement
+        )
         attempt_deadline = anyio.current_time() + self._remaining_s()
         idle_timeout_s = self._upstream.stream_idle_timeout_s
         idle_deadline = _earlier(attempt_deadline, idle_timeout_s)
@@ -313,9 +326,11 @@
                                 return self._interrupted_result("answer of another version")
                         if events:
                             await self._relay_events(events, answer, splitter)
+                        if events or has_statement:
                             # Bytes without a whole event are no progress for the caller.
                             idle_deadline = _earlier(attempt_deadline, idle_timeout_s)
                             silent_since = self._clock()
+                            has_statement = False
                         scope.deadline = idle_deadline
                 except TransportError as error:
                     if isinstance(error, CallerGoneError):
--- a/figpaddle/regional/_forwarding.py
+++ b/figpaddle/regional/_forwarding.py
@@ -25,6 +25,8 @@
 ATTEMPTS_FIELD = b"figpaddle-attempts"
 #: Largest number of digits of such a statement.
 MAX_ATTEMPTS_DIGITS = 4
+#: Length of the key that marks such statements within a stream, bytes.
+STATEMENT_KEY_BYTES = 8
 #: Outcome of a request that did not and will not run.
 NOT_RUN = b"not run"
 #: Outcome of a request that may have run.
@@ -55,6 +57,8 @@
     reads_version: bool = False
     #: Whether the sender reads how many attempts were used, and takes up a stream itself once it has begun.
     reads_attempts: bool = False
+    #: Secret prefix of the statements of further attempts within a stream; empty if the sender reads none.
+    statement_key: bytes = b""
     #: When it was sent, seconds of a clock of the sender that goes on while its machine is suspended;
     #: None if the sender doesn't state it.
     sent_at_s: float | None = None
@@ -87,6 +91,7 @@
         "version": terms.version,
         "reads_version": terms.reads_version,
         "reads_attempts": terms.reads_attempts,
+        "statement_key": terms.statement_key,
         "sent_at_s": terms.sent_at_s,
         "incarnation": terms.incarnation,
     }
@@ -134,6 +139,7 @@
             version=later_fields.get("version"),
             reads_version=bool(later_fields.get("reads_version", False)),
             reads_attempts=bool(later_fields.get("reads_attempts", False)),
+            statement_key=bytes(later_fields.get("statement_key", b"")),
             sent_at_s=_optional_float(later_fields.get("sent_at_s")),
             incarnation=int(later_fields.get("incarnation", 0)),
         )
@@ -185,7 +191,35 @@
 
 def stated_attempts(headers: Headers) -> int | None:
     """Return how many attempts another entry states that it used; None if it states no sound number."""
-    value = header(headers, ATTEMPTS_FIELD) or b""
+    return _read_attempts(header(headers, ATTEMPTS_FIELD) or b"")
+
+
+def encode_statement(key: bytes, attempts: int) -> bytes:
+    """Return the comment of an event stream by which an entry states there how many attempts it uses.
+
+    Backend servers don't know the key, so no comment of theirs passes for a statement.
+
+    >>> encode_statement(b"key", 2)
+    b': 6b6579 2\\n\\n'
+    """
+    return b": %b %d\n\n" % (key.hex().encode(), attempts)
+
+
+def decode_statement(key: bytes, event: bytes) -> int | None:
+    """Return the number in a statement; None if an event is none.
+
+    >>> decode_statement(b"key", encode_statement(b"key", 2))
+    2
+    >>> decode_statement(b"key", b": 6b6579\\n\\n") is None
+    True
+    """
+    prefix = b": %b " % key.hex().encode()
+    if not key or not event.startswith(prefix):
+        return None
+    return _read_attempts(event.removeprefix(prefix).rstrip(b"\r\n"))
+
+
+def _read_attempts(value: bytes) -> int | None:
     return int(value) if value.isdigit() and len(value) <= MAX_ATTEMPTS_DIGITS else None
 
 
--- a/figpaddle/regional/_gateway.py
+++ b/figpaddle/regional/_gateway.py
@@ -219,6 +219,7 @@
             version=terms.version,
             states_version=terms.reads_version,
             attempts_allowed=terms.attempts if terms.reads_attempts else None,
+            statement_key=terms.statement_key,
         )
         if delay_s > _max_unread_s(terms.left_s):
             self._log.warning(
@@ -474,7 +475,11 @@
         if context.attempts_left <= 0 or context.remaining_s(now=now) < MIN_REMAINING_S:
             return False
         is_reserved = context.reserved is not None
-        if result.outcome is AttemptOutcome.BROKEN and context.attempts_allowed is not None:
+        if (
+            result.outcome is AttemptOutcome.BROKEN
+            and context.attempts_allowed is not None
+            and not is_reserved
+        ):
             # The entry that forwarded it knows what is left and takes the stream up, here or elsewhere.
             return False
         if result.outcome is AttemptOutcome.BROKEN and not context.last_event:
--- a/figpaddle/regional/_placer.py
+++ b/figpaddle/regional/_placer.py
@@ -403,7 +403,8 @@
     def pick_entry(self, region: str, context: RequestContext) -> str | None:
         """Return the name of an entry of a region that accepts requests and reaches its servers, or None.
 
-        A stream that has begun goes only to an entry whose build keeps it at its version.
+        A stream that has begun goes only to an entry whose build keeps it at its version. Entries that have
+        the revision of the cluster state that the request rests on come first, since others may refuse it.
         """
         usable = accepting(
             heartbeat
@@ -412,7 +413,8 @@
             and heartbeat.name not in context.entries_tried
             and (context.version is None or heartbeat.keeps_stream_versions)
         )
-        names = [heartbeat.name for heartbeat in usable]
+        current = [item for item in usable if item.revision >= context.revision]
+        names = [heartbeat.name for heartbeat in current or usable]
 
         def is_warm(name: str) -> bool:
             return self._mesh.pool.idle_count(self._mesh.peer_address(name)) > 0
--- a/figpaddle/regional/_request_context.py
+++ b/figpaddle/regional/_request_context.py
@@ -104,6 +104,8 @@
     #: Attempts that the entry that forwarded it allowed, if it reads how many were used and takes up the
     #: stream itself once it has begun; None otherwise.
     attempts_allowed: int | None = None
+    #: Key of the statements of further attempts in the stream; empty if the entry that forwarded it reads none.
+    statement_key: bytes = b""
     #: Head of the answer that the caller got; None before.
     head: ResponseHead | None = None
     #: The last failure that a backend server answered; relayed if no retry succeeds.
@@ -154,6 +156,11 @@
         """Identifier of the attempt after the present one."""
         return f"{self.request_id}/{self.attempt + 1}"
 
+    @property
+    def leaves_retries(self) -> bool:
+        """Whether the entry that forwarded it alone decides on further attempts once its stream has begun."""
+        return self.attempts_allowed is not None and not self.statement_key
+
     @property
     def forwarded(self) -> bool:
         """Whether the request was forwarded by an entry of another region."""
--- a/figpaddle/regional/tests/test_events.py
+++ b/figpaddle/regional/tests/test_events.py
@@ -57,3 +57,12 @@
         assert splitter.feed(body[start : start + 64]) == []
     assert splitter.feed(b"\r\n\r") == []
     assert splitter.feed(b"\n") == [body + b"\r\n\r\n"]
+
+
+def test_statements_of_another_entry_are_no_events_of_a_stream_that_goes_on() -> None:
+    splitter = EventSplitter(
+        last_event="2", requires_ids=True, is_statement=lambda event: event == b": key 2\n\n"
+    )
+    assert splitter.feed(b": key 2\n\n") == [] and not splitter.has_events
+    assert splitter.feed(b"id: 3\ndata: piece 3\n\n") == [b"id: 3\ndata: piece 3\n\n"]
+    assert splitter.last_event == "3"
--- a/figpaddle/regional/tests/test_forwarding.py
+++ b/figpaddle/regional/tests/test_forwarding.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import dataclasses
+
 import cbor2
 import pytest
 
@@ -11,7 +13,9 @@
 from figpaddle.regional._forwarding import (
     TERMS_FIELD,
     ForwardingTerms,
+    decode_statement,
     decode_terms,
+    encode_statement,
     encode_terms,
 )
 
@@ -56,6 +60,7 @@
         digest=b"digest",
         version="v1",
         reads_version=True,
+        statement_key=b"key",
     )
 
 
@@ -93,3 +98,25 @@
     value = (cbor2.dumps(fields) + rest).hex().encode()
     with pytest.raises(MalformedRequestError):
         decode_terms(request(value))
+
+
+def test_the_build_before_states_no_key() -> None:
+    earlier = dataclasses.replace(terms(), statement_key=b"")
+    assert decode_terms(request(encode_terms(earlier))).statement_key == b""
+
+
+@pytest.mark.parametrize(
+    "event",
+    [
+        b": 6b6579 \n\n",
+        b": 6b6579 99999\n\n",
+        b": 6b6579 two\n\n",
+        b": 6b6578 2\n\n",
+        b"data: 6b6579 2\n\n",
+        encode_statement(b"", 2),
+    ],
+)
+def test_no_event_of_a_backend_server_passes_for_a_statement(event: bytes) -> None:
+    # Guards against attempts that are counted by bytes of a backend server.
+    assert decode_statement(b"key", event) is None
+    assert decode_statement(b"", event) is None
--- a/figpaddle/routing/__init__.py
+++ b/figpaddle/routing/__init__.py
@@ -72,6 +72,7 @@
 from figpaddle.routing._response_timeouts import (
     event_gap_timeout_s,
     first_byte_timeout_s,
+    forwarded_gap_timeout_s,
     is_worth_abandoning,
 )
 from figpaddle.routing._retry_after import jittered_retry_after
@@ -191,6 +192,7 @@
     "estimate",
     "event_gap_timeout_s",
     "first_byte_timeout_s",
+    "forwarded_gap_timeout_s",
     "highest_ranked",
     "is_announced",
     "is_known_to_nobody",
--- a/figpaddle/routing/_response_timeouts.py
+++ b/figpaddle/routing/_response_timeouts.py
@@ -43,6 +43,19 @@
     return max(MIN_TIMEOUT_S, GAP_MULTIPLE * gap_s)
 
 
+def forwarded_gap_timeout_s(*, gap_s: float, check_interval_s: float, round_trip_s: float) -> float:
+    """Return the timeout between two events of a stream that another entry serves, seconds.
+
+    That entry hears the backend servers, so it decides first. If it goes on at another one, its statement
+    has come by then: it gives one up after a common silence at the latest, asking at each interval.
+
+    >>> round(forwarded_gap_timeout_s(gap_s=0.3, check_interval_s=0.2, round_trip_s=0.17), 2)
+    1.97
+    """
+    longest_s = max(event_gap_timeout_s(gap_s=gap_s), MAX_COMMON_SILENCE_S)
+    return longest_s + check_interval_s + round_trip_s
+
+
 def is_worth_abandoning(*, silent_since: float, other_is_steady: bool, now: float) -> bool:
     """Return whether a silent server may be given up for another one after its timeout.
 
--- a/tests/scripted_exchange.py
+++ b/tests/scripted_exchange.py
@@ -138,6 +138,9 @@
     responder: Responder,
     *,
     retries_failures: bool = False,
+    stream_idle_timeout_s: float | None = None,
+    is_statement: Callable[[bytes], bool] = lambda event: False,
+    may_abandon: Callable[[float], bool] = lambda silent_since: False,
 ) -> AttemptResult:
     """Run one attempt of a request; with ``retries_failures`` another one may follow it."""
     return await Exchange(
@@ -147,6 +150,8 @@
             make_headers=lambda remaining_s: context.request.headers,
             repeats_ids=True,
             connect_timeout_s=0.5,
+            stream_idle_timeout_s=stream_idle_timeout_s,
+            is_statement=is_statement,
         ),
         pool=pool,
         responder=responder,
@@ -154,6 +159,6 @@
         before_relay=lambda answer: None,
         may_join=lambda head: True,
         is_retryable=lambda answer: retries_failures and answer.status >= 500,
-        may_abandon=lambda: False,
+        may_abandon=may_abandon,
         clock=anyio.current_time,
     ).run()
--- a/tests/test_silent_backend_servers.py
+++ b/tests/test_silent_backend_servers.py
@@ -153,6 +153,33 @@
     assert "no event in time" in platform.log("m-4")
 
 
+async def test_forwarded_streams_leave_a_silent_server_for_one_that_is_heard(
+    platform: PlatformDeployment,
+) -> None:
+    # Guards against a decision that each of the two entries leaves to the other.
+    replies = await run_streams(platform, count=12, silent=1, silent_for_s=HANGS_S, entry="m-6")
+    assert_whole(platform, replies, 12)
+    assert repeats(platform)
+
+
+async def test_forwarded_streams_leave_a_region_whose_only_server_is_silent(
+    platform: PlatformDeployment,
+) -> None:
+    for engine in platform.engines[1:]:
+        engine.state = "draining"
+    async with anyio.create_task_group() as tasks:
+
+        async def add_server_elsewhere() -> None:
+            await anyio.sleep(SILENT_AT_S)
+            server = await platform.add_engine(MODEL_SERVICE, "s-a", slots=100)
+            server.event_count, server.event_interval_s = EVENTS, EVENT_INTERVAL_S
+
+        await anyio.sleep(SILENT_AT_S)
+        tasks.start_soon(add_server_elsewhere)
+        replies = await run_streams(platform, count=6, silent=3, silent_for_s=HANGS_S, entry="m-6")
+    assert_whole(platform, replies, 6)
+
+
 async def test_streams_are_given_up_only_for_places_that_can_take_them(
     platform: PlatformDeployment,
 ) -> None:
