--- a/tests/test_builds_side_by_side.py
+++ b/tests/test_builds_side_by_side.py
@@ -12,11 +12,20 @@
 import pytest
 
 from tests.platform_standin import (
+    MODEL_SERVICE,
     WAIT_TIMEOUT_S,
     PlatformDeployment,
     configuration,
     platform_deployment,
 )
+from tests.test_silent_backend_servers import (
+    EVENT_INTERVAL_S,
+    EVENTS,
+    LONG_SILENCE_S,
+    assert_whole,
+    patient_configuration,
+    run_streams,
+)
 
 pytestmark = pytest.mark.anyio
 
@@ -25,6 +34,8 @@
 EARLIER_BUILDS = ["fea7b96", "cf33a69"]
 #: The last build whose voters stay those of the first start.
 FIXED_VOTERS_BUILD = "46c35a8"
+#: The last build whose entries state no further attempts within a forwarded stream.
+SILENT_ATTEMPTS_BUILD = "784336a"
 PROCESSES = ("m-1", "m-2", "m-3", "m-4", "m-5", "m-6")
 ENTRIES = ("m-4", "m-5", "m-6")
 REQUEST_INTERVAL_S = 0.04
@@ -128,6 +139,35 @@
             assert "unreadable" not in platform.log(name), name
 
 
+@pytest.mark.skipif(is_shallow_clone(), reason="a shallow clone has no earlier builds")
+@pytest.mark.parametrize("earlier_entries", [("m-6",), ("m-4", "m-5")], ids=["sender", "server"])
+async def test_streams_between_builds_are_whole_beside_a_server_that_falls_silent(
+    earlier_entries: tuple[str, ...], tmp_path: pathlib.Path
+) -> None:
+    earlier = unpack_build(SILENT_ATTEMPTS_BUILD, tmp_path)
+
+    class Deployment(MixedDeployment):
+        def root_of(self, name: str) -> pathlib.Path:
+            return earlier if name in earlier_entries else ROOT
+
+    async with platform_deployment(engines=False, make_deployment=Deployment) as platform:
+        for _ in range(3):
+            await platform.add_engine(MODEL_SERVICE, "n-a", slots=100)
+        await platform.send_operator_command("POST", "/v1/config/put", patient_configuration(2))
+        with anyio.fail_after(WAIT_TIMEOUT_S):
+            while (await platform.send_request("m-6", "/plan/1"))[1].status != 200:
+                await anyio.sleep(0.1)
+        for engine in platform.engines:
+            engine.event_count, engine.event_interval_s = EVENTS, EVENT_INTERVAL_S
+        # Until all entries have the configuration.
+        await anyio.sleep(1.0)
+        replies = await run_streams(
+            platform, count=12, silent=1, silent_for_s=LONG_SILENCE_S, entry="m-6"
+        )
+        assert_whole(platform, replies, 12)
+        assert all(b"\n: " not in reply.body for reply in replies)
+
+
 async def confirm(platform: PlatformDeployment, version: int) -> None:
     change = configuration(version)
     assert (await platform.send_operator_command("POST", "/v1/config/put", change)).status == 200
