--- a/figpaddle/regional/_attempts.py
+++ b/figpaddle/regional/_attempts.py
@@ -357,6 +357,9 @@
             if stated is None:
                 return False
             used_there = stated
+            self._log.info(
+                "attempt_stated", request=context.request_id, entry=entry, attempts=stated
+            )
             return True
 
         def may_abandon(silent_since: float) -> bool:
@@ -486,7 +489,7 @@
         return first_byte_timeout_s(target_s=context.route.target_s, expected_s=choice.expected_s)
 
     def _stream_idle_timeout_s(self, context: RequestContext) -> float | None:
-        if not _may_retry(context) or context.leaves_retries:
+        if not _may_retry(context) or context.sender_decides_retries:
             return None
         return event_gap_timeout_s(gap_s=context.route.gap_s)
 
--- a/figpaddle/regional/_request_context.py
+++ b/figpaddle/regional/_request_context.py
@@ -157,7 +157,7 @@
         return f"{self.request_id}/{self.attempt + 1}"
 
     @property
-    def leaves_retries(self) -> bool:
+    def sender_decides_retries(self) -> bool:
         """Whether the entry that forwarded it alone decides on further attempts once its stream has begun."""
         return self.attempts_allowed is not None and not self.statement_key
 
--- a/tests/test_stated_attempts.py
+++ b/tests/test_stated_attempts.py
@@ -49,7 +49,9 @@
             writer.write(chunk(SECOND) + b"0\r\n\r\n")
             await writer.drain()
         writer.close()
+        served.set()
 
+    served = anyio.Event()
     stated: list[int] = []
 
     def is_statement(event: bytes) -> bool:
@@ -71,6 +73,7 @@
             is_statement=is_statement,
             may_abandon=lambda silent_since: True,
         )
+        await served.wait()
     return result.outcome, responder.body, stated
 
 
