--- a/figpaddle/regional/_placer.py
+++ b/figpaddle/regional/_placer.py
@@ -66,6 +66,8 @@
 #: Time for which the longest age of a backend server's word that it is warm is reused, seconds. It is
 #: needed for each candidate of each request.
 WARMTH_AGE_TTL_S = 0.02
+#: Time for which the subset of a service is reused, seconds. It is needed for each cold backend server.
+SUBSET_TTL_S = 0.02
 #: Time after a request to a backend server in which the entry keeps up its knowledge of it, seconds.
 WANTED_TTL_S = 2.0
 
@@ -120,6 +122,7 @@
         self._max_warmth_age: tuple[float, float] = (float("-inf"), 0.0)
         # Backend servers and entries of the region, and the subset that follows from them, by service.
         self._subsets: dict[str, tuple[tuple[str, ...], tuple[str, ...], BackendSubset]] = {}
+        self._subsets_expire_at: dict[str, float] = {}
         self._expectations = ExpectationModel()
         self._forwarded_counts: dict[tuple[str, str], SlidingCount] = {}
         self._cold_limit = ColdLimit(
@@ -707,6 +710,10 @@
 
     def _subset(self, service: str) -> BackendSubset:
         """Return the backend servers of a service that this entry uses in the first place."""
+        now = self._clock()
+        if now < self._subsets_expire_at.get(service, float("-inf")):
+            return self._subsets[service][2]
+        self._subsets_expire_at[service] = now + SUBSET_TTL_S
         backends = self._fleet.serving_names(
             service,
             region_zones=self._settings.zones_of_region,
