--- a/figpaddle/daemon/_forwarder.py
+++ b/figpaddle/daemon/_forwarder.py
@@ -109,14 +109,21 @@
         if deadline.passed:
             raise DeadlineExceededError(deadline_s=head.deadline_s, outcome=tracked_body.outcome)
 
-    def _choose_instance(self, head: RequestHead, region: str, tried: set[str]) -> str:
-        names = [
+    def has_untried_instance(self, head: RequestHead, region: str, tried: set[str]) -> bool:
+        """Return whether the request may be forwarded to an instance of ``region`` not in ``tried``."""
+        return any(name not in tried for name in self._instances(head, region))
+
+    def _instances(self, head: RequestHead, region: str) -> list[str]:
+        return [
             info.name
             for info in self._directory.peers()
             if info.region == region
             and info.state is InstanceState.SERVING
             and info.name not in head.visited
         ]
+
+    def _choose_instance(self, head: RequestHead, region: str, tried: set[str]) -> str:
+        names = self._instances(head, region)
         names = [name for name in names if name not in tried] or names
         names_with_link = [name for name in names if name in self._network.open_links]
         candidates = names_with_link or names
--- a/figpaddle/daemon/_gateway.py
+++ b/figpaddle/daemon/_gateway.py
@@ -33,6 +33,7 @@
     DeadlineExceededError,
     DrainingError,
     FigpaddleError,
+    ForwardRefusedError,
     NoBackendServerError,
     PeerLostError,
     RequestError,
@@ -264,11 +265,22 @@
                 attempts.record_failure(error)
                 if not attempts.allow_retry(error, body, sink):
                     raise
-                if placement.region is not None and not isinstance(error, PeerLostError):
-                    attempts.tried.add(placement.region)
+                region = placement.region
+                if region is not None and self._excludes_region(head, region, error, attempts):
+                    attempts.tried.add(region)
                 self._log.info("retry", request_id=head.request_id, problem=error.problem)
                 failure = error
 
+    def _excludes_region(
+        self, head: RequestHead, region: str, error: RequestError, attempts: Attempts
+    ) -> bool:
+        """Return whether an attempt that failed with ``error`` in a region tells to try others only."""
+        if isinstance(error, PeerLostError):
+            return False
+        if not (isinstance(error, ForwardRefusedError) and error.concerns_instance):
+            return True
+        return not self._forwarder.has_untried_instance(head, region, attempts.tried)
+
     def _give_up_place(
         self, head: RequestHead, placement: Placement | None, traits: RequestTraits
     ) -> None:
--- a/figpaddle/errors/_request.py
+++ b/figpaddle/errors/_request.py
@@ -281,6 +281,9 @@
     }
 )
 
+#: Those for which another instance of the same region may succeed too.
+_INSTANCE_PROBLEMS = frozenset({"drain-timeout", "draining"})
+
 
 class ForwardRefusedError(RequestError):
     """The instance that the request was forwarded to refused it."""
@@ -298,3 +301,5 @@
         self.status = status
         self.problem = problem
         self.retryable = problem in _RETRYABLE_PROBLEMS
+        #: Whether another instance of the same region might serve the request.
+        self.concerns_instance = problem in _INSTANCE_PROBLEMS
--- a/tests/scripted_backend.py
+++ b/tests/scripted_backend.py
@@ -112,6 +112,10 @@
         except (OSError, asyncio.IncompleteReadError):
             writer.transport.abort()
 
+    def call_soon(self, callback: Callable[[], object]) -> None:
+        """Call ``callback`` in the thread that runs the behaviours."""
+        self._loop.call_soon_threadsafe(callback)
+
     async def wait_for_disconnect(self, reader: asyncio.StreamReader) -> None:
         """Wait until the gateway closes the connection, and count the request as cancelled."""
         await reader.read(1)
--- /dev/null
+++ b/tests/test_retries_of_forwards.py
@@ -0,0 +1,97 @@
+"""A forwarded request that fails at one instance goes on at another one of its region."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import pathlib
+import signal
+from collections.abc import Iterator
+
+from tests.calls import chat, wait_until
+from tests.conftest import HANBIT_KEY, write_examples
+from tests.harness import Deployment
+from tests.raw_http import RawResponse, raw_chat
+from tests.scripted_backend import ScriptedBackend, echo
+
+SERVICES = ("hanbit/draft",)
+#: Requests in progress while an instance stops, so many that both of its region serve some.
+REQUESTS = 16
+#: Settings of the instance that stops, seconds: its requests are ended soon.
+LIMITS = {"leave_grace_s": 0.3, "drain_s": 0.5}
+
+
+async def respond_at_once(
+    body: bytes, number: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+) -> None:
+    writer.write(echo(body))
+
+
+@contextlib.contextmanager
+def running(folder: pathlib.Path, *receivers: str) -> Iterator[tuple[Deployment, ScriptedBackend]]:
+    """An entry without a backend server, and the receivers of a region that has one."""
+    with contextlib.ExitStack() as stack:
+        deployment = stack.enter_context(Deployment(folder))
+        write_examples(deployment)
+        deployment.ledger_holders = {"seoul": ["seoul-1"]}
+        deployment.start_instance("seoul-1", "seoul")
+        for name in receivers:
+            deployment.start_instance(name, "busan", limits=LIMITS)
+        targets = [deployment.instances[name].ready_fields["backends"] for name in receivers]
+        backend = stack.enter_context(ScriptedBackend("engine", "busan", SERVICES, *targets))
+        backend.set_behaviour(respond_at_once)
+        for name in deployment.instances:
+            address = deployment.caller_address(name)
+            wait_until(
+                lambda entry=address: chat(entry, "draft", "x", key=HANBIT_KEY).is_success,
+                description="requests are served",
+            )
+        yield deployment, backend
+
+
+async def wait_for_requests(backend: ScriptedBackend, count: int) -> None:
+    async with asyncio.timeout(10.0):
+        while backend.request_count < count:
+            await asyncio.sleep(0.01)
+
+
+def test_requests_that_a_stopping_receiver_ends_go_on_at_another_one_of_its_region(
+    tmp_path: pathlib.Path,
+) -> None:
+    with running(tmp_path, "busan-1", "busan-2") as (deployment, backend):
+        entry = deployment.caller_address("seoul-1")
+        stopping = deployment.instances["busan-1"]
+        stopped = asyncio.Event()
+
+        async def respond(
+            body: bytes, number: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            closed = asyncio.ensure_future(reader.read(1))
+            ended = asyncio.ensure_future(stopped.wait())
+            await asyncio.wait([closed, ended], return_when=asyncio.FIRST_COMPLETED)
+            ended.cancel()
+            if closed.done():
+                raise OSError("the connection was closed")
+            closed.cancel()
+            await asyncio.wait([closed])
+            writer.write(echo(body))
+
+        backend.set_behaviour(respond)
+
+        async def run() -> list[RawResponse]:
+            requests = [
+                asyncio.create_task(raw_chat(entry, "draft", str(number), key=HANBIT_KEY))
+                for number in range(REQUESTS)
+            ]
+            await wait_for_requests(backend, REQUESTS)
+            stopping.signal(signal.SIGTERM)
+            await asyncio.to_thread(stopping.popen.wait, 10.0)
+            backend.call_soon(stopped.set)
+            return await asyncio.gather(*requests)
+
+        responses = asyncio.run(run())
+        failures = [response.body for response in responses if response.status != 200]
+        assert failures == []
+        # Some were sent again.
+        assert backend.request_count > REQUESTS
+        assert {response.headers["figpaddle-instance"] for response in responses} == {"busan-2"}
