--- a/figpaddle/daemon/_gateway.py
+++ b/figpaddle/daemon/_gateway.py
@@ -239,13 +239,27 @@
         attempts = Attempts(
             head=head, budget=self._retry_budget, tracker=tracker, clock=self._clock
         )
+        try:
+            await self._attempt_until_done(head, body, sink, service.regions, attempts, tracker)
+        finally:
+            attempts.return_unused()
+
+    async def _attempt_until_done(
+        self,
+        head: RequestHead,
+        body: BodySource,
+        sink: ResponseSink,
+        allowed_regions: tuple[str, ...],
+        attempts: Attempts,
+        tracker: OutcomeTracker,
+    ) -> None:
         failure: RequestError | None = None
         digest = self._quarantine.digest(head, body)
         traits = self._quarantine.traits(head, digest)
         await self._wait_for_announcements(head)
         while True:
             self._check_ends_before_stop(head, earlier=failure)
-            placement = await self._place_isolated(head, service.regions, attempts, traits)
+            placement = await self._place_isolated(head, allowed_regions, attempts, traits)
             try:
                 # It may have waited for a place without other suspects.
                 self._check_ends_before_stop(head, earlier=failure)
@@ -256,6 +270,7 @@
                 raise failure or NoBackendServerError(
                     service=head.service, retry_after_s=NO_BACKEND_RETRY_AFTER_S
                 )
+            attempts.note_begun()
             try:
                 await self._run_attempt(
                     head, body, sink, placement, attempts.tried, traits, tracker
--- a/figpaddle/daemon/_retries.py
+++ b/figpaddle/daemon/_retries.py
@@ -33,6 +33,8 @@
         self._tracker = tracker
         self._clock = clock
         self._failed_attempts = 0
+        #: Whether a retry was charged that hasn't begun.
+        self._charged = False
         #: Names of the backend servers, instances and regions that were tried for this request.
         self.tried: set[str] = set()
         budget.note_request(head.member, now=clock())
@@ -49,7 +51,10 @@
             error.outcome = self._tracker.outcome
 
     def allow_retry(self, error: RequestError, body: BodySource, sink: ResponseSink) -> bool:
-        """Return whether another attempt is allowed; if so, it is charged to the retry budget."""
+        """Return whether another attempt is allowed; if so, it is charged to the retry budget.
+
+        The caller either begins it, see ``note_begun``, or calls ``return_unused``.
+        """
         if sink.started or body.read_started or self._failed_attempts >= MAX_ATTEMPTS:
             return False
         if not error.retryable or isinstance(error, DeadlineExceededError):
@@ -57,4 +62,17 @@
         if not self._head.idempotent and error.outcome is not Outcome.NOT_RUN:
             return False
         now = self._clock()
-        return now < self._head.deadline_at and self._budget.take(self._head.member, now=now)
+        if now >= self._head.deadline_at:
+            return False
+        self._charged = self._budget.take(self._head.member, now=now)
+        return self._charged
+
+    def note_begun(self) -> None:
+        """Record that the next attempt begins; what it was charged is used."""
+        self._charged = False
+
+    def return_unused(self) -> None:
+        """Give a retry that was charged and hasn't begun back to the budget."""
+        if self._charged:
+            self._charged = False
+            self._budget.give_back(self._head.member, now=self._clock())
--- a/figpaddle/routing/_retry_budget.py
+++ b/figpaddle/routing/_retry_budget.py
@@ -28,6 +28,9 @@
     >>> budget.note_request("hanbit", now=0.0)
     >>> budget.take("hanbit", now=0.0), budget.take("hanbit", now=0.0)
     (True, False)
+    >>> budget.give_back("hanbit", now=0.0)
+    >>> budget.take("hanbit", now=0.0)
+    True
     """
 
     def __init__(
@@ -55,6 +58,11 @@
         account.saved -= 1.0
         return True
 
+    def give_back(self, member: str, *, now: float) -> None:
+        """Return a retry of ``member`` that was taken and not sent."""
+        account = self._account(member, now)
+        account.saved = min(self._max_saved, account.saved + 1.0)
+
     def _account(self, member: str, now: float) -> _Account:
         account = self._accounts.get(member)
         if account is None:
