--- a/tests/scripted_backend.py
+++ b/tests/scripted_backend.py
@@ -86,7 +86,10 @@
         self._announcing_task = self._loop.create_task(self._announce_forever())
 
     async def _stop(self) -> None:
-        self._announcing_task.cancel()
+        tasks = asyncio.all_tasks() - {asyncio.current_task()}
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
         await self._client.aclose()
 
     async def announce(self, **changes: object) -> None:
@@ -110,6 +113,8 @@
                 await self._behaviour(body, self.request_count, reader, writer)
                 await writer.drain()
         except (OSError, asyncio.IncompleteReadError):
+            pass
+        finally:
             writer.transport.abort()
 
     def call_soon(self, callback: Callable[[], object]) -> None:
