--- a/figpaddle/daemon/_channel.py
+++ b/figpaddle/daemon/_channel.py
@@ -26,6 +26,8 @@
         self.peer = peer
         #: Time since which the connection is idle, seconds on the instance's clock.
         self.idle_since = 0.0
+        #: Whether it carried a request before.
+        self.was_idle = False
         # Backpressure from a slow caller delays pongs too, so a ping timeout would close a working
         # connection. Each exchange has a timeout of its own for a silent peer.
         socket.ping_timeout = None
--- a/figpaddle/daemon/_forwarder.py
+++ b/figpaddle/daemon/_forwarder.py
@@ -6,6 +6,8 @@
 import random
 from collections.abc import AsyncIterator, Callable, Iterator
 
+import anyio
+
 from figpaddle.coordination import InstanceDirectory
 from figpaddle.daemon._channel import Channel
 from figpaddle.daemon._configuration_state import ConfigurationState
@@ -19,6 +21,7 @@
     NoBackendServerError,
     Outcome,
     PeerLostError,
+    PeerUnreachableError,
     RequestError,
     WireError,
 )
@@ -34,13 +37,18 @@
     Message,
 )
 
-#: Timeout for the receiver to accept a request, seconds.
+#: Timeout for the receiver to accept a request that can be sent elsewhere, seconds.
 ACCEPT_TIMEOUT_S = 1.5
-#: Longest time without a message from a receiver that has accepted a request, seconds.
+#: Longest time without a message from a receiver, seconds.
 SILENCE_TIMEOUT_S = 4.0
 #: Largest part of a body in one message, bytes.
 MAX_CHUNK_BYTES = 256 * 1024
 
+#: Called with the error by which a forward that isn't accepted in time would end, and whether its retry
+#: has to go to another region or a backend server of the own one. Returns whether the forward is given
+#: up; a retry is certain then.
+SecureRetry = Callable[[PeerLostError, bool], bool]
+
 
 class Forwarder:
     """Forwards requests to instances of other regions."""
@@ -73,6 +81,7 @@
         region: str,
         tried: set[str],
         on_sending: Callable[[], None],
+        secure_retry: SecureRetry,
     ) -> None:
         """Forward the request to an instance of ``region`` and stream its response to ``sink``.
 
@@ -81,7 +90,8 @@
         always take this step.
 
         An instance in ``tried`` is chosen only if there is no other; the choice is added to it.
-        ``on_sending`` is called before the receiver may begin the request.
+        ``on_sending`` is called before the receiver may begin the request. One that isn't accepted in
+        time is given up if ``secure_retry`` says so, else only after a longer silence.
         """
         peer = self._choose_instance(head, region, tried)
         tried.add(peer)
@@ -89,7 +99,20 @@
         try:
             with self._within_deadline(head, tracked_body) as deadline:
                 async with self._network.forward_channel(peer) as channel:
-                    await self._send_and_receive(head, tracked_body, sink, channel, deadline)
+                    # A connection that was opened just now is no more silent than another one.
+                    only_elsewhere = not (
+                        channel.was_idle or self.has_untried_instance(head, region, tried)
+                    )
+                    reader = _ResponseReader(
+                        channel=channel,
+                        request_id=head.request_id,
+                        may_give_up=lambda: secure_retry(
+                            PeerLostError(peer=peer, outcome=tracked_body.outcome), only_elsewhere
+                        ),
+                    )
+                    await self._send_and_receive(
+                        head, tracked_body, sink, channel, reader, deadline
+                    )
         except WireError as error:
             self._network.drop_idle_channels(peer)
             raise PeerLostError(peer=peer, outcome=tracked_body.outcome) from error
@@ -137,9 +160,9 @@
         body: _TrackedBody,
         sink: ResponseSink,
         channel: Channel,
+        reader: _ResponseReader,
         deadline: ResponseDeadline,
     ) -> None:
-        reader = _ResponseReader(channel=channel, request_id=head.request_id)
         same_configuration = (
             self._peer_configurations.get(channel.peer) == self._configuration.digest
         )
@@ -213,9 +236,12 @@
 class _ResponseReader:
     """Reads the response to one forwarded request and rejects any other message."""
 
-    def __init__(self, *, channel: Channel, request_id: str) -> None:
+    def __init__(
+        self, *, channel: Channel, request_id: str, may_give_up: Callable[[], bool]
+    ) -> None:
         self._channel = channel
         self._request_id = request_id
+        self._may_give_up = may_give_up
         self._accepted = False
         #: Latest known configuration digest of the receiver.
         self.configuration = ""
@@ -259,8 +285,7 @@
 
     async def _receive(self) -> Message:
         while True:
-            timeout_s = SILENCE_TIMEOUT_S if self._accepted else ACCEPT_TIMEOUT_S
-            message = await self._channel.receive_within(timeout_s)
+            message = await self._receive_any()
             if isinstance(message, ForwardAlive):
                 if message.request_id != self._request_id:
                     continue
@@ -270,6 +295,17 @@
                 raise _refusal(message)
             return message
 
+    async def _receive_any(self) -> Message:
+        if self._accepted:
+            return await self._channel.receive_within(SILENCE_TIMEOUT_S)
+        with anyio.move_on_after(ACCEPT_TIMEOUT_S):
+            return await self._channel.receive()
+        if self._may_give_up():
+            raise PeerUnreachableError(
+                what=f"not accepted within {ACCEPT_TIMEOUT_S:g} s", where=self._channel.peer
+            )
+        return await self._channel.receive_within(SILENCE_TIMEOUT_S - ACCEPT_TIMEOUT_S)
+
 
 def _refusal(failed: ForwardFailed) -> ForwardRefusedError:
     return ForwardRefusedError(
--- a/figpaddle/daemon/_gateway.py
+++ b/figpaddle/daemon/_gateway.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import dataclasses
 import math
 from collections.abc import Callable
@@ -243,6 +244,9 @@
             await self._attempt_until_done(head, body, sink, service.regions, attempts, tracker)
         finally:
             attempts.return_unused()
+            unused_place = attempts.take_held_place()
+            if unused_place is not None:
+                self._placer.withdraw(head, unused_place)
 
     async def _attempt_until_done(
         self,
@@ -259,7 +263,9 @@
         await self._wait_for_announcements(head)
         while True:
             self._check_ends_before_stop(head, earlier=failure)
-            placement = await self._place_isolated(head, allowed_regions, attempts, traits)
+            placement = attempts.take_held_place()
+            if placement is None:
+                placement = await self._place_isolated(head, allowed_regions, attempts, traits)
             try:
                 # It may have waited for a place without other suspects.
                 self._check_ends_before_stop(head, earlier=failure)
@@ -273,7 +279,7 @@
             attempts.note_begun()
             try:
                 await self._run_attempt(
-                    head, body, sink, placement, attempts.tried, traits, tracker
+                    head, body, sink, placement, allowed_regions, attempts, traits, tracker
                 )
                 return
             except RequestError as error:
@@ -387,13 +393,42 @@
             attempts.apply_overall_outcome(error)
             raise
 
+    def _hold_next_place(
+        self,
+        head: RequestHead,
+        allowed_regions: tuple[str, ...],
+        attempts: Attempts,
+        traits: RequestTraits,
+        *,
+        excluded: set[str],
+    ) -> bool:
+        """Keep the place for a retry that was charged; if there is none, give the charge back."""
+        placement: Placement | None = None
+        with contextlib.suppress(RequestError):
+            # A suspect may have to wait for its place.
+            if self._may_begin(head) and self._quarantine.check(traits) is None:
+                placement = self._placer.place(head, allowed_regions, excluded)
+        if (
+            placement is not None
+            and placement.region is not None
+            and not self._forwarder.has_untried_instance(head, placement.region, set())
+        ):
+            self._placer.withdraw(head, placement)
+            placement = None
+        if placement is None:
+            attempts.return_unused()
+            return False
+        attempts.hold_place(placement)
+        return True
+
     async def _run_attempt(
         self,
         head: RequestHead,
         body: BodySource,
         sink: ResponseSink,
         placement: Placement,
-        tried: set[str],
+        allowed_regions: tuple[str, ...],
+        attempts: Attempts,
         traits: RequestTraits,
         tracker: OutcomeTracker,
     ) -> None:
@@ -405,18 +440,26 @@
         complete = False
         try:
             if placement.backend is not None:
-                tried.add(placement.backend.info.name)
+                attempts.tried.add(placement.backend.info.name)
                 await self._send(head, body, progress_sink, placement.backend, traits, tracker)
-            elif placement.region is not None:
+            elif (region := placement.region) is not None:
+
+                def secure_retry(error: PeerLostError, only_elsewhere: bool) -> bool:
+                    excluded = attempts.tried | ({region} if only_elsewhere else set())
+                    return attempts.allow_giving_up(error, body, sink) and self._hold_next_place(
+                        head, allowed_regions, attempts, traits, excluded=excluded
+                    )
+
                 spilled = self._backends.ever_offered(head.service_key)
                 forwarded_head = dataclasses.replace(head, spilled=spilled)
                 await self._forwarder.forward(
                     forwarded_head,
                     body,
                     progress_sink,
-                    region=placement.region,
-                    tried=tried,
+                    region=region,
+                    tried=attempts.tried,
                     on_sending=tracker.note_may_run,
+                    secure_retry=secure_retry,
                 )
             complete = not progress_sink.is_failure
         finally:
--- a/figpaddle/daemon/_peers.py
+++ b/figpaddle/daemon/_peers.py
@@ -179,6 +179,7 @@
         finally:
             if succeeded:
                 channel.idle_since = self._clock()
+                channel.was_idle = True
                 self._idle_channels.setdefault(peer, []).append(channel)
             else:
                 channel.abort()
--- a/figpaddle/daemon/_retries.py
+++ b/figpaddle/daemon/_retries.py
@@ -7,7 +7,7 @@
 from figpaddle.daemon._outcome_tracker import OutcomeTracker
 from figpaddle.daemon._request_response import BodySource, RequestHead, ResponseSink
 from figpaddle.errors import DeadlineExceededError, Outcome, RequestError
-from figpaddle.routing import RetryBudget
+from figpaddle.routing import Placement, RetryBudget
 
 #: Largest number of attempts for one request, including the first.
 MAX_ATTEMPTS = 4
@@ -35,6 +35,8 @@
         self._failed_attempts = 0
         #: Whether a retry was charged that hasn't begun.
         self._charged = False
+        #: Place of the next attempt, if it was found before the present one was given up.
+        self._next_place: Placement | None = None
         #: Names of the backend servers, instances and regions that were tried for this request.
         self.tried: set[str] = set()
         budget.note_request(head.member, now=clock())
@@ -55,7 +57,28 @@
 
         The caller either begins it, see ``note_begun``, or calls ``return_unused``.
         """
-        if sink.started or body.read_started or self._failed_attempts >= MAX_ATTEMPTS:
+        return self._charge(error, body, sink, failed_attempts=self._failed_attempts)
+
+    def allow_giving_up(self, error: RequestError, body: BodySource, sink: ResponseSink) -> bool:
+        """Return whether a retry is allowed if the attempt in progress ends with ``error``.
+
+        If so, it is charged already, as by ``allow_retry``.
+        """
+        return self._charge(error, body, sink, failed_attempts=self._failed_attempts + 1)
+
+    def hold_place(self, placement: Placement) -> None:
+        """Keep the place of the next attempt, before the one in progress is given up."""
+        self._next_place = placement
+
+    def take_held_place(self) -> Placement | None:
+        """Return the place that was kept for the next attempt, if any, once."""
+        placement, self._next_place = self._next_place, None
+        return placement
+
+    def _charge(
+        self, error: RequestError, body: BodySource, sink: ResponseSink, *, failed_attempts: int
+    ) -> bool:
+        if sink.started or body.read_started or failed_attempts >= MAX_ATTEMPTS:
             return False
         if not error.retryable or isinstance(error, DeadlineExceededError):
             return False
@@ -64,7 +87,7 @@
         now = self._clock()
         if now >= self._head.deadline_at:
             return False
-        self._charged = self._budget.take(self._head.member, now=now)
+        self._charged = self._charged or self._budget.take(self._head.member, now=now)
         return self._charged
 
     def note_begun(self) -> None:
--- a/figpaddle/daemon/tests/test_cut_answers.py
+++ b/figpaddle/daemon/tests/test_cut_answers.py
@@ -185,10 +185,14 @@
     def __init__(self, messages: tuple[Message, ...]) -> None:
         self._messages = list(messages)
         self.peer = "busan-1"
+        self.was_idle = False
 
     async def send(self, message: Message) -> None: ...
 
     async def receive_within(self, timeout_s: float) -> Message:
+        return await self.receive()
+
+    async def receive(self) -> Message:
         if not self._messages:
             raise PeerUnreachableError(what="the connection was closed", where=self.peer)
         return self._messages.pop(0)
@@ -239,6 +243,7 @@
             region="busan",
             tried=set(),
             on_sending=lambda: None,
+            secure_retry=lambda error, only_elsewhere: False,
         )
 
     if count == len(PEER_ANSWER):
--- /dev/null
+++ b/figpaddle/daemon/tests/test_unaccepted_forwards.py
@@ -0,0 +1,289 @@
+"""A forward that isn't accepted in time is given up only if its retry is certain."""
+
+from __future__ import annotations
+
+import contextlib
+import random
+from collections.abc import AsyncIterator
+from types import SimpleNamespace
+from typing import Any
+
+import anyio
+import pytest
+import structlog
+
+from figpaddle.coordination import InstanceDirectory
+from figpaddle.daemon._configuration_state import ConfigurationState
+from figpaddle.daemon._forwarder import ACCEPT_TIMEOUT_S, SILENCE_TIMEOUT_S, Forwarder
+from figpaddle.daemon._gateway import Gateway
+from figpaddle.daemon._outcome_tracker import OutcomeTracker
+from figpaddle.daemon._request_response import (
+    BodySource,
+    BufferedBody,
+    RequestHead,
+    ResponseHead,
+    ResponseSink,
+)
+from figpaddle.deployment import (
+    Configuration,
+    MemberConfiguration,
+    ServiceConfiguration,
+    ServiceKind,
+)
+from figpaddle.errors import OverloadedError, PeerUnreachableError
+from figpaddle.routing import Placement, RequestTraits, RetryBudget
+from figpaddle.wire import (
+    ForwardAlive,
+    ForwardBody,
+    ForwardHead,
+    InstanceInfo,
+    InstanceState,
+    Message,
+)
+
+DEADLINE_S = 10.0
+#: Time after which the first receiver goes on, seconds.
+SILENT_S = (ACCEPT_TIMEOUT_S + SILENCE_TIMEOUT_S) / 2
+SERVICE = ServiceConfiguration(
+    name="draft",
+    kind=ServiceKind.MODEL,
+    repeatable=True,
+    deadline_s=DEADLINE_S,
+    regions=("seoul", "busan", "daejeon"),
+)
+
+
+class Channel:
+    """A connection whose receiver answers after some time."""
+
+    def __init__(self, *, peer: str, silent_s: float, was_idle: bool) -> None:
+        self.peer = peer
+        self.was_idle = was_idle
+        self._silent_s = silent_s
+        self._messages: list[Message] = [
+            ForwardAlive(request_id="id", configuration="c"),
+            ForwardHead(
+                status=200,
+                headers=(("content-length", "0"),),
+                backend="engine",
+                instance=peer,
+                region="busan",
+                request_id="id",
+            ),
+            ForwardBody(data=b"", last=True),
+        ]
+
+    async def send(self, message: Message) -> None: ...
+
+    async def receive(self) -> Message:
+        silent_since = anyio.current_time()
+        try:
+            await anyio.sleep(max(0.0, self._silent_s))
+        finally:
+            self._silent_s -= anyio.current_time() - silent_since
+        return self._messages.pop(0)
+
+    async def receive_within(self, timeout_s: float) -> Message:
+        with anyio.move_on_after(timeout_s):
+            return await self.receive()
+        raise PeerUnreachableError(what="no message", where=self.peer)
+
+
+class Network:
+    """Opens a connection to a peer for each forward; the first one is silent at first."""
+
+    open_links = ()
+
+    def __init__(self, *, was_idle: bool) -> None:
+        self._was_idle = was_idle
+        self.peers: list[str] = []
+
+    @contextlib.asynccontextmanager
+    async def forward_channel(self, peer: str) -> AsyncIterator[Channel]:
+        is_first = not self.peers
+        self.peers.append(peer)
+        yield Channel(
+            peer=peer,
+            silent_s=SILENT_S if is_first else 0.0,
+            was_idle=is_first and self._was_idle,
+        )
+
+    def drop_idle_channels(self, peer: str) -> None: ...
+
+
+class Placer:
+    """Chooses the first region that isn't excluded; counts the places that are taken."""
+
+    def __init__(self, *, admits_retries: bool) -> None:
+        self._admits_retries = admits_retries
+        self.placed = 0
+        self.withdrawn = 0
+        self.begun = 0
+
+    def place(self, head: RequestHead, regions: tuple[str, ...], excluded: set[str]) -> Any:
+        if self.placed and not self._admits_retries:
+            raise OverloadedError(service=head.service, retry_after_s=1.0)
+        free = [region for region in ("busan", "daejeon") if region not in excluded]
+        if not free:
+            return None
+        self.placed += 1
+        return Placement(region=free[0])
+
+    def withdraw(self, head: RequestHead, placement: Placement) -> None:
+        self.withdrawn += 1
+
+    def start_progress(self, head: RequestHead, placement: Placement) -> Any:
+        self.begun += 1
+        return SimpleNamespace(record_end=lambda: None, record_chunk=lambda **_: None)
+
+
+class Quarantine:
+    """Suspects no request."""
+
+    def digest(self, head: RequestHead, body: BodySource) -> bytes:
+        return b"digest"
+
+    def traits(self, head: RequestHead, digest: bytes) -> RequestTraits:
+        return RequestTraits(member=head.member, fingerprint=digest, parts=())
+
+    def check(self, traits: RequestTraits) -> None: ...
+
+
+class Sink(ResponseSink):
+    """Takes a response and the name of the instance that sent it."""
+
+    def __init__(self) -> None:
+        self.instance = ""
+
+    @property
+    def started(self) -> bool:
+        return bool(self.instance)
+
+    async def start(self, head: ResponseHead) -> None:
+        self.instance = head.instance
+
+    async def write(self, data: bytes) -> None: ...
+
+    async def finish(self) -> None: ...
+
+
+class Scene:
+    """An entry of Seoul, and instances of other regions by name."""
+
+    def __init__(
+        self,
+        *peers: str,
+        was_idle: bool = False,
+        retries: float = 1.0,
+        admits_retries: bool = True,
+    ) -> None:
+        directory = InstanceDirectory(own=info("seoul-1"))
+        directory.merge(tuple(info(name) for name in peers))
+        configuration = ConfigurationState()
+        member = MemberConfiguration(name="hanbit", services=(SERVICE,))
+        configuration.install(Configuration(revision=1, members=(member,)))
+        self.network = Network(was_idle=was_idle)
+        self.placer = Placer(admits_retries=admits_retries)
+        forwarder = Forwarder(
+            directory=directory,
+            configuration=configuration,
+            network=self.network,  # type: ignore[arg-type]
+            rng=random.Random(1),
+            clock=anyio.current_time,
+        )
+        self._gateway = Gateway(
+            directory=directory,
+            configuration=configuration,
+            backends=SimpleNamespace(  # type: ignore[arg-type]
+                candidates=lambda service, now: (service,), ever_offered=lambda service: False
+            ),
+            placer=self.placer,  # type: ignore[arg-type]
+            client=SimpleNamespace(),  # type: ignore[arg-type]
+            forwarder=forwarder,
+            at_most_once=SimpleNamespace(),  # type: ignore[arg-type]
+            quarantine=Quarantine(),  # type: ignore[arg-type]
+            faults=SimpleNamespace(),  # type: ignore[arg-type]
+            clock=anyio.current_time,
+            log=structlog.get_logger(),
+        )
+        self.budget = RetryBudget(share=0.0, per_s=0.0, max_saved=retries)
+        self._gateway._retry_budget = self.budget
+
+    async def serve(self) -> str:
+        """Serve a request and return the instance that answered it."""
+        head = RequestHead(
+            request_id="id",
+            member="hanbit",
+            client="desk",
+            home="seoul",
+            service="draft",
+            method="POST",
+            target="/",
+            headers=(),
+            idempotent=True,
+            idempotency_key=None,
+            deadline_at=anyio.current_time() + DEADLINE_S,
+            deadline_s=DEADLINE_S,
+            priority=0,
+        )
+        sink = Sink()
+        await self._gateway._serve(head, BufferedBody(data=b"x"), sink, OutcomeTracker())
+        return sink.instance
+
+
+def info(name: str) -> InstanceInfo:
+    region = name.partition("-")[0]
+    return InstanceInfo(
+        name=name,
+        region=region,
+        zone=f"{region}-a",
+        state=InstanceState.SERVING,
+        peer_address="127.0.0.1:1",
+        caller_address="127.0.0.1:2",
+        incarnation=1,
+    )
+
+
+@pytest.mark.parametrize(
+    "scene",
+    [
+        lambda: Scene("busan-1", "busan-2", retries=0.0),
+        lambda: Scene("busan-1", "busan-2", admits_retries=False),
+        lambda: Scene("busan-1"),
+    ],
+    ids=["no retry left", "no place", "no other instance"],
+)
+def test_a_forward_that_can_not_go_on_elsewhere_waits_for_its_silent_receiver(scene: Any) -> None:
+    async def run() -> None:
+        waiting = scene()
+        assert await waiting.serve() == waiting.network.peers[0]
+        assert len(waiting.network.peers) == 1
+        # No place is held, and what was charged is given back.
+        assert waiting.placer.placed - waiting.placer.withdrawn == waiting.placer.begun
+        assert waiting.budget.take("hanbit", now=0.0) is (waiting.budget._max_saved == 1.0)
+
+    anyio.run(run)
+
+
+@pytest.mark.parametrize(
+    ("scene", "peers"),
+    [
+        (lambda: Scene("busan-1", "busan-2"), {"busan-1", "busan-2"}),
+        (lambda: Scene("busan-1", "daejeon-1"), {"busan-1", "daejeon-1"}),
+        (lambda: Scene("busan-1", was_idle=True), {"busan-1"}),
+    ],
+    ids=["another instance", "another region", "a new connection"],
+)
+def test_a_forward_that_can_go_on_elsewhere_leaves_its_silent_receiver(
+    scene: Any, peers: set[str]
+) -> None:
+    async def run() -> None:
+        leaving = scene()
+        begun_at = anyio.current_time()
+        assert await leaving.serve() == leaving.network.peers[1]
+        assert set(leaving.network.peers) == peers
+        assert anyio.current_time() - begun_at < SILENT_S
+        assert leaving.placer.placed == leaving.placer.begun == 2
+        assert not leaving.budget.take("hanbit", now=0.0)
+
+    anyio.run(run)
--- a/tests/test_retries_of_forwards.py
+++ b/tests/test_retries_of_forwards.py
@@ -1,4 +1,4 @@
-"""A forwarded request that fails at one instance goes on at another one of its region."""
+"""A forwarded request leaves its receiver if it can go on elsewhere, and only then."""
 
 from __future__ import annotations
 
@@ -11,20 +11,26 @@
 from tests.calls import chat, wait_until
 from tests.conftest import HANBIT_KEY, write_examples
 from tests.harness import Deployment
-from tests.raw_http import RawResponse, raw_chat
+from tests.raw_http import RawResponse, raw_call, raw_chat
 from tests.scripted_backend import ScriptedBackend, echo
 
-SERVICES = ("hanbit/draft",)
+SERVICES = ("hanbit/draft", "hanbit/intake-records")
+ANSWER = b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\ndone"
 #: Requests in progress while an instance stops, so many that both of its region serve some.
 REQUESTS = 16
 #: Settings of the instance that stops, seconds: its requests are ended soon.
 LIMITS = {"leave_grace_s": 0.3, "drain_s": 0.5}
+#: Time for which a receiver stands still: longer than the wait for its acceptance, seconds.
+PAUSE_S = 2.5
+#: A body too large to be sent a second time, bytes.
+LARGE_BODY_BYTES = 300 * 1024
+LARGE_BODIES = 4
 
 
 async def respond_at_once(
     body: bytes, number: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
 ) -> None:
-    writer.write(echo(body))
+    writer.write(echo(body) if b"messages" in body else ANSWER)
 
 
 @contextlib.contextmanager
@@ -66,14 +72,7 @@
         async def respond(
             body: bytes, number: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
         ) -> None:
-            closed = asyncio.ensure_future(reader.read(1))
-            ended = asyncio.ensure_future(stopped.wait())
-            await asyncio.wait([closed, ended], return_when=asyncio.FIRST_COMPLETED)
-            ended.cancel()
-            if closed.done():
-                raise OSError("the connection was closed")
-            closed.cancel()
-            await asyncio.wait([closed])
+            await stopped.wait()
             writer.write(echo(body))
 
         backend.set_behaviour(respond)
@@ -95,3 +94,46 @@
         # Some were sent again.
         assert backend.request_count > REQUESTS
         assert {response.headers["figpaddle-instance"] for response in responses} == {"busan-2"}
+
+
+def test_bodies_that_can_not_be_sent_again_wait_for_a_receiver_that_stands_still(
+    tmp_path: pathlib.Path,
+) -> None:
+    with running(tmp_path, "busan-1") as (deployment, backend):
+        entry = deployment.caller_address("seoul-1")
+        receiver = deployment.instances["busan-1"]
+
+        async def respond_to_all_at_once(
+            body: bytes, number: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            while backend.request_count < LARGE_BODIES:
+                await asyncio.sleep(0.01)
+            await respond_at_once(body, number, reader, writer)
+
+        async def send_all() -> list[RawResponse]:
+            requests = (
+                raw_call(
+                    entry,
+                    "GET",
+                    "/services/intake-records/page",
+                    key=HANBIT_KEY,
+                    body=bytes(LARGE_BODY_BYTES),
+                )
+                for _ in range(LARGE_BODIES)
+            )
+            return await asyncio.gather(*requests)
+
+        async def run() -> list[RawResponse]:
+            # Leaves as many idle connections, by which the next ones are sent.
+            backend.set_behaviour(respond_to_all_at_once)
+            await send_all()
+            receiver.signal(signal.SIGSTOP)
+            try:
+                requests = asyncio.create_task(send_all())
+                await asyncio.sleep(PAUSE_S)
+            finally:
+                receiver.signal(signal.SIGCONT)
+            return await requests
+
+        failures = [response.body for response in asyncio.run(run()) if response.status != 200]
+        assert failures == []
