--- a/figpaddle/daemon/tests/test_unaccepted_forwards.py
+++ b/figpaddle/daemon/tests/test_unaccepted_forwards.py
@@ -1,4 +1,4 @@
-"""A forward that isn't accepted in time is given up only if its retry is certain."""
+"""What follows if the receiver of a forward doesn't accept it in time, or refuses it."""
 
 from __future__ import annotations
 
@@ -30,11 +30,20 @@
     ServiceConfiguration,
     ServiceKind,
 )
-from figpaddle.errors import OverloadedError, PeerUnreachableError
+from figpaddle.errors import (
+    ConfigurationMissingError,
+    ConfigurationUnconfirmedError,
+    DrainingError,
+    DrainTimeoutError,
+    OverloadedError,
+    PeerUnreachableError,
+    RequestError,
+)
 from figpaddle.routing import Placement, RequestTraits, RetryBudget
 from figpaddle.wire import (
     ForwardAlive,
     ForwardBody,
+    ForwardFailed,
     ForwardHead,
     InstanceInfo,
     InstanceState,
@@ -56,11 +65,16 @@
 class Channel:
     """A connection whose receiver answers after some time."""
 
-    def __init__(self, *, peer: str, silent_s: float, was_idle: bool) -> None:
+    def __init__(
+        self, *, peer: str, silent_s: float, was_idle: bool, refusal: ForwardFailed | None
+    ) -> None:
         self.peer = peer
         self.was_idle = was_idle
         self._silent_s = silent_s
-        self._messages: list[Message] = [
+        if refusal is not None:
+            self._messages: list[Message] = [refusal]
+            return
+        self._messages = [
             ForwardAlive(request_id="id", configuration="c"),
             ForwardHead(
                 status=200,
@@ -90,12 +104,13 @@
 
 
 class Network:
-    """Opens a connection to a peer for each forward; the first one is silent at first."""
+    """Opens a connection to a peer for each forward; the first one is silent at first or refuses."""
 
     open_links = ()
 
-    def __init__(self, *, was_idle: bool) -> None:
+    def __init__(self, *, was_idle: bool, refusal: ForwardFailed | None) -> None:
         self._was_idle = was_idle
+        self._refusal = refusal
         self.peers: list[str] = []
 
     @contextlib.asynccontextmanager
@@ -104,8 +119,9 @@
         self.peers.append(peer)
         yield Channel(
             peer=peer,
-            silent_s=SILENT_S if is_first else 0.0,
+            silent_s=SILENT_S if is_first and self._refusal is None else 0.0,
             was_idle=is_first and self._was_idle,
+            refusal=self._refusal if is_first else None,
         )
 
     def drop_idle_channels(self, peer: str) -> None: ...
@@ -176,13 +192,14 @@
         was_idle: bool = False,
         retries: float = 1.0,
         admits_retries: bool = True,
+        refusal: ForwardFailed | None = None,
     ) -> None:
         directory = InstanceDirectory(own=info("seoul-1"))
         directory.merge(tuple(info(name) for name in peers))
         configuration = ConfigurationState()
         member = MemberConfiguration(name="hanbit", services=(SERVICE,))
         configuration.install(Configuration(revision=1, members=(member,)))
-        self.network = Network(was_idle=was_idle)
+        self.network = Network(was_idle=was_idle, refusal=refusal)
         self.placer = Placer(admits_retries=admits_retries)
         forwarder = Forwarder(
             directory=directory,
@@ -287,3 +304,33 @@
         assert not leaving.budget.take("hanbit", now=0.0)
 
     anyio.run(run)
+
+
+@pytest.mark.parametrize("peers", [("busan-1", "busan-2"), ("busan-1", "daejeon-1")])
+@pytest.mark.parametrize(
+    "error",
+    [
+        ConfigurationUnconfirmedError(instance="busan-1"),
+        ConfigurationMissingError(instance="busan-1"),
+        DrainingError(instance="busan-1"),
+        DrainTimeoutError(instance="busan-1"),
+    ],
+    ids=lambda error: error.problem,
+)
+def test_a_forward_that_one_instance_can_not_serve_goes_on_at_another(
+    error: RequestError, peers: tuple[str, ...]
+) -> None:
+    refusal = ForwardFailed(
+        status=error.status,
+        problem=error.problem,
+        what=error.what,
+        outcome=error.outcome.value,
+        retry_after_s=error.retry_after_s,
+    )
+
+    async def run() -> None:
+        scene = Scene(*peers, refusal=refusal)
+        assert await scene.serve() == scene.network.peers[1]
+        assert set(scene.network.peers) == set(peers)
+
+    anyio.run(run)
--- a/figpaddle/errors/_request.py
+++ b/figpaddle/errors/_request.py
@@ -269,12 +269,14 @@
 _RETRYABLE_PROBLEMS = frozenset(
     {
         "backend-server-lost",
+        "configuration-unconfirmed",
         "drain-timeout",
         "draining",
         "forbidden",
         "forwarding-loop",
         "invalid-answer",
         "no-backend-server",
+        "no-configuration",
         "overloaded",
         "peer-lost",
         "region-not-allowed",
@@ -282,7 +284,9 @@
 )
 
 #: Those for which another instance of the same region may succeed too.
-_INSTANCE_PROBLEMS = frozenset({"drain-timeout", "draining"})
+_INSTANCE_PROBLEMS = frozenset(
+    {"configuration-unconfirmed", "drain-timeout", "draining", "no-configuration"}
+)
 
 
 class ForwardRefusedError(RequestError):
