--- a/figpaddle/daemon/_gateway.py
+++ b/figpaddle/daemon/_gateway.py
@@ -501,8 +501,9 @@
             raise
         except BackendServerLostError:
             self._quarantine.note_ended(attempt, complete=False)
-            if await self._quarantine.report_lost_connection(head, backend):
-                self._backends.note_lost(name)
+            await self._quarantine.report_lost_connection(
+                head, backend, on_lost=lambda: self._backends.note_lost(name)
+            )
             raise
         finally:
             self._quarantine.note_ended(attempt, complete=False)
--- a/figpaddle/daemon/_quarantine.py
+++ b/figpaddle/daemon/_quarantine.py
@@ -11,6 +11,7 @@
 from typing import Any
 
 import anyio
+import anyio.abc
 
 from figpaddle.coordination import InstanceDirectory
 from figpaddle.daemon._component import Component
@@ -80,6 +81,8 @@
         self._slots = SuspectSlots()
         #: Slots held by in-flight requests: granting instance by backend server and digest.
         self._acquired_slots: dict[tuple[str, bytes], str] = {}
+        #: Runs the probes of backend servers while the component runs.
+        self._probes: anyio.abc.TaskGroup | None = None
         network.register(SuspectNews, self._on_records)
         network.register(SuspectSlot, self._on_slot)
 
@@ -156,17 +159,42 @@
         self._broadcast((digest,))
         return True
 
-    async def report_lost_connection(self, head: RequestHead, backend: KnownBackend) -> bool:
-        """Probe ``backend`` with a new connection; return whether it is lost.
+    async def report_lost_connection(
+        self, head: RequestHead, backend: KnownBackend, *, on_lost: Callable[[], None]
+    ) -> None:
+        """Probe ``backend`` with a new connection; ``on_lost`` is called if it is lost.
 
-        A loss counts against the requests that hadn't settled there.
+        A loss counts against the requests that hadn't settled there. Returns once the result is known,
+        or at the deadline of the request; the probe goes on then, as it does if the request is
+        cancelled.
         """
+        if self._probes is None:
+            await self._probe(head, backend, on_lost)
+            return
+        ended = anyio.Event()
+
+        async def probe() -> None:
+            try:
+                await self._probe(head, backend, on_lost)
+            except Exception as error:  # noqa: BLE001
+                # An error that nobody expects must not end the process.
+                self._log.error("probe_failed", backend=backend.info.name, exc_info=error)
+            finally:
+                ended.set()
+
+        self._probes.start_soon(probe)
+        with anyio.move_on_after(max(0.0, head.deadline_at - self._clock())):
+            await ended.wait()
+
+    async def _probe(
+        self, head: RequestHead, backend: KnownBackend, on_lost: Callable[[], None]
+    ) -> None:
         lost_at = self._clock()
         if await _keeps_connection(backend.info.address):
-            return False
+            return
         self._log.info("backend_lost", backend=backend.info.name, request_id=head.request_id)
         self._count_loss((backend.info.name, backend.info.incarnation), lost_at=lost_at)
-        return True
+        on_lost()
 
     async def acquire_slot(self, backend: str, digest: bytes) -> bool:
         """Acquire the slot for suspect requests on ``backend``; return whether it was free.
@@ -189,6 +217,14 @@
 
     async def run(self) -> None:
         """Gossip the records to a random instance at each interval until cancelled."""
+        async with anyio.create_task_group() as probes:
+            self._probes = probes
+            try:
+                await self._gossip()
+            finally:
+                self._probes = None
+
+    async def _gossip(self) -> None:
         while True:
             now = self._clock()
             peers = self._directory.peers()
--- a/figpaddle/daemon/tests/test_retry_charges.py
+++ b/figpaddle/daemon/tests/test_retry_charges.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from types import SimpleNamespace
 from typing import Any
 
@@ -56,10 +57,11 @@
         if traits.fingerprint.decode() in self._failed:
             raise RequestQuarantinedError(retry_after_s=1.0)
 
-    async def report_lost_connection(self, head: RequestHead, backend: Any) -> bool:
+    async def report_lost_connection(
+        self, head: RequestHead, backend: Any, *, on_lost: Callable[[], None]
+    ) -> None:
         if self._refuses_failed and head.service == "draft":
             self._failed.add(head.service)
-        return False
 
     def release_slot(self, name: str, digest: bytes) -> None: ...
 
