--- a/figpaddle/errors/_request.py
+++ b/figpaddle/errors/_request.py
@@ -269,18 +269,25 @@
 _RETRYABLE_PROBLEMS = frozenset(
     {
         "backend-server-lost",
+        "configuration-unconfirmed",
         "drain-timeout",
         "draining",
         "forbidden",
         "forwarding-loop",
         "invalid-answer",
         "no-backend-server",
+        "no-configuration",
         "overloaded",
         "peer-lost",
         "region-not-allowed",
     }
 )
 
+#: Those for which another instance of the same region may succeed too.
+_INSTANCE_PROBLEMS = frozenset(
+    {"configuration-unconfirmed", "drain-timeout", "draining", "no-configuration"}
+)
+
 
 class ForwardRefusedError(RequestError):
     """The instance that the request was forwarded to refused it."""
@@ -298,3 +305,5 @@
         self.status = status
         self.problem = problem
         self.retryable = problem in _RETRYABLE_PROBLEMS
+        #: Whether another instance of the same region might serve the request.
+        self.concerns_instance = problem in _INSTANCE_PROBLEMS
