--- a/figpaddle/regional/_attempts.py
+++ b/figpaddle/regional/_attempts.py
@@ -578,11 +578,14 @@
     def _rest_s(
         self, context: RequestContext, choice: Choice, *, silent_since: float, now: float
     ) -> float:
-        """Return the time that another attempt takes to its end as a rule, seconds."""
+        """Return the time that another attempt takes to its end as a rule, seconds.
+
+        Of a stream that goes on with another one, or if no answer was measured, only the beginning is known.
+        """
         scale_s = assumed_answer_s(context.caller.output_tokens)
-        answer_s = self._answer_times.median_s(
-            _kind_of(context), scale_s=scale_s, unmeasured_s=scale_s, now=now
-        )
+        answer_s = self._answer_times.median_s(_kind_of(context), scale_s=scale_s, now=now)
+        if answer_s is None or context.goes_on:
+            return choice.expected_s
         begun_at = context.answer_started_at
         streamed_s = 0.0 if begun_at is None else silent_since - begun_at
         return max(choice.expected_s, answer_s - streamed_s)
--- a/figpaddle/regional/_gateway.py
+++ b/figpaddle/regional/_gateway.py
@@ -216,6 +216,7 @@
             attempts_left=terms.attempts,
             last_event=terms.last_event,
             origin_digest=terms.digest,
+            goes_on=bool(terms.last_event),
             version=terms.version,
             states_version=terms.reads_version,
             attempts_allowed=terms.attempts if terms.reads_attempts else None,
@@ -273,6 +274,7 @@
             attempts_left=max(1, route.max_attempts),
             last_event=caller.last_event,
         )
+            goes_on=bool(caller.last_event),
 
     async def _handle(self, context: RequestContext, responder: Responder) -> None:
         with unsent_on_error(
--- a/figpaddle/regional/_request_context.py
+++ b/figpaddle/regional/_request_context.py
@@ -105,6 +105,8 @@
     #: stream itself once it has begun; None otherwise.
     attempts_allowed: int | None = None
     #: Key of the statements of further attempts in the stream; empty if the entry that forwarded it reads none.
+    #: Whether that was so when the request came: it goes on with a stream.
+    goes_on: bool = False
     statement_key: bytes = b""
     #: Head of the answer that the caller got; None before.
     head: ResponseHead | None = None
--- a/figpaddle/routing/_answer_times.py
+++ b/figpaddle/routing/_answer_times.py
@@ -164,16 +164,14 @@
         ratios = sorted([*ended, *self._overdue(kind, usual=_usual(ended), now=now)])
         return _with_margin(_usual(ratios)) * scale_s
 
-    def median_s(
-        self, kind: Hashable, *, scale_s: float = 1.0, unmeasured_s: float, now: float
-    ) -> float:
-        """Return the time within which half of the answers have ended, seconds.
+    def median_s(self, kind: Hashable, *, scale_s: float = 1.0, now: float) -> float | None:
+        """Return the time within which half of the answers have ended, seconds; None if none was measured.
 
         It has no margin, and requests that are overdue don't count, so that those at a server that hangs
-        say nothing of the others. It is ``unmeasured_s`` if no answer was measured.
+        say nothing of the others.
         """
         ended = self._ratios(kind, now=now)
-        return ended[(len(ended) - 1) // 2] * scale_s if ended else unmeasured_s
+        return ended[(len(ended) - 1) // 2] * scale_s if ended else None
 
     def longest_s(self, kind: Hashable, *, scale_s: float = 1.0, now: float) -> float:
         """Return the time within which all answers end, seconds; infinity if too few were measured.
