--- a/figpaddle/regional/_placer.py
+++ b/figpaddle/regional/_placer.py
@@ -211,14 +211,14 @@
     def place_again(self, context: RequestContext, *, silent_s: float) -> Choice | None:
         """Return the place for another attempt of a request that its server doesn't answer, or None.
 
-        It is no server that was tried, nor one that owes this entry an answer and hasn't been heard for
-        ``silent_s``.
+        It is no server that was tried, nor one that has owed this entry an answer for ``silent_s`` without
+        being heard.
         """
         now, tried = self._clock(), context.backends_tried
         silent = {
             name
             for name, tracker in self._trackers.items()
-            if tracker.local_requests and now - self._contact.heard_at(name) > silent_s
+            if now - max(tracker.oldest_sent_at, self._contact.heard_at(name)) > silent_s
         }
         context.backends_tried = tried | silent
         try:
--- a/figpaddle/routing/_backend_load.py
+++ b/figpaddle/routing/_backend_load.py
@@ -214,6 +214,11 @@
         self._add_slowness_sample(_priority_class(request.priority), sample, now)
         return elapsed_s
 
+    @property
+    def oldest_sent_at(self) -> float:
+        """When the oldest request in progress was sent; infinity without one."""
+        return min((item.sent_at for item in self._local_requests.values()), default=math.inf)
+
     def note_withdrawn(self, key: str) -> None:
         """Forget a request that isn't sent after all."""
         self._local_requests.pop(key, None)
