--- a/figpaddle/regional/_placer.py
+++ b/figpaddle/regional/_placer.py
@@ -425,10 +425,12 @@
         return choose_forwarding_peer(self._settings.ip, names, is_warm=is_warm, rng=self._rng)
 
     def is_ready(self, entry: str) -> bool:
-        """Return whether another entry is live and accepts callers."""
+        """Return whether another entry is live, accepts callers and reaches its backend servers."""
         heard = self._mesh.last_heard(entry)
         live = {heartbeat.name for heartbeat in self._mesh.live_heartbeats()}
-        return entry in live and heard is not None and is_ready(heard.heartbeat)
+        if entry not in live or heard is None or heard.heartbeat.cut_off:
+            return False
+        return is_ready(heard.heartbeat)
 
     def warmth_questions(self) -> list[WarmthQuestion]:
         """Return the backend servers to ask whether they are cold.
