--- a/figpaddle/regional/_attempts.py
+++ b/figpaddle/regional/_attempts.py
@@ -526,6 +526,7 @@
             obstacle = self._obstacle(context, choice, responder, silent_since)
             if choice is not None and not obstacle:
                 self._placer.reserve(context, choice)
+            context.confined_by = self._quarantine.suspect_digest(context.traits)
                 return True
         self._metrics.count(
             "silent_attempts_kept_total", service=context.service.name, reason=obstacle
