--- a/figpaddle/regional/_attempts.py
+++ b/figpaddle/regional/_attempts.py
@@ -116,7 +116,6 @@
         )
         answered = False
         try:
-            await self._state_attempt(context, responder)
             if choice.backend is None:
                 result = await self._forward(context, choice, responder)
             else:
@@ -126,9 +125,14 @@
             self._answer_times.note_ended(attempt_key, answered=answered, now=self._clock())
         return result
 
-    async def _state_attempt(self, context: RequestContext, responder: Responder) -> None:
-        """Tell the entry that forwarded a stream which has begun that another attempt is made here."""
-        used = context.attempts_used(in_progress=True)
+    async def state_attempts(
+        self, context: RequestContext, responder: Responder, *, in_progress: bool
+    ) -> None:
+        """Tell the entry that forwarded a stream which has begun how many attempts are used here.
+
+        ``in_progress`` is whether another one is about to be made. Raises CallerGoneError.
+        """
+        used = context.attempts_used(in_progress=in_progress)
         if used is None or not context.statement_key or not responder.started:
             return
         try:
@@ -522,11 +526,12 @@
         """
         obstacle = "no attempt left"
         if context.attempts_left > used:
+            context.confined_by = self._quarantine.suspect_digest(context.traits)
             choice = self._next_place(context, present, entry)
             obstacle = self._obstacle(context, choice, responder, silent_since)
             if choice is not None and not obstacle:
                 self._placer.reserve(context, choice)
-            context.confined_by = self._quarantine.suspect_digest(context.traits)
+                context.left_silent_server = True
                 return True
         self._metrics.count(
             "silent_attempts_kept_total", service=context.service.name, reason=obstacle
--- a/figpaddle/regional/_gateway.py
+++ b/figpaddle/regional/_gateway.py
@@ -40,6 +40,7 @@
 from figpaddle.regional._stream_origins import StreamOrigins
 from figpaddle.regional._unsent_requests import unsent_on_error
 from figpaddle.routing import (
+    ALIVE_S,
     CLOSE_RESERVE_S,
     Choice,
     SharedRetryBudget,
@@ -215,8 +216,8 @@
             origin=terms.origin,
             attempts_left=terms.attempts,
             last_event=terms.last_event,
-            origin_digest=terms.digest,
             goes_on=bool(terms.last_event),
+            origin_digest=terms.digest,
             version=terms.version,
             states_version=terms.reads_version,
             attempts_allowed=terms.attempts if terms.reads_attempts else None,
@@ -273,8 +274,8 @@
             deadline_at=request.arrived_after + min(caller_timeout_s, route.timeout_s),
             attempts_left=max(1, route.max_attempts),
             last_event=caller.last_event,
-        )
             goes_on=bool(caller.last_event),
+        )
 
     async def _handle(self, context: RequestContext, responder: Responder) -> None:
         with unsent_on_error(
@@ -422,10 +423,7 @@
             if quarantine is not None:
                 await self._fail_quarantined(context, quarantine, responder)
                 return
-            choice = context.reserved
-            if choice is None:
-                context.confined_by = self._quarantine.suspect_digest(context.traits)
-                choice = self._placer.place(context)
+            choice = self._place(context, responder)
             if choice is None:
                 await self._fail_unplaced(context, responder)
                 return
@@ -462,11 +460,25 @@
                 await self._fail_unplaced(context, responder)
                 return
             context.last_failure = result.reason
-            if not await self._prepare_retry(context, result):
+            if not await self._prepare_retry(context, result, responder):
                 await self._fail(context, result, responder)
                 return
 
-    async def _prepare_retry(self, context: RequestContext, result: AttemptResult) -> bool:
+    def _place(self, context: RequestContext, responder: Responder) -> Choice | None:
+        """Return the place for the next attempt, or None if there is none."""
+        if context.reserved is not None:
+            return context.reserved.choice
+        context.confined_by = self._quarantine.suspect_digest(context.traits)
+        if context.left_silent_server:
+            choice = self._placer.place_again(context, silent_s=ALIVE_S)
+            # Rather than at a server that was silent, the entry that forwarded a stream goes on elsewhere.
+            if choice is not None or responder.started and context.statement_key:
+                return choice
+        return self._placer.place(context)
+
+    async def _prepare_retry(
+        self, context: RequestContext, result: AttemptResult, responder: Responder
+    ) -> bool:
         """Return whether the request may be retried; update its attempts and the retry budget."""
         now = self._clock()
         context.attempts_left -= 1
@@ -501,6 +513,7 @@
             )
             return False
         if context.last_event and result.outcome is AttemptOutcome.BROKEN:
+            await self._attempts.state_attempts(context, responder, in_progress=True)
             await anyio.sleep(RESUME_DELAY_S)
         self._metrics.count("retries_total", service=context.service.name)
         return True
@@ -565,6 +578,8 @@
         self, context: RequestContext, result: AttemptResult, responder: Responder
     ) -> None:
         if responder.started:
+            # An attempt that was stated and not made is left to the entry that forwarded the request.
+            await self._attempts.state_attempts(context, responder, in_progress=False)
             # The answer is left unterminated, so that the caller detects that it is incomplete.
             self._record_end(context, f"broken: {result.reason}", failed=True)
             return
--- a/figpaddle/regional/_placer.py
+++ b/figpaddle/regional/_placer.py
@@ -17,7 +17,7 @@
 from figpaddle.regional._mesh import Mesh, accepting, is_ready
 from figpaddle.regional._peer_reports import PeerReports
 from figpaddle.regional._region_entries import RegionEntries
-from figpaddle.regional._request_context import RequestContext
+from figpaddle.regional._request_context import RequestContext, Reservation
 from figpaddle.regional._settings import ProcessSettings
 from figpaddle.routing import (
     ASKED_AHEAD_S,
@@ -232,21 +232,22 @@
 
     def reserve(self, context: RequestContext, choice: Choice) -> None:
         """Count the next attempt at the chosen place, which is made once the present one has ended."""
-        context.reserved = choice
+        context.reserved = Reservation(choice=choice, attempt_key=context.next_attempt_key)
         self._take_share(context, choice)
         self._track(context, choice, context.next_attempt_key)
 
     def cancel_reservation(self, context: RequestContext) -> None:
         """Stop counting a reserved attempt, if there is one, that won't be made."""
-        choice, context.reserved = context.reserved, None
-        if choice is not None and choice.backend is not None:
-            self.tracker_of(choice.backend.name).note_withdrawn(context.next_attempt_key)
-            self.note_accepted(choice.backend.name, context.next_attempt_key)
+        reserved, context.reserved = context.reserved, None
+        if reserved is not None and reserved.choice.backend is not None:
+            name = reserved.choice.backend.name
+            self.tracker_of(name).note_withdrawn(reserved.attempt_key)
+            self.note_accepted(name, reserved.attempt_key)
 
     def note_sent(self, context: RequestContext, choice: Choice) -> None:
         """Count a request that is being sent to the chosen place."""
         reserved, context.reserved = context.reserved, None
-        if choice is not reserved:
+        if reserved is None or choice is not reserved.choice:
             self._take_share(context, choice)
         self._track(context, choice, context.attempt_key)
 
--- a/figpaddle/regional/_request_context.py
+++ b/figpaddle/regional/_request_context.py
@@ -66,6 +66,15 @@
     body: bytes
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Reservation:
+    """The place of the next attempt of a request, counted as used."""
+
+    choice: Choice
+    #: Identifier of that attempt.
+    attempt_key: str
+
+
 @dataclasses.dataclass(kw_only=True)
 class RequestContext:
     """A request with the decisions about it and the progress of its attempts."""
@@ -96,6 +105,8 @@
     entries_tried: set[str] = dataclasses.field(default_factory=set)
     #: Id of the last event that the caller received; empty for none.
     last_event: str = ""
+    #: Whether that was so when the request came: it goes on with a stream.
+    goes_on: bool = False
     #: Version of the software that began the stream, at which alone it goes on: empty if that isn't
     #: known, None before its first event.
     version: str | None = None
@@ -105,8 +116,6 @@
     #: stream itself once it has begun; None otherwise.
     attempts_allowed: int | None = None
     #: Key of the statements of further attempts in the stream; empty if the entry that forwarded it reads none.
-    #: Whether that was so when the request came: it goes on with a stream.
-    goes_on: bool = False
     statement_key: bytes = b""
     #: Head of the answer that the caller got; None before.
     head: ResponseHead | None = None
@@ -128,7 +137,9 @@
     answer_started_at: float | None = None
     #: Place of the next attempt if it was reserved, and the retry budget charged, before the present one was
     #: given up.
-    reserved: Choice | None = None
+    reserved: Reservation | None = None
+    #: Whether an attempt was given up at a silent server.
+    left_silent_server: bool = False
     #: Reason for which the last attempt failed.
     last_failure: str = ""
     #: Number of the present attempt, from 1; 0 before the first.
--- a/tests/test_silent_backend_servers.py
+++ b/tests/test_silent_backend_servers.py
@@ -76,7 +76,7 @@
     deadline_ms: int = 14000,
     entry: str = "m-4",
 ) -> list[Reply]:
-    """Run streams beside which the first ``silent`` servers fall silent; return their replies."""
+    """Run streams beside which ``silent`` servers fall silent; return their replies."""
     replies: list[Reply] = []
 
     async def send(number: int) -> None:
@@ -89,7 +89,9 @@
         for number in range(count):
             tasks.start_soon(send, number)
         await anyio.sleep(silent_at_s)
-        for engine in platform.engines[:silent]:
+        # Those with most streams: the others might have none.
+        busiest = sorted(platform.engines, key=lambda engine: -engine.running)
+        for engine in busiest[:silent]:
             engine.silent_until = anyio.current_time() + silent_for_s
     return replies
 
@@ -180,6 +182,47 @@
     assert_whole(platform, replies, 6)
 
 
+async def test_forwarded_streams_go_on_elsewhere_if_their_reserved_server_has_gone(
+    platform: PlatformDeployment,
+) -> None:
+    # Guards against another attempt at the silent server, which leaves none for the other entry.
+    for engine in platform.engines[1:]:
+        engine.state = "draining"
+    await anyio.sleep(1.0)
+    async with anyio.create_task_group() as tasks:
+
+        async def replace_the_other_server() -> None:
+            await anyio.sleep(SILENT_AT_S - 0.2)
+            gone = await platform.add_engine(MODEL_SERVICE, "n-a", slots=100)
+            server = await platform.add_engine(MODEL_SERVICE, "s-a", slots=100)
+            server.event_count, server.event_interval_s = EVENTS, EVENT_INTERVAL_S
+            await anyio.sleep(1.2)
+            gone.crashed.set()
+
+        tasks.start_soon(replace_the_other_server)
+        replies = await run_streams(platform, count=6, silent=1, silent_for_s=HANGS_S, entry="m-6")
+    assert_whole(platform, replies, 6)
+
+
+async def test_forwarded_requests_leave_a_region_whose_only_server_is_silent_from_the_start(
+    platform: PlatformDeployment,
+) -> None:
+    for engine in platform.engines[1:]:
+        engine.state = "draining"
+    await anyio.sleep(1.0)
+    platform.engines[0].silent_until = anyio.current_time() + HANGS_S
+    async with anyio.create_task_group() as tasks:
+
+        async def add_server_elsewhere() -> None:
+            await anyio.sleep(1.0)
+            server = await platform.add_engine(MODEL_SERVICE, "s-a", slots=100)
+            server.event_count, server.event_interval_s = EVENTS, EVENT_INTERVAL_S
+
+        tasks.start_soon(add_server_elsewhere)
+        replies = await run_streams(platform, count=6, silent=1, silent_for_s=HANGS_S, entry="m-6")
+    assert_whole(platform, replies, 6)
+
+
 async def test_streams_are_given_up_only_for_places_that_can_take_them(
     platform: PlatformDeployment,
 ) -> None:
@@ -194,6 +237,7 @@
     replies = await run_streams(platform, count=STREAMS, silent=1, silent_for_s=LONG_SILENCE_S)
     assert_whole(platform, replies, STREAMS)
     assert not leaving.executed
+    assert repeats(platform)
     assert len(silent.executed) == len(set(silent.executed))
 
 
