--- a/figpaddle/daemon/_callers.py
+++ b/figpaddle/daemon/_callers.py
@@ -17,6 +17,7 @@
 from figpaddle.daemon._fault_reporter import FaultReporter, InternalError
 from figpaddle.daemon._gateway import Gateway
 from figpaddle.daemon._http import (
+    REQUEST_ID_KEY,
     CallerGoneError,
     HttpBody,
     Receive,
@@ -110,7 +111,7 @@
         """Serve one HTTP request."""
         if scope["type"] != "http":
             return
-        request_id = uuid.uuid4().hex
+        request_id = scope[REQUEST_ID_KEY] = uuid.uuid4().hex
         sink = HttpResponseSink(
             send=send,
             request_id=request_id,
--- a/figpaddle/daemon/_http.py
+++ b/figpaddle/daemon/_http.py
@@ -22,6 +22,8 @@
 Receive = Callable[[], Awaitable[MutableMapping[str, Any]]]
 Send = Callable[[MutableMapping[str, Any]], Awaitable[None]]
 
+#: Key of a scope under which a port keeps the id of the request.
+REQUEST_ID_KEY = "figpaddle.request_id"
 #: Prefix of the ``type`` of problem documents.
 PROBLEM_PREFIX = "urn:figpaddle:problem:"
 #: Longest wait for the next chunk of a request body on ports other than the callers', seconds.
--- a/figpaddle/daemon/_instance.py
+++ b/figpaddle/daemon/_instance.py
@@ -286,7 +286,9 @@
         await self._network.run(task_status=task_status)
 
     async def _serve_port(self, application: Any, listener: Listener) -> None:
-        guarded = ProblemBoundary(application=application, faults=self._faults)
+        guarded = ProblemBoundary(
+            application=application, faults=self._faults, metrics=self._metrics, log=self._log
+        )
         port = HttpPort(
             application=guarded,
             listener=listener,
--- a/figpaddle/daemon/_metrics.py
+++ b/figpaddle/daemon/_metrics.py
@@ -56,6 +56,7 @@
     def __init__(self) -> None:
         self._histograms: dict[Series, HdrHistogram] = {}
         self._counts: Counter[tuple[str, str]] = Counter()
+        self._unanswered: Counter[str] = Counter()
 
     def record(self, series: Series, *, seconds: float) -> None:
         """Add a duration to the histogram of ``series``."""
@@ -70,6 +71,10 @@
         """Count a request to ``service_key`` that ended with ``result``."""
         self._counts[service_key, result] += 1
 
+    def count_unanswered(self, reason: str) -> None:
+        """Count a request that was read as a whole and got no answer while its caller waited."""
+        self._unanswered[reason] += 1
+
     def render(self, *, member: str | None) -> str:
         """Return the metrics of ``member``, or of all if None, in the text exposition format."""
         lines: list[str] = []
@@ -80,6 +85,11 @@
             if _is_visible_to(service_key, member):
                 labels = f'service="{service_key}",result="{result}"'
                 lines.append(f"figpaddle_requests_total{{{labels}}} {total}")
+        if member is None:
+            lines += [
+                f'figpaddle_requests_unanswered_total{{reason="{reason}"}} {total}'
+                for reason, total in sorted(self._unanswered.items())
+            ]
         return "\n".join(lines) + "\n"
 
     def _render_histogram(self, series: Series) -> list[str]:
--- a/figpaddle/http1/__init__.py
+++ b/figpaddle/http1/__init__.py
@@ -7,7 +7,13 @@
 
 from figpaddle.http1._channel import Channel, PeerClose, connect, set_socket_options
 from figpaddle.http1._client import ConnectionPool, HttpClientConnection, ResponseHead
-from figpaddle.http1._handler_failures import FailureHandler, FailureResponse, HandlerFailure
+from figpaddle.http1._handler_failures import (
+    FailureHandler,
+    FailureResponse,
+    HandlerFailure,
+    UnansweredHandler,
+    UnansweredRequest,
+)
 from figpaddle.http1._listener import HttpListener
 from figpaddle.http1._messages import (
     Headers,
@@ -38,6 +44,8 @@
     "Responder",
     "ServerConnection",
     "TurnTimes",
+    "UnansweredHandler",
+    "UnansweredRequest",
     "connect",
     "end_to_end",
     "header",
--- a/figpaddle/http1/_handler_failures.py
+++ b/figpaddle/http1/_handler_failures.py
@@ -1,4 +1,4 @@
-"""What becomes of a request whose handler fails."""
+"""What becomes of a request whose handler fails or doesn't answer."""
 
 from __future__ import annotations
 
@@ -38,6 +38,19 @@
 FailureHandler = Callable[[HandlerFailure], FailureResponse | None]
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class UnansweredRequest:
+    """A request that was read as a whole and got no byte of an answer, though its caller hadn't left."""
+
+    request: HttpRequest
+    #: What ended it.
+    reason: str
+
+
+#: Notes a request that ended without an answer.
+UnansweredHandler = Callable[[UnansweredRequest], None]
+
+
 def answer_as_unknown(failure: HandlerFailure) -> FailureResponse | None:
     """Return a response that promises nothing."""
     return FailureResponse()
--- a/figpaddle/http1/_listener.py
+++ b/figpaddle/http1/_listener.py
@@ -13,7 +13,11 @@
 import anyio.abc
 
 from figpaddle.http1._channel import Channel, set_socket_options
-from figpaddle.http1._handler_failures import FailureHandler, answer_as_unknown
+from figpaddle.http1._handler_failures import (
+    FailureHandler,
+    UnansweredHandler,
+    answer_as_unknown,
+)
 from figpaddle.http1._messages import HttpRequest
 from figpaddle.http1._request_limits import RequestLimits
 from figpaddle.http1._server import Handler, Responder, ServerConnection
@@ -48,7 +52,8 @@
     Beyond ``max_connections``, a number of further connections have their requests answered by
     ``refusal_handler``, and more are closed at once. ``on_over_limit`` is called with each connection beyond
     the limit, with whether its requests are answered.
-    ``on_failure`` is told of handlers that raise an error or don't answer.
+    ``on_failure`` is told of handlers that raise an error or don't answer, and ``on_unanswered`` of requests
+    that get no answer while their callers wait.
     ``on_accept_error`` is called with the reason when a connection can't be accepted or served, for
     example because its caller has reset it. ``arrived_after`` returns a time since when the bytes have come
     that are read now, by default the present one.
@@ -67,12 +72,14 @@
         refusal_handler: Handler = refuse_request,
         on_over_limit: Callable[[bool], None] = lambda _: None,
         on_failure: FailureHandler = answer_as_unknown,
+        on_unanswered: UnansweredHandler = lambda _: None,
         on_accept_error: Callable[[str], None] = lambda _: None,
         arrived_after: Callable[[], float] | None = None,
     ) -> None:
         self._refusal_handler = refusal_handler
         self._on_over_limit = on_over_limit
         self._on_failure = on_failure
+        self._on_unanswered = on_unanswered
         self._on_accept_error = on_accept_error
         self._arrived_after = arrived_after or clock
         self._draining = False
@@ -200,6 +207,7 @@
             clock=self._clock,
             close_after_response=(lambda: True) if refuses else self._close_after_response,
             on_failure=self._on_failure,
+            on_unanswered=self._on_unanswered,
         )
         self._connections.add(connection)
         if refuses:
--- a/figpaddle/http1/_server.py
+++ b/figpaddle/http1/_server.py
@@ -15,6 +15,8 @@
     FailureHandler,
     FailureResponse,
     HandlerFailure,
+    UnansweredHandler,
+    UnansweredRequest,
     answer_as_unknown,
 )
 from figpaddle.http1._messages import Headers, HttpRequest, header, header_values
@@ -23,6 +25,8 @@
 #: Time for which a half-closed connection is still read, seconds; unread bytes would cause a reset
 #: that destroys the response before the caller has read it.
 LINGER_TIMEOUT_S = 0.5
+#: Reasons for which a request ends without an answer.
+CANCELLED, NOT_ANSWERED = "cancelled", "not answered"
 #: Body of the response to an invalid request.
 EMPTY_BODY = b""
 
@@ -101,6 +105,11 @@
     def on_start(self, callback: Callable[[], None] | None) -> None:
         self._on_start = callback
 
+    def begin_anew(self) -> None:
+        """Replace the parser, which has refused a response; the connection can't be used any longer."""
+        self._parser = h11.Connection(h11.SERVER)
+        self._close_after_response = lambda: True
+
     def note_caller_left(self) -> None:
         """Call the callback of the handler."""
         if self._on_caller_left is not None:
@@ -154,7 +163,8 @@
     """Reads the requests of one connection one at a time and passes each to ``handler``.
 
     A request that was read as a whole gets a response whatever the handler does: ``on_failure`` is told
-    of one that raises an error or doesn't answer.
+    of one that raises an error or doesn't answer. ``on_unanswered`` is told of a request that gets none
+    all the same, as the connection ends first, while its caller waits.
     """
 
     def __init__(
@@ -166,6 +176,7 @@
         clock: Callable[[], float],
         close_after_response: Callable[[], bool],
         on_failure: FailureHandler = answer_as_unknown,
+        on_unanswered: UnansweredHandler = lambda _: None,
     ) -> None:
         self._draining = False
         self._busy = False
@@ -178,6 +189,7 @@
         self._clock = clock
         self._close_after_response = close_after_response
         self._on_failure = on_failure
+        self._on_unanswered = on_unanswered
         self._parser = h11.Connection(h11.SERVER, max_incomplete_event_size=1 << 20)
 
     @property
@@ -219,11 +231,25 @@
             return False
         if request is None:
             return False
-        if not await self._handle(request, responder):
+        try:
+            is_complete = await self._handle(request, responder)
+        except anyio.get_cancelled_exc_class():
+            self._check_answered(request, responder, otherwise=CANCELLED)
+            raise
+        if not is_complete:
+            self._check_answered(request, responder, otherwise=NOT_ANSWERED)
             self._channel.abort()
             return False
         return self._parser.our_state is h11.DONE and self._parser.their_state is h11.DONE
 
+    def _check_answered(
+        self, request: HttpRequest, responder: _H11Responder, *, otherwise: str
+    ) -> None:
+        """Call ``on_unanswered`` if a request whose connection ends has no answer; its caller may have left."""
+        if not responder.started and not responder.caller_left():
+            with contextlib.suppress(Exception):
+                self._on_unanswered(UnansweredRequest(request=request, reason=otherwise))
+
     async def _handle(self, request: HttpRequest, responder: _H11Responder) -> bool:
         """Handle a request and return whether its response is complete."""
         error: Exception | None = None
@@ -272,12 +298,8 @@
     async def _answer_failure(self, response: FailureResponse, responder: _H11Responder) -> bool:
         """Answer a request that its handler has left unanswered; return whether that is complete."""
         if self._parser.our_state is h11.ERROR:
-            # It refused the response of the handler, and the connection can't be used any longer.
-            responder = _H11Responder(
-                parser=h11.Connection(h11.SERVER),
-                channel=self._channel,
-                close_after_response=lambda: True,
-            )
+            # It refused the response of the handler.
+            responder.begin_anew()
         with contextlib.suppress(ConnectionLostError):
             await responder.answer(response.status, response.headers, EMPTY_BODY)
         return responder.finished
--- a/figpaddle/http1/tests/test_unanswered_requests.py
+++ b/figpaddle/http1/tests/test_unanswered_requests.py
@@ -19,6 +19,7 @@
     HttpListener,
     HttpRequest,
     Responder,
+    UnansweredRequest,
 )
 
 pytestmark = pytest.mark.anyio
@@ -35,7 +36,11 @@
 
 @contextlib.asynccontextmanager
 async def serve(
-    handler: Handler, failures: list[HandlerFailure], *, resets: bool = False
+    handler: Handler,
+    failures: list[HandlerFailure],
+    *,
+    resets: bool = False,
+    unanswered: list[UnansweredRequest] | None = None,
 ) -> AsyncIterator[anyio.abc.SocketStream]:
     """Serve with ``handler`` and yield a caller's connection."""
 
@@ -43,6 +48,7 @@
         failures.append(failure)
         return None if resets else FailureResponse(headers=((b"Noted", b"yes"),))
 
+    noted: list[UnansweredRequest] = [] if unanswered is None else unanswered
     with socket.create_server(("127.0.0.1", 0)) as probe:
         port = probe.getsockname()[1]
     listener = HttpListener(
@@ -52,6 +58,7 @@
         ack_timeout_s=2.0,
         max_connections=8,
         on_failure=note_failure,
+        on_unanswered=noted.append,
     )
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(listener.run)
@@ -59,7 +66,7 @@
         async with await anyio.connect_tcp("127.0.0.1", port) as stream:
             with anyio.fail_after(STEP_TIMEOUT_S):
                 yield stream
-        tasks.cancel_scope.cancel()
+                tasks.cancel_scope.cancel()
 
 
 async def read_to_end(stream: anyio.abc.SocketStream) -> bytes:
@@ -154,6 +161,44 @@
             await stream.receive()
 
 
+@pytest.mark.parametrize("resets", [True, False])
+async def test_only_a_request_without_an_answer_is_noted_as_unanswered(resets: bool) -> None:
+    unanswered: list[UnansweredRequest] = []
+
+    async def do_nothing(request: HttpRequest, responder: Responder) -> None:
+        pass
+
+    async with serve(do_nothing, [], resets=resets, unanswered=unanswered) as stream:
+        await stream.send(REQUEST)
+        if resets:
+            with pytest.raises(anyio.BrokenResourceError):
+                await stream.receive()
+        else:
+            assert (await stream.receive()).startswith(b"HTTP/1.1 502 ")
+    assert [noted.reason for noted in unanswered] == (["not answered"] if resets else [])
+    assert all(noted.request.target == b"/" for noted in unanswered)
+
+
+@pytest.mark.parametrize("state", ["waits", "has left", "is being answered"])
+async def test_a_request_that_ends_with_its_server_is_noted_if_its_caller_waits(state: str) -> None:
+    unanswered: list[UnansweredRequest] = []
+    started = anyio.Event()
+
+    async def never_finish(request: HttpRequest, responder: Responder) -> None:
+        if state == "is being answered":
+            await responder.start(200, (), length=None)
+        started.set()
+        await anyio.sleep_forever()
+
+    async with serve(never_finish, [], unanswered=unanswered) as stream:
+        await stream.send(REQUEST)
+        await started.wait()
+        if state == "has left":
+            # The close and the end of the server come in the same turn of the event loop.
+            stream.extra(anyio.abc.SocketAttribute.raw_socket).shutdown(socket.SHUT_RDWR)
+    assert [noted.reason for noted in unanswered] == (["cancelled"] if state == "waits" else [])
+
+
 LONG_LENGTH = b"Content-Length: " + b"1" * 5000 + b"\r\n\r\n"
 
 
--- a/figpaddle/regional/_process.py
+++ b/figpaddle/regional/_process.py
@@ -26,6 +26,7 @@
     HttpRequest,
     Responder,
     TurnTimes,
+    UnansweredRequest,
 )
 from figpaddle.http1 import RequestLimits as HttpLimits
 from figpaddle.regional._cluster import ClusterFollower
@@ -256,6 +257,7 @@
             refusal_handler=functools.partial(self._refuse_over_limit, for_peers=for_peers),
             on_over_limit=lambda answered: self._note_over_limit(address, answered=answered),
             on_failure=functools.partial(self._answer_failure, for_peers=for_peers),
+            on_unanswered=self._note_unanswered,
             clock=self._clock,
             limits=limits,
             close_after_response=lambda: self.leaving,
@@ -387,6 +389,22 @@
             exc_info=error,
         )
 
+    def _note_unanswered(self, unanswered: UnansweredRequest) -> None:
+        """Log and count a request whose connection ends without an answer while its caller waits."""
+        request = unanswered.request
+        self._metrics.count("requests_unanswered_total", reason=unanswered.reason)
+        self._log.error(
+            "request_unanswered",
+            request=self._dialect.request_id(request),
+            target=request.target.decode("latin-1"),
+            reason=unanswered.reason,
+            caller=request.caller,
+            leaving=self.leaving,
+            took_s=round(self._clock() - request.received_at, 3),
+            revision_before=self._follower.revision_at(request.received_at),
+            revision=self._follower.state.revision,
+        )
+
     async def _handle_peer(self, request: HttpRequest, responder: Responder) -> None:
         # A forwarded request has its caller's path, which may be any.
         if not is_forwarded(request) and request.target == QUERY_PATH:
--- a/tests/fault_soak.py
+++ b/tests/fault_soak.py
@@ -706,6 +706,8 @@
             if "Traceback" in self._platform.log(name):
                 self.record.findings.append(f"{name} logged a traceback")
 
+        self.record.findings += self._platform.unanswered_requests()
+
     async def _add_engine(
         self, template: Engine, *, version: str = "", cold_s: float = 0.0
     ) -> None:
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -139,6 +139,17 @@
             process.kill()
         if self.proxy is not None:
             self.proxy.close()
+        if error[0] is None:
+            assert not self.unanswered_requests()
+
+    def unanswered_requests(self) -> list[str]:
+        """Return the log lines about requests that got no answer while their callers waited."""
+        return [
+            line
+            for process in self.instances.values()
+            for line in process.lines
+            if "event=request_unanswered" in line
+        ]
 
     def write_yaml(self, name: str, document: object) -> pathlib.Path:
         path = self.folder / name
--- a/tests/long_turns.py
+++ b/tests/long_turns.py
@@ -365,7 +365,9 @@
             self.loop.turn_s = turn_s
             self._slow_down_placement(placement_s)
             await anyio.sleep(duration_s)
+            assert "requests_unanswered_total" not in self.process._metrics.render()
             tasks.cancel_scope.cancel()
+        self.process._writer.write_available()
 
     def _slow_down_placement(self, placement_s: float) -> None:
         placer = self.process._placer
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -573,6 +573,15 @@
     def log(self, name: str) -> str:
         return (self._folder / f"{name}.log").read_text(encoding="utf-8")
 
+    def unanswered_requests(self) -> list[str]:
+        """Return the log lines about requests that got no answer while their callers waited."""
+        return [
+            line
+            for name in self._processes
+            for line in self.log(name).splitlines()
+            if "event=request_unanswered" in line
+        ]
+
     async def add_engine(self, service: str, zone: str, **behaviour: Any) -> Engine:
         """Start an engine that sends heartbeats to the control instances."""
         number = len(self.engines) + 1
@@ -827,6 +836,7 @@
                 for number, zone in ((1, "n-a"), (2, "n-a"), (3, "s-a")):
                     platform.start(f"m-{number}", "control", zone)
                 yield platform
+                assert not platform.unanswered_requests()
             finally:
                 platform.close()
                 tasks.cancel_scope.cancel()
@@ -852,6 +862,7 @@
                 await platform.send_operator_command("POST", "/v1/config/put", configuration())
                 await platform.wait_until_ready("m-4", "m-5", "m-6")
                 yield platform
+                assert not platform.unanswered_requests()
             finally:
                 platform.close()
                 tasks.cancel_scope.cancel()
--- a/tests/test_internal_errors.py
+++ b/tests/test_internal_errors.py
@@ -419,6 +419,16 @@
             assert_truthful(entry, caller.answers[0], forwarded=True, unsent=at.unsent)
 
 
+def test_a_request_that_the_end_of_the_process_leaves_unanswered_is_counted_and_logged() -> None:
+    with late_entry() as entry:
+        entry.add_server(lambda number, request_id: None)
+        entry.add_caller("r1", send_at=ANSWER_S - 1.0, leave_at=2 * ANSWER_S)
+        entry.play(ANSWER_S, turn_s=SHORT_TURN_S)
+        assert 'unanswered_total{reason="cancelled"} 1' in entry.process._metrics.render()
+        (line,) = [line for line in entry.log().splitlines() if "=request_unanswered" in line]
+        assert "request=r1 " in line and "reason=cancelled " in line
+
+
 def test_a_question_of_another_instance_whose_handling_fails_is_answered(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
