--- a/figpaddle/http1/_server.py
+++ b/figpaddle/http1/_server.py
@@ -22,9 +22,10 @@
 from figpaddle.http1._messages import Headers, HttpRequest, header, header_values
 from figpaddle.http1._request_limits import RequestLimits
 
-#: Time for which a half-closed connection is still read, seconds; unread bytes would cause a reset
-#: that destroys the response before the caller has read it.
-LINGER_TIMEOUT_S = 0.5
+#: Time without input after which a half-closed connection is closed, and the longest time for which it
+#: is read, seconds. Unread bytes would cause a reset that destroys the response before the caller has
+#: read it; the caller of a refused request may still be sending its body.
+LINGER_TIMEOUT_S, MAX_LINGER_S = 0.5, 10.0
 #: Reasons for which a request ends without an answer.
 CANCELLED, NOT_ANSWERED = "cancelled", "not answered"
 #: Body of the response to an invalid request.
@@ -422,9 +423,13 @@
             await responder.answer(status, ((b"Connection", b"close"),), EMPTY_BODY)
 
     async def _lingering_close(self) -> None:
-        if self._channel.peer_close is None and not self._channel.closed:
-            self._channel.finish_sending()
-            with anyio.move_on_after(LINGER_TIMEOUT_S):
-                while self._channel.peer_close is None:
-                    self._channel.read_buffered()
+        self._channel.finish_sending()
+        with anyio.move_on_after(MAX_LINGER_S):
+            while self._channel.peer_close is None:
+                self._channel.read_buffered()
+                with anyio.move_on_after(LINGER_TIMEOUT_S):
                     await self._channel.wait_for_input()
+                # In a busy process bytes may have come since the last poll.
+                self._channel.read_now()
+                if not self._channel.unread_bytes:
+                    return
--- a/tests/test_changes_beside_requests.py
+++ b/tests/test_changes_beside_requests.py
@@ -77,7 +77,11 @@
 class PieceCaller(Script):
     """Sends the pieces of one request, each at its time, on a connection that it opened before."""
 
-    def __init__(self, *, address: str, pieces: list[tuple[float, bytes]]) -> None:
+    def __init__(
+        self, *, address: str, pieces: list[tuple[float, bytes]], reads_after: float = 0.0
+    ) -> None:
+        self.send_errors: list[OSError] = []
+        self._reads_after = START_S + reads_after
         self.received = bytearray()
         self.closed = False
         self._address = address
@@ -90,11 +94,17 @@
         if self._socket is None:
             host, _, port = self._address.rpartition(":")
             self._socket = socket.create_connection((host, int(port)))
+            # The kernel's delays don't follow simulated time.
+            self._socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             self._socket.setblocking(False)
         while self._pieces and now >= START_S + self._pieces[0][0]:
-            with contextlib.suppress(OSError):
+            try:
                 self._socket.sendall(self._pieces[0][1])
+            except OSError as error:
+                self.send_errors.append(error)
             del self._pieces[0]
+        if now < self._reads_after:
+            return
         with contextlib.suppress(BlockingIOError):
             try:
                 data = self._socket.recv(READ_BYTES)
@@ -308,6 +318,51 @@
                 assert caller.status, (change, at, entry.log()[-2000:])
 
 
+#: Limits that a change raises or lowers.
+LOW_LIMITS = {
+    "heads": {"max_header_bytes": 60},
+    "bodies": {"max_body_bytes": 4},
+    "time for a head": {"header_timeout_ms": 150},
+    "idle time": {"idle_timeout_ms": 400},
+}
+#: Durations of the turns of an event loop that is more or less late, simulated seconds.
+TURNS_S = (SHORT_TURN_S, 0.07, 0.4)
+
+
+@pytest.mark.parametrize("turn_s", TURNS_S)
+@pytest.mark.parametrize("limit", ["heads", "bodies"])
+def test_a_caller_that_reads_after_it_has_sent_all_gets_the_refusal_of_a_long_request(
+    limit: str, turn_s: float
+) -> None:
+    """A limit was lowered that the caller doesn't know yet."""
+    # Guards against a reset while the caller still sends, which hides the refusal.
+    body = bytes(64 * 1024)
+    whole = head("/read/1", body=body) + body
+    size = len(whole) // 30 + 1
+    pieces = [(0.3 + 0.05 * number, whole[size * number :][:size]) for number in range(30)]
+    with late_entry() as entry:
+        entry.loop.scripts.append(Change(entry, with_limits(**LOW_LIMITS[limit]), at=0.1))
+        caller = PieceCaller(address=entry.address, pieces=pieces, reads_after=2.0)
+        entry.loop.scripts.append(caller)
+        entry.play(PLAY_S, turn_s=turn_s)
+        assert not caller.send_errors, (caller.send_errors, bytes(caller.received))
+        assert caller.status == (431 if limit == "heads" else 413), bytes(caller.received)
+
+
+def test_a_refused_request_without_end_is_given_up() -> None:
+    pieces = [(0.3 + 0.1 * number, bytes(100)) for number in range(150)]
+    request = head("/read/1", body=bytes(1 << 20))
+    with late_entry() as entry:
+        entry.loop.scripts.append(Change(entry, with_limits(**LOW_LIMITS["bodies"]), at=0.1))
+        pieces.insert(0, (0.3, request))
+        caller = PieceCaller(address=entry.address, pieces=pieces, reads_after=15.4)
+        entry.loop.scripts.append(caller)
+        entry.play(16.0, turn_s=SHORT_TURN_S)
+        assert caller.status == 413
+        # It was read for 10 s of 15.
+        assert 30 < len(caller.send_errors) < 55
+
+
 #: Descriptors with which a listener serves 64 connections.
 FEW_DESCRIPTORS = 100
 SERVED_CONNECTIONS, FURTHER_CONNECTIONS = 64, 16
@@ -331,13 +386,6 @@
     assert "event=connections_over_limit" in log
 
 
-#: Limits before a change that raises them.
-LOW_LIMITS = {
-    "heads": {"max_header_bytes": 60},
-    "bodies": {"max_body_bytes": 4},
-    "time for a head": {"header_timeout_ms": 150},
-    "idle time": {"idle_timeout_ms": 400},
-}
 #: When the pieces of a request are sent, around the change at 0.3 s that raises a limit, seconds.
 TIMES_AROUND_RAISE = {"after it": (0.7, 0.75), "around it": (0.25, 0.5)}
 
