--- a/tests/long_turns.py
+++ b/tests/long_turns.py
@@ -160,6 +160,16 @@
             if item[1] in self._connections:
                 item[1].sendall(item[2])
 
+    def send_now(self, request_id: str, data: bytes) -> None:
+        """Send more bytes of an answer; none end its connection."""
+        for connection, current in list(self._current.items()):
+            if current == request_id and connection in self._connections:
+                if data:
+                    connection.sendall(data)
+                else:
+                    del self._connections[connection], self._current[connection]
+                    connection.close()
+
     def close(self) -> None:
         for connection in (*self._connections, self._listener):
             connection.close()
@@ -357,6 +367,7 @@
                     slots=8,
                     warmup_s=0.0,
                     age_s=0.0,
+                    version="v1",
                 )
                 for server in self.servers
             )
--- a/tests/test_changes_beside_requests.py
+++ b/tests/test_changes_beside_requests.py
@@ -235,6 +235,14 @@
     return caller
 
 
+def play_caller(entry: LateEntry, pieces: list[tuple[float, bytes]]) -> PieceCaller:
+    """Play a caller beside servers and scripts that were added before."""
+    caller = PieceCaller(address=entry.address, pieces=pieces)
+    entry.loop.scripts.append(caller)
+    entry.play(PLAY_S, turn_s=SHORT_TURN_S)
+    return caller
+
+
 @pytest.mark.parametrize("servers", SERVERS)
 @pytest.mark.parametrize("change", CHANGES)
 def test_a_request_that_is_read_or_in_progress_at_a_change_is_answered(
@@ -325,10 +333,123 @@
     "time for a head": {"header_timeout_ms": 150},
     "idle time": {"idle_timeout_ms": 400},
 }
+
+
+class LateBytes(Script):
+    """Has each server send more of the answer to a request at a time, seconds from the end of the start."""
+
+    def __init__(self, entry: LateEntry, data: bytes, *, at: float) -> None:
+        self._entry = entry
+        self._data = data
+        self._at = START_S + at
+        self._is_done = False
+
+    def step(self, now: float) -> None:
+        if not self._is_done and now >= self._at:
+            self._is_done = True
+            for server in self._entry.servers:
+                server.send_now("r1", self._data)
+
+
+def chunk(data: bytes) -> bytes:
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+def event(number: int) -> bytes:
+    return b"id: %d\ndata: %d\n\n" % (number, number)
+
+
+STREAM_HEAD = (
+    b"HTTP/1.1 200 OK\r\nX-Figpaddle-Request-Id: r1\r\nX-Figpaddle-Server-Seal: seal\r\n"
+    b"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+)
+LAST_CHUNK = b"0\r\n\r\n"
+EVENTS = [event(number) for number in range(1, 6)]
+#: What ends the first attempt of a stream, after two of its events.
+BREAKS = {"the end of its connection": b"", "bytes that are no answer": b"zz\r\n"}
+
+
+@pytest.mark.parametrize("ending", BREAKS)
+@pytest.mark.parametrize("change", CHANGES)
+def test_a_stream_that_breaks_off_after_a_change_goes_on_by_the_old_configuration(
+    change: str, ending: str
+) -> None:
+    for change_at in (0.2, 0.5, 0.82, 0.95):
+        with late_entry() as entry:
+            attempts = 0
+
+            def answers(number: int, request_id: str) -> tuple[float, bytes]:
+                nonlocal attempts
+                attempts += 1
+                if attempts == 1:
+                    return (0.1, STREAM_HEAD + b"".join(map(chunk, EVENTS[:2])))
+                return (0.1, STREAM_HEAD + b"".join(map(chunk, EVENTS[2:])) + LAST_CHUNK)
+
+            settings = entry.process._settings
+            # Only an entry that starts for the first time has retries to spend at once.
+            entry.process._settings = dataclasses.replace(settings, first_start=True)
+            for _ in range(2):
+                entry.add_server(answers, service=MODEL_SERVICE)
+            entry.loop.scripts.append(Change(entry, CHANGES[change], at=change_at))
+            entry.loop.scripts.append(LateBytes(entry, BREAKS[ending], at=0.8))
+            request = head("/plan/1")
+            sent_at = 0.1 if change_at < 0.3 else 0.3
+            caller = play_caller(entry, [(sent_at, request)])
+            assert caller.status == 200, (change_at, entry.log()[-3000:])
+            assert all(caller.received.count(item) == 1 for item in EVENTS), caller.received
+            assert attempts == 2
+
+
 #: Durations of the turns of an event loop that is more or less late, simulated seconds.
 TURNS_S = (SHORT_TURN_S, 0.07, 0.4)
 
 
+class NextRequestCaller(PieceCaller):
+    """Sends a second request on its connection at a time, unless it has seen it closed by then."""
+
+    def __init__(self, *, address: str, first_at: float, second_at: float) -> None:
+        request = head("/read/1")
+        self.is_sent = False
+        self._second_at = START_S + second_at
+        super().__init__(address=address, pieces=[(first_at, request)])
+
+    def step(self, now: float) -> None:
+        if now >= self._second_at and not self.is_sent and not self.closed:
+            self.is_sent = not self._socket_has_end()
+            self._pieces += [(0.0, head("/read/1"))] if self.is_sent else []
+        super().step(now)
+
+    def _socket_has_end(self) -> bool:
+        assert self._socket is not None
+        with contextlib.suppress(BlockingIOError):
+            return not self._socket.recv(1, socket.MSG_PEEK)
+        return False
+
+
+@pytest.mark.parametrize("turn_s", TURNS_S)
+def test_a_request_that_comes_before_a_connection_is_closed_as_idle_is_answered(
+    turn_s: float,
+) -> None:
+    for changes_at in (0.05, 0.5):
+        is_sent = []
+        for offset in range(40):
+            with late_entry() as entry:
+                document = with_limits(idle_timeout_ms=400)
+                entry.loop.scripts.append(Change(entry, document, at=changes_at))
+                entry.add_server(lambda number, request_id: (0.01, whole_answer(request_id)))
+                caller = NextRequestCaller(
+                    address=entry.address, first_at=0.1, second_at=0.3 + offset * 0.11
+                )
+                entry.loop.scripts.append(caller)
+                entry.play(PLAY_S, turn_s=turn_s)
+                is_sent.append(caller.is_sent)
+                statuses = re.findall(rb"HTTP/1.1 (\d+) ", caller.received)
+                assert len(statuses) == 1 + caller.is_sent, (offset, entry.log()[-2000:])
+                # One that is read over a second late is refused.
+                assert set(statuses) <= ({b"200"} if turn_s < 0.1 else {b"200", b"503"})
+        assert any(is_sent) and (changes_at > 0.1 or not all(is_sent)), is_sent
+
+
 @pytest.mark.parametrize("turn_s", TURNS_S)
 @pytest.mark.parametrize("limit", ["heads", "bodies"])
 def test_a_caller_that_reads_after_it_has_sent_all_gets_the_refusal_of_a_long_request(
