--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -507,6 +507,14 @@
         """Create a file at the path of a process's data folder, so that it can't be used."""
         (self._folder / name).write_text("no folder", encoding="utf-8")
 
+    def settings(self, name: str) -> bytes:
+        """Return the settings file of a process."""
+        return (self._folder / f"{name}.conf").read_bytes()
+
+    def write_settings(self, name: str, text: bytes) -> None:
+        """Replace the settings file of a process."""
+        (self._folder / f"{name}.conf").write_bytes(text)
+
     def signal(self, name: str, number: signal.Signals) -> None:
         self._processes[name].send_signal(number)
 
--- a/tests/test_changes_beside_requests.py
+++ b/tests/test_changes_beside_requests.py
@@ -537,7 +537,7 @@
 
 
 #: Time for which processes are played, seconds.
-PROCESSES_PLAY_S = 12.0
+PROCESSES_PLAY_S, RELOADS_PLAY_S = 12.0, 10.0
 CALLERS = 12
 
 
@@ -646,6 +646,62 @@
     assert "event=internal_error" not in logs
 
 
+def with_setting(key: bytes, value: bytes) -> Callable[[bytes], bytes]:
+    return lambda text: re.sub(rb"(?m)^%s=.*$" % re.escape(key), b"%s=%s" % (key, value), text)
+
+
+SETTINGS_CHANGES: dict[str, Callable[[bytes], bytes]] = {
+    "the address of callers moved": with_setting(b"listen.front", b"127.0.0.1:9"),
+    "the ports of instances and metrics moved": with_setting(b"internal-ports", b"9,10"),
+    "another name, zone and region": with_setting(b"region", b"south"),
+    "cut short": lambda text: text[: len(text) // 2],
+    "no text": lambda text: b"\xff\xfe" + text,
+    "empty": lambda text: b"",
+    "odd seeds": with_setting(b"seeds", b"nowhere,:1,a.invalid:1,127.0.0.1"),
+    "as before": lambda text: text,
+}
+
+
+@pytest.mark.anyio
+async def test_reloads_beside_new_configurations_leave_no_whole_request_unanswered() -> None:
+    """After each change of its settings an entry gets the signal twice, beside two configurations."""
+    tally = Tally()
+    entries = ("m-4", "m-5", "m-6")
+    async with platform_deployment(engines=False) as platform:
+        await platform.add_engine(PLAIN_SERVICE, "s-a")
+        await platform.add_engine(MODEL_SERVICE, "n-a", event_count=20, event_interval_s=0.02)
+        await anyio.sleep(1.0)
+        settings = {name: platform.settings(name) for name in entries}
+        version = 1
+        async with anyio.create_task_group() as tasks:
+            ends_at = anyio.current_time() + RELOADS_PLAY_S
+            for number in range(6):
+                tasks.start_soon(call_until, platform, number, ends_at, tally)
+            for change in SETTINGS_CHANGES.values():
+                for name in entries:
+                    platform.write_settings(name, change(settings[name]))
+                for _ in range(2):
+                    for name in entries:
+                        platform.signal(name, signal.SIGHUP)
+                    version += 1
+                    document = random_configuration(version, random.Random(version))
+                    reply = await platform.send_operator_command("POST", "/v1/config/put", document)
+                    assert reply.status == 200
+                    await anyio.sleep(0.3)
+            assert anyio.current_time() < ends_at
+        assert not platform.ended()
+        metrics = (await platform.metrics("m-4", "/metrics")).body.decode()
+        logs = [platform.log(name) for name in entries]
+    assert not tally.unanswered, tally
+    assert tally.statuses[200] > 100, tally
+    assert "figpaddle_state_revision" in metrics
+    for log in logs:
+        assert "event=internal_error" not in log and "event=task_failed" not in log
+        # Signals that come in one turn count once.
+        assert log.count("event=settings_reloaded") >= len(SETTINGS_CHANGES) - 3
+        assert log.count("event=settings_not_reloaded") >= 3
+
+
 @pytest.fixture
 def anyio_backend() -> str:
     return "asyncio"
