--- a/figpaddle/regional/tests/test_voter_changes.py
+++ b/figpaddle/regional/tests/test_voter_changes.py
@@ -197,6 +197,38 @@
     assert simulate(functools.partial(run_schedule, seed)) == []
 
 
+async def run_first_start(seed: int) -> list[str]:
+    """Have an operator send versions to all instances from the start of a divided deployment."""
+    async with network(FOUNDERS, seed=seed) as simulated:
+        rng = simulated.rng
+        operator = Operator(simulated=simulated)
+        simulated.lost_share, simulated.late_share = rng.choice((0.0, 0.3)), rng.choice((0.0, 0.2))
+        simulated.groups = {name: rng.randrange(2) for name in FOUNDERS}
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(operator.run)
+            await anyio.sleep(rng.uniform(0.5, 9.0))
+            simulated.groups = {name: rng.randrange(2) for name in FOUNDERS}
+            await anyio.sleep(rng.uniform(0.5, 9.0))
+            simulated.groups = {}
+            simulated.lost_share = simulated.late_share = 0.0
+            await anyio.sleep(RECOVERY_S)
+            tasks.cancel_scope.cancel()
+        await anyio.sleep(CALL_TIMEOUT_S)
+        states = {instance.follower.state for instance in simulated.running.values()}
+        broken = operator.violations + [f"revision {item} differs" for item in simulated.forks]
+        if len(states) > 1 or max(state.version for state in states) < operator.confirmed:
+            broken.append(f"{states} at the end, {operator.confirmed} confirmed")
+        if not operator.confirmed:
+            broken.append("nothing was confirmed")
+        return broken
+
+
+@pytest.mark.parametrize("seed", range(SCHEDULES))
+def test_instances_that_start_divided_agree_on_one_newest_configuration(seed: int) -> None:
+    # Guards against an instance that stays at a first revision of its own.
+    assert simulate(functools.partial(run_first_start, seed)) == []
+
+
 def test_a_set_of_voters_that_changes_without_the_previous_ones_is_detected(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
