--- a/figpaddle/http1/_listener.py
+++ b/figpaddle/http1/_listener.py
@@ -54,8 +54,8 @@
     the limit, with whether its requests are answered.
     ``on_failure`` is told of handlers that raise an error or don't answer, and ``on_unanswered`` of requests
     that get no answer while their callers wait.
-    ``on_accept_error`` is called with the reason when a connection can't be accepted or served, for
-    example because its caller has reset it. ``arrived_after`` returns a time since when the bytes have come
+    ``on_accept_error`` is called with the reason when a connection can't be accepted, for example because
+    its caller has reset it, and ``on_connection_error`` with an error that ended a connection. ``arrived_after`` returns a time since when the bytes have come
     that are read now, by default the present one.
     """
 
@@ -74,6 +74,7 @@
         on_failure: FailureHandler = answer_as_unknown,
         on_unanswered: UnansweredHandler = lambda _: None,
         on_accept_error: Callable[[str], None] = lambda _: None,
+        on_connection_error: Callable[[Exception], None] = lambda _: None,
         arrived_after: Callable[[], float] | None = None,
     ) -> None:
         self._refusal_handler = refusal_handler
@@ -81,6 +82,7 @@
         self._on_failure = on_failure
         self._on_unanswered = on_unanswered
         self._on_accept_error = on_accept_error
+        self._on_connection_error = on_connection_error
         self._arrived_after = arrived_after or clock
         self._draining = False
         self._drain_requested = anyio.Event()
@@ -219,7 +221,7 @@
         except Exception as error:  # noqa: BLE001
             # An error at one connection must not end the listener with all others.
             channel.abort()
-            _call_contained(self._on_accept_error, f"{type(error).__name__}: {error}")
+            _call_contained(self._on_connection_error, error)
         finally:
             self._connections.discard(connection)
             self._refusing.discard(connection)
--- a/figpaddle/http1/tests/test_failing_callbacks.py
+++ b/figpaddle/http1/tests/test_failing_callbacks.py
@@ -55,6 +55,7 @@
         on_failure=fail_to_note,
         on_over_limit=fail,
         on_accept_error=fail,
+        on_connection_error=fail,
     )
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(listener.run)
--- a/figpaddle/regional/_process.py
+++ b/figpaddle/regional/_process.py
@@ -264,6 +264,7 @@
             ack_timeout_s=ack_timeout_s,
             max_connections=max(64, self._settings.max_descriptors - SPARE_DESCRIPTORS),
             on_accept_error=self._note_accept_error,
+            on_connection_error=lambda error: self._note_connection_error(address, error),
             arrived_after=lambda: self._turns.arrived_after(now=self._clock()),
         )
         assert self._tasks is not None
@@ -319,6 +320,11 @@
         self._metrics.count("connections_reset_early_total")
         self._log.debug("connection_reset_early", reason=reason)
 
+    def _note_connection_error(self, address: str, error: Exception) -> None:
+        """Log a fault of this process that reset a connection, with any request that was being read."""
+        self._metrics.count("connections_failed_total")
+        self._log.error("connection_failed", address=address, reason=repr(error), exc_info=error)
+
     def _note_over_limit(self, address: str, *, answered: bool) -> None:
         self._metrics.count("connections_over_limit_total", answered=str(answered))
         self._over_limit_count += 1
--- a/tests/long_turns.py
+++ b/tests/long_turns.py
@@ -376,7 +376,9 @@
             self.loop.turn_s = turn_s
             self._slow_down_placement(placement_s)
             await anyio.sleep(duration_s)
-            assert "requests_unanswered_total" not in self.process._metrics.render()
+            metrics = self.process._metrics.render()
+            assert "requests_unanswered_total" not in metrics, metrics
+            assert "connections_failed_total" not in metrics, metrics
             tasks.cancel_scope.cancel()
         self.process._writer.write_available()
 
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -582,12 +582,12 @@
         return (self._folder / f"{name}.log").read_text(encoding="utf-8")
 
     def unanswered_requests(self) -> list[str]:
-        """Return the log lines about requests that got no answer while their callers waited."""
+        """Return the log lines about requests that got no answer, or may have got none, while callers waited."""
         return [
             line
             for name in self._processes
             for line in self.log(name).splitlines()
-            if "event=request_unanswered" in line
+            if "event=request_unanswered" in line or "event=connection_failed" in line
         ]
 
     async def add_engine(self, service: str, zone: str, **behaviour: Any) -> Engine:
--- a/tests/test_internal_errors.py
+++ b/tests/test_internal_errors.py
@@ -22,7 +22,7 @@
     StorageError,
 )
 from figpaddle.http1 import Channel, ConnectionPool, Responder, ResponseHead, TurnTimes
-from figpaddle.regional import Bounds, ControlProcess, ProcessSettings
+from figpaddle.regional import Bounds, ControlProcess, EntryProcess, ProcessSettings
 from figpaddle.regional import _attempts as attempts
 from figpaddle.regional import _gateway as gateway
 from figpaddle.regional._cluster import ClusterFollower
@@ -419,6 +419,19 @@
             assert_truthful(entry, caller.answers[0], forwarded=True, unsent=at.unsent)
 
 
+def test_an_error_in_reading_a_request_is_counted_and_logged(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    with late_entry() as entry, monkeypatch.context() as patch:
+        fail_once(patch, EntryProcess, "_limits", KeyError("odd"))
+        with pytest.raises(ExceptionGroup) as caught:
+            play(entry, request(FAILED_ID))
+        # The check of simulated entries.
+        assert "connections_failed_total" in str(caught.value.exceptions[0])
+        assert "connections_failed_total 1" in entry.process._metrics.render()
+        assert "event=connection_failed" in entry.log()
+
+
 def test_a_request_that_the_end_of_the_process_leaves_unanswered_is_counted_and_logged() -> None:
     with late_entry() as entry:
         entry.add_server(lambda number, request_id: None)
