--- a/figpaddle/regional/_cluster.py
+++ b/figpaddle/regional/_cluster.py
@@ -98,7 +98,7 @@
 
     def install(self, state: ClusterState, *, source: str) -> None:
         """Install ``state`` if it is newer than the present one and its configuration is valid."""
-        if state.revision <= self._state.revision:
+        if not self._is_newer(state):
             return
         configuration = self._configuration
         if state.version != self._state.version:
@@ -127,6 +127,12 @@
         self._installed.set()
         self._installed = anyio.Event()
 
+    def _is_newer(self, state: ClusterState) -> bool:
+        if state.revision != self._state.revision:
+            return state.revision > self._state.revision
+        # Instances of earlier builds leave out the voters of a revision that they pass on.
+        return bool(state.voters) and not self._state.voters
+
     def _renew_voters(self, state: ClusterState) -> None:
         voters = state.previous_voters or state.voters
         if voters and voters != self._voters:
--- a/tests/test_cluster_follower.py
+++ b/tests/test_cluster_follower.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import json
 import random
 
@@ -58,6 +59,21 @@
     assert follower.configuration is not None and follower.configuration.version == 4
 
 
+async def test_voters_that_an_earlier_build_left_out_of_a_revision_are_taken_from_the_whole_one() -> (
+    None
+):
+    # Guards against an instance that counts with voters that were replaced.
+    follower = make_follower()
+    whole = make_state(3).with_voters(("10.0.0.2",), previous=("10.0.0.1",)).with_settled_voters()
+    follower.learn_voters(("10.0.0.1",))
+    follower.install(dataclasses.replace(whole, voters=()), source="earlier build")
+    assert follower.voters == ("10.0.0.1",)
+    follower.install(whole, source="majority")
+    assert follower.voters == ("10.0.0.2",) and follower.state == whole
+    follower.install(dataclasses.replace(whole, voters=()), source="earlier build")
+    assert follower.state == whole
+
+
 async def test_an_unreadable_revision_leaves_the_previous_one_in_force() -> None:
     follower = make_follower()
     readable = make_state(3)
