--- a/tests/test_changes_beside_requests.py
+++ b/tests/test_changes_beside_requests.py
@@ -77,7 +77,11 @@
 class PieceCaller(Script):
     """Sends the pieces of one request, each at its time, on a connection that it opened before."""
 
-    def __init__(self, *, address: str, pieces: list[tuple[float, bytes]]) -> None:
+    def __init__(
+        self, *, address: str, pieces: list[tuple[float, bytes]], reads_after: float = 0.0
+    ) -> None:
+        self.send_errors: list[OSError] = []
+        self._reads_after = START_S + reads_after
         self.received = bytearray()
         self.closed = False
         self._address = address
@@ -90,11 +94,17 @@
         if self._socket is None:
             host, _, port = self._address.rpartition(":")
             self._socket = socket.create_connection((host, int(port)))
+            # The kernel's delays don't follow simulated time.
+            self._socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             self._socket.setblocking(False)
         while self._pieces and now >= START_S + self._pieces[0][0]:
-            with contextlib.suppress(OSError):
+            try:
                 self._socket.sendall(self._pieces[0][1])
+            except OSError as error:
+                self.send_errors.append(error)
             del self._pieces[0]
+        if now < self._reads_after:
+            return
         with contextlib.suppress(BlockingIOError):
             try:
                 data = self._socket.recv(READ_BYTES)
@@ -225,6 +235,14 @@
     return caller
 
 
+def play_caller(entry: LateEntry, pieces: list[tuple[float, bytes]]) -> PieceCaller:
+    """Play a caller beside servers and scripts that were added before."""
+    caller = PieceCaller(address=entry.address, pieces=pieces)
+    entry.loop.scripts.append(caller)
+    entry.play(PLAY_S, turn_s=SHORT_TURN_S)
+    return caller
+
+
 @pytest.mark.parametrize("servers", SERVERS)
 @pytest.mark.parametrize("change", CHANGES)
 def test_a_request_that_is_read_or_in_progress_at_a_change_is_answered(
@@ -308,6 +326,164 @@
                 assert caller.status, (change, at, entry.log()[-2000:])
 
 
+#: Limits that a change raises or lowers.
+LOW_LIMITS = {
+    "heads": {"max_header_bytes": 60},
+    "bodies": {"max_body_bytes": 4},
+    "time for a head": {"header_timeout_ms": 150},
+    "idle time": {"idle_timeout_ms": 400},
+}
+
+
+class LateBytes(Script):
+    """Has each server send more of the answer to a request at a time, seconds from the end of the start."""
+
+    def __init__(self, entry: LateEntry, data: bytes, *, at: float) -> None:
+        self._entry = entry
+        self._data = data
+        self._at = START_S + at
+        self._is_done = False
+
+    def step(self, now: float) -> None:
+        if not self._is_done and now >= self._at:
+            self._is_done = True
+            for server in self._entry.servers:
+                server.send_now("r1", self._data)
+
+
+def chunk(data: bytes) -> bytes:
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+def event(number: int) -> bytes:
+    return b"id: %d\ndata: %d\n\n" % (number, number)
+
+
+STREAM_HEAD = (
+    b"HTTP/1.1 200 OK\r\nX-Figpaddle-Request-Id: r1\r\nX-Figpaddle-Server-Seal: seal\r\n"
+    b"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+)
+LAST_CHUNK = b"0\r\n\r\n"
+EVENTS = [event(number) for number in range(1, 6)]
+#: What ends the first attempt of a stream, after two of its events.
+BREAKS = {"the end of its connection": b"", "bytes that are no answer": b"zz\r\n"}
+
+
+@pytest.mark.parametrize("ending", BREAKS)
+@pytest.mark.parametrize("change", CHANGES)
+def test_a_stream_that_breaks_off_after_a_change_goes_on_by_the_old_configuration(
+    change: str, ending: str
+) -> None:
+    for change_at in (0.2, 0.5, 0.82, 0.95):
+        with late_entry() as entry:
+            attempts = 0
+
+            def answers(number: int, request_id: str) -> tuple[float, bytes]:
+                nonlocal attempts
+                attempts += 1
+                if attempts == 1:
+                    return (0.1, STREAM_HEAD + b"".join(map(chunk, EVENTS[:2])))
+                return (0.1, STREAM_HEAD + b"".join(map(chunk, EVENTS[2:])) + LAST_CHUNK)
+
+            settings = entry.process._settings
+            # Only an entry that starts for the first time has retries to spend at once.
+            entry.process._settings = dataclasses.replace(settings, first_start=True)
+            for _ in range(2):
+                entry.add_server(answers, service=MODEL_SERVICE)
+            entry.loop.scripts.append(Change(entry, CHANGES[change], at=change_at))
+            entry.loop.scripts.append(LateBytes(entry, BREAKS[ending], at=0.8))
+            request = head("/plan/1")
+            sent_at = 0.1 if change_at < 0.3 else 0.3
+            caller = play_caller(entry, [(sent_at, request)])
+            assert caller.status == 200, (change_at, entry.log()[-3000:])
+            assert all(caller.received.count(item) == 1 for item in EVENTS), caller.received
+            assert attempts == 2
+
+
+#: Durations of the turns of an event loop that is more or less late, simulated seconds.
+TURNS_S = (SHORT_TURN_S, 0.07, 0.4)
+
+
+class NextRequestCaller(PieceCaller):
+    """Sends a second request on its connection at a time, unless it has seen it closed by then."""
+
+    def __init__(self, *, address: str, first_at: float, second_at: float) -> None:
+        request = head("/read/1")
+        self.is_sent = False
+        self._second_at = START_S + second_at
+        super().__init__(address=address, pieces=[(first_at, request)])
+
+    def step(self, now: float) -> None:
+        if now >= self._second_at and not self.is_sent and not self.closed:
+            self.is_sent = not self._socket_has_end()
+            self._pieces += [(0.0, head("/read/1"))] if self.is_sent else []
+        super().step(now)
+
+    def _socket_has_end(self) -> bool:
+        assert self._socket is not None
+        with contextlib.suppress(BlockingIOError):
+            return not self._socket.recv(1, socket.MSG_PEEK)
+        return False
+
+
+@pytest.mark.parametrize("turn_s", TURNS_S)
+def test_a_request_that_comes_before_a_connection_is_closed_as_idle_is_answered(
+    turn_s: float,
+) -> None:
+    for changes_at in (0.05, 0.5):
+        is_sent = []
+        for offset in range(40):
+            with late_entry() as entry:
+                document = with_limits(idle_timeout_ms=400)
+                entry.loop.scripts.append(Change(entry, document, at=changes_at))
+                entry.add_server(lambda number, request_id: (0.01, whole_answer(request_id)))
+                caller = NextRequestCaller(
+                    address=entry.address, first_at=0.1, second_at=0.3 + offset * 0.11
+                )
+                entry.loop.scripts.append(caller)
+                entry.play(PLAY_S, turn_s=turn_s)
+                is_sent.append(caller.is_sent)
+                statuses = re.findall(rb"HTTP/1.1 (\d+) ", caller.received)
+                assert len(statuses) == 1 + caller.is_sent, (offset, entry.log()[-2000:])
+                # One that is read over a second late is refused.
+                assert set(statuses) <= ({b"200"} if turn_s < 0.1 else {b"200", b"503"})
+        assert any(is_sent) and (changes_at > 0.1 or not all(is_sent)), is_sent
+
+
+@pytest.mark.parametrize("turn_s", TURNS_S)
+@pytest.mark.parametrize("limit", ["heads", "bodies"])
+def test_a_caller_that_reads_after_it_has_sent_all_gets_the_refusal_of_a_long_request(
+    limit: str, turn_s: float
+) -> None:
+    """A limit was lowered that the caller doesn't know yet."""
+    # Guards against a reset while the caller still sends, which hides the refusal.
+    body = bytes(64 * 1024)
+    whole = head("/read/1", body=body) + body
+    size = len(whole) // 30 + 1
+    pieces = [(0.3 + 0.05 * number, whole[size * number :][:size]) for number in range(30)]
+    with late_entry() as entry:
+        entry.loop.scripts.append(Change(entry, with_limits(**LOW_LIMITS[limit]), at=0.1))
+        caller = PieceCaller(address=entry.address, pieces=pieces, reads_after=2.0)
+        entry.loop.scripts.append(caller)
+        entry.play(PLAY_S, turn_s=turn_s)
+        assert not caller.send_errors, (caller.send_errors, bytes(caller.received))
+        assert caller.status == (431 if limit == "heads" else 413), bytes(caller.received)
+
+
+def test_a_refused_request_without_end_is_given_up() -> None:
+    pieces = [(0.3 + 0.1 * number, bytes(100)) for number in range(150)]
+    request = head("/read/1", body=bytes(1 << 20))
+    with late_entry() as entry:
+        entry.loop.scripts.append(Change(entry, with_limits(**LOW_LIMITS["bodies"]), at=0.1))
+        pieces.insert(0, (0.3, request))
+        caller = PieceCaller(address=entry.address, pieces=pieces, reads_after=15.4)
+        entry.loop.scripts.append(caller)
+        entry.play(16.0, turn_s=SHORT_TURN_S)
+        assert caller.status == 413
+        # It was read for 10 s of 15.
+        assert 30 < len(caller.send_errors) < 55
+
+
 #: Descriptors with which a listener serves 64 connections.
 FEW_DESCRIPTORS = 100
 SERVED_CONNECTIONS, FURTHER_CONNECTIONS = 64, 16
@@ -331,13 +507,6 @@
     assert "event=connections_over_limit" in log
 
 
-#: Limits before a change that raises them.
-LOW_LIMITS = {
-    "heads": {"max_header_bytes": 60},
-    "bodies": {"max_body_bytes": 4},
-    "time for a head": {"header_timeout_ms": 150},
-    "idle time": {"idle_timeout_ms": 400},
-}
 #: When the pieces of a request are sent, around the change at 0.3 s that raises a limit, seconds.
 TIMES_AROUND_RAISE = {"after it": (0.7, 0.75), "around it": (0.25, 0.5)}
 
@@ -368,7 +537,7 @@
 
 
 #: Time for which processes are played, seconds.
-PROCESSES_PLAY_S = 12.0
+PROCESSES_PLAY_S, RELOADS_PLAY_S = 12.0, 10.0
 CALLERS = 12
 
 
@@ -477,6 +646,62 @@
     assert "event=internal_error" not in logs
 
 
+def with_setting(key: bytes, value: bytes) -> Callable[[bytes], bytes]:
+    return lambda text: re.sub(rb"(?m)^%s=.*$" % re.escape(key), b"%s=%s" % (key, value), text)
+
+
+SETTINGS_CHANGES: dict[str, Callable[[bytes], bytes]] = {
+    "the address of callers moved": with_setting(b"listen.front", b"127.0.0.1:9"),
+    "the ports of instances and metrics moved": with_setting(b"internal-ports", b"9,10"),
+    "another name, zone and region": with_setting(b"region", b"south"),
+    "cut short": lambda text: text[: len(text) // 2],
+    "no text": lambda text: b"\xff\xfe" + text,
+    "empty": lambda text: b"",
+    "odd seeds": with_setting(b"seeds", b"nowhere,:1,a.invalid:1,127.0.0.1"),
+    "as before": lambda text: text,
+}
+
+
+@pytest.mark.anyio
+async def test_reloads_beside_new_configurations_leave_no_whole_request_unanswered() -> None:
+    """After each change of its settings an entry gets the signal twice, beside two configurations."""
+    tally = Tally()
+    entries = ("m-4", "m-5", "m-6")
+    async with platform_deployment(engines=False) as platform:
+        await platform.add_engine(PLAIN_SERVICE, "s-a")
+        await platform.add_engine(MODEL_SERVICE, "n-a", event_count=20, event_interval_s=0.02)
+        await anyio.sleep(1.0)
+        settings = {name: platform.settings(name) for name in entries}
+        version = 1
+        async with anyio.create_task_group() as tasks:
+            ends_at = anyio.current_time() + RELOADS_PLAY_S
+            for number in range(6):
+                tasks.start_soon(call_until, platform, number, ends_at, tally)
+            for change in SETTINGS_CHANGES.values():
+                for name in entries:
+                    platform.write_settings(name, change(settings[name]))
+                for _ in range(2):
+                    for name in entries:
+                        platform.signal(name, signal.SIGHUP)
+                    version += 1
+                    document = random_configuration(version, random.Random(version))
+                    reply = await platform.send_operator_command("POST", "/v1/config/put", document)
+                    assert reply.status == 200
+                    await anyio.sleep(0.3)
+            assert anyio.current_time() < ends_at
+        assert not platform.ended()
+        metrics = (await platform.metrics("m-4", "/metrics")).body.decode()
+        logs = [platform.log(name) for name in entries]
+    assert not tally.unanswered, tally
+    assert tally.statuses[200] > 100, tally
+    assert "figpaddle_state_revision" in metrics
+    for log in logs:
+        assert "event=internal_error" not in log and "event=task_failed" not in log
+        # Signals that come in one turn count once.
+        assert log.count("event=settings_reloaded") >= len(SETTINGS_CHANGES) - 3
+        assert log.count("event=settings_not_reloaded") >= 3
+
+
 @pytest.fixture
 def anyio_backend() -> str:
     return "asyncio"
