--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import pathlib
-from collections.abc import Iterator
+from collections.abc import Generator, Iterator
 
 import pytest
 import yaml
@@ -15,6 +15,7 @@
     generate,
     read_answers,
 )
+from tests.failure_logs import note_failure
 from tests.fault_proxy import FaultProxy
 from tests.harness import Deployment
 
@@ -39,6 +40,17 @@
     )
 
 
+@pytest.hookimpl(wrapper=True)
+def pytest_runtest_makereport(
+    item: pytest.Item,
+) -> Generator[None, pytest.TestReport, pytest.TestReport]:
+    """Note a failure before the fixtures of its test are torn down."""
+    report = yield
+    if report.failed:
+        note_failure(item.nodeid)
+    return report
+
+
 @pytest.fixture
 def deployment(tmp_path: pathlib.Path) -> Iterator[Deployment]:
     """A deployment with the example configuration, before any process is started."""
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import datetime
 import itertools
 import json
 import os
@@ -35,6 +36,7 @@
     connect,
     header,
 )
+from tests.failure_logs import keep_logs
 
 ROOT = pathlib.Path(__file__).parent.parent
 #: Timeout of each wait for a condition or a response, seconds.
@@ -49,6 +51,8 @@
 PAUSE_S = 2.0
 #: Size of the pieces of an answer without end, bytes.
 ENDLESS_PIECE_BYTES = 16 * 1024
+#: How often the test's event loop is timed, and how late it is when that is recorded, seconds.
+LOOP_CHECK_INTERVAL_S, LATE_LOOP_S = 0.05, 0.2
 #: Lines in /proc/PID/status with the masks of the ignored and of the handled signals.
 SIGNAL_MASK_FIELDS = ("SigIgn:", "SigCgt:")
 #: Value of SO_LINGER with which closing a socket resets its connection.
@@ -393,6 +397,8 @@
         #: Control instances whose addresses processes get at their start.
         self.seeds = ("m-1", "m-2", "m-3")
         self._ids = itertools.count(1)
+        #: Replies to callers and late turns of the test's event loop, as lines of a log.
+        self._notes: list[str] = []
         self.engines: list[Engine] = []
         self._engine_listeners: list[EngineListener] = []
         #: Whether the request that crashes engines was refused as quarantined.
@@ -564,11 +570,29 @@
         """Return the names of the processes that have exited."""
         return [name for name, process in self._processes.items() if process.poll() is not None]
 
-    def close(self) -> None:
+    def close(self, *, raised: bool = False) -> None:
+        """End the processes, and keep their logs if the test failed."""
         for process in self._processes.values():
             if process.poll() is None:
                 process.kill()
             process.wait()
+        runs = [f"{engine.name} ran {engine.executed}" for engine in self.engines]
+        notes = "\n".join([*self._notes, *runs])
+        (self._folder / "test.log").write_text(notes, encoding="utf-8")
+        keep_logs(self._folder, raised=raised)
+
+    async def watch_loop(self) -> None:
+        """Record when the test's event loop, which serves engines and callers, is late."""
+        while True:
+            due_at = anyio.current_time() + LOOP_CHECK_INTERVAL_S
+            await anyio.sleep_until(due_at)
+            late_s = anyio.current_time() - due_at
+            if late_s > LATE_LOOP_S:
+                self._note(f"event_loop_late late_s={late_s:.3f}")
+
+    def _note(self, text: str) -> None:
+        now = datetime.datetime.now(datetime.UTC)
+        self._notes.append(f"{now:%H:%M:%S.%f} {text}")
 
     def log(self, name: str) -> str:
         return (self._folder / f"{name}.log").read_text(encoding="utf-8")
@@ -694,9 +718,12 @@
             *extra_headers,
         )
         address = self.connect_address(name, "front")
-        return request_id, await self._exchange(
+        self._note(f"sent request={request_id} entry={name} path={path}")
+        reply = await self._exchange(
             address, method, path, headers, body, caller, keep_partial=keep_partial
         )
+        self._note(f"reply request={request_id} status={reply.status} complete={reply.complete}")
+        return request_id, reply
 
     def caller_ip(self, number: int) -> str:
         """Return an IP address that no other caller and no process has."""
@@ -823,10 +850,14 @@
     with tempfile.TemporaryDirectory() as folder:
         async with anyio.create_task_group() as tasks:
             platform = PlatformDeployment(folder=pathlib.Path(folder), tasks=tasks)
+            tasks.start_soon(platform.watch_loop)
             try:
                 for number, zone in ((1, "n-a"), (2, "n-a"), (3, "s-a")):
                     platform.start(f"m-{number}", "control", zone)
                 yield platform
+            except BaseException:
+                platform.close(raised=True)
+                raise
             finally:
                 platform.close()
                 tasks.cancel_scope.cancel()
@@ -840,6 +871,7 @@
     with tempfile.TemporaryDirectory() as folder:
         async with anyio.create_task_group() as tasks:
             platform = make_deployment(folder=pathlib.Path(folder), tasks=tasks)
+            tasks.start_soon(platform.watch_loop)
             try:
                 for number, zone in ((1, "n-a"), (2, "n-a"), (3, "s-a")):
                     platform.start(f"m-{number}", "control", zone)
@@ -852,6 +884,9 @@
                 await platform.send_operator_command("POST", "/v1/config/put", configuration())
                 await platform.wait_until_ready("m-4", "m-5", "m-6")
                 yield platform
+            except BaseException:
+                platform.close(raised=True)
+                raise
             finally:
                 platform.close()
                 tasks.cancel_scope.cancel()
