--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -37,6 +37,7 @@
     header,
 )
 from tests.failure_logs import keep_logs
+from tests.socket_inodes import inode_of
 
 ROOT = pathlib.Path(__file__).parent.parent
 #: Timeout of each wait for a condition or a response, seconds.
@@ -364,11 +365,6 @@
         self._channel.finish_sending()
 
 
-def _proc_address(address: tuple[str, int]) -> str:
-    """Return an IPv4 address and a port as /proc/net/tcp writes them."""
-    return f"{int.from_bytes(socket.inet_aton(address[0]), 'little'):08X}:{address[1]:04X}"
-
-
 def _shared_parts(request: HttpRequest) -> list[str]:
     """Return the ids of the parts of a request's prompt without the last, which is its own."""
     parts = (header(request.headers, PROMPT_PARTS_HEADER) or b"").decode().split(",")
@@ -493,15 +489,10 @@
 
     def owner_of_end(self, peer: tuple[str, int], own: tuple[str, int]) -> str:
         """Return the process at the other end of a connection, by the inode of its socket."""
-        with contextlib.suppress(OSError):
-            ends = [_proc_address(peer), _proc_address(own)]
-            for line in pathlib.Path("/proc/net/tcp").read_text("ascii").splitlines()[1:]:
-                fields = line.split()
-                if fields[1:3] == ends:
-                    return self._owner_of_inode(fields[9])
-        return ""
+        inode = inode_of(peer, own)
+        return "" if inode is None else self._owner_of_inode(inode)
 
-    def _owner_of_inode(self, inode: str) -> str:
+    def _owner_of_inode(self, inode: int) -> str:
         for name, process in self._processes.items():
             for path in pathlib.Path(f"/proc/{process.pid}/fd").glob("*"):
                 with contextlib.suppress(OSError):
