--- a/tests/harness.py
+++ b/tests/harness.py
@@ -18,6 +18,7 @@
 import yaml
 
 from figpaddle.deployment import key_digest
+from tests.failure_logs import keep_logs
 from tests.fault_proxy import FaultProxy
 
 DEPLOYMENT_KEY = "a key that all instances of this test share"
@@ -122,6 +123,8 @@
         self._proxied_addresses: dict[tuple[str, str], str] = {}
         self.instances: dict[str, Process] = {}
         self.backends: dict[str, Process] = {}
+        #: All processes that got ready, those that were replaced by a restart included.
+        self._started: list[Process] = []
         self.ledger_holders = {region: [f"{region}-1"] for region in REGIONS}
         self._voting_from: dict[str, datetime.datetime] = {}
         #: Folders of instances that run another build.
@@ -139,6 +142,10 @@
             process.kill()
         if self.proxy is not None:
             self.proxy.close()
+        for process in self._started:
+            log = self.folder / f"{process.name}-{process.popen.pid}.log"
+            log.write_text("\n".join(process.lines), encoding="utf-8")
+        keep_logs(self.folder, raised=error[0] is not None)
 
     def write_yaml(self, name: str, document: object) -> pathlib.Path:
         path = self.folder / name
@@ -208,6 +215,7 @@
             }
         process = self._start_before_vote(name, document)
         self.instances[name] = process
+        self._started.append(process)
         if self.proxy is not None:
             for port in ("peers", "callers"):
                 self.proxy.set_target(name, port, process.ready_fields[port])
@@ -256,6 +264,7 @@
         if self.proxy is not None:
             self.proxy.set_target(name, "http", process.ready_fields["address"])
         self.backends[name] = process
+        self._started.append(process)
         return process
 
 
