--- a/figpaddle/ledger/_holder.py
+++ b/figpaddle/ledger/_holder.py
@@ -32,6 +32,8 @@
 PAGE_SIZE_BYTES = 512 * 1024
 #: Estimated size of a record without its answer's body, bytes.
 RECORD_OVERHEAD_BYTES = 256
+#: Abandoned attempts that a recovering slot remembers; further ones keep their keys until they expire.
+MAX_ABANDONED_ATTEMPTS = 4096
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -96,6 +98,8 @@
         self._known_incarnations: dict[str, int] = {}
         #: For each recovering slot, its incarnation and the keys of the records to send to it.
         self._recovery_snapshots: dict[str, tuple[int, tuple[RecordKey, ...]]] = {}
+        #: Attempts that were abandoned during a recovery, whose records may have been read before.
+        self._abandoned_attempts: set[tuple[RecordKey, str]] = set()
 
     @property
     def voting(self) -> bool:
@@ -156,6 +160,7 @@
         if not never_voted_before and not lost_records_expired:
             return HolderOutput()
         self._voting = True
+        self._abandoned_attempts.clear()
         return HolderOutput(store=(self._state_entry(),))
 
     def raise_incarnation(self, at_least: int) -> None:
@@ -173,6 +178,8 @@
             return HolderOutput()
         for source in sources:
             for record in source.records:
+                if not record.finished and (record.key, record.attempt) in self._abandoned_attempts:
+                    continue
                 existing = self._records.get(record.key)
                 self._records[record.key] = (
                     record if existing is None else _merge_records(existing, record)
@@ -183,6 +190,7 @@
                     self._known_incarnations[vote.slot] = newest_known
         self._records = dict(sorted(self._records.items(), key=lambda item: item[1].begun_at))
         self._voting = True
+        self._abandoned_attempts.clear()
         records = tuple(StoredRecord(record=record) for record in self._records.values())
         known_entries = tuple(
             StoredIncarnation(known=vote) for vote in self._known_slot_incarnations()
@@ -245,6 +253,8 @@
         return HolderOutput(store=(StoredRecord(record=kept),), reply=LedgerKept(kept=True))
 
     def _abandon(self, abandon: LedgerAbandon) -> HolderOutput:
+        if not self._voting and len(self._abandoned_attempts) < MAX_ABANDONED_ATTEMPTS:
+            self._abandoned_attempts.add((abandon.key, abandon.attempt))
         existing = self._records.get(abandon.key)
         if existing is None or existing.finished or existing.attempt != abandon.attempt:
             return HolderOutput(reply=LedgerKept(kept=False))
--- a/figpaddle/ledger/tests/test_holder.py
+++ b/figpaddle/ledger/tests/test_holder.py
@@ -180,6 +180,37 @@
     assert verdict(holder, begin_request(attempt), now=60.0) is expected
 
 
+def recover(holder: Holder, *records: LedgerRecord) -> None:
+    known = (SlotVote(slot="b", incarnation=3),)
+    holder.recover_from(
+        (
+            RecoverySource(slot="b", records=records, known=known),
+            RecoverySource(slot="c", records=(), known=()),
+        )
+    )
+    assert holder.voting
+
+
+def test_key_that_is_released_during_a_recovery_is_not_taken_again_by_records_read_before() -> None:
+    # Guards against refusals of a request whose attempt was given up while another slot was read.
+    holder = recovering_holder()
+    holder.handle(LedgerAbandon(key=KEY, attempt="one"), now=60.0)
+    recover(holder, record("one", begun_at=59.0))
+    assert verdict(holder, begin_request("two"), now=61.0) is Verdict.ACCEPTED
+
+
+@pytest.mark.parametrize(
+    ("attempt", "finished"), [("two", False), ("one", True)], ids=["another's", "finished"]
+)
+def test_other_records_are_recovered_although_an_attempt_was_given_up(
+    attempt: str, finished: bool
+) -> None:
+    holder = recovering_holder()
+    holder.handle(LedgerAbandon(key=KEY, attempt="one"), now=60.0)
+    recover(holder, record(attempt, finished=finished, begun_at=59.0))
+    assert verdict(holder, begin_request("three"), now=61.0) is Verdict.CONFLICT
+
+
 def test_recovered_records_are_stored_before_the_entry_that_allows_voting() -> None:
     store = recovering_holder().recover_from((source("b", record("x")), source("c"))).store
     assert [type(entry).__name__ for entry in store] == ["StoredRecord", "StoredMemory"]
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -6,6 +6,7 @@
 import pathlib
 import shutil
 import signal
+import time
 from collections.abc import Callable, Iterator
 
 import httpx
@@ -21,6 +22,10 @@
 WITH_DISK = ("seoul-1", "seoul-2")
 BACKEND = "seoul-records"
 BACKEND_DELAY_MS = "1500"
+#: Delay of a link by which a vote and the release of its key are apart, seconds.
+LINK_DELAY_S = 0.1
+#: Callers that send at a time while a slot recovers, and for how long, seconds.
+SENDERS, REFUSED_FOR_S = 6, 1.5
 
 
 @pytest.fixture(scope="module")
@@ -278,6 +283,42 @@
     assert (run_count(region, "second"), run_count(region, "second-new")) == (1, 1)
 
 
+def test_requests_refused_beside_a_recovery_run_when_they_are_sent_again(
+    region: Deployment,
+) -> None:
+    # Guards against keys that stay taken because the recovering slot read them at another slot
+    # between the vote of that slot and the release of the key.
+    assert region.proxy is not None
+    region.instances["seoul-2"].kill()
+    region.proxy.delay("seoul-1", "seoul-3", LINK_DELAY_S)
+    restart(region, "seoul-1", wipe=True)
+    refused = send_until(region, "seoul-1", seconds=REFUSED_FOR_S)
+    assert set(refused.values()) == {503}
+    region.proxy.delay("seoul-1", "seoul-3", 0.0)
+    start(region, "seoul-2")
+    wait_until_slots_ready(region)
+    again = {key: send_filing(region, "seoul-1", key).status_code for key in refused}
+    assert set(again.values()) == {201}, again
+    assert {run_count(region, key) for key in again} == {1}
+
+
+def send_until(region: Deployment, entry: str, *, seconds: float) -> dict[str, int]:
+    """Send filings at one entry, each with its own key, for some time; return their statuses."""
+    ends_at = time.monotonic() + seconds
+    statuses: dict[str, int] = {}
+
+    def send_some(sender: int) -> None:
+        number = 0
+        while time.monotonic() < ends_at:
+            key = f"beside-{sender}-{number}"
+            statuses[key] = send_filing(region, entry, key).status_code
+            number += 1
+
+    with concurrent.futures.ThreadPoolExecutor(SENDERS) as pool:
+        list(pool.map(send_some, range(SENDERS)))
+    return statuses
+
+
 def test_power_loss_of_the_region_loses_no_record(region: Deployment) -> None:
     assert send_filing(region, "seoul-3", "power").status_code == 201
     for name in LEDGER_SLOTS:
