--- a/tests/fault_soak.py
+++ b/tests/fault_soak.py
@@ -84,6 +84,8 @@
 COLD_PER_S, COLD_S = 3.0, 3.0
 #: Time from the first statement until brittle engines may fall over, seconds.
 BRITTLE_NOTICE_S = 6.0
+#: Time within which a process that was just started ignores or handles SIGHUP, seconds.
+SIGHUP_NOTICE_S = 1.0
 #: Interval at which the lateness of the test's own event loop is measured, seconds.
 TURN_CHECK_INTERVAL_S = 0.02
 CONTROLS, ENTRIES = ("m-1", "m-2", "m-3"), ("m-4", "m-5", "m-6")
@@ -126,6 +128,7 @@
     def save_logs(self, folder: pathlib.Path, lines: list[str]) -> None:
         """Copy the logs to ``folder`` and write ``lines`` to a file beside them."""
         folder.mkdir(parents=True, exist_ok=True)
+        self._write_notes()
         for path in self._folder.glob("*.log"):
             (folder / path.name).write_bytes(path.read_bytes())
         (folder / "findings.txt").write_text("\n".join(lines), encoding="utf-8")
@@ -303,6 +306,10 @@
     async def _reload(self, rng: random.Random, duration_s: float) -> None:
         for _ in range(4):
             name = rng.choice(CONTROLS + ENTRIES)
+            # Before the first lines of the program have run, the signal ends its interpreter.
+            with anyio.move_on_after(SIGHUP_NOTICE_S), contextlib.suppress(FileNotFoundError):
+                while not self._platform.handles_sighup(name):
+                    await anyio.sleep(0.005)
             if name not in self._restarting:
                 self._platform.rewrite_settings(name)
                 self._platform.signal(name, signal.SIGHUP)
@@ -802,7 +809,12 @@
             run = SoakRun(seed=seed, platform=platform, proxy=proxy, pool=pool)
             run.configure_engines()
             await platform.send_operator_command("POST", "/v1/config/put", run.configuration(2))
-            findings = await run.run()
+            try:
+                findings = await run.run()
+            except Exception as error:
+                if log_folder is not None:
+                    platform.save_logs(log_folder / f"seed-{seed}", [*run.history, repr(error)])
+                raise
             if findings and log_folder is not None:
                 platform.save_logs(log_folder / f"seed-{seed}", [*run.history, *findings])
             tasks.cancel_scope.cancel()
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -393,7 +393,8 @@
         #: Control instances whose addresses processes get at their start.
         self.seeds = ("m-1", "m-2", "m-3")
         self._ids = itertools.count(1)
-        #: Replies to callers and late turns of the test's event loop, as lines of a log.
+        #: Starts and signals of processes, replies to callers and late turns of the test's event loop,
+        #: as lines of a log.
         self._notes: list[str] = []
         self.engines: list[Engine] = []
         self._engine_listeners: list[EngineListener] = []
@@ -416,6 +417,7 @@
 
     def start(self, name: str, role: str, zone: str, *, first: bool = True) -> None:
         """Start a process that writes its log to a file in the deployment's folder."""
+        self._note(f"start process={name}")
         self._roles[name] = (role, zone)
         control = role == "control"
         seeds = ",".join(self.address(seed, "control") for seed in self.seeds)
@@ -505,6 +507,8 @@
         (self._folder / name).write_text("no folder", encoding="utf-8")
 
     def signal(self, name: str, number: signal.Signals) -> None:
+        exit_code = self._processes[name].poll()
+        self._note(f"signal process={name} signal={number.name} exit_code={exit_code}")
         self._processes[name].send_signal(number)
 
     def handles_sighup(self, name: str) -> bool:
@@ -567,9 +571,7 @@
             if process.poll() is None:
                 process.kill()
             process.wait()
-        runs = [f"{engine.name} ran {engine.executed}" for engine in self.engines]
-        notes = "\n".join([*self._notes, *runs])
-        (self._folder / "test.log").write_text(notes, encoding="utf-8")
+        self._write_notes()
         keep_logs(self._folder, raised=raised)
 
     async def watch_loop(self) -> None:
@@ -581,6 +583,11 @@
             if late_s > LATE_LOOP_S:
                 self._note(f"event_loop_late late_s={late_s:.3f}")
 
+    def _write_notes(self) -> None:
+        runs = [f"{engine.name} ran {engine.executed}" for engine in self.engines]
+        notes = "\n".join([*self._notes, *runs])
+        (self._folder / "test.log").write_text(notes, encoding="utf-8")
+
     def _note(self, text: str) -> None:
         now = datetime.datetime.now(datetime.UTC)
         self._notes.append(f"{now:%H:%M:%S.%f} {text}")
