--- a/figpaddle/regional/_contact_watch.py
+++ b/figpaddle/regional/_contact_watch.py
@@ -56,7 +56,7 @@
         """Check whenever a check is due, until cancelled."""
         while True:
             addresses = self._addresses()
-            if self._contact.needs_check(servers=len(addresses), now=self._clock()):
+            if self._contact.needs_check(servers=addresses, now=self._clock()):
                 await self._check(addresses)
             await anyio.sleep(WATCH_INTERVAL_S)
 
@@ -77,7 +77,7 @@
     async def _check(self, addresses: dict[str, str]) -> None:
         was_cut_off = self._contact.cut_off
         reached = await self._reaches_any(addresses, hold_s=CHECK_HOLD_S)
-        self._contact.note_check(reached=reached, now=self._clock())
+        self._contact.note_check(servers=addresses, reached=reached, now=self._clock())
         self._metrics.count("contact_checks_total", reached=str(reached))
         if self._contact.cut_off != was_cut_off:
             write = self._log.warning if self._contact.cut_off else self._log.info
@@ -85,8 +85,13 @@
             self._on_change()
 
     async def _reaches_any(self, addresses: dict[str, str], *, hold_s: float) -> bool:
-        """Return whether one of a few servers, drawn at random, accepts and keeps a connection."""
-        names = self._rng.sample(sorted(addresses), min(CHECKED_SERVERS, len(addresses)))
+        """Return whether one of a few servers accepts and keeps a connection.
+
+        They are drawn at random, those that are new since the last check first.
+        """
+        unchecked = self._contact.unchecked(addresses)
+        names = self._rng.sample(sorted(addresses), len(addresses))
+        names = sorted(names, key=lambda name: name not in unchecked)[:CHECKED_SERVERS]
         reached = False
         async with anyio.create_task_group() as tasks:
 
--- a/figpaddle/regional/tests/test_cut_off_placement.py
+++ b/figpaddle/regional/tests/test_cut_off_placement.py
@@ -81,7 +81,7 @@
             age_s=0.0,
         )
         placer.fleet.apply(record, now=network.now)
-    placer.contact.note_check(reached=False, now=network.now)
+    placer.contact.note_check(servers=(), reached=False, now=network.now)
     return placer
 
 
--- a/figpaddle/routing/_backend_contact.py
+++ b/figpaddle/routing/_backend_contact.py
@@ -25,9 +25,9 @@
 
     >>> contact = BackendContact()
     >>> contact.note_unreached("e1", now=0.0); contact.note_unreached("e2", now=0.1)
-    >>> contact.needs_check(servers=5, now=0.1)
+    >>> contact.needs_check(servers=["e1", "e2"], now=0.1)
     True
-    >>> contact.note_check(reached=False, now=0.5)
+    >>> contact.note_check(servers=["e1", "e2"], reached=False, now=0.5)
     >>> contact.cut_off
     True
     """
@@ -43,6 +43,8 @@
         #: When bytes of an answer last came from each server.
         self._heard_at: dict[str, float] = {}
         self._checked_at = float("-inf")
+        #: Servers that were known at the last check.
+        self._known_at_check: frozenset[str] = frozenset()
 
     @property
     def cut_off(self) -> bool:
@@ -82,22 +84,32 @@
         """Record that a server didn't accept a connection or lost one."""
         self._unreached_at[name] = now
 
-    def needs_check(self, *, servers: int, now: float) -> bool:
-        """Return whether a check is due; ``servers`` is the number of servers of the region."""
+    def unchecked(self, servers: Collection[str]) -> set[str]:
+        """Return those of ``servers`` that weren't known yet at the last check."""
+        return set(servers) - self._known_at_check
+
+    def needs_check(self, *, servers: Collection[str], now: float) -> bool:
+        """Return whether a check is due; ``servers`` are the servers of the region.
+
+        A server that is new since the entry became cut off may have replaced the only one, whose
+        crash looked like a cut, so it is checked at once.
+        """
         if not servers:
             return False
         if self.cut_off:
-            return now - self._checked_at >= CUT_CHECK_INTERVAL_S
+            is_due = now - self._checked_at >= CUT_CHECK_INTERVAL_S
+            return is_due or bool(self.unchecked(servers))
         if now - self._checked_at < CHECK_INTERVAL_S:
             return False
         failed = {
             name for name, at in self._unreached_at.items() if now - at <= UNREACHED_TTL_S
         } | {name for name, at in self._unanswered_since.items() if now - at >= SILENCE_S}
-        return len(failed) >= min(MIN_UNREACHED, servers)
+        return len(failed) >= min(MIN_UNREACHED, len(servers))
 
-    def note_check(self, *, reached: bool, now: float) -> None:
-        """Record the result of a check that ends now."""
+    def note_check(self, *, servers: Collection[str], reached: bool, now: float) -> None:
+        """Record the result of a check that ends now and began when ``servers`` were known."""
         self._checked_at = now
+        self._known_at_check = frozenset(servers)
         if reached:
             self._unreached_at.clear()
             self._unanswered_since.clear()
