--- a/figpaddle/regional/tests/test_reserved_places.py
+++ b/figpaddle/regional/tests/test_reserved_places.py
@@ -26,7 +26,7 @@
 async def placer_in_contact(*, servers: int) -> Placer:
     """Return the placer of an entry that reaches its backend servers."""
     placer = await cut_off_placer(warmups_s=(0.0,) * servers)
-    placer.contact.note_check(reached=True, now=START_S)
+    placer.contact.note_check(servers=(), reached=True, now=START_S)
     return placer
 
 
