--- a/figpaddle/regional/_placer.py
+++ b/figpaddle/regional/_placer.py
@@ -645,8 +645,14 @@
         return choose(context.demand(now=now), [], remote_regions, rng=self._rng, now=now)
 
     def _needs_neighbour(self, backend: FleetBackend) -> bool:
-        """Return whether this entry reaches a backend server only through another entry."""
-        return self._contact.cut_off and not self._has_working_connection(backend)
+        """Return whether this entry reaches a backend server only through another entry.
+
+        A check of the others says nothing of one that has joined since: it may take the place of the only
+        one, whose crash looked like a cut.
+        """
+        if not self._contact.cut_off or self._contact.unchecked([backend.name]):
+            return False
+        return not self._has_working_connection(backend)
 
     def _has_working_connection(self, backend: FleetBackend) -> bool:
         return self._contact.keeps_connections and bool(self._pool.idle_count(backend.address))
--- a/figpaddle/regional/tests/test_cut_off_placement.py
+++ b/figpaddle/regional/tests/test_cut_off_placement.py
@@ -32,6 +32,22 @@
     return "asyncio"
 
 
+def server_record(number: int, *, warmup_s: float) -> BackendRecord:
+    """Return the record of a backend server in region north that has just started."""
+    return BackendRecord(
+        name=f"i-{number}",
+        born=1,
+        sequence=1,
+        service="draft",
+        address=f"10.3.0.{number}:80",
+        zone="north-a",
+        state=BackendState.SERVING,
+        slots=4,
+        warmup_s=warmup_s,
+        age_s=0.0,
+    )
+
+
 async def cut_off_placer(*, warmups_s: tuple[float, ...]) -> Placer:
     """Return the placer of a cut-off entry in region north, whose servers stay cold for these times."""
     network = Network(seed=1)
@@ -68,20 +84,9 @@
     )
     await network.run(START_S)
     for number, warmup_s in enumerate(warmups_s):
-        record = BackendRecord(
-            name=f"i-{number}",
-            born=1,
-            sequence=1,
-            service="draft",
-            address=f"10.3.0.{number}:80",
-            zone="north-a",
-            state=BackendState.SERVING,
-            slots=4,
-            warmup_s=warmup_s,
-            age_s=0.0,
-        )
-        placer.fleet.apply(record, now=network.now)
-    placer.contact.note_check(servers=(), reached=False, now=network.now)
+        placer.fleet.apply(server_record(number, warmup_s=warmup_s), now=network.now)
+    names = [f"i-{number}" for number in range(len(warmups_s))]
+    placer.contact.note_check(servers=names, reached=False, now=network.now)
     return placer
 
 
@@ -115,3 +120,11 @@
 async def test_a_cut_off_entry_has_a_neighbour_use_cold_servers_if_no_other_place_is_left() -> None:
     placer = await cut_off_placer(warmups_s=(COLD_S, COLD_S, COLD_S))
     assert place(placer, request(home_regions=("north",))) == "north"
+
+
+async def test_a_server_that_has_joined_since_the_last_check_gets_requests_at_once() -> None:
+    # Guards against refusals where the crash of a region's only server looked like a cut.
+    placer = await cut_off_placer(warmups_s=(0.0,))
+    placer.fleet.apply(server_record(1, warmup_s=0.0), now=START_S)
+    choice = placer.place(request(home_regions=("north",)))
+    assert choice is not None and choice.backend is not None and choice.backend.name == "i-1"
