--- a/figpaddle/http1/_listener.py
+++ b/figpaddle/http1/_listener.py
@@ -55,8 +55,9 @@
     ``on_failure`` is told of handlers that raise an error or don't answer, and ``on_unanswered`` of requests
     that get no answer while their callers wait.
     ``on_accept_error`` is called with the reason when a connection can't be accepted, for example because
-    its caller has reset it, and ``on_connection_error`` with an error that ended a connection. ``arrived_after`` returns a time since when the bytes have come
-    that are read now, by default the present one.
+    its caller has reset it, and ``on_connection_error`` with an error that ended a connection.
+    ``arrived_after`` returns a time since when the bytes have come that are read now, by default the
+    present one.
     """
 
     def __init__(
--- a/figpaddle/regional/_attempts.py
+++ b/figpaddle/regional/_attempts.py
@@ -529,6 +529,8 @@
             context.confined_by = self._quarantine.suspect_digest(context.traits)
             choice = self._next_place(context, present, entry)
             obstacle = self._obstacle(context, choice, responder, silent_since)
+            if not obstacle and not self._take_retry(context.service.name):
+                obstacle = "no repeat left"
             if choice is not None and not obstacle:
                 self._placer.reserve(context, choice)
                 context.left_silent_server = True
@@ -545,7 +547,7 @@
         responder: Responder,
         silent_since: float,
     ) -> str:
-        """Return why ``choice`` may not go on with a silent request, or charge the budget and return ""."""
+        """Return why a request that is silent here can't go on at ``choice``; empty if it can."""
         now = self._clock()
         if responder.started and not context.last_event:
             return "no event ids"
@@ -566,7 +568,7 @@
             return "common silence"
         if not self._may_begin(context, choice, responder):
             return "stopping"
-        return "" if self._take_retry(context.service.name) else "no repeat left"
+        return ""
 
     def _next_place(self, context: RequestContext, present: Choice, entry: str) -> Choice | None:
         """Return the place of the attempt after the one at ``present``, which ``entry`` may serve."""
