--- a/figpaddle/deployment/__init__.py
+++ b/figpaddle/deployment/__init__.py
@@ -53,6 +53,12 @@
     MemberPart,
     VersionedConfiguration,
 )
+from figpaddle.deployment._workspaces import (
+    QuotaUnit,
+    Workspace,
+    WorkspaceQuota,
+    digest_key,
+)
 
 __all__ = [
     "EMPTY_STATE",
@@ -78,14 +84,18 @@
     "MemberConfiguration",
     "MemberPart",
     "PolicyWeights",
+    "QuotaUnit",
     "ServiceAnswers",
     "ServiceConfiguration",
     "ServiceKind",
     "StaticClientDirectory",
     "Verdict",
     "VersionedConfiguration",
+    "Workspace",
+    "WorkspaceQuota",
     "configuration_from_plain",
     "configuration_to_plain",
+    "digest_key",
     "encode_change",
     "faults_of",
     "generate",
--- a/figpaddle/deployment/_gateway_routes.py
+++ b/figpaddle/deployment/_gateway_routes.py
@@ -6,6 +6,8 @@
 import enum
 import functools
 
+from figpaddle.deployment._workspaces import Workspace
+
 
 class Repeat(enum.Enum):
     """Whether a request with an unknown outcome may be retried."""
@@ -46,6 +48,8 @@
     services: tuple[tuple[str, int], ...]
     #: Regions that may serve it; empty for all regions.
     home_regions: tuple[str, ...]
+    #: Whether callers need no key, where the configuration has workspaces.
+    public: bool = False
 
     def allows(self, region: str) -> bool:
         """Return whether requests may be served in ``region``."""
@@ -94,6 +98,8 @@
     routes: tuple[GatewayRoute, ...]
     services: tuple[GatewayService, ...]
     limits: GatewayLimits
+    #: Empty where callers need no keys.
+    workspaces: tuple[Workspace, ...] = ()
 
     @functools.cached_property
     def _by_host(self) -> dict[str, list[GatewayRoute]]:
--- a/figpaddle/regional/_settings.py
+++ b/figpaddle/regional/_settings.py
@@ -26,6 +26,16 @@
     cold_slack: float = 3.0
     #: Longest time for which callers cache an answer of the entry lookup, seconds.
     lookup_ttl_s: float = 5.0
+    #: Window of the quotas of workspaces, seconds.
+    quota_window_s: float = 8.0
+    #: Fraction by which a workspace may exceed its quota in a window, and the cost beyond that, summed over
+    #: all entries.
+    quota_overshoot: float = 0.1
+    quota_slack: float = 0.0
+    #: Whether an entry out of contact with the control instances refuses callers that need a key.
+    fail_closed: bool = False
+    #: Time within which a removed key has no effect any more where that is so, seconds.
+    revoke_s: float = 5.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
