--- a/figpaddle/coordination/_rosters.py
+++ b/figpaddle/coordination/_rosters.py
@@ -37,6 +37,7 @@
         relays=heartbeat.relays,
         cut_off=heartbeat.cut_off,
         states_offers=heartbeat.states_offers,
+        states_workspaces=heartbeat.states_workspaces,
     )
 
 
@@ -208,6 +209,7 @@
         relays=member.relays,
         cut_off=member.cut_off,
         states_offers=member.states_offers,
+        states_workspaces=member.states_workspaces,
         relayed=member.relays,
     )
 
--- a/figpaddle/coordination/tests/test_rosters.py
+++ b/figpaddle/coordination/tests/test_rosters.py
@@ -15,7 +15,7 @@
 #: Number of random histories.
 HISTORIES = 40
 #: Truth values of a heartbeat that a roster carries.
-CAPABILITIES = ("keeps_stream_versions", "relays", "cut_off", "states_offers")
+CAPABILITIES = ("keeps_stream_versions", "relays", "cut_off", "states_offers", "states_workspaces")
 
 
 def make_maker(incarnation: int = 1) -> RosterMaker:
--- a/figpaddle/deployment/__init__.py
+++ b/figpaddle/deployment/__init__.py
@@ -54,6 +54,7 @@
     VersionedConfiguration,
 )
 from figpaddle.deployment._workspaces import (
+    DEFAULT_WORKSPACE_PRIORITY,
     QuotaUnit,
     Workspace,
     WorkspaceQuota,
@@ -61,6 +62,7 @@
 )
 
 __all__ = [
+    "DEFAULT_WORKSPACE_PRIORITY",
     "EMPTY_STATE",
     "ClusterState",
     "GatewayConfiguration",
--- a/figpaddle/deployment/_gateway_routes.py
+++ b/figpaddle/deployment/_gateway_routes.py
@@ -5,7 +5,14 @@
 import dataclasses
 import enum
 import functools
-
+import hmac
+
+from figpaddle.deployment._effective_routes import (
+    PriorityPair,
+    effective_route,
+    priority_pair,
+    rank_priorities,
+)
 from figpaddle.deployment._workspaces import Workspace
 
 
@@ -117,9 +124,76 @@
         priorities: dict[str, set[int]] = {}
         for route in self.routes:
             for service, _ in route.services:
-                priorities.setdefault(service, set()).add(route.priority)
+                priorities.setdefault(service, set()).update(self._priorities_on(route))
         return {service: tuple(sorted(found)) for service, found in priorities.items()}
 
+    @functools.cached_property
+    def _workspaces_by_digest(self) -> dict[bytes, tuple[bytes, Workspace]]:
+        return {
+            digest: (digest, workspace)
+            for workspace in self.workspaces
+            for digest in workspace.key_digests
+        }
+
+    @functools.cached_property
+    def _workspaces_by_name(self) -> dict[str, Workspace]:
+        return {workspace.name: workspace for workspace in self.workspaces}
+
+    @functools.cached_property
+    def _ranks(self) -> dict[PriorityPair, int]:
+        return rank_priorities(pair for route in self.routes for pair in self._pairs_on(route))
+
+    @functools.cached_property
+    def _effective_routes(self) -> dict[tuple[str, str, str], GatewayRoute | None]:
+        # By host, path prefix and workspace.
+        return {}
+
+    def _pairs_on(self, route: GatewayRoute) -> set[PriorityPair]:
+        workspaces = (None,) if route.public else self.workspaces
+        return {priority_pair(route, workspace) for workspace in workspaces}
+
+    def _priorities_on(self, route: GatewayRoute) -> set[int]:
+        """Return the priorities of the requests on a route."""
+        if not self.workspaces:
+            return {route.priority}
+        return {self._ranks[pair] for pair in self._pairs_on(route)}
+
+    def workspace_for(self, key_digest: bytes) -> Workspace | None:
+        """Return the workspace of which a caller has a key, or None."""
+        found = self._workspaces_by_digest.get(key_digest)
+        if found is None or not hmac.compare_digest(found[0], key_digest):
+            return None
+        return found[1]
+
+    def workspace(self, name: str) -> Workspace | None:
+        """Return the workspace called ``name``, or None."""
+        return self._workspaces_by_name.get(name)
+
+    def effective_route(
+        self, route: GatewayRoute, workspace: Workspace | None
+    ) -> GatewayRoute | None:
+        """Return a route of this configuration as it applies to requests that it allows.
+
+        ``workspace`` is None on public routes. Where both have homes, both bind; None if they leave no
+        region. Without workspaces it is the route itself.
+        """
+        if not self.workspaces:
+            return route
+        key = (route.host, route.path_prefix, "" if workspace is None else workspace.name)
+        cache = self._effective_routes
+        if key not in cache:
+            priority = self._ranks[priority_pair(route, workspace)]
+            cache[key] = effective_route(route, workspace, priority=priority)
+        return cache[key]
+
+    def needs_workspace(self, route_name: str) -> bool:
+        """Return whether callers need a key on the route called ``route_name``, if there is one."""
+        return bool(self.workspaces) and route_name not in self._public_routes
+
+    @functools.cached_property
+    def _public_routes(self) -> frozenset[str]:
+        return frozenset(route.name for route in self.routes if route.public)
+
     def route_for(self, host: str, path: str) -> GatewayRoute | None:
         """Return the route of ``host`` with the longest prefix of ``path``, or None."""
         for route in self._by_host.get(host, ()):
@@ -132,5 +206,5 @@
         return self._services.get(name)
 
     def priorities_of(self, service: str) -> tuple[int, ...]:
-        """Return the priorities of the routes that use a service, the most urgent first."""
+        """Return the priorities of the requests for a service, the most urgent first."""
         return self._priorities.get(service, ())
--- a/figpaddle/deployment/_workspaces.py
+++ b/figpaddle/deployment/_workspaces.py
@@ -8,6 +8,8 @@
 
 #: Size of the digest of a caller's key, bytes.
 KEY_DIGEST_BYTES = 16
+#: Priority of requests whose workspace has none, and of those without a workspace.
+DEFAULT_WORKSPACE_PRIORITY = 5
 
 
 class QuotaUnit(enum.Enum):
@@ -52,13 +54,17 @@
     name: str
     #: Digests of its keys; the keys themselves aren't kept.
     key_digests: frozenset[bytes] = frozenset()
-    #: Priority, which goes before that of a route; 0 is the most urgent. None for no priority of its own.
+    #: Priority, which goes before that of a route; 0 is the most urgent. None for the default.
     priority: int | None = None
     #: Regions that may serve its requests; empty for all regions.
     home_regions: tuple[str, ...] = ()
     #: None for no limit.
     quota: WorkspaceQuota | None = None
 
+    def allows(self, region: str) -> bool:
+        """Return whether its requests may be served in ``region``."""
+        return not self.home_regions or region in self.home_regions
+
 
 def digest_key(key: bytes) -> bytes:
     """Return the digest by which a caller's key is compared and kept."""
--- a/figpaddle/regional/_backend_attempts.py
+++ b/figpaddle/regional/_backend_attempts.py
@@ -78,6 +78,7 @@
                 remaining_s=remaining_s,
                 priority=context.route.priority,
                 last_event=context.last_event,
+                workspace=context.workspace_name,
             ),
             connect_timeout_s=min(BACKEND_CONNECT_TIMEOUT_S, context.remaining_s(now=now)),
             first_byte_timeout_s=_first_byte_timeout_s(context, choice, attempts),
--- a/figpaddle/regional/_dialect.py
+++ b/figpaddle/regional/_dialect.py
@@ -32,6 +32,8 @@
     last_event: str
     #: Identifier of the request that brought the first event of that stream; empty if it names none.
     resumed_request: str = ""
+    #: Digest of the key that the caller presented; empty without one. The key itself isn't kept.
+    key_digest: bytes = b""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -144,6 +146,10 @@
     def read_request(self, request: HttpRequest) -> CallerRequest:
         """Decode a caller's request; raises InvalidRequestError."""
 
+    @abc.abstractmethod
+    def without_identity(self, headers: Headers) -> Headers:
+        """Return the header fields without the caller's key and any workspace that it states."""
+
     @abc.abstractmethod
     def backend_headers(
         self,
@@ -153,8 +159,12 @@
         remaining_s: float,
         priority: int,
         last_event: str,
+        workspace: str = "",
     ) -> Headers:
-        """Return the header fields with which a request is sent to the backend server ``backend``."""
+        """Return the header fields with which a request is sent to the backend server ``backend``.
+
+        ``workspace`` is the name of the workspace to state; empty to state none.
+        """
 
     @abc.abstractmethod
     def read_answer(self, head: ResponseHead) -> BackendAnswer:
--- a/figpaddle/regional/_entry.py
+++ b/figpaddle/regional/_entry.py
@@ -171,6 +171,7 @@
             entry_counts=self._mesh.entry_counts(),
             keeps_stream_versions=True,
             states_offers=True,
+            states_workspaces=True,
             cut_off=self._placer.contact.cut_off,
             relays=True,
             relayed=self._relaying.enabled,
--- a/figpaddle/regional/_forwarded_attempts.py
+++ b/figpaddle/regional/_forwarded_attempts.py
@@ -146,6 +146,7 @@
                 suspect=context.confined_by,
                 takes_turns=True,
                 answer_s=answer_s,
+                workspace=context.workspace_name,
             )
             return forwarding_headers(context.request, terms)
 
--- a/figpaddle/regional/_forwarding.py
+++ b/figpaddle/regional/_forwarding.py
@@ -82,6 +82,8 @@
     takes_turns: bool = False
     #: Time until the end of the answer by what the sender has measured, seconds; None if it doesn't know.
     answer_s: float | None = None
+    #: Name of the workspace of which the caller had a key; empty if it needed none.
+    workspace: str = ""
 
 
 def encode_terms(terms: ForwardingTerms) -> bytes:
@@ -117,6 +119,7 @@
         "suspect": terms.suspect,
         "takes_turns": terms.takes_turns,
         "answer_s": terms.answer_s,
+        "workspace": terms.workspace,
     }
     return (cbor2.dumps(fields) + cbor2.dumps(later_fields)).hex().encode()
 
@@ -170,6 +173,7 @@
             suspect=_optional_bytes(later_fields.get("suspect")),
             takes_turns=bool(later_fields.get("takes_turns", False)),
             answer_s=_optional_float(later_fields.get("answer_s")),
+            workspace=_text(later_fields.get("workspace", "")),
         )
     except (
         cbor2.CBORDecodeError,
@@ -200,6 +204,13 @@
     return value
 
 
+def _text(value: object) -> str:
+    """Return a text as it is; raises MalformedRequestError."""
+    if not isinstance(value, str):
+        raise MalformedRequestError(what="the workspace is no text", status=400)
+    return value
+
+
 def _decode_sequence(data: bytes) -> list[Any]:
     """Return the items of a CBOR sequence."""
     stream = io.BytesIO(data)
--- a/figpaddle/regional/_gateway.py
+++ b/figpaddle/regional/_gateway.py
@@ -11,7 +11,7 @@
 
 import anyio
 
-from figpaddle.deployment import GatewayConfiguration, GatewayRoute, GatewayService, Repeat
+from figpaddle.deployment import GatewayConfiguration, GatewayService, Repeat, Workspace
 from figpaddle.errors import InvalidRequestError, MalformedRequestError
 from figpaddle.http1 import ConnectionPool, Headers, HttpRequest, Responder, header
 from figpaddle.regional._attempts import AttemptRunner
@@ -44,10 +44,13 @@
 from figpaddle.routing import (
     ALIVE_S,
     CLOSE_RESERVE_S,
+    AccessRefusal,
+    CallerAccess,
     Choice,
     RetryCharge,
     SharedRetryBudget,
     TransitTimes,
+    decide_access,
     is_announced,
     jittered_retry_after,
     may_begin,
@@ -190,7 +193,16 @@
         if route is None:
             await self._refuse_unrouted(caller, responder, 404, "no route")
             return None
-        context = self._new_context(request, caller, route, configuration)
+        access = decide_access(
+            configuration, route, caller.key_digest, keys_are_current=self._keys_are_current()
+        )
+        if isinstance(access, AccessRefusal):
+            await self._refuse_unrouted(
+                caller, responder, access.status, access.reason, workspace=access.workspace
+            )
+            return None
+        request = self._without_identity(request, configuration)
+        context = self._new_context(request, caller, access, configuration)
         if context is None:
             await self._refuse_unrouted(caller, responder, 503, "no such service")
             return None
@@ -204,6 +216,7 @@
         try:
             terms = decode_terms(request)
             request = dataclasses.replace(request, headers=without_terms(request.headers))
+            request = self._without_identity(request, self._follower.configuration)
             caller = self._dialect.read_request(request)
         except (MalformedRequestError, InvalidRequestError) as error:
             self._log.warning("hop_invalid", reason=str(error))
@@ -219,6 +232,7 @@
             service=terms.service,
             revision=terms.revision,
             deadline_at=sent_after + terms.left_s,
+            workspace=self._stated_workspace(terms),
             origin=terms.origin,
             attempts_left=terms.attempts,
             last_event=terms.last_event,
@@ -262,13 +276,41 @@
             received_at=request.received_at + boot_offset_s,
         )
 
+    def _keys_are_current(self) -> bool:
+        """Return whether a key that was taken away would be known to be so, where that matters."""
+        bounds = self._settings.bounds
+        if not bounds.fail_closed:
+            return True
+        return self._clock() - self._placer.voters_heard_at() <= bounds.revoke_s
+
+    def _without_identity(
+        self, request: HttpRequest, configuration: GatewayConfiguration | None
+    ) -> HttpRequest:
+        """Return a request without a key or workspace of its caller's, unless none matter here."""
+        if configuration is not None and not configuration.workspaces:
+            return request
+        headers = self._dialect.without_identity(request.headers)
+        return dataclasses.replace(request, headers=headers)
+
+    def _stated_workspace(self, terms: ForwardingTerms) -> Workspace | None:
+        """Return the workspace that the entry which accepted a request found, as this one knows it.
+
+        The configuration here may be an older one without it, or a newer one.
+        """
+        if not terms.workspace:
+            return None
+        configuration = self._follower.configuration
+        known = None if configuration is None else configuration.workspace(terms.workspace)
+        return known or Workspace(name=terms.workspace)
+
     def _new_context(
         self,
         request: HttpRequest,
         caller: CallerRequest,
-        route: GatewayRoute,
+        access: CallerAccess,
         configuration: GatewayConfiguration,
     ) -> RequestContext | None:
+        route = access.route
         names, weights = zip(*route.services, strict=True)
         service = configuration.service(self._rng.choices(names, weights=weights)[0])
         if service is None:
@@ -283,6 +325,7 @@
             service=service,
             revision=self._follower.state.revision,
             deadline_at=request.arrived_after + min(caller_timeout_s, route.timeout_s),
+            workspace=access.workspace,
             attempts_left=max(1, route.max_attempts),
             last_event=caller.last_event,
             goes_on=bool(caller.last_event),
@@ -325,11 +368,20 @@
             context.revision, timeout_s=REVISION_WAIT_S
         ):
             reason = "cluster state older than the sender's"
+        elif self._lacks_workspace(context):
+            reason = "workspace not stated"
         else:
             return True
         await self._refuse(context, responder, reason, self._retry_after_s(DEFAULT_RETRY_AFTER_S))
         return False
 
+    def _lacks_workspace(self, context: RequestContext) -> bool:
+        """Return whether an entry that knows no workspaces has forwarded a request that needs one."""
+        configuration = self._follower.configuration
+        if context.workspace is not None or configuration is None:
+            return False
+        return configuration.needs_workspace(context.route.name)
+
     async def _answer_interrupted(self, context: RequestContext, responder: Responder) -> None:
         """Answer a request that this process can't keep until its end."""
         if responder.started:
@@ -736,11 +788,14 @@
         status: int,
         reason: str,
         retry_after_s: float = STARTUP_RETRY_AFTER_S,
+        *,
+        workspace: str = "",
     ) -> None:
         self._log.warning(
             "request_ended",
             request=caller.request_id,
             host=caller.host,
+            workspace=workspace,
             outcome=f"refused: {reason}",
             revision=self._follower.state.revision,
             version=self._follower.state.version,
@@ -775,6 +830,7 @@
             request=context.request_id,
             route=context.route.name,
             service=context.service.name,
+            workspace=context.workspace_name,
             outcome=outcome,
             attempts=context.attempt,
             priority=context.route.priority,
--- a/figpaddle/regional/_placer.py
+++ b/figpaddle/regional/_placer.py
@@ -167,6 +167,10 @@
         """Which places are offered requests whose server is silent."""
         return self._offer_limits
 
+    def voters_heard_at(self) -> float:
+        """Return the last moment since which a majority of the voters was heard that hear this entry."""
+        return self._region_entries.voters_heard_at()
+
     def backend_addresses(self) -> dict[str, str]:
         """Return the addresses of the backend servers of the region by name."""
         return self._fleet.addresses(region_zones=self._settings.zones_of_region, now=self._clock())
@@ -505,8 +509,9 @@
         """Return the name of an entry of a region that accepts requests and reaches its servers, or None.
 
         A stream that has begun goes only to an entry whose build keeps it at its version, and an offer only
-        to one whose build states that it has sent the request on: any other uses up an attempt. Entries that have
-        the revision of the cluster state that the request rests on come first, since others may refuse it.
+        to one whose build states that it has sent the request on: any other uses up an attempt. One of a workspace
+        goes only to an entry whose build reads which. Entries that have the revision of the cluster state that the
+        request rests on come first, since others may refuse it.
         """
         usable = accepting(
             heartbeat
@@ -515,6 +520,7 @@
             and heartbeat.name not in context.entries_tried
             and (context.version is None or heartbeat.keeps_stream_versions)
             and (heartbeat.states_offers or not is_offer)
+            and (heartbeat.states_workspaces or context.workspace is None)
         )
         current = [item for item in usable if item.revision >= context.revision]
         names = [heartbeat.name for heartbeat in current or usable]
--- a/figpaddle/regional/_region_entries.py
+++ b/figpaddle/regional/_region_entries.py
@@ -36,12 +36,12 @@
             self._shares = self._census.update(
                 self._mesh.known_entries(region),
                 self._mesh.stated_counts(region),
-                voters_heard_at=self._voters_heard_at(),
+                voters_heard_at=self.voters_heard_at(),
                 now=now,
             )
         return self._shares
 
-    def _voters_heard_at(self) -> float:
+    def voters_heard_at(self) -> float:
         """Return the last moment since which a majority of the voters was heard that hear this entry.
 
         The others divide the limits without an entry that no majority hears.
--- a/figpaddle/regional/_request_context.py
+++ b/figpaddle/regional/_request_context.py
@@ -8,7 +8,7 @@
 import hashlib
 from typing import TYPE_CHECKING
 
-from figpaddle.deployment import GatewayRoute, GatewayService, Repeat
+from figpaddle.deployment import GatewayRoute, GatewayService, Repeat, Workspace
 from figpaddle.http1 import HttpClientConnection, HttpRequest, ResponseHead
 from figpaddle.regional._dialect import BackendAnswer, CallerRequest
 from figpaddle.routing import Demand, Process, RequestTraits
@@ -97,12 +97,15 @@
 
     request: HttpRequest
     caller: CallerRequest
+    #: The route as it applies to the workspace.
     route: GatewayRoute
     service: GatewayService
     #: Revision of the cluster state on which the decisions rest.
     revision: int
     #: Deadline of the final answer, seconds of the monotonic clock.
     deadline_at: float
+    #: The workspace of which the caller had a key; None if it needed none.
+    workspace: Workspace | None = None
     #: Region of the entry that forwarded the request; empty if it came from a caller.
     origin: str = ""
     #: Digest of the request at the entry that accepted it; empty if that is this one, or runs a build
@@ -198,6 +201,11 @@
         """Identifier that the caller gave."""
         return self.caller.request_id
 
+    @property
+    def workspace_name(self) -> str:
+        """Name of the workspace; empty for none."""
+        return "" if self.workspace is None else self.workspace.name
+
     @property
     def attempt_key(self) -> str:
         """Identifier of the last attempt that was begun, within this process."""
--- a/figpaddle/routing/__init__.py
+++ b/figpaddle/routing/__init__.py
@@ -13,6 +13,7 @@
 from figpaddle.routing._boot_clock import boot_time
 from figpaddle.routing._brittle_servers import BrittleServers
 from figpaddle.routing._byte_budget import ByteBudget
+from figpaddle.routing._caller_access import AccessRefusal, CallerAccess, decide_access
 from figpaddle.routing._crash_quarantine import CrashQuarantine, QuarantineVerdict
 from figpaddle.routing._crash_reports import CrashReports
 from figpaddle.routing._demand import (
@@ -109,6 +110,9 @@
 from figpaddle.routing._zone_work import OwnWorkHistory, newest_limits, peer_load, sum_work
 
 __all__ = [
+    "AccessRefusal",
+    "CallerAccess",
+    "decide_access",
     "ALIVE_S",
     "ASKED_AHEAD_S",
     "ASKED_PER_REGION",
--- a/figpaddle/routing/_entry_lookup.py
+++ b/figpaddle/routing/_entry_lookup.py
@@ -22,9 +22,12 @@
 def unrestricted_regions(
     configuration: GatewayConfiguration, regions: frozenset[str]
 ) -> frozenset[str]:
-    """Return the regions whose entry instances may handle requests of every route."""
+    """Return the regions whose entry instances may handle requests of every route and workspace."""
     return frozenset(
-        region for region in regions if all(route.allows(region) for route in configuration.routes)
+        region
+        for region in regions
+        if all(route.allows(region) for route in configuration.routes)
+        and all(workspace.allows(region) for workspace in configuration.workspaces)
     )
 
 
--- a/figpaddle/wire/_regional_messages.py
+++ b/figpaddle/wire/_regional_messages.py
@@ -125,6 +125,8 @@
     keeps_stream_versions: bool = False
     #: Whether the sender's build states that it has sent on a request which it is only offered.
     states_offers: bool = False
+    #: Whether the sender's build reads the workspace of a request that is forwarded to it.
+    states_workspaces: bool = False
     #: Whether it is an entry that reaches no backend server.
     cut_off: bool = False
     #: Whether the sender's build understands the messages of relays.
--- a/figpaddle/wire/_relay_messages.py
+++ b/figpaddle/wire/_relay_messages.py
@@ -44,11 +44,14 @@
     cut_off: bool = False
     #: Whether its build states that it has sent on a request which it is only offered.
     states_offers: bool = False
+    #: Whether its build reads the workspace of a request that is forwarded to it.
+    states_workspaces: bool = False
 
     def row(self) -> RosterRow:
         """Return the fields in the form that a roster carries."""
         flags = self.founding | self.keeps_stream_versions << 1 | self.relays << 2
         flags |= self.cut_off << 3 | self.states_offers << 4
+        flags |= self.states_workspaces << 5
         return (
             self.name,
             self.incarnation,
@@ -81,6 +84,7 @@
             relays=bool(flags & 4),
             cut_off=bool(flags & 8),
             states_offers=bool(flags & 16),
+            states_workspaces=bool(flags & 32),
         )
 
 
