--- a/figpaddle/regional/tests/simulated_instances.py
+++ b/figpaddle/regional/tests/simulated_instances.py
@@ -194,6 +194,7 @@
         self.readiness = Readiness.READY
         self.cut_off = False
         self.states_offers = True
+        self.states_workspaces = True
         self.revision = 0
         #: Whether it runs a build from before relays.
         self.before_relays = before_relays
@@ -302,6 +303,7 @@
             entry_counts=() if self.before_relays else self.mesh.entry_counts(),
             cut_off=self.cut_off,
             states_offers=self.states_offers,
+            states_workspaces=self.states_workspaces,
             relays=not self.before_relays,
             relayed=self.relaying.enabled,
         )
--- a/figpaddle/regional/tests/test_cut_off_placement.py
+++ b/figpaddle/regional/tests/test_cut_off_placement.py
@@ -9,6 +9,7 @@
 import pytest
 import structlog
 
+from figpaddle.deployment import Workspace
 from figpaddle.http1 import ConnectionPool
 from figpaddle.regional._cluster import ClusterFollower
 from figpaddle.regional._dialect import Dialect
@@ -57,12 +58,14 @@
 ) -> Placer:
     """Return the placer of a cut-off entry in region north, whose servers stay cold for these times.
 
-    The entries of ``earlier_regions`` state nothing of requests that they are offered.
+    The entries of ``earlier_regions`` run a build that states nothing of requests that they are offered, and
+    reads no workspaces.
     """
     network = Network(seed=1)
     instances = make_instances(network, count)
     for instance in instances:
         instance.states_offers = instance.settings.region not in earlier_regions
+        instance.states_workspaces = instance.states_offers
     entry = next(
         item
         for item in instances
@@ -139,6 +142,15 @@
     assert place(placer, request(home_regions=("north",))) == "north"
 
 
+async def test_a_request_of_a_workspace_goes_to_no_entry_of_a_build_that_reads_none() -> None:
+    placer = await cut_off_placer(warmups_s=(COLD_S,), earlier_regions=("east",))
+    new = request()
+    assert placer.pick_entry("east", new) is not None
+    new.workspace = Workspace(name="desk")
+    assert placer.pick_entry("east", new) is None
+    assert placer.pick_entry("south", new) is not None
+
+
 async def test_a_server_that_has_joined_since_the_last_check_gets_requests_at_once() -> None:
     # Guards against refusals where the crash of a region's only server looked like a cut.
     placer = await cut_off_placer(warmups_s=(0.0,))
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -13,7 +13,7 @@
 from boot_settings import read_settings  # isort: skip
 from wire_dialect import PlatformDialect  # isort: skip
 
-from figpaddle.deployment import Repeat
+from figpaddle.deployment import QuotaUnit, Repeat, WorkspaceQuota
 from figpaddle.errors import InvalidRequestError, SettingsError
 from figpaddle.http1 import Headers, HttpRequest, ResponseHead, header, with_header
 from figpaddle.regional import (
@@ -470,3 +470,79 @@
 def test_a_missing_settings_file_is_a_settings_error(tmp_path: pathlib.Path) -> None:
     with pytest.raises(SettingsError):
         read_settings(tmp_path / "missing")
+
+
+TENANTS = [
+    {"name": "desk", "api-keys": ["desk-key", "desk-key-2"], "priority": 1, "rate-per-s": 0},
+    {
+        "name": "field",
+        "api-keys": ["field-key"],
+        "home-regions": ["south"],
+        "rate-per-s": 900,
+        "burst": 400,
+        "unit": "token_stream",
+        "plain-tokens": 200,
+    },
+]
+
+
+def test_workspaces_are_found_by_the_keys_of_callers() -> None:
+    found = read_configuration({**configuration(public=True), "tenants": TENANTS})
+    assert found.routes[0].public
+    caller = DIALECT.read_request(
+        request(headers=(*FULL_HEADERS, (b"X-Figpaddle-Key", b" field-key ")))
+    )
+    field = found.workspace_for(caller.key_digest)
+    assert (field.name, field.home_regions, field.priority) == ("field", ("south",), None)
+    assert field.quota == WorkspaceQuota(
+        per_s=900.0, burst=400.0, unit=QuotaUnit.TOKENS, plain_cost=200.0
+    )
+    desk = found.workspace("desk")
+    assert (desk.priority, desk.quota, len(desk.key_digests)) == (1, None, 2)
+    assert found.workspace_for(DIALECT.read_request(request(headers=FULL_HEADERS)).key_digest) is (
+        None
+    )
+
+
+def test_two_workspaces_with_one_key_are_refused_without_naming_it() -> None:
+    tenants = [*TENANTS, {"name": "guest", "api-keys": ["other", "field-key"]}]
+    with pytest.raises(InvalidConfigurationError) as refused:
+        read_configuration({**configuration(), "tenants": tenants})
+    assert "'field'" in str(refused.value) and "'guest'" in str(refused.value)
+    assert "field-key" not in str(refused.value)
+
+
+@pytest.mark.parametrize(
+    "tenants",
+    [
+        {},
+        ["desk"],
+        [{"api-keys": ["k"]}],
+        [{"name": "a\r\nb", "api-keys": ["k"]}],
+        [{"name": "desk", "api-keys": "k"}],
+        [{"name": "desk", "api-keys": [7]}],
+        [{"name": "desk"}, {"name": "desk"}],
+    ],
+)
+def test_malformed_workspaces_are_refused(tenants: object) -> None:
+    with pytest.raises(InvalidConfigurationError):
+        read_configuration({**configuration(), "tenants": tenants})
+
+
+def test_what_a_caller_states_of_its_identity_is_replaced() -> None:
+    forged: Headers = (
+        (b"x-figpaddle-KEY", b"secret"),
+        (b"X-Figpaddle-Tenant", b"boss"),
+        (b"x-figpaddle-tenant", b"chief"),
+    )
+    headers = DIALECT.without_identity((*FULL_HEADERS, *forged))
+    assert headers == FULL_HEADERS
+    sent = DIALECT.backend_headers(
+        request(headers=headers),
+        backend="i-1",
+        remaining_s=1.0,
+        priority=0,
+        last_event="",
+        workspace="desk",
+    )
+    assert [value for name, value in sent if name.lower() == b"x-figpaddle-tenant"] == [b"desk"]
