--- a/figpaddle/regional/_gateway.py
+++ b/figpaddle/regional/_gateway.py
@@ -50,6 +50,7 @@
     RetryCharge,
     SharedRetryBudget,
     TransitTimes,
+    WorkspaceFairness,
     decide_access,
     is_announced,
     jittered_retry_after,
@@ -130,6 +131,7 @@
             log=log,
             metrics=metrics,
         )
+        self._fairness = WorkspaceFairness()
         self._requests = requests
         self._stopping_at: float | None = None
         self._stopped_accepting = False
@@ -261,8 +263,9 @@
         return context
 
     def expire(self) -> None:
-        """Forget what is known of entries that no longer forward requests."""
+        """Forget what is known of entries that no longer forward requests, and of silent workspaces."""
         self._transits.expire(now=self._boot_clock())
+        self._fairness.expire(now=self._clock())
 
     def _delay_s(self, request: HttpRequest, terms: ForwardingTerms) -> float:
         """Return by how much at least a forwarded request has come later than usual, seconds."""
@@ -475,7 +478,28 @@
         )
         return False
 
+    def _max_wait_s(self, context: RequestContext) -> float:
+        """Return the longest time that a request may wait, shorter beyond its workspace's share."""
+        if context.workspace is None:
+            return context.max_wait_s
+        return context.max_wait_s * self._fairness.wait_fraction(
+            context.service.name, context.route.priority, context.workspace.name, now=self._clock()
+        )
+
+    def _note_work(self, context: RequestContext) -> None:
+        """Count a request as work of its workspace."""
+        if context.workspace is not None:
+            caller = context.caller
+            self._fairness.note_request(
+                context.service.name,
+                context.route.priority,
+                context.workspace.name,
+                work=float(caller.prompt_tokens + caller.output_tokens) or 1.0,
+                now=self._clock(),
+            )
+
     async def _attempt_until_done(self, context: RequestContext, responder: Responder) -> None:
+        self._note_work(context)
         unsent_attempts = 0
         unplaced_since = None
         failed: AttemptResult | None = None
@@ -507,8 +531,9 @@
                 await self._fail_leaving(context, responder)
                 return
             if not context.may_have_run and not responder.started:
+                max_wait_s = self._max_wait_s(context)
                 refusal = refuse_late(
-                    context.demand(now=now), choice, max_wait_s=context.max_wait_s, rng=self._rng
+                    context.demand(now=now), choice, max_wait_s=max_wait_s, rng=self._rng
                 )
                 if refusal is not None:
                     self._log.warning(
@@ -518,6 +543,8 @@
                         place=choice.region or (choice.backend.name if choice.backend else ""),
                         expected_s=round(choice.expected_s, 3),
                         wait_s=round(choice.wait_s, 3),
+                        max_wait_s=round(max_wait_s, 3),
+                        workspace=context.workspace_name,
                         target_s=context.route.target_s,
                         left_s=round(context.remaining_s(now=now), 3),
                         retry_after_s=refusal.retry_after_s,
--- a/figpaddle/routing/__init__.py
+++ b/figpaddle/routing/__init__.py
@@ -107,12 +107,14 @@
 )
 from figpaddle.routing._version_history import VersionHistory, majority_heard_at
 from figpaddle.routing._warmth import ASKED_AHEAD_S, CONTROL_SILENCE_S, max_warmth_age_s
+from figpaddle.routing._workspace_fairness import WorkspaceFairness
 from figpaddle.routing._zone_work import OwnWorkHistory, newest_limits, peer_load, sum_work
 
 __all__ = [
     "AccessRefusal",
     "CallerAccess",
     "decide_access",
+    "WorkspaceFairness",
     "ALIVE_S",
     "ASKED_AHEAD_S",
     "ASKED_PER_REGION",
