--- a/figpaddle/regional/_gateway.py
+++ b/figpaddle/regional/_gateway.py
@@ -41,6 +41,7 @@
 from figpaddle.regional._statements import state_attempts
 from figpaddle.regional._stream_origins import StreamOrigins
 from figpaddle.regional._unsent_requests import unsent_on_error
+from figpaddle.regional._workspace_metrics import WorkspaceMetrics
 from figpaddle.routing import (
     ALIVE_S,
     CLOSE_RESERVE_S,
@@ -132,6 +133,7 @@
             metrics=metrics,
         )
         self._fairness = WorkspaceFairness()
+        self._workspace_metrics = WorkspaceMetrics(metrics=metrics)
         self._requests = requests
         self._stopping_at: float | None = None
         self._stopped_accepting = False
@@ -828,6 +830,7 @@
             version=self._follower.state.version,
         )
         self._metrics.count("requests_total", service="", outcome=reason)
+        self._workspace_metrics.count_end(workspace, f"refused: {reason}")
         headers: Headers = ()
         if status == 503:
             headers = ((b"Retry-After", f"{self._retry_after_s(retry_after_s):.3f}".encode()),)
@@ -876,6 +879,7 @@
         )
         kind = outcome.split(":")[0]
         self._metrics.count("requests_total", service=context.service.name, outcome=kind)
+        self._workspace_metrics.count_end(context.workspace_name, outcome)
         self._metrics.record_duration("request_seconds", took_s, service=context.service.name)
 
 
--- a/figpaddle/tool/_explain.py
+++ b/figpaddle/tool/_explain.py
@@ -118,8 +118,10 @@
     if not outcomes:
         return "No log line shows the outcome: the process was killed or its log is missing."
     last = outcomes[-1]
+    workspace = last.fields.get("workspace", "")
+    whose = f" of workspace '{workspace}'" if workspace else ""
     return (
-        f"The request ended with outcome '{last.fields.get('outcome', '')}' "
+        f"The request{whose} ended with outcome '{last.fields.get('outcome', '')}' "
         f"after {last.fields.get('took_s', '?')} s "
         f"and {last.fields.get('attempts', '0')} attempts, at state revision "
         f"{last.fields.get('revision', '?')}."
