--- a/figpaddle/regional/_attempts.py
+++ b/figpaddle/regional/_attempts.py
@@ -18,6 +18,7 @@
 from figpaddle.regional._offer import RequestOffer
 from figpaddle.regional._offer_times import ROUND_TRIP_S
 from figpaddle.regional._placer import Placer
+from figpaddle.regional._quota_client import QuotaClient
 from figpaddle.regional._request_context import AttemptOutcome, AttemptResult, RequestContext
 from figpaddle.regional._request_quarantine import RequestQuarantine
 from figpaddle.regional._settings import ProcessSettings
@@ -52,6 +53,7 @@
         pool: ConnectionPool,
         quarantine: RequestQuarantine,
         streams: StreamOrigins,
+        quotas: QuotaClient,
         take_retry: Callable[[str], RetryCharge | None],
         give_retry_back: Callable[[RetryCharge], None],
         may_begin: Callable[[RequestContext, Choice, Responder], bool],
@@ -62,6 +64,7 @@
     ) -> None:
         self._placer = placer
         self._quarantine = quarantine
+        self._quotas = quotas
         self._take_retry = take_retry
         self._give_retry_back = give_retry_back
         self._may_begin = may_begin
@@ -202,20 +205,45 @@
                 charge = self._take_retry(context.service.name)
                 obstacle = "" if charge is not None else "no repeat left"
             if choice is not None and charge is not None:
-                return self._make_offer(
-                    context, choice, responder, charge, attempts=context.attempts_left - used
-                )
+                give_back = self._charge_quota(context, choice, charge)
+                if give_back is not None:
+                    attempts = context.attempts_left - used
+                    return self._make_offer(
+                        context, choice, responder, give_back, attempts=attempts
+                    )
+                obstacle = "no quota left"
         self._metrics.count(
             "silent_attempts_kept_total", service=context.service.name, reason=obstacle
         )
         return None
 
+    def _charge_quota(
+        self, context: RequestContext, choice: Choice, charge: RetryCharge
+    ) -> Callable[[], None] | None:
+        """Charge the quota of the workspace with an offer that this entry sends to a backend server.
+
+        Return what gives both charges back, or None, with the repeat given back, if nothing is left of it.
+        """
+        workspace = context.workspace
+        if choice.backend is None or workspace is None or workspace.quota is None:
+            return lambda: self._give_retry_back(charge)
+        quota_charge = self._quotas.charge_offer(context)
+        if quota_charge is None:
+            self._give_retry_back(charge)
+            return None
+
+        def give_back() -> None:
+            self._give_retry_back(charge)
+            self._quotas.give_back(quota_charge)
+
+        return give_back
+
     def _make_offer(
         self,
         context: RequestContext,
         choice: Choice,
         responder: Responder,
-        charge: RetryCharge,
+        give_back: Callable[[], None],
         *,
         attempts: int,
     ) -> Offer | None:
@@ -226,7 +254,7 @@
         finally:
             if attempt is None:
                 context.restore_tried(tried_before)
-                self._give_retry_back(charge)
+                give_back()
         if attempt is None:
             return None
 
@@ -242,7 +270,7 @@
             limits=self._placer.offer_limits,
             await_probe=await_probe,
             note_attempts=lambda: state_attempts(context, responder, in_progress=True),
-            give_retry_back=lambda: self._give_retry_back(charge),
+            give_retry_back=give_back,
             clock=self._clock,
             log=self._log,
             metrics=self._metrics,
--- a/figpaddle/regional/_control_process.py
+++ b/figpaddle/regional/_control_process.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 import anyio
 
 from figpaddle.errors import DocumentFault, SettingsError
 from figpaddle.http1 import HttpRequest, RequestLimits, Responder
 from figpaddle.regional._control import ControlApi
 from figpaddle.regional._process import RegionalProcess
+from figpaddle.regional._quota_holder import QuotaHolder
 from figpaddle.regional._register_host import RegisterHost
 from figpaddle.regional._register_store import RegisterStore
 from figpaddle.regional._stream_records import StreamRecords
@@ -70,7 +73,17 @@
         self._streams = StreamRecords(
             mesh=self._mesh, clock=self._clock, versions_of=self._api.recent_versions
         )
+        self._quotas = QuotaHolder(
+            settings=settings,
+            mesh=self._mesh,
+            follower=self._follower,
+            clock=self._clock,
+            boot_clock=self._boot_clock,
+            log=self._log,
+            metrics=self._metrics,
+        )
         tasks.start_service(self._register.run)
+        tasks.start_service(self._quotas.run)
         tasks.start_service(self._api.run)
         limits = RequestLimits(body_bytes=MAX_CONFIGURATION_BYTES)
         self._control_listener = self._listen(
@@ -100,6 +113,10 @@
             relayed=self._relaying.enabled,
         )
 
+    def dump(self) -> dict[str, Any]:
+        """Return the state of the process for operators, as a JSON object."""
+        return {**super().dump(), "quotas": self._quotas.dump()}
+
     async def handle_forwarded(self, request: HttpRequest, responder: Responder) -> None:
         """Refuse the request: a control instance serves no callers."""
         await responder.answer(404, (), b"")
--- a/figpaddle/regional/_entry.py
+++ b/figpaddle/regional/_entry.py
@@ -18,6 +18,7 @@
     SAME_REGION_ACK_TIMEOUT_S,
     RegionalProcess,
 )
+from figpaddle.regional._quota_client import QuotaClient
 from figpaddle.regional._request_quarantine import RequestQuarantine
 from figpaddle.regional._stream_origins import StreamOrigins
 from figpaddle.regional._tasks import ContainedTasks
@@ -109,6 +110,17 @@
             clock=self._clock,
             metrics=self._metrics,
         )
+        self._quotas = QuotaClient(
+            settings=settings,
+            mesh=self._mesh,
+            follower=self._follower,
+            clock=self._clock,
+            boot_clock=self._boot_clock,
+            rng=self._rng,
+            log=self._log,
+            metrics=self._metrics,
+        )
+        self._metrics.labeled_gauge("quota_stock", "workspace", self._quotas.available)
         self._gateway = Gateway(
             settings=settings,
             dialect=self._dialect,
@@ -121,6 +133,7 @@
             boot_clock=self._boot_clock,
             quarantine=self._quarantine,
             streams=self._streams,
+            quotas=self._quotas,
             rng=self._rng,
             log=self._log,
             metrics=self._metrics,
@@ -181,6 +194,7 @@
         return {
             **super().dump(),
             "backends": self._placer.dump(),
+            "quotas": self._quotas.dump(),
             **self._quarantine.dump(),
         }
 
@@ -261,6 +275,7 @@
         self._placer.expire()
         self._quarantine.run_housekeeping()
         self._streams.run_housekeeping()
+        self._quotas.run_housekeeping()
         self._gateway.expire()
         self._gateway.retry_budget.note_entries(self._mesh.entry_total())
 
--- a/figpaddle/regional/_forwarded_attempts.py
+++ b/figpaddle/regional/_forwarded_attempts.py
@@ -35,10 +35,17 @@
 )
 from figpaddle.regional._request_context import AttemptOutcome, AttemptResult, RequestContext
 from figpaddle.regional._settings import ProcessSettings
-from figpaddle.routing import Choice, forwarded_gap_timeout_s
+from figpaddle.routing import (
+    MAX_RETRY_AFTER_S,
+    MIN_RETRY_AFTER_S,
+    Choice,
+    forwarded_gap_timeout_s,
+)
 
 #: Timeout for connecting to an entry of another region, seconds; covers two lost packets.
 FORWARD_CONNECT_TIMEOUT_S = 0.8
+#: Status with which another entry refuses a request beyond the quota of its workspace.
+OVER_QUOTA_STATUS = 429
 
 
 class ForwardedAttempts(AttemptFactory):
@@ -282,12 +289,24 @@
         return ""
 
 
+def _stated_retry_after_s(head: ResponseHead) -> float:
+    """Return the Retry-After time of a refusal by another entry, seconds."""
+    value = header(head.headers, b"retry-after") or b""
+    try:
+        stated_s = float(value)
+    except ValueError:
+        return MIN_RETRY_AFTER_S
+    return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, stated_s))
+
+
 def _decode_forwarded_answer(
     dialect: Dialect, head: ResponseHead, context: RequestContext
 ) -> BackendAnswer:
     """Decode the head of an answer from an entry of another region."""
     forward_outcome = header(head.headers, OUTCOME_FIELD)
     answer = dialect.read_answer(head)
+    if forward_outcome == NOT_RUN and head.status == OVER_QUOTA_STATUS:
+        context.over_quota_s = _stated_retry_after_s(head)
     if forward_outcome is None:
         return dataclasses.replace(
             answer,
--- a/figpaddle/regional/_gateway.py
+++ b/figpaddle/regional/_gateway.py
@@ -30,6 +30,7 @@
 from figpaddle.regional._mesh import Mesh, is_ready
 from figpaddle.regional._open_requests import OpenRequests
 from figpaddle.regional._placer import Placer
+from figpaddle.regional._quota_client import QuotaClient, QuotaRefusal
 from figpaddle.regional._request_context import (
     AttemptOutcome,
     AttemptResult,
@@ -94,12 +95,14 @@
         boot_clock: Callable[[], float],
         quarantine: RequestQuarantine,
         streams: StreamOrigins,
+        quotas: QuotaClient,
         rng: random.Random,
         log: Log,
         metrics: MetricsRegistry,
     ) -> None:
         self._quarantine = quarantine
         self._streams = streams
+        self._quotas = quotas
         self._settings = settings
         self._dialect = dialect
         self._mesh = mesh
@@ -119,6 +122,7 @@
             pool=pool,
             quarantine=quarantine,
             streams=streams,
+            quotas=quotas,
             take_retry=lambda service: self.retry_budget.try_take(service, now=clock()),
             give_retry_back=lambda charge: self.retry_budget.give_back(charge),
             may_begin=self._may_begin,
@@ -472,6 +476,14 @@
                     )
                     await self._refuse(context, responder, refusal.reason, refusal.retry_after_s)
                     return
+            is_charged_here = choice.backend is not None and context.taker is None
+            if is_charged_here and not self._quotas.try_charge(context):
+                over_quota = await self._quotas.wait(context)
+                if over_quota is not None:
+                    await self._fail_over_quota(context, over_quota, responder)
+                    return
+                # The best place may be another one by now.
+                continue
             charge = None
             if owes_charge and failed is not None:
                 charge = self._take_retry(context)
@@ -487,6 +499,14 @@
                     await self._fail(context, failed, responder)
                     return
             result = await self._run_attempt(context, choice, responder, charge)
+            if result.outcome is AttemptOutcome.NOT_RUN and context.over_quota_s is not None:
+                refused = QuotaRefusal(
+                    status=429,
+                    reason="over quota elsewhere",
+                    retry_after_s=context.over_quota_s,
+                )
+                await self._fail_over_quota(context, refused, responder)
+                return
             owes_charge = owes_charge and not result.has_arrived
             context.has_arrived = context.has_arrived or result.has_arrived
             context.is_sent = False
@@ -518,15 +538,18 @@
         responder: Responder,
         charge: RetryCharge | None,
     ) -> AttemptResult:
-        """Run an attempt; give its charge back to the retry budget if it reached no server."""
-        has_arrived = False
+        """Run an attempt; give its charges back if it reached no server, and the quota's if it didn't run."""
+        has_arrived = may_run = False
+        context.over_quota_s = None
         try:
             result = await self._attempts.run(context, choice, responder)
             has_arrived = result.has_arrived
+            may_run = result.outcome not in (AttemptOutcome.NOT_SENT, AttemptOutcome.NOT_RUN)
         except BaseException:
-            has_arrived = context.is_sent
+            has_arrived = may_run = context.is_sent
             raise
         finally:
+            self._quotas.settle(context, may_have_run=may_run and choice.backend is not None)
             if charge is not None and not has_arrived:
                 self.retry_budget.give_back(charge)
         return result
@@ -650,6 +673,18 @@
         retry_after_s = self._retry_after_s(refusal.remaining_s)
         await self._refuse(context, responder, refusal.reason, retry_after_s)
 
+    async def _fail_over_quota(
+        self, context: RequestContext, refusal: QuotaRefusal, responder: Responder
+    ) -> None:
+        """End a request of a workspace whose quota leaves nothing for an attempt."""
+        if context.may_have_run or responder.started:
+            result = AttemptResult(outcome=AttemptOutcome.UNKNOWN, reason=refusal.reason)
+            await self._fail(context, result, responder)
+            return
+        await self._refuse(
+            context, responder, refusal.reason, refusal.retry_after_s, status=refusal.status
+        )
+
     async def _fail_expired(
         self, context: RequestContext, responder: Responder, reason: str
     ) -> None:
@@ -702,7 +737,13 @@
         await responder.answer(status, headers, b"")
 
     async def _refuse(
-        self, context: RequestContext, responder: Responder, reason: str, retry_after_s: float
+        self,
+        context: RequestContext,
+        responder: Responder,
+        reason: str,
+        retry_after_s: float,
+        *,
+        status: int = 503,
     ) -> None:
         self._record_end(context, f"refused: {reason}", failed=True)
         self._metrics.count(
@@ -715,7 +756,7 @@
         if context.forwarded:
             headers.append((OUTCOME_FIELD, NOT_RUN))
             headers.append((ATTEMPTS_FIELD, b"%d" % context.has_arrived))
-        await responder.answer(503, tuple(headers), b"")
+        await responder.answer(status, tuple(headers), b"")
 
     def _retry_after_s(self, wait_s: float, context: RequestContext | None = None) -> float:
         """Return a Retry-After time, spread at random; ``context`` is given on overload."""
--- a/figpaddle/regional/_mesh.py
+++ b/figpaddle/regional/_mesh.py
@@ -48,6 +48,8 @@
 #: by one, and waking up for each costs more than reading it. The pause is short compared with each
 #: interval at which instances send.
 DATAGRAM_PAUSE_S = 0.04
+#: The same while a request waits for a datagram, seconds.
+SHORT_PAUSE_S = 0.002
 #: Time for which the lists of live instances and of the live entries of a region are reused, seconds. Placement reads it
 #: several times for each request; it is short compared with the time after which an instance counts
 #: as silent.
@@ -126,6 +128,9 @@
         self._make_heartbeat: Callable[[bool], InstanceHeartbeat]
         self._heartbeats_requested = anyio.Event()
         self._replies_requested: set[str] = set()
+        # Until when a reply is expected as a datagram, and set when one begins to be.
+        self._reply_expected_until = float("-inf")
+        self._reply_expected = anyio.Event()
         self._tasks: anyio.abc.TaskGroup | None = None
         self._warming_addresses: set[str] = set()
 
@@ -371,6 +376,11 @@
             return
         self.send_encoded(encode(message), names)
 
+    def expect_reply(self, within_s: float) -> None:
+        """Read datagrams with hardly a pause for a time, as something waits for a reply."""
+        self._reply_expected_until = max(self._reply_expected_until, self._clock() + within_s)
+        self._reply_expected.set()
+
     def send_encoded(self, data: bytes, names: list[str]) -> None:
         """Send an encoded message to instances as datagrams."""
         for name in names:
@@ -528,7 +538,15 @@
             else:
                 await anyio.sleep(0)
                 continue
-            await anyio.sleep(DATAGRAM_PAUSE_S)
+            await self._pause_reading()
+
+    async def _pause_reading(self) -> None:
+        if self._clock() < self._reply_expected_until:
+            await anyio.sleep(SHORT_PAUSE_S)
+            return
+        self._reply_expected = anyio.Event()
+        with anyio.move_on_after(DATAGRAM_PAUSE_S):
+            await self._reply_expected.wait()
 
     def _handle_heartbeat(self, heartbeat: InstanceHeartbeat) -> None:
         if heartbeat.name == self._settings.ip:
--- a/figpaddle/regional/_request_context.py
+++ b/figpaddle/regional/_request_context.py
@@ -8,10 +8,10 @@
 import hashlib
 from typing import TYPE_CHECKING
 
-from figpaddle.deployment import GatewayRoute, GatewayService, Repeat
+from figpaddle.deployment import GatewayRoute, GatewayService, Repeat, Workspace
 from figpaddle.http1 import HttpClientConnection, HttpRequest, ResponseHead
 from figpaddle.regional._dialect import BackendAnswer, CallerRequest
-from figpaddle.routing import Demand, Process, RequestTraits
+from figpaddle.routing import Demand, Process, QuotaCharge, RequestTraits
 
 if TYPE_CHECKING:
     from figpaddle.regional._attempt import Attempt
@@ -108,6 +108,12 @@
     #: Digest of the request at the entry that accepted it; empty if that is this one, or runs a build
     #: that doesn't state it.
     origin_digest: bytes = b""
+    #: The workspace of its caller; None where callers need no keys.
+    workspace: Workspace | None = None
+    #: What its next or present attempt spends of the quota; None if it isn't charged.
+    quota_charge: QuotaCharge | None = None
+    #: Retry-After of the entry that refused it beyond the quota, seconds; None if none did.
+    over_quota_s: float | None = None
     #: Attempts that may still run it.
     attempts_left: int = 1
     #: Attempts that backend servers refused before any may have run it.
--- a/figpaddle/regional/tests/test_offers.py
+++ b/figpaddle/regional/tests/test_offers.py
@@ -95,6 +95,7 @@
         pool=unused,
         quarantine=quarantine,
         streams=unused,
+        quotas=unused,
         take_retry=budget.try_take,
         give_retry_back=budget.give_back,
         may_begin=lambda *_: True,
--- a/figpaddle/routing/__init__.py
+++ b/figpaddle/routing/__init__.py
@@ -55,6 +55,18 @@
     RoundRobinPolicy,
 )
 from figpaddle.routing._prefix_cache import PrefixCacheEstimate
+from figpaddle.routing._quota_parts import QuotaParts
+from figpaddle.routing._quota_shares import (
+    LOAN_TIMEOUT_S,
+    QuotaDecision,
+    QuotaDemand,
+    QuotaParcel,
+    QuotaShare,
+    QuotaShares,
+    QuotaTerms,
+    quota_terms,
+)
+from figpaddle.routing._quota_stock import QuotaCharge, QuotaStock
 from figpaddle.routing._ranking import highest_ranked
 from figpaddle.routing._rate_limits import (
     ColdLimit,
@@ -82,7 +94,11 @@
     forwarded_gap_timeout_s,
     is_worth_offering,
 )
-from figpaddle.routing._retry_after import jittered_retry_after
+from figpaddle.routing._retry_after import (
+    MAX_RETRY_AFTER_S,
+    MIN_RETRY_AFTER_S,
+    jittered_retry_after,
+)
 from figpaddle.routing._retry_budget import RetryBudget
 from figpaddle.routing._scored import Estimate, PolicyName, ScoredPolicy, make_policy
 from figpaddle.routing._stream_versions import (
@@ -144,6 +160,7 @@
     "FleetBackend",
     "KnownBackend",
     "KnownEntry",
+    "LOAN_TIMEOUT_S",
     "LOSS_TTL_S",
     "LeastLoadPolicy",
     "LeastReportedLoadPolicy",
@@ -151,9 +168,11 @@
     "MAX_CROSSINGS",
     "MAX_MEMORY_FRACTION",
     "MAX_UTILIZATION_FOR_REMOTE_REQUESTS",
+    "MAX_RETRY_AFTER_S",
     "MEAN_PROMPT_TOKENS",
     "MIN_FAILURE_STATUS",
     "MIN_LIMIT_PER_S",
+    "MIN_RETRY_AFTER_S",
     "NamedLimits",
     "OfferLimits",
     "OwnWorkHistory",
@@ -167,6 +186,15 @@
     "PrefixCacheEstimate",
     "Process",
     "QuarantineVerdict",
+    "QuotaCharge",
+    "QuotaDecision",
+    "QuotaDemand",
+    "QuotaParcel",
+    "QuotaParts",
+    "QuotaShare",
+    "QuotaShares",
+    "QuotaStock",
+    "QuotaTerms",
     "REMOTE_REPORT_DELAY_S",
     "RecordChange",
     "Refusal",
@@ -218,6 +246,7 @@
     "peer_load",
     "permitted_service",
     "prompt_shape",
+    "quota_terms",
     "rank_entries",
     "refuse_late",
     "reports_load",
--- /dev/null
+++ b/figpaddle/routing/tests/test_quota_shares.py
@@ -0,0 +1,319 @@
+"""The bound of quotas holds for all views and schedules, and demand is served up to it."""
+
+from __future__ import annotations
+
+import dataclasses
+import heapq
+import random
+from collections.abc import Callable
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from figpaddle.deployment import QuotaUnit, WorkspaceQuota
+from figpaddle.routing import (
+    QuotaDecision,
+    QuotaDemand,
+    QuotaParcel,
+    QuotaParts,
+    QuotaShare,
+    QuotaShares,
+    QuotaStock,
+    quota_terms,
+)
+
+WINDOW_S, OVERSHOOT = 8.0, 0.1
+VOTERS = tuple(f"v{index}" for index in range(9))
+HIGH = WorkspaceQuota(per_s=1000.0, burst=1000.0, unit=QuotaUnit.TOKENS)
+LOW = dataclasses.replace(HIGH, per_s=400.0, burst=400.0)
+
+
+def bound(quota: WorkspaceQuota, *, slack: float) -> float:
+    return (quota.per_s * WINDOW_S + quota.burst) * (1 + OVERSHOOT) + slack
+
+
+def heaviest_window(spent: list[tuple[float, float]]) -> float:
+    """Return the largest sum of the amounts spent within one window."""
+    heaviest = running = 0.0
+    first = 0
+    for at, amount in spent:
+        running += amount
+        while spent[first][0] < at - WINDOW_S:
+            running -= spent[first][1]
+            first += 1
+        heaviest = max(heaviest, running)
+    return heaviest
+
+
+@dataclasses.dataclass
+class Voter:
+    """A voter and what it believes about the others."""
+
+    shares: QuotaShares
+    parts: QuotaParts
+    quota: WorkspaceQuota
+    names: tuple[str, ...]
+    revision: int = 1
+    cut_off_since: float | None = None
+
+
+class Deployment:
+    """Voters and one stock, with messages that come late, twice or not at all.
+
+    ``delays_s`` returns after which times a message between two of them arrives; none if it is lost.
+    """
+
+    def __init__(self, *, slack: float, delays_s: Callable[[str, str], tuple[float, ...]]) -> None:
+        self.now = 0.0
+        self.slack = slack
+        self.delays_s = delays_s
+        self.stock = QuotaStock(workspace="acme", now=0.0)
+        self.asked_at: dict[int, float] = {}
+        self.decisions: dict[int, QuotaDecision] = {}
+        self.spent: list[tuple[float, float]] = []
+        self._messages: list[tuple[float, int, Callable[[], None]]] = []
+        self._number = 0
+        self.voters = {name: self.new_voter(name, VOTERS) for name in VOTERS}
+
+    def new_voter(self, name: str, names: tuple[str, ...], *, revision: int = 1) -> Voter:
+        shares, parts = QuotaShares(), QuotaParts(name=name)
+        return Voter(shares=shares, parts=parts, quota=HIGH, names=names, revision=revision)
+
+    def send(self, sender: str, receiver: str, deliver: Callable[[], None]) -> None:
+        for delay_s in self.delays_s(sender, receiver):
+            self._number += 1
+            heapq.heappush(self._messages, (self.now + delay_s, self._number, deliver))
+
+    def ask(self, name: str, cost: float, *, waits_s: float = 0.3) -> int:
+        """Ask a voter for the cost of a request; return the number of the question."""
+        self._number += 1
+        number, voter = self._number, self.voters[name]
+        self.asked_at[number] = self.now
+
+        def deliver() -> None:
+            demand = QuotaDemand(
+                key=("entry", 1, number, 0),
+                workspace="acme",
+                cost=cost,
+                ahead=0.0,
+                waits_until=self.now + waits_s,
+            )
+            decision = voter.shares.decide(demand, now=self.now)
+            if decision is not None:
+                self.answer(name, decision)
+            self.exchange(name)
+
+        self.send("entry", name, deliver)
+        return number
+
+    def answer(self, name: str, decision: QuotaDecision) -> None:
+        number = decision.key[2]
+
+        def deliver() -> None:
+            if number not in self.decisions:
+                self.decisions[number] = decision
+                self.stock.add(decision.parcels, asked_at=self.asked_at[number])
+
+        self.send(name, "entry", deliver)
+
+    def exchange(self, name: str, *, ahead: bool = False) -> None:
+        """Have a voter decide what waits, and ask others for loans."""
+        voter = self.voters[name]
+        for decision in voter.shares.settle(now=self.now):
+            self.answer(name, decision)
+        for peer, number, amounts in voter.shares.ask_loans(now=self.now, ahead=ahead):
+            self.send(name, peer, self._loan_question(name, voter, peer, number, amounts))
+
+    def _loan_question(
+        self, name: str, voter: Voter, peer: str, number: int, amounts: dict[str, float]
+    ) -> Callable[[], None]:
+        def lend() -> None:
+            if peer not in self.voters:
+                return
+            loans = {
+                workspace: self.voters[peer].shares.lend(workspace, amount, now=self.now)
+                for workspace, amount in amounts.items()
+            }
+
+            def take() -> None:
+                voter.shares.note_loans(peer, number, loans, now=self.now)
+                if self.voters.get(name) is voter:
+                    self.exchange(name)
+
+            self.send(peer, name, take)
+
+        return lend
+
+    def advance(self, seconds: float) -> None:
+        """Deliver what arrives, and have the voters take in what they know."""
+        ends_at = self.now + seconds
+        while self._messages and self._messages[0][0] <= ends_at:
+            at, _, deliver = heapq.heappop(self._messages)
+            self.now = max(self.now, at)
+            deliver()
+        self.now = ends_at
+        heard = {name: item for name, item in self.voters.items() if item.cut_off_since is None}
+        for name, voter in self.voters.items():
+            cut_at = voter.cut_off_since
+            heard_at = dict.fromkeys(heard, self.now if cut_at is None else cut_at)
+            revisions = {other: item.revision for other, item in heard.items() if cut_at is None}
+            voter.parts.note_voters(voter.names, revision=voter.revision, now=self.now)
+            voter.parts.update(revisions, heard_at=heard_at, now=self.now)
+            terms = quota_terms(
+                voter.quota, window_s=WINDOW_S, overshoot=OVERSHOOT, slack=self.slack
+            )
+            voter.shares.configure(
+                {"acme": terms},
+                parts=voter.parts.count,
+                owns_part=voter.parts.owns_part,
+                peers=[other for other in heard if other != name],
+                near=[
+                    other for other in heard if other != name and _region(other) == _region(name)
+                ],
+                now=self.now,
+            )
+            self.exchange(name, ahead=True)
+
+    def spend(self, cost: float) -> bool:
+        charge = self.stock.take(cost, now=self.now)
+        if charge is not None:
+            self.spent.append((self.now, cost))
+        return charge is not None
+
+
+def _region(name: str) -> int:
+    return int(name[1:]) // 3 if name.startswith("v") else 0
+
+
+@settings(max_examples=25, deadline=None)
+@given(
+    seed=st.integers(0, 2**32),
+    slack=st.sampled_from([0.0, 4000.0]),
+    lost=st.sampled_from([0.0, 0.2]),
+    # A frozen process reads what came long ago.
+    delays=st.sampled_from([(0.0, 0.02), (0.02, 0.3, 0.9), (0.0, 0.6, 3.0)]),
+    kept_s=st.sampled_from([0.1, 0.3, 0.9]),
+)
+def test_no_schedule_spends_more_than_the_bound(
+    seed: int, slack: float, lost: float, delays: tuple[float, ...], kept_s: float
+) -> None:
+    rng = random.Random(seed)
+
+    def delays_s(sender: str, receiver: str) -> tuple[float, ...]:
+        voters = [deployment.voters[name] for name in (sender, receiver) if name != "entry"]
+        # The entry reaches the voters that are cut off from the others.
+        is_cut = len(voters) == 2 and any(voter.cut_off_since is not None for voter in voters)
+        if is_cut or rng.random() < lost:
+            return ()
+        return tuple(rng.choice(delays) for _ in range(1 + (rng.random() < lost)))
+
+    deployment = Deployment(slack=slack, delays_s=delays_s)
+    revision, names = 1, VOTERS
+    lowered_at, spent_at = None, 0.0
+    deployment.advance(rng.uniform(0.0, 12.0))
+    while deployment.now < 60.0:
+        voters = deployment.voters
+        name, event = rng.choice(sorted(voters)), rng.random()
+        if event < 0.01:
+            # It restarts: what it issued isn't known any more.
+            restarted = deployment.new_voter(name, voters[name].names, revision=revision)
+            restarted.quota, restarted.cut_off_since = (
+                voters[name].quota,
+                voters[name].cut_off_since,
+            )
+            voters[name] = restarted
+        elif event < 0.02:
+            since = voters[name].cut_off_since
+            voters[name].cut_off_since = deployment.now if since is None else None
+        elif event < 0.022 and lowered_at is None and deployment.now > 25.0:
+            lowered_at = deployment.now
+            for voter in voters.values():
+                voter.quota = LOW
+        elif event < 0.03 and len(voters) < 15 and name in names:
+            # One that is cut off goes first, and doesn't learn of it.
+            cut = [other for other in names if voters[other].cut_off_since is not None]
+            removed, added = (cut or [name])[0], f"v{len(voters)}"
+            revision += 1
+            names = (*(other for other in names if other != removed), added)
+            voters[added] = deployment.new_voter(added, voters[name].names, revision=revision - 1)
+            voters[added].quota = voters[name].quota
+        for name, voter in voters.items():
+            if voter.cut_off_since is None and rng.random() < 0.7:
+                voter.names, voter.revision = names, revision
+            share = voter.shares.shares.get("acme")
+            if share is not None and rng.random() < 0.9:
+                available = share.available(now=deployment.now)
+                deployment.ask(name, available * rng.choice([1.0, 1.0, 1.5]))
+        if deployment.now >= spent_at + kept_s:
+            spent_at = deployment.now
+            deployment.spend(deployment.stock.available(now=deployment.now))
+        deployment.advance(0.1)
+    assert heaviest_window(deployment.spent) <= bound(HIGH, slack=slack) * (1 + 1e-6)
+    if lowered_at is not None:
+        later = [item for item in deployment.spent if item[0] > lowered_at + 1.0]
+        assert heaviest_window(later) <= bound(LOW, slack=slack) * (1 + 1e-6)
+
+
+def test_grants_that_are_kept_to_their_end_reach_the_bound_and_no_more() -> None:
+    for slack in (0.0, 500.0, 140_000.0):
+        terms = quota_terms(HIGH, window_s=WINDOW_S, overshoot=OVERSHOOT, slack=slack)
+        share, stock = QuotaShare(now=0.0), QuotaStock(workspace="acme", now=0.0)
+        share.set_part(per_s=terms.per_s, capacity=terms.capacity, now=0.0)
+        spent, now = 0.0, 500.0
+        first_at = now + terms.lifetime_s - 0.03
+        while now <= first_at + WINDOW_S:
+            everything = share.available(now=now)
+            parcels = share.take(everything, lifetime_s=terms.lifetime_s, now=now)
+            stock.add(parcels, asked_at=now)
+            if now >= first_at and stock.take(amount := stock.available(now=now), now=now):
+                spent += amount
+            now += 0.01
+        assert 0.98 * bound(HIGH, slack=slack) <= spent <= bound(HIGH, slack=slack) * (1 + 1e-6)
+
+
+def test_demand_at_one_entry_is_served_up_to_the_quota() -> None:
+    """Neither small requests nor single large ones of one region find the other regions' parts out of reach."""
+
+    def delays_s(sender: str, receiver: str) -> tuple[float, ...]:
+        return (0.02 + (0.08 if _region(sender) != _region(receiver) else 0.0),)
+
+    for cost in (25.0, 800.0):
+        deployment = Deployment(slack=3000.0, delays_s=delays_s)
+        for _ in range(300):
+            deployment.advance(0.02)
+        numbers, owed = [], 0.0
+        for _ in range(1000):
+            owed += 0.95 * HIGH.per_s * 0.02
+            while owed >= cost:
+                owed -= cost
+                numbers.append(deployment.ask("v0", cost, waits_s=0.5))
+            deployment.advance(0.02)
+        answered = [deployment.decisions.get(number) for number in numbers[:-20]]
+        refused = [item for item in answered if item is None or item.is_refused]
+        assert len(refused) <= 0.01 * len(numbers)
+
+
+def test_what_is_beyond_the_quota_is_refused_at_once_with_the_time_until_it_is_there() -> None:
+    deployment = Deployment(slack=3000.0, delays_s=lambda sender, receiver: (0.02,))
+    for _ in range(300):
+        deployment.advance(0.02)
+    numbers = []
+    for _ in range(500):
+        numbers.append(deployment.ask("v0", 100.0))
+        deployment.advance(0.04)
+    decisions = [deployment.decisions[number] for number in numbers[:-20]]
+    refused = [decision.refill_s for decision in decisions if decision.is_refused]
+    granted = sum(parcel.amount for decision in decisions for parcel in decision.parcels)
+    # 2,500 a second are asked for, 1,000 are there.
+    assert 0.9 * HIGH.per_s * 20 <= granted <= HIGH.per_s * (20 + 6)
+    assert len(refused) >= 150
+    assert all(0.0 < refill_s < 1.0 for refill_s in refused)
+
+
+def test_a_charge_of_a_request_that_did_not_run_is_spent_by_another() -> None:
+    stock = QuotaStock(workspace="acme", now=0.0)
+    stock.add([QuotaParcel(amount=10.0, life_s=1.0)], asked_at=0.0)
+    charge = stock.take(10.0, now=0.1)
+    assert charge is not None and stock.take(10.0, now=0.2) is None
+    stock.give_back(charge)
+    assert stock.take(10.0, now=0.3) is not None
--- a/figpaddle/wire/__init__.py
+++ b/figpaddle/wire/__init__.py
@@ -97,6 +97,15 @@
     SuspectSlot,
     SuspectSlotReply,
 )
+from figpaddle.wire._quota_messages import (
+    QuotaAsk,
+    QuotaGrant,
+    QuotaItem,
+    QuotaLoan,
+    QuotaLoanAsk,
+    QuotaLoanItem,
+    QuotaResult,
+)
 from figpaddle.wire._regional_messages import (
     AcceptReply,
     AcceptRequest,
@@ -217,6 +226,13 @@
     "RecordedAnswer",
     "Refused",
     "RegionBackendNews",
+    "QuotaAsk",
+    "QuotaGrant",
+    "QuotaItem",
+    "QuotaLoan",
+    "QuotaLoanAsk",
+    "QuotaLoanItem",
+    "QuotaResult",
     "RegionLoad",
     "RegionSummary",
     "RegionVersions",
