--- a/figpaddle/regional/_request_context.py
+++ b/figpaddle/regional/_request_context.py
@@ -111,8 +111,6 @@
     #: Digest of the request at the entry that accepted it; empty if that is this one, or runs a build
     #: that doesn't state it.
     origin_digest: bytes = b""
-    #: The workspace of its caller; None where callers need no keys.
-    workspace: Workspace | None = None
     #: What its next or present attempt spends of the quota; None if it isn't charged.
     quota_charge: QuotaCharge | None = None
     #: Retry-After of the entry that refused it beyond the quota, seconds; None if none did.
