--- a/figpaddle/telemetry/_logs.py
+++ b/figpaddle/telemetry/_logs.py
@@ -7,6 +7,7 @@
 
 import structlog
 
+from figpaddle.telemetry._line_renderer import render_line
 from figpaddle.telemetry._writer import BoundedWriter
 
 Log = structlog.typing.FilteringBoundLogger
@@ -23,7 +24,7 @@
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt="iso", utc=True, key="time"),
             structlog.processors.format_exc_info,
-            structlog.processors.LogfmtRenderer(key_order=["time", "level", "event"]),
+            render_line,
         ],
         logger_factory=structlog.WriteLoggerFactory(file=file),
         cache_logger_on_first_use=True,
--- a/figpaddle/telemetry/_writer.py
+++ b/figpaddle/telemetry/_writer.py
@@ -4,6 +4,7 @@
 
 import collections
 import os
+import re
 
 #: Buffer size above which lines of ordinary levels are dropped, bytes.
 MAX_BUFFERED_BYTES = 512 * 1024
@@ -11,8 +12,8 @@
 FAILURE_RESERVE_BYTES = 128 * 1024
 #: Size from which on no further lines are added to one write, bytes.
 MAX_WRITE_BYTES = 64 * 1024
-#: Log levels of lines that report failures.
-FAILURE_LEVELS = ("level=warning", "level=error", "level=critical")
+#: Matches lines that report failures by their level.
+FAILURE_LEVELS = re.compile("level=(?:warning|error|critical)")
 
 
 class BoundedWriter:
@@ -43,7 +44,7 @@
     def write(self, text: str) -> int:
         """Buffer ``text``, or drop it if the buffer is full; return its length."""
         limit = MAX_BUFFERED_BYTES
-        if any(level in text for level in FAILURE_LEVELS):
+        if FAILURE_LEVELS.search(text) is not None:
             limit += FAILURE_RESERVE_BYTES
         data = text.encode(errors="backslashreplace")
         if self._buffered_bytes + len(data) > limit:
