--- a/figpaddle/http1/_client.py
+++ b/figpaddle/http1/_client.py
@@ -11,6 +11,7 @@
 from figpaddle.errors import AnswerTooLargeError, ConnectionLostError, MalformedAnswerError
 from figpaddle.http1._channel import Channel, PeerClose, connect
 from figpaddle.http1._messages import Headers, header
+from figpaddle.http1._whole_chunks import take_whole_chunks
 
 #: Number of discarded responses to other requests after which an exchange fails.
 MAX_MISMATCHED_RESPONSES = 4
@@ -56,6 +57,8 @@
         self._exchange_count = 0
         self._refused_requests: set[str] = set()
         self._received_before = 0
+        # Whether the next bytes read are the beginning of a chunk of a body with chunked coding.
+        self._at_chunk = False
 
     @property
     def channel(self) -> Channel:
@@ -200,10 +203,15 @@
         """
         while True:
             event = await self._next_event()
-            if isinstance(event, h11.Data):
+            if isinstance(event, bytes):
+                yield event
+            elif isinstance(event, h11.Data):
+                # The parser has only the line end of that chunk left to read, if nothing follows it.
+                self._at_chunk = event.chunk_end and self._parser.trailing_data[0] == b"\r\n"
                 yield bytes(event.data)
             elif isinstance(event, h11.EndOfMessage):
                 break
+        self._at_chunk = False
         self._exchange_complete = True
         if self._parser.their_state is not h11.DONE or self._parser.our_state is not h11.DONE:
             self._must_close = True
@@ -244,27 +252,40 @@
         if remaining_data:
             self._parser.receive_data(remaining_data)
 
-    async def _next_event(self) -> h11.Event:
+    async def _next_event(self) -> h11.Event | bytes:
+        """Return the next event of the parser, or the content of whole chunks that it needn't see."""
         while True:
-            try:
-                event = self._parser.next_event()
-            except h11.RemoteProtocolError as error:
-                if self._channel.peer_close is not None and not self._channel.unread_bytes:
-                    raise self._lost_error() from error
-                raise self._malformed_error(str(error)) from error
-            except ValueError as error:
-                # A length of thousands of digits.
-                raise self._malformed_error(str(error)) from error
-            if event is not h11.NEED_DATA:
-                if event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
-                    raise self._lost_error()
-                assert isinstance(event, h11.Event)
+            event = None if self._at_chunk else self._parse_event()
+            if event is not None:
                 return event
             await self._channel.wait_for_input()
             data = self._channel.read_buffered()
             if not data and self._channel.peer_close is PeerClose.RESET:
                 raise self._lost_error()
-            self._parser.receive_data(data)
+            content, rest = take_whole_chunks(data) if self._at_chunk else (b"", data)
+            if rest or not content:
+                self._at_chunk = False
+                self._parser.receive_data(rest)
+            if content:
+                return content
+
+    def _parse_event(self) -> h11.Event | None:
+        """Return the next event that the parser finds in what it has received, or None."""
+        try:
+            event = self._parser.next_event()
+        except h11.RemoteProtocolError as error:
+            if self._channel.peer_close is not None and not self._channel.unread_bytes:
+                raise self._lost_error() from error
+            raise self._malformed_error(str(error)) from error
+        except ValueError as error:
+            # A length of thousands of digits.
+            raise self._malformed_error(str(error)) from error
+        if event is h11.NEED_DATA:
+            return None
+        if event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
+            raise self._lost_error()
+        assert isinstance(event, h11.Event)
+        return event
 
     def _update_keep_alive(self, head: ResponseHead) -> None:
         connection = header(head.headers, b"connection") or b""
--- a/figpaddle/http1/_server.py
+++ b/figpaddle/http1/_server.py
@@ -21,6 +21,7 @@
 )
 from figpaddle.http1._messages import Headers, HttpRequest, header, header_values
 from figpaddle.http1._request_limits import RequestLimits
+from figpaddle.http1._whole_chunks import encode_chunk
 
 #: Time without input after which a half-closed connection is closed, and the longest time for which it
 #: is read, seconds. Unread bytes would cause a reset that destroys the response before the caller has
@@ -98,6 +99,9 @@
         self._on_start: Callable[[], None] | None = None
         self._started = False
         self._finished = False
+        # Whether the parser has sent a piece of the body as a chunk. It keeps no count of these, so that the
+        # next ones needn't pass through it.
+        self._sends_chunks = False
 
     @property
     def started(self) -> bool:
@@ -139,7 +143,12 @@
         await self._send(self._encode(interim))
 
     async def write(self, data: bytes) -> None:
-        await self._send(self._encode(h11.Data(data=data)))
+        if self._sends_chunks and data and self._parser.our_state is h11.SEND_BODY:
+            await self._send(encode_chunk(data))
+            return
+        encoded = self._encode(h11.Data(data=data))
+        self._sends_chunks = bool(data) and encoded == encode_chunk(data)
+        await self._send(encoded)
 
     async def finish(self) -> None:
         await self._send(self._encode(h11.EndOfMessage()))
--- a/figpaddle/regional/_events.py
+++ b/figpaddle/regional/_events.py
@@ -40,6 +40,8 @@
     ) -> None:
         self._is_statement = is_statement
         self._last_event = last_event
+        # The same as a number, if it is one.
+        self._last_number = digits(last_event)
         self._requires_ids = requires_ids
         self._has_events = False
         self._incomplete = bytearray()
@@ -92,18 +94,16 @@
             if self._requires_ids:
                 raise MalformedAnswerError(what="an event without an id", where="stream")
             return True
-        if _is_repeated(event_id, self._last_event):
+        number = digits(event_id)
+        if number is not None and self._last_number is not None and number <= self._last_number:
             return False
-        self._last_event = event_id
+        self._last_event, self._last_number = event_id, number
         return True
 
 
-def _is_repeated(event_id: str, last: str) -> bool:
-    number, last_number = digits(event_id), digits(last)
-    return number is not None and last_number is not None and number <= last_number
-
-
 def _event_id(event: bytes) -> str | None:
+    if b"id:" not in event:
+        return None
     for line in event.splitlines():
         if line.startswith(b"id:"):
             # As header fields are decoded, so that the bytes of an id are kept.
--- a/figpaddle/regional/_exchange.py
+++ b/figpaddle/regional/_exchange.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import abc
+import asyncio
 import contextlib
 import dataclasses
 from collections.abc import Awaitable, Callable
@@ -33,6 +34,7 @@
     is_interim_statement,
     stated_silence_s,
 )
+from figpaddle.regional._idle_limit import IdleLimit
 from figpaddle.regional._request_context import (
     AttemptOutcome,
     AttemptResult,
@@ -116,7 +118,7 @@
 
     def is_read(self) -> bool:
         """Return whether the deadline has passed and bytes have come since that was noticed."""
-        if anyio.current_time() < self._deadline:
+        if asyncio.get_running_loop().time() < self._deadline:
             return False
         if self._received_in_time is None:
             self._connection.has_input()
@@ -702,10 +704,14 @@
 
         try:
             while not has_ended:
-                with anyio.CancelScope(deadline=idle_deadline) as scope:
+                with (
+                    anyio.CancelScope(deadline=attempt_deadline) as scope,
+                    IdleLimit(scope) as idle_limit,
+                ):
+                    idle_limit.set_deadline(idle_deadline)
                     async for chunk in connection.read_body():
                         # Time spent writing to a slow caller is no pause of the server.
-                        scope.deadline = attempt_deadline
+                        idle_limit.suspend()
                         if not await relay(splitter.feed(chunk)):
                             connection.close()
                             return self._interrupted_result("answer of another version")
@@ -713,7 +719,7 @@
                         if last_input.is_read():
                             connection.close()
                             return self._interrupted_result("the stream took too long")
-                        scope.deadline = idle_deadline
+                        idle_limit.set_deadline(idle_deadline)
                     has_ended = True
                 if has_ended:
                     break
@@ -822,4 +828,4 @@
     """Return when a timeout that begins now ends an attempt, time of the event loop."""
     if timeout_s is None:
         return attempt_deadline
-    return min(attempt_deadline, anyio.current_time() + timeout_s)
+    return min(attempt_deadline, asyncio.get_running_loop().time() + timeout_s)
--- a/figpaddle/telemetry/_line_renderer.py
+++ b/figpaddle/telemetry/_line_renderer.py
@@ -4,6 +4,7 @@
 
 import functools
 import re
+from collections.abc import MutableMapping
 from typing import Any
 
 #: Fields that come first, in this order.
@@ -13,7 +14,7 @@
 _NEEDS_ESCAPE = re.compile(r'["\n]')
 
 
-def render_line(_logger: Any, _method: str, fields: dict[str, Any]) -> str:
+def render_line(_logger: Any, _method: str, fields: MutableMapping[str, Any]) -> str:
     """Return a log event as ``key=value`` pairs, in the format of ``structlog``'s logfmt renderer.
 
     That one looks at each character of each key for each line, which took most of the time of a line.
