--- a/figpaddle/deployment/_effective_routes.py
+++ b/figpaddle/deployment/_effective_routes.py
@@ -32,12 +32,9 @@
     return {pair: index * ranks // len(ordered) for index, pair in enumerate(ordered)}
 
 
-def priority_pair(route: GatewayRoute, workspace: Workspace | None) -> PriorityPair:
-    """Return the priorities of a request, with the default for one whose workspace has none."""
-    of_workspace = None if workspace is None else workspace.priority
-    if of_workspace is None:
-        of_workspace = DEFAULT_WORKSPACE_PRIORITY
-    return of_workspace, route.priority
+def workspace_priority(workspace: Workspace) -> int:
+    """Return the priority of a workspace, or the default."""
+    return DEFAULT_WORKSPACE_PRIORITY if workspace.priority is None else workspace.priority
 
 
 def common_homes(route: GatewayRoute, workspace: Workspace | None) -> tuple[str, ...] | None:
--- a/figpaddle/deployment/_gateway_routes.py
+++ b/figpaddle/deployment/_gateway_routes.py
@@ -10,8 +10,8 @@
 from figpaddle.deployment._effective_routes import (
     PriorityPair,
     effective_route,
-    priority_pair,
     rank_priorities,
+    workspace_priority,
 )
 from figpaddle.deployment._workspaces import Workspace
 
@@ -148,9 +148,20 @@
         # By host, path prefix and workspace.
         return {}
 
+    @functools.cached_property
+    def _workspace_priorities(self) -> frozenset[int]:
+        return frozenset(map(workspace_priority, self.workspaces))
+
+    def _pair(self, route: GatewayRoute, workspace: Workspace | None) -> PriorityPair:
+        """Return the priorities of a request; one without a workspace goes with the least urgent."""
+        if workspace is None:
+            return max(self._workspace_priorities, default=0), route.priority
+        return workspace_priority(workspace), route.priority
+
     def _pairs_on(self, route: GatewayRoute) -> set[PriorityPair]:
-        workspaces = (None,) if route.public else self.workspaces
-        return {priority_pair(route, workspace) for workspace in workspaces}
+        if route.public:
+            return {self._pair(route, None)}
+        return {(priority, route.priority) for priority in self._workspace_priorities}
 
     def _priorities_on(self, route: GatewayRoute) -> set[int]:
         """Return the priorities of the requests on a route."""
@@ -182,7 +193,7 @@
         key = (route.host, route.path_prefix, "" if workspace is None else workspace.name)
         cache = self._effective_routes
         if key not in cache:
-            priority = self._ranks[priority_pair(route, workspace)]
+            priority = self._ranks[self._pair(route, workspace)]
             cache[key] = effective_route(route, workspace, priority=priority)
         return cache[key]
 
--- a/figpaddle/deployment/_workspaces.py
+++ b/figpaddle/deployment/_workspaces.py
@@ -8,7 +8,7 @@
 
 #: Size of the digest of a caller's key, bytes.
 KEY_DIGEST_BYTES = 16
-#: Priority of requests whose workspace has none, and of those without a workspace.
+#: Priority of a workspace that states none.
 DEFAULT_WORKSPACE_PRIORITY = 5
 
 
