--- a/figpaddle/deployment/_gateway_routes.py
+++ b/figpaddle/deployment/_gateway_routes.py
@@ -203,7 +203,9 @@
 
     @functools.cached_property
     def _public_routes(self) -> frozenset[str]:
-        return frozenset(route.name for route in self.routes if route.public)
+        # Of several routes with one name, all must be public.
+        others = {route.name for route in self.routes if not route.public}
+        return frozenset(route.name for route in self.routes) - others
 
     def route_for(self, host: str, path: str) -> GatewayRoute | None:
         """Return the route of ``host`` with the longest prefix of ``path``, or None."""
--- a/tests/test_workspaces.py
+++ b/tests/test_workspaces.py
@@ -92,6 +92,24 @@
         assert not any(server.arrivals for server in entry.servers)
 
 
+def test_an_entry_without_contact_to_the_voters_refuses_keys_where_it_must_not_trust_its_own() -> (
+    None
+):
+    for fail_closed, key, status in ((True, KEY, 503), (False, KEY, 200), (True, "", 200)):
+        with late_entry() as entry:
+            bounds = dataclasses.replace(
+                entry.process._settings.bounds, fail_closed=fail_closed, revoke_s=0.2
+            )
+            entry.process._settings = dataclasses.replace(entry.process._settings, bounds=bounds)
+            document = with_tenants()
+            for route in document["routes"]:
+                route["public"] = not key
+            entry.loop.scripts.append(Change(entry, document, at=0.1))
+            request = head("/read/1", *([f"X-Figpaddle-Key: {key}"] if key else []))
+            caller = play(entry, [(0.5, request)], lambda _, name: (0.1, whole_answer(name)))
+            assert caller.status == status, (fail_closed, key, entry.log()[-2000:])
+
+
 @pytest.mark.anyio
 async def test_keys_stay_in_the_configuration() -> None:
     async with platform_deployment() as platform:
