--- a/figpaddle/regional/_gateway.py
+++ b/figpaddle/regional/_gateway.py
@@ -78,6 +78,8 @@
 #: Base of Retry-After while there is no configuration, seconds: the usual time from the start of an
 #: entry to its first configuration.
 STARTUP_RETRY_AFTER_S = 0.4
+#: Base of Retry-After where only another configuration can help, seconds.
+CONFIGURATION_RETRY_AFTER_S = 5.0
 #: Base of Retry-After where the reason of the refusal suggests no time, seconds.
 DEFAULT_RETRY_AFTER_S = 0.6
 
@@ -201,8 +203,9 @@
             configuration, route, caller.key_digest, keys_are_current=self._keys_are_current()
         )
         if isinstance(access, AccessRefusal):
+            wait_s = OTHER_ENTRY_RETRY_AFTER_S if access.is_own else CONFIGURATION_RETRY_AFTER_S
             await self._refuse_unrouted(
-                caller, responder, access.status, access.reason, workspace=access.workspace
+                caller, responder, access.status, access.reason, wait_s, workspace=access.workspace
             )
             return None
         request = self._without_identity(request, configuration)
--- a/figpaddle/routing/_caller_access.py
+++ b/figpaddle/routing/_caller_access.py
@@ -26,6 +26,8 @@
     reason: str
     #: The workspace, if its key is known.
     workspace: str = ""
+    #: Whether another entry may handle it now.
+    is_own: bool = False
 
 
 def decide_access(
@@ -42,7 +44,9 @@
     workspace = None
     if configuration.workspaces and not route.public:
         if not keys_are_current:
-            return AccessRefusal(status=503, reason="out of contact, keys may be outdated")
+            return AccessRefusal(
+                status=503, reason="out of contact, keys may be outdated", is_own=True
+            )
         if not key_digest:
             return AccessRefusal(status=401, reason="key missing")
         workspace = configuration.workspace_for(key_digest)
