--- a/figpaddle/routing/_quota_shares.py
+++ b/figpaddle/routing/_quota_shares.py
@@ -21,6 +21,8 @@
 DEMAND_S = 1.0
 #: Time after which a loan that hasn't come is asked of others, seconds.
 LOAN_TIMEOUT_S = 0.5
+#: Time for which a voter that didn't answer isn't asked again, seconds.
+SILENT_PEER_S = 1.0
 #: A voter isn't asked for less than its part gains in this time, seconds, so that a workspace far beyond
 #: its quota doesn't cost a question for each request.
 MIN_LOAN_S = 0.1
@@ -229,6 +231,7 @@
         # Spare amounts of other voters by workspace: when they were stated, and the amount.
         self._spare: dict[tuple[str, str], tuple[float, float]] = {}
         self._questions: dict[int, _LoanQuestion] = {}
+        self._silent_until: dict[str, float] = {}
         self._next_question = 1
         self._peers: tuple[str, ...] = ()
         self._near: frozenset[str] = frozenset()
@@ -265,6 +268,9 @@
                 share = self._shares[workspace] = QuotaShare(now=now)
             factor = 1.0 / self._parts if owns_part else 0.0
             share.set_part(per_s=item.per_s * factor, capacity=item.capacity * factor, now=now)
+        self._silent_until = {
+            peer: until for peer, until in self._silent_until.items() if until > now
+        }
         self._spare = {
             key: stated
             for key, stated in self._spare.items()
@@ -375,6 +381,7 @@
         if question is None or question.peer != peer:
             return
         del self._questions[number]
+        self._silent_until.pop(peer, None)
         for workspace, (amount, spare) in loans.items():
             share, terms = self._shares.get(workspace), self._terms.get(workspace)
             if share is None or terms is None:
@@ -383,7 +390,10 @@
             self._spare[peer, workspace] = (now, spare)
 
     def expire(self, *, now: float) -> None:
-        """Forget questions whose loans would have expired."""
+        """Forget questions whose loans would have expired, and note which voters don't answer."""
+        for question in self._questions.values():
+            if now - question.asked_at >= LOAN_TIMEOUT_S:
+                self._silent_until[question.peer] = now + SILENT_PEER_S
         self._questions = {
             number: question
             for number, question in self._questions.items()
@@ -434,6 +444,8 @@
 
     def _spare_of(self, peer: str, workspace: str, *, now: float) -> float:
         """Return what another voter can lend by its last statement and what its part has gained since."""
+        if now < self._silent_until.get(peer, float("-inf")):
+            return 0.0
         terms = self._terms[workspace]
         capacity, per_s = terms.capacity / self._parts, terms.per_s / self._parts
         stated_at, spare = self._spare.get((peer, workspace), (now, capacity))
