--- a/figpaddle/regional/_quota_client.py
+++ b/figpaddle/regional/_quota_client.py
@@ -26,11 +26,12 @@
 from figpaddle.wire import Message, QuotaAsk, QuotaGrant, QuotaItem
 
 #: Longest time that a request waits for a grant, seconds, and as a fraction of what it has left.
-MAX_WAIT_S, MAX_WAIT_FRACTION = 0.6, 0.15
+MAX_WAIT_S, MAX_WAIT_FRACTION = 1.0, 0.2
 #: Time in which a voter of the own region, or of another one, says something before another is asked, seconds.
-NEAR_REPLY_S, FAR_REPLY_S = 0.15, 0.35
-#: Time for which a voter that said nothing is asked last, seconds.
-SILENT_HOLDER_S = 1.0
+#: Under load the event loops at both ends are late.
+NEAR_REPLY_S, FAR_REPLY_S = 0.4, 0.6
+#: Time for which a voter that said nothing is asked last, seconds; then it counts as silent if it is.
+SILENT_HOLDER_S = 2.5
 #: Time by which a request outwaits the voter that it waits for, seconds.
 ANSWER_MARGIN_S = 0.1
 #: Interval at which an entry asks ahead for one workspace, seconds.
--- a/figpaddle/routing/_quota_shares.py
+++ b/figpaddle/routing/_quota_shares.py
@@ -293,7 +293,7 @@
         missing = sum(item.cost for item in waiting) + demand.cost
         missing -= self._within_reach(demand.workspace, share, now=now)
         if missing > 0.0:
-            return self._refusal(demand, missing)
+            return self._refusal(demand, missing, now=now)
         self._waiting.setdefault(demand.workspace, []).append(demand)
         return None
 
@@ -312,7 +312,7 @@
                     if decision is None:
                         missing = demand.cost - self._within_reach(workspace, share, now=now)
                         if missing > 0.0 or now >= demand.waits_until:
-                            decision = self._refusal(demand, max(0.0, missing))
+                            decision = self._refusal(demand, missing, now=now)
                 if decision is None:
                     break
                 decisions.append(decision)
@@ -425,9 +425,13 @@
         parcels = share.take(demand.cost + ahead, lifetime_s=lifetime_s, now=now)
         return QuotaDecision(key=demand.key, parcels=parcels)
 
-    def _refusal(self, demand: QuotaDemand, missing: float) -> QuotaDecision:
+    def _refusal(self, demand: QuotaDemand, missing: float, *, now: float) -> QuotaDecision:
         per_s = self._terms[demand.workspace].per_s
-        refill_s = missing / per_s if per_s > 0.0 else math.inf
+        refill_s = math.inf
+        if per_s > 0.0:
+            # Others that were refused come back, too.
+            excess = self._shares[demand.workspace].demand.per_s(now=now) / per_s
+            refill_s = max(missing, demand.cost) / per_s * max(1.0, excess)
         return QuotaDecision(key=demand.key, is_refused=True, refill_s=refill_s)
 
     def _within_reach(self, workspace: str, share: QuotaShare, *, now: float) -> float:
