--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -451,6 +451,7 @@
                 f"listen.readiness-addr={self.address(name, 'ready')}",
                 f"listen.directory={self.address(name, 'lookup')}",
             ]
+        lines += self.limits_of(name)
         settings = self._folder / f"{name}.conf"
         settings.write_text("\n".join(lines), encoding="utf-8")
         with (self._folder / f"{name}.log").open("ab") as log:
@@ -469,6 +470,13 @@
         """Return the program that a process runs."""
         return self.root_of(name) / "platform" / "serve.py"
 
+    def limits_of(self, name: str) -> list[str]:
+        """Return further lines for the settings file of a process."""
+        return []
+
+    def pid(self, name: str) -> int:
+        return self._processes[name].pid
+
     def environment_of(self, name: str) -> dict[str, str]:
         """Return environment variables for a process."""
         return {}
