--- a/figpaddle/http1/__init__.py
+++ b/figpaddle/http1/__init__.py
@@ -14,6 +14,7 @@
     UnansweredHandler,
     UnansweredRequest,
 )
+from figpaddle.http1._held_bytes import ClientAccount, ClientLimits, ClientPhase, HeldClient
 from figpaddle.http1._listener import HttpListener
 from figpaddle.http1._messages import (
     Headers,
@@ -31,12 +32,16 @@
     "ResponseHead",
     "HttpClientConnection",
     "Channel",
+    "ClientAccount",
+    "ClientLimits",
+    "ClientPhase",
     "ConnectionPool",
     "FailureHandler",
     "FailureResponse",
     "Handler",
     "HandlerFailure",
     "Headers",
+    "HeldClient",
     "HttpListener",
     "HttpRequest",
     "PeerClose",
--- a/figpaddle/http1/_channel.py
+++ b/figpaddle/http1/_channel.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import contextlib
 import enum
 import errno
@@ -19,6 +20,8 @@
 
 #: Size of the unread input above which reading pauses, so that TCP flow control stops the sender.
 MAX_READ_AHEAD_BYTES = 256 * 1024
+#: Size of the unread input from which a listener to ``on_read_ahead`` decides about further reading, bytes.
+READ_AHEAD_STEP_BYTES = 16 * 1024
 #: Size of the read buffer, which all connections share, bytes.
 READ_BUFFER_BYTES = 64 * 1024
 #: Idle time before the first TCP keep-alive probe, seconds; the shortest that the kernel allows.
@@ -66,15 +69,20 @@
         self._peer = _peer_address(raw)
         self._buffer = bytearray()
         self._unread_since = 0.0
-        self._unsent = bytearray()
+        self._unsent: collections.deque[memoryview] = collections.deque()
+        self._unsent_bytes = 0
         self._peer_close: PeerClose | None = None
         self._peer_closed_since: float | None = None
         self._input_event: anyio.Event | None = None
         self._peer_close_event: anyio.Event | None = None
         self._sent_event: anyio.Event | None = None
         self._on_peer_close: Callable[[], None] | None = None
+        self._on_read_ahead: Callable[[int], bool] | None = None
+        self._on_unsent: Callable[[int], None] | None = None
         self._received_bytes = 0
         self._closed = False
+        #: Whether reading or sending has failed.
+        self._failed = False
         self._sending_finished = False
         self._reads = False
         self._resume_reading()
@@ -114,12 +122,26 @@
         """Time that ``arrived_after`` returned for the first of the bytes not yet read."""
         return self._unread_since
 
+    def was_reset(self) -> bool:
+        """Return whether the connection was reset, also after an orderly close by the peer."""
+        if self._failed or self._peer_close is PeerClose.RESET:
+            return True
+        return not self._closed and self._raw.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) != 0
+
     def on_peer_close(self, callback: Callable[[], None] | None) -> None:
         """Call ``callback`` when the peer closes its side, at once if it already has."""
         self._on_peer_close = callback
         if callback is not None and self._peer_close is not None:
             callback()
 
+    def on_read_ahead(self, callback: Callable[[int], bool]) -> None:
+        """Call ``callback`` with the size of a long unread input; it returns whether to read more."""
+        self._on_read_ahead = callback
+
+    def on_unsent(self, callback: Callable[[int], None]) -> None:
+        """Call ``callback`` each time that the number of bytes that the kernel hasn't accepted changes."""
+        self._on_unsent = callback
+
     def read_buffered(self) -> bytes:
         """Return and remove all bytes received."""
         data = bytes(self._buffer)
@@ -154,19 +176,26 @@
         """Return once the kernel has accepted ``data``; raises ConnectionLostError."""
         if self._closed or self._sending_finished:
             raise self._lost_error()
-        if self._unsent:
-            self._unsent += data
-        else:
-            sent = self._try_send(data)
-            if sent < len(data) and not self._closed:
-                self._unsent += memoryview(data)[sent:]
+        view = memoryview(data)
+        if not self._unsent:
+            view = view[self._try_send(view) :]
+            if view and not self._closed:
                 self._loop.add_writer(self._raw, self._send_unsent)
+        if view and not self._closed:
+            self._unsent.append(view)
+            self._note_unsent(self._unsent_bytes + len(view))
         while self._unsent and not self._closed:
             self._sent_event = self._sent_event or anyio.Event()
             await self._sent_event.wait()
         if self._closed:
             raise self._lost_error()
 
+    def send_last(self, data: bytes) -> None:
+        """Send what the kernel accepts at once of ``data``, and close the connection."""
+        if not self._closed and not self._sending_finished and not self._unsent:
+            self._try_send(data)
+        self.close()
+
     def finish_sending(self) -> None:
         """Half-close the connection; the peer may still send."""
         if not self._closed and not self._unsent:
@@ -183,6 +212,7 @@
         if self._unsent:
             self._loop.remove_writer(self._raw)
             self._unsent.clear()
+            self._unsent_bytes = 0
         self._raw.close()
         self._notify_sent()
         self._record_peer_close(PeerClose.RESET)
@@ -205,6 +235,7 @@
         except (BlockingIOError, InterruptedError):
             return False
         except OSError:
+            self._failed = True
             self.close()
             return False
         if not size:
@@ -216,30 +247,47 @@
             self._unread_since = self._arrived_after()
         self._buffer += _READ_BUFFER[:size]
         self._received_bytes += size
-        if len(self._buffer) > MAX_READ_AHEAD_BYTES:
+        if len(self._buffer) > MAX_READ_AHEAD_BYTES or not self._may_read_ahead():
             self._pause_reading()
         self._notify_input()
         return True
 
-    def _try_send(self, data: bytes | bytearray) -> int:
+    def _may_read_ahead(self) -> bool:
+        if self._on_read_ahead is None or len(self._buffer) < READ_AHEAD_STEP_BYTES:
+            return True
+        return self._on_read_ahead(len(self._buffer))
+
+    def _try_send(self, data: bytes | memoryview) -> int:
         """Send what the kernel accepts; return its size."""
         try:
             return self._raw.send(data)
         except (BlockingIOError, InterruptedError):
             return 0
         except OSError:
+            self._failed = True
             self.close()
             return 0
 
     def _send_unsent(self) -> None:
-        sent = self._try_send(self._unsent)
+        view = self._unsent[0]
+        sent = self._try_send(view)
         if self._closed:
             return
-        del self._unsent[:sent]
+        if sent < len(view):
+            self._unsent[0] = view[sent:]
+        else:
+            self._unsent.popleft()
         if not self._unsent:
             self._loop.remove_writer(self._raw)
+        self._note_unsent(self._unsent_bytes - sent)
+        if not self._unsent:
             self._notify_sent()
 
+    def _note_unsent(self, unsent_bytes: int) -> None:
+        self._unsent_bytes = unsent_bytes
+        if self._on_unsent is not None:
+            self._on_unsent(unsent_bytes)
+
     def _pause_reading(self) -> None:
         if self._reads:
             self._reads = False
--- a/figpaddle/http1/_client.py
+++ b/figpaddle/http1/_client.py
@@ -10,8 +10,10 @@
 
 from figpaddle.errors import AnswerTooLargeError, ConnectionLostError, MalformedAnswerError
 from figpaddle.http1._channel import Channel, PeerClose, connect
-from figpaddle.http1._messages import Headers, header
+from figpaddle.http1._messages import Headers, header, joined_parts
 
+#: Highest status code of HTTP; the parser takes three digits.
+MAX_STATUS = 599
 #: Number of discarded responses to other requests after which an exchange fails.
 MAX_MISMATCHED_RESPONSES = 4
 #: Largest size of the body of a discarded response, bytes.
@@ -131,11 +133,12 @@
         self._exchange_count += 1
         self._exchange_complete = False
         self._received_before = self._channel.received_bytes
-        data = self._parser.send(self._request) or b""
-        data += self._parser.send(h11.Data(data=body)) or b""
-        data += self._parser.send(h11.EndOfMessage()) or b""
+        encoded: list[bytes] = []
+        for event in (self._request, h11.Data(data=body), h11.EndOfMessage()):
+            encoded += self._parser.send_with_data_passthrough(event) or []
         on_sending()
-        await self._channel.send(data)
+        for part in joined_parts(encoded):
+            await self._channel.send(part)
         if self._channel.unread_bytes:
             self._must_close = True
 
@@ -165,6 +168,8 @@
             if not isinstance(event, h11.Response):
                 raise self._malformed_error(f"{type(event).__name__} before the response head")
             head = _head_of(event)
+            if head.status > MAX_STATUS:
+                raise self._malformed_error(f"status {head.status}")
             if accept(head):
                 self._update_keep_alive(head)
                 self._ends_with_connection = not any(
@@ -196,7 +201,7 @@
         """Yield the chunks of the body as they arrive.
 
         Raises ConnectionLostError if the connection ends before the body is complete. A body without
-        a length is complete when the server closes the connection, but not when it resets it.
+        a length is complete when the server closes the connection, but not when it resets it, then or later.
         """
         while True:
             event = await self._next_event()
@@ -204,6 +209,8 @@
                 yield bytes(event.data)
             elif isinstance(event, h11.EndOfMessage):
                 break
+        if self._ends_with_connection and self._channel.was_reset():
+            raise self._lost_error()
         self._exchange_complete = True
         if self._parser.their_state is not h11.DONE or self._parser.our_state is not h11.DONE:
             self._must_close = True
--- a/figpaddle/http1/_listener.py
+++ b/figpaddle/http1/_listener.py
@@ -18,7 +18,9 @@
     UnansweredHandler,
     answer_as_unknown,
 )
+from figpaddle.http1._held_bytes import ClientAccount
 from figpaddle.http1._messages import HttpRequest
+from figpaddle.http1._parsing_turns import ParsingTurns
 from figpaddle.http1._request_limits import RequestLimits
 from figpaddle.http1._server import Handler, Responder, ServerConnection
 
@@ -58,6 +60,9 @@
     its caller has reset it, and ``on_connection_error`` with an error that ended a connection.
     ``arrived_after`` returns a time since when the bytes have come that are read now, by default the
     present one.
+    ``account`` is that of the clients of all listeners of the process; it makes room for a connection beyond
+    its limit by closing one that has stalled. Where ``keeps_body`` is false the handler gets requests without
+    their bodies.
     """
 
     def __init__(
@@ -77,7 +82,12 @@
         on_accept_error: Callable[[str], None] = lambda _: None,
         on_connection_error: Callable[[Exception], None] = lambda _: None,
         arrived_after: Callable[[], float] | None = None,
+        account: ClientAccount | None = None,
+        keeps_body: bool = True,
     ) -> None:
+        self._account = account
+        self._keeps_body = keeps_body
+        self._parsing = ParsingTurns()
         self._refusal_handler = refusal_handler
         self._on_over_limit = on_over_limit
         self._on_failure = on_failure
@@ -187,6 +197,8 @@
     async def _serve_connection(self, accepted: socket.socket, arrived_after: float) -> None:
         """Serve a connection that has arrived after a time, seconds of the monotonic clock."""
         refuses = len(self._connections) - len(self._refusing) >= self._max_connections
+        if self._account is not None and not self._account.has_room(now=self._clock()):
+            refuses = True
         if refuses:
             has_room = len(self._refusing) < MAX_REFUSING_CONNECTIONS
             _call_contained(self._on_over_limit, has_room)
@@ -202,7 +214,6 @@
             _call_contained(self._on_accept_error, str(error))
             return
         channel = Channel(raw=accepted, arrived_after=self._arrived_after)
-        channel.read_now(arrived_after)
         connection = ServerConnection(
             channel=channel,
             handler=self._refusal_handler if refuses else self._handler,
@@ -211,7 +222,11 @@
             close_after_response=(lambda: True) if refuses else self._close_after_response,
             on_failure=self._on_failure,
             on_unanswered=self._on_unanswered,
+            account=self._account,
+            keeps_body=self._keeps_body,
+            parsing=self._parsing,
         )
+        channel.read_now(arrived_after)
         self._connections.add(connection)
         if refuses:
             self._refusing.add(connection)
--- a/figpaddle/http1/_messages.py
+++ b/figpaddle/http1/_messages.py
@@ -23,6 +23,10 @@
 )
 
 
+#: Size from which a part of a message is sent by itself, bytes; joining it with others would copy it.
+LONG_PART_BYTES = 64 * 1024
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class HttpRequest:
     """A complete request."""
@@ -85,3 +89,20 @@
     for value in header_values(headers, b"connection"):
         excluded |= {token.strip().lower() for token in value.split(b",")}
     return tuple(field for field in headers if field[0].lower() not in excluded)
+
+
+def joined_parts(parts: list[bytes]) -> list[bytes]:
+    """Return the parts of a message with the short ones joined, so that few writes send them.
+
+    >>> joined_parts([b"head", b"body"])
+    [b'headbody']
+    """
+    joined: list[bytes] = []
+    short: list[bytes] = []
+    for part in parts:
+        if len(part) < LONG_PART_BYTES:
+            short.append(part)
+            continue
+        joined += [b"".join(short), part]
+        short = []
+    return [part for part in (*joined, b"".join(short)) if part]
--- a/figpaddle/http1/_server.py
+++ b/figpaddle/http1/_server.py
@@ -4,9 +4,11 @@
 
 import abc
 import contextlib
+import dataclasses
 from collections.abc import Awaitable, Callable
 
 import anyio
+import anyio.lowlevel
 import h11
 
 from figpaddle.errors import ConnectionLostError, MalformedRequestError, TransportError
@@ -19,7 +21,15 @@
     UnansweredRequest,
     answer_as_unknown,
 )
-from figpaddle.http1._messages import Headers, HttpRequest, header, header_values
+from figpaddle.http1._held_bytes import ClientAccount, ClientLimits, ClientPhase, HeldClient
+from figpaddle.http1._messages import (
+    Headers,
+    HttpRequest,
+    header,
+    header_values,
+    joined_parts,
+)
+from figpaddle.http1._parsing_turns import LONG_INPUT_BYTES, ParsingTurns
 from figpaddle.http1._request_limits import RequestLimits
 
 #: Time without input after which a half-closed connection is closed, and the longest time for which it
@@ -28,6 +38,19 @@
 LINGER_TIMEOUT_S, MAX_LINGER_S = 0.5, 10.0
 #: Reasons for which a request ends without an answer.
 CANCELLED, NOT_ANSWERED = "cancelled", "not answered"
+#: Largest part of the input that is parsed without a pause for other connections, bytes.
+PARSED_PART_BYTES = 16 * 1024
+#: Bytes of a head that the limit doesn't count, such as its method and version.
+HEAD_OVERHEAD_BYTES = 1024
+#: Memory that a header field takes beside its name and value, bytes.
+FIELD_OVERHEAD_BYTES = 160
+#: Retry-After of a request that is refused for want of memory, seconds.
+NO_ROOM_RETRY_AFTER = b"1"
+#: Response to a request that is refused as it has stalled; it was not and will not be handled.
+STALLED_RESPONSE = (
+    b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nConnection: close\r\n"
+    b"Retry-After: " + NO_ROOM_RETRY_AFTER + b"\r\n\r\n"
+)
 #: Body of the response to an invalid request.
 EMPTY_BODY = b""
 
@@ -149,9 +172,12 @@
         """Send a complete response, and nothing of one that can't be encoded as a whole."""
         parts = [self._encode_head(status, headers, len(body))]
         if body:
-            parts.append(self._encode(h11.Data(data=body)))
+            parts += self._parser.send_with_data_passthrough(h11.Data(data=body)) or []
         parts.append(self._encode(h11.EndOfMessage()))
-        await self._send_first(b"".join(parts))
+        first, *rest = joined_parts(parts)
+        await self._send_first(first)
+        for part in rest:
+            await self._send(part)
         self._finished = True
 
     def _encode_head(self, status: int, headers: Headers, length: int | None) -> bytes:
@@ -179,12 +205,30 @@
             await self._channel.send(data)
 
 
-class ServerConnection:
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Head:
+    """What is kept of the head of a request."""
+
+    method: bytes
+    target: bytes
+    headers: Headers
+
+    @property
+    def held_bytes(self) -> int:
+        """Memory that it takes, bytes."""
+        fields = sum(len(name) + len(value) for name, value in self.headers)
+        return len(self.target) + fields + FIELD_OVERHEAD_BYTES * len(self.headers)
+
+
+class ServerConnection(HeldClient):
     """Reads the requests of one connection one at a time and passes each to ``handler``.
 
     A request that was read as a whole gets a response whatever the handler does: ``on_failure`` is told
     of one that raises an error or doesn't answer. ``on_unanswered`` is told of a request that gets none
     all the same, as the connection ends first, while its caller waits.
+    ``account`` decides which connections of the process are ended once it holds too much for them. Where
+    ``keeps_body`` is false the handler gets requests without their bodies. ``parsing`` is shared with
+    the other connections of the port.
     """
 
     def __init__(
@@ -197,7 +241,25 @@
         close_after_response: Callable[[], bool],
         on_failure: FailureHandler = answer_as_unknown,
         on_unanswered: UnansweredHandler = lambda _: None,
+        account: ClientAccount | None = None,
+        keeps_body: bool = True,
+        parsing: ParsingTurns | None = None,
     ) -> None:
+        self._parsing = parsing or ParsingTurns()
+        #: Whether the input that is parsed is long.
+        self._parses_long = False
+        self._account = account or ClientAccount(limits=ClientLimits())
+        self._keeps_body = keeps_body
+        #: Whether the account has ended the connection.
+        self._ended = False
+        self._phase = ClientPhase.FRESH
+        #: Bytes held for the request, and those of an answer that the client hasn't taken.
+        self._request_bytes = 0
+        self._unsent_bytes = 0
+        #: Input that isn't parsed yet.
+        self._pending = b""
+        #: Bytes of the present head that the parser has got.
+        self._head_bytes = 0
         self._draining = False
         self._busy = False
         self._arrived_after = 0.0
@@ -211,6 +273,9 @@
         self._on_failure = on_failure
         self._on_unanswered = on_unanswered
         self._parser = h11.Connection(h11.SERVER, max_incomplete_event_size=1 << 20)
+        self._account.add(self, now=clock())
+        channel.on_read_ahead(self._may_read_ahead)
+        channel.on_unsent(self._note_unsent)
 
     @property
     def busy(self) -> bool:
@@ -224,9 +289,28 @@
                 while await self._serve_request():
                     self._busy = False
                     self._parser.start_next_cycle()
+                    self._enter(ClientPhase.IDLE)
+                    self._hold_request(0)
+                    if self._has_input():
+                        # The requests of one connection must not keep the others waiting.
+                        await anyio.lowlevel.checkpoint()
             self._busy = False
+            self._pending = b""
+            self._enter(ClientPhase.CLOSING)
+            self._hold_request(0)
             await self._lingering_close()
         finally:
+            self._account.remove(self)
+            self._channel.close()
+
+    def end_for_others(self) -> None:
+        """Refuse the request that is being received, if any, and close the connection."""
+        self._ended = True
+        if self._phase is ClientPhase.RECEIVING:
+            self._channel.send_last(STALLED_RESPONSE)
+        elif self._phase is ClientPhase.SENDING:
+            self._channel.abort()
+        else:
             self._channel.close()
 
     def drain(self) -> None:
@@ -262,6 +346,40 @@
             return False
         return self._parser.our_state is h11.DONE and self._parser.their_state is h11.DONE
 
+    def _enter(self, phase: ClientPhase) -> None:
+        self._phase = phase
+        self._account.enter(self, phase, now=self._clock())
+
+    def _hold_request(self, request_bytes: int) -> bool:
+        """Record the bytes held for a request; return whether the connection may keep them."""
+        self._request_bytes = request_bytes
+        return self._update_hold()
+
+    def _update_hold(self) -> bool:
+        held_bytes = (
+            self._request_bytes
+            + self._unsent_bytes
+            + len(self._pending)
+            + self._channel.unread_bytes
+        )
+        return self._account.hold(self, held_bytes, now=self._clock())
+
+    def _may_read_ahead(self, unread_bytes: int) -> bool:
+        return self._update_hold()
+
+    def _note_unsent(self, unsent_bytes: int) -> None:
+        if unsent_bytes and not self._unsent_bytes:
+            self._enter(ClientPhase.SENDING)
+        self._account.note_passed(self, self._unsent_bytes - unsent_bytes, now=self._clock())
+        self._unsent_bytes = unsent_bytes
+        if not unsent_bytes:
+            self._enter(ClientPhase.SERVING)
+        # An answer to a request that has run is never given up for one that is refused.
+        self._update_hold()
+
+    def _has_input(self) -> bool:
+        return bool(self._pending or self._channel.unread_bytes or self._parser.trailing_data[0])
+
     def _check_answered(
         self, request: HttpRequest, responder: _H11Responder, *, otherwise: str
     ) -> None:
@@ -330,34 +448,60 @@
             return None
         self._busy = True
         self._unread_s = 0.0
+        self._enter(ClientPhase.RECEIVING)
         first_limits = self._limits()
-        if self._channel.unread_bytes:
+        if self._channel.unread_bytes and not self._pending:
             self._arrived_after = self._channel.unread_since
         # Otherwise its first bytes came with the request before.
         arrived_after = self._arrived_after
         head = await self._read_head_in_time(first_limits)
-        body = bytearray()
-        while True:
-            event = await self._next_event()
-            if isinstance(event, h11.Data):
-                body += event.data
-                if len(body) > self._highest_limits(first_limits).body_bytes:
-                    raise MalformedRequestError(what="the body exceeds the limit", status=413)
-            elif isinstance(event, h11.EndOfMessage):
-                break
+        body = await self._read_body(head, first_limits)
+        if self._ended:
+            raise self._ended_error()
+        self._enter(ClientPhase.SERVING)
         return HttpRequest(
             method=head.method,
             target=head.target,
-            headers=tuple(head.headers.raw_items()),
-            body=bytes(body),
+            headers=head.headers,
+            body=body,
             caller=self._channel.peer.rpartition(":")[0],
             received_at=self._clock(),
             arrived_after=arrived_after,
             unread_s=self._unread_s,
         )
 
+    async def _read_body(self, head: _Head, first_limits: RequestLimits) -> bytes:
+        """Return the body, empty if it isn't kept; the account is told how much is held."""
+        head_bytes = head.held_bytes
+        self._check_room(head_bytes)
+        declared = header(head.headers, b"content-length")
+        if declared is not None and int(declared) > self._highest_limits(first_limits).body_bytes:
+            raise MalformedRequestError(what="the body exceeds the limit", status=413)
+        body = bytearray()
+        size = 0
+        while True:
+            event = await self._next_event()
+            if isinstance(event, h11.EndOfMessage):
+                return bytes(body)
+            if not isinstance(event, h11.Data):
+                continue
+            size += len(event.data)
+            if size > self._highest_limits(first_limits).body_bytes:
+                raise MalformedRequestError(what="the body exceeds the limit", status=413)
+            self._account.note_passed(self, len(event.data), now=self._clock())
+            if self._keeps_body:
+                body += event.data
+                self._check_room(head_bytes + len(body))
+
+    def _check_room(self, request_bytes: int) -> None:
+        """Raise MalformedRequestError if the request has to be refused for want of memory."""
+        if not self._hold_request(request_bytes) and not self._ended:
+            self._account.note_refused()
+            raise MalformedRequestError(what="no memory is left for the request", status=503)
+
     async def _wait_for_first_bytes(self) -> bool:
-        if self._parser.trailing_data[0]:
+        self._head_bytes = len(self._parser.trailing_data[0])
+        if self._head_bytes or self._pending:
             return True
         began_at, timeout_s = anyio.current_time(), float("-inf")
         while not self._draining and not self._channel.unread_bytes:
@@ -377,7 +521,7 @@
         """Return the limits of a request: the higher of those as it began and of the present ones."""
         return first.highest(self._limits())
 
-    async def _read_head_in_time(self, first_limits: RequestLimits) -> h11.Request:
+    async def _read_head_in_time(self, first_limits: RequestLimits) -> _Head:
         began_at, timeout_s = anyio.current_time(), float("-inf")
         while (limits := self._highest_limits(first_limits)).header_timeout_s > timeout_s:
             timeout_s = limits.header_timeout_s
@@ -385,8 +529,8 @@
                 return await self._read_head(first_limits)
         raise MalformedRequestError(what="the header did not arrive in time", status=408)
 
-    async def _read_head(self, first_limits: RequestLimits) -> h11.Request:
-        event = await self._next_event()
+    async def _read_head(self, first_limits: RequestLimits) -> _Head:
+        event = await self._next_event(head_limits=first_limits)
         if not isinstance(event, h11.Request):
             raise MalformedRequestError(
                 what=f"{type(event).__name__} before the request head", status=400
@@ -402,10 +546,12 @@
             )
         if len(header_values(headers, b"host")) != 1:
             raise MalformedRequestError(what="not exactly one Host field", status=400)
-        return event
+        return _Head(method=event.method, target=event.target, headers=headers)
 
-    async def _next_event(self) -> h11.Event:
+    async def _next_event(self, *, head_limits: RequestLimits | None = None) -> h11.Event:
+        """Return the next event; ``head_limits`` are those of a head that isn't parsed yet."""
         while True:
+            began_at = self._clock() if self._parses_long else None
             try:
                 event = self._parser.next_event()
             except h11.RemoteProtocolError as error:
@@ -415,31 +561,66 @@
             except ValueError as error:
                 # A length of thousands of digits.
                 raise MalformedRequestError(what=str(error), status=400) from error
+            if began_at is not None:
+                self._parsing.note(self._clock() - began_at)
             if event is h11.NEED_DATA:
                 if self._parser.they_are_waiting_for_100_continue:
                     continue_response = h11.InformationalResponse(status_code=100, headers=[])
                     await self._channel.send(self._parser.send(continue_response))
-                await self._channel.wait_for_input()
-                self._arrived_after = self._channel.unread_since
-                data = self._channel.read_buffered()
-                if data:
-                    self._unread_s = max(self._unread_s, self._clock() - self._arrived_after)
-                if not data:
-                    reset = (
-                        self._channel.peer_close is not None
-                        and self._channel.peer_close.value == "reset"
-                    )
-                    raise ConnectionLostError(where=self._channel.peer, reset=reset, received=True)
-                self._parser.receive_data(data)
+                if head_limits is not None:
+                    self._check_head_size(head_limits)
+                self._parser.receive_data(await self._next_part())
                 continue
             if event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
                 raise ConnectionLostError(where=self._channel.peer, reset=False, received=False)
             assert isinstance(event, h11.Event)
             return event
 
+    def _check_head_size(self, first_limits: RequestLimits) -> None:
+        """Raise MalformedRequestError if what has come of a head exceeds its limit."""
+        limit_bytes = self._highest_limits(first_limits).header_bytes + HEAD_OVERHEAD_BYTES
+        if self._head_bytes > limit_bytes:
+            raise MalformedRequestError(what="the header exceeds the limit", status=431)
+
+    async def _next_part(self) -> bytes:
+        """Return the next part of the input, once there is one; raises ConnectionLostError."""
+        if self._pending:
+            await anyio.lowlevel.checkpoint()
+        else:
+            await self._channel.wait_for_input()
+            self._arrived_after = self._channel.unread_since
+            self._pending = self._channel.read_buffered()
+            if self._pending:
+                self._unread_s = max(self._unread_s, self._clock() - self._arrived_after)
+        if self._ended:
+            raise self._ended_error()
+        part, self._pending = (
+            self._pending[:PARSED_PART_BYTES],
+            self._pending[PARSED_PART_BYTES:],
+        )
+        if not part:
+            reset = (
+                self._channel.peer_close is not None and self._channel.peer_close.value == "reset"
+            )
+            raise ConnectionLostError(where=self._channel.peer, reset=reset, received=True)
+        self._head_bytes += len(part)
+        self._parses_long = len(part) >= LONG_INPUT_BYTES
+        if self._parses_long:
+            await self._parsing.wait()
+            if self._ended:
+                raise self._ended_error()
+        return part
+
+    def _ended_error(self) -> ConnectionLostError:
+        return ConnectionLostError(where=self._channel.peer, reset=False, received=True)
+
     async def _reject(self, responder: _H11Responder, status: int) -> None:
+        self._hold_request(0)
         if self._parser.our_state in (h11.IDLE, h11.SEND_RESPONSE):
-            await responder.answer(status, ((b"Connection", b"close"),), EMPTY_BODY)
+            headers: Headers = ((b"Connection", b"close"),)
+            if status == 503:
+                headers = (*headers, (b"Retry-After", NO_ROOM_RETRY_AFTER))
+            await responder.answer(status, headers, EMPTY_BODY)
 
     async def _lingering_close(self) -> None:
         self._channel.finish_sending()
--- a/figpaddle/regional/_entry.py
+++ b/figpaddle/regional/_entry.py
@@ -140,9 +140,9 @@
         self._caller_listener = self._listen(
             settings.caller_address, self._gateway.handle_caller, limits=self._limits
         )
-        self._listen(settings.readiness_address, self._handle_call)
+        self._listen(settings.readiness_address, self._handle_call, keeps_body=False)
         if settings.lookup_address:
-            self._listen(settings.lookup_address, self._handle_call)
+            self._listen(settings.lookup_address, self._handle_call, keeps_body=False)
 
     def heartbeat(self, *, same_region: bool) -> InstanceHeartbeat:
         """Return the heartbeat to send now.
--- a/figpaddle/regional/_process.py
+++ b/figpaddle/regional/_process.py
@@ -18,6 +18,7 @@
 from figpaddle.charts import LifeCycle
 from figpaddle.errors import SettingsError
 from figpaddle.http1 import (
+    ClientAccount,
     ConnectionPool,
     FailureResponse,
     Handler,
@@ -29,6 +30,7 @@
     UnansweredRequest,
 )
 from figpaddle.http1 import RequestLimits as HttpLimits
+from figpaddle.regional._client_limits import EndedClients, client_limits
 from figpaddle.regional._cluster import ClusterFollower
 from figpaddle.regional._dialect import Dialect
 from figpaddle.regional._forwarding import NOT_RUN, OUTCOME_FIELD, UNKNOWN, is_forwarded
@@ -117,6 +119,13 @@
         self._tasks: anyio.abc.TaskGroup | None = None
         self._listeners: list[HttpListener] = []
         self._requests = OpenRequests()
+        self._ended_clients = EndedClients(clock=clock, log=log, metrics=self._metrics)
+        self._clients = ClientAccount(
+            limits=client_limits(
+                memory_bytes=settings.memory_bytes, connections=self._max_connections
+            ),
+            on_ended=self._ended_clients.note,
+        )
         self._over_limit_logged_at = float("-inf")
         #: Connections beyond a limit since the last log line about them.
         self._over_limit_count = 0
@@ -174,6 +183,8 @@
                 rng=self._rng,
                 log=self._log,
             )
+            self._metrics.gauge("client_bytes_held", lambda: self._clients.held_bytes)
+            self._metrics.gauge("client_connections", lambda: self._clients.connections)
             self._metrics.gauge("log_lines_dropped", lambda: self._writer.dropped_total)
             self._metrics.gauge("state_revision", lambda: self._follower.state.revision)
             self._metrics.gauge("configuration_version", lambda: self._follower.state.version)
@@ -249,8 +260,12 @@
         limits: Callable[[], HttpLimits] = HttpLimits,
         ack_timeout_s: float = CROSS_REGION_ACK_TIMEOUT_S,
         for_peers: bool = False,
+        keeps_body: bool = True,
     ) -> HttpListener:
-        """Open a port; on one ``for_peers`` refusals state whether the request ran."""
+        """Open a port; on one ``for_peers`` refusals state whether the request ran.
+
+        What is held for clients of the other ports counts toward one limit.
+        """
         listener = HttpListener(
             address=address,
             handler=handler,
@@ -262,7 +277,9 @@
             limits=limits,
             close_after_response=lambda: self.leaving,
             ack_timeout_s=ack_timeout_s,
-            max_connections=max(64, self._settings.max_descriptors - SPARE_DESCRIPTORS),
+            max_connections=self._max_connections,
+            account=None if for_peers else self._clients,
+            keeps_body=keeps_body,
             on_accept_error=self._note_accept_error,
             on_connection_error=lambda error: self._note_connection_error(address, error),
             arrived_after=lambda: self._turns.arrived_after(now=self._clock()),
@@ -272,6 +289,10 @@
         self._listeners.append(listener)
         return listener
 
+    @property
+    def _max_connections(self) -> int:
+        return max(64, self._settings.max_descriptors - SPARE_DESCRIPTORS)
+
     def _interruptible(self, handler: Handler) -> Handler:
         """Wrap a handler so that its requests are answered if the process ends before it does.
 
--- a/figpaddle/regional/_settings.py
+++ b/figpaddle/regional/_settings.py
@@ -69,6 +69,8 @@
     #: Limit of open file descriptors.
     max_descriptors: int
     bounds: Bounds
+    #: Memory of the process, bytes; None if there is no limit.
+    memory_bytes: int | None = None
 
     @property
     def regions(self) -> tuple[str, ...]:
