--- a/figpaddle/daemon/_backend_client.py
+++ b/figpaddle/daemon/_backend_client.py
@@ -30,6 +30,8 @@
 MAX_CONNECTIONS = 1024
 #: Largest number of headers in a response.
 MAX_RESPONSE_HEADERS = 128
+#: Highest status code of HTTP; the HTTP library takes three digits.
+MAX_STATUS = 599
 #: Hop-by-hop headers, which are never forwarded; Host and Expect are set anew for each hop.
 HOP_BY_HOP_HEADERS = frozenset(
     {"connection", "keep-alive", "transfer-encoding", "te", "trailer", "upgrade", "host", "expect"}
@@ -222,5 +224,5 @@
     is_bodiless = response.request.method == "HEAD" or status in BODILESS_STATUSES
     has_end = "content-length" in response.headers or "transfer-encoding" in response.headers
     has_too_many_headers = len(response.headers.raw) > MAX_RESPONSE_HEADERS
-    if status < 200 or has_too_many_headers or not (is_bodiless or has_end):
+    if not 200 <= status <= MAX_STATUS or has_too_many_headers or not (is_bodiless or has_end):
         raise InvalidAnswerError(backend=backend)
