--- a/figpaddle/daemon/_instance.py
+++ b/figpaddle/daemon/_instance.py
@@ -17,6 +17,7 @@
 from figpaddle.daemon._backend_client import BackendClient
 from figpaddle.daemon._backends_port import BackendsPort
 from figpaddle.daemon._callers import CallersPort
+from figpaddle.daemon._client_account import BoundedApplication
 from figpaddle.daemon._component import Component
 from figpaddle.daemon._control import Control, initial_configuration
 from figpaddle.daemon._fault_reporter import FaultReporter
@@ -36,6 +37,7 @@
 from figpaddle.daemon._settings import Settings, load_yaml
 from figpaddle.daemon._sockets import Listener, listen, split_address
 from figpaddle.deployment import read_directory
+from figpaddle.http1 import ClientAccount, ClientLimits
 from figpaddle.routing import Admission, BackendTable, make_policy
 from figpaddle.telemetry import Log
 from figpaddle.wire import Handshake, InstanceInfo
@@ -48,6 +50,9 @@
 #: Part of it in which answers that have begun may end by themselves, seconds.
 ANSWER_END_TIMEOUT_S = 0.7
 
+#: Shortest interval between log lines about clients that are refused for want of memory, seconds.
+ENDED_CLIENTS_LOG_INTERVAL_S = 1.0
+
 
 class Instance:
     """One figpaddled process."""
@@ -63,6 +68,12 @@
         self._ports_closing = anyio.Event()
         self._configuration = initial_configuration(settings)
         self._faults = FaultReporter(configuration=self._configuration, log=log)
+        self._clients = ClientAccount(
+            limits=ClientLimits(held_bytes=settings.limits.client_bytes),
+            on_ended=self._note_ended_client,
+        )
+        self._ended_clients = 0
+        self._ended_logged_at = float("-inf")
         self._listeners = {
             name: listen(
                 getattr(settings.listen, name),
@@ -134,6 +145,13 @@
         )
         self._network.register_forward(self._receiver.handle)
 
+    def _note_ended_client(self, short: str) -> None:
+        self._ended_clients += 1
+        now = self._clock()
+        if now - self._ended_logged_at >= ENDED_CLIENTS_LOG_INTERVAL_S:
+            self._log.warning("clients_ended", short=short, total=self._ended_clients)
+            self._ended_logged_at = now
+
     def _own_info(self) -> InstanceInfo:
         settings = self._settings
         peers = settings.advertise.peers or self._listeners["peers"].address
@@ -290,7 +308,9 @@
             application=application, faults=self._faults, metrics=self._metrics, log=self._log
         )
         port = HttpPort(
-            application=guarded,
+            application=BoundedApplication(
+                application=guarded, account=self._clients, clock=self._clock
+            ),
             listener=listener,
             instance=self._settings.instance,
             clock=self._clock,
--- a/figpaddle/daemon/_settings.py
+++ b/figpaddle/daemon/_settings.py
@@ -66,6 +66,8 @@
 
     #: Largest request body, bytes.
     body_bytes: Annotated[int, pydantic.Field(gt=0)] = 8 * 1024 * 1024
+    #: Bytes that the process holds of the requests of all clients while it receives and serves them.
+    client_bytes: Annotated[int, pydantic.Field(gt=0)] = 64 * 1024 * 1024
     #: Longest time without progress in reading a caller's request body or in sending it the
     #: response, seconds; the request is then given up.
     caller_idle_s: Annotated[float, pydantic.Field(gt=0)] = 30.0
--- a/figpaddle/errors/_request.py
+++ b/figpaddle/errors/_request.py
@@ -155,6 +155,18 @@
         )
 
 
+class NoRoomError(RequestError):
+    """The instance holds too much for all clients and can't take the request."""
+
+    status = 503
+    problem = "no-room"
+
+    def __init__(self, *, retry_after_s: float) -> None:
+        super().__init__(
+            what="the instance has no memory left for the request", retry_after_s=retry_after_s
+        )
+
+
 class DrainingError(RequestError):
     """The instance is draining and accepts no new requests."""
 
