--- a/figpaddle/regional/_dialect.py
+++ b/figpaddle/regional/_dialect.py
@@ -8,6 +8,7 @@
 from figpaddle.deployment import GatewayConfiguration
 from figpaddle.errors import DocumentFault, RequestError
 from figpaddle.http1 import Headers, HttpRequest, ResponseHead
+from figpaddle.routing import BackendReport
 from figpaddle.wire import BackendRecord, Prefix
 
 
@@ -45,8 +46,8 @@
     not_run: bool
     #: Whether another server than the one addressed answered.
     wrong_server: bool
-    #: Requests running or queued at the backend server; None if the answer doesn't state it.
-    load: int | None
+    #: What the backend server states of its load; None if it doesn't.
+    load: BackendReport | None
     #: Whether the backend server states that it is leaving.
     leaving: bool = dataclasses.field(default=False, kw_only=True)
     #: Time for which it asks for no further requests, seconds; None if it doesn't.
--- a/figpaddle/routing/__init__.py
+++ b/figpaddle/routing/__init__.py
@@ -4,6 +4,7 @@
 from figpaddle.routing._answer_times import MIN_FAILURE_STATUS, AnswerTimes, assumed_answer_s
 from figpaddle.routing._backend_contact import ALIVE_S, BackendContact
 from figpaddle.routing._backend_load import PRIORITY_CLASSES, BackendLoadTracker, PeerLoad
+from figpaddle.routing._backend_report import BackendReport
 from figpaddle.routing._backends import (
     ANNOUNCEMENT_TTL_S,
     MAX_UTILIZATION_FOR_REMOTE_REQUESTS,
@@ -117,6 +118,7 @@
     "AnswerTimes",
     "BackendContact",
     "BackendLoadTracker",
+    "BackendReport",
     "BackendSubset",
     "BackendTable",
     "CHARACTERS_PER_TOKEN",
--- a/figpaddle/routing/_backend_load.py
+++ b/figpaddle/routing/_backend_load.py
@@ -5,6 +5,7 @@
 import dataclasses
 import math
 
+from figpaddle.routing._backend_report import BackendReport
 from figpaddle.routing._demand import Demand
 from figpaddle.routing._prefix_cache import PrefixCacheEstimate
 
@@ -88,7 +89,7 @@
         self._peer_unanswered = [0] * PRIORITY_CLASSES
         self._peer_prefill = [0] * PRIORITY_CLASSES
         self._peer_reports_checked_at = now
-        self._backend_report: tuple[int, float] | None = None
+        self._backend_report: tuple[BackendReport, float] | None = None
         # Moving average of the measured slowness and the time of its last sample, by priority class.
         self._slowness: dict[int, tuple[float, float]] = {}
         self._mean_plain_request_s = INITIAL_PLAIN_REQUEST_S
@@ -141,9 +142,16 @@
             self._peer_reports[entry] = (load, now)
             self._add_peer_load(load, 1)
 
-    def note_backend_report(self, requests: int, *, now: float) -> None:
-        """Record the number of requests that the backend server itself reports."""
-        self._backend_report = (requests, now)
+    def note_backend_report(self, report: BackendReport, *, now: float) -> None:
+        """Record what the backend server itself reports."""
+        self._backend_report = (report, now)
+
+    def pace(self, *, now: float) -> float:
+        """Return the factor on the time of work that the last report makes expect now."""
+        if self._backend_report is None:
+            return 1.0
+        report, reported_at = self._backend_report
+        return report.pace_after(now - reported_at)
 
     def requests(self, *, now: float) -> int:
         """Return the estimated number of requests in progress from all entry instances."""
@@ -153,7 +161,7 @@
             self._backend_report is not None
             and now - self._backend_report[1] <= BACKEND_REPORT_TTL_S
         ):
-            return max(known, self._backend_report[0])
+            return max(known, self._backend_report[0].requests)
         return known
 
     def memory(self, *, now: float) -> int:
--- a/figpaddle/routing/_regional_placement.py
+++ b/figpaddle/routing/_regional_placement.py
@@ -205,7 +205,8 @@
         unloaded_s = tracker.mean_plain_request_s
         expected_s = unloaded_s * (1.0 + waiting / slots)
         utilization_penalty_s = PLAIN_UTILIZATION_PENALTY * tracker.mean_plain_request_s
-    expected_s *= slowness * candidate.correction
+    pace = tracker.pace(now=now)
+    expected_s *= slowness * candidate.correction * pace
     score = expected_s + utilization_penalty_s * utilization * utilization
     if not candidate.is_preferred and demand.prompt_tokens:
         recomputed_tokens = max(
@@ -218,7 +219,7 @@
         region="",
         expected_s=expected_s,
         # An engine that is slow by itself makes nobody wait for others, and may be the only one.
-        wait_s=expected_s - unloaded_s * slowness if requests else 0.0,
+        wait_s=expected_s - unloaded_s * slowness * pace if requests else 0.0,
         correction=candidate.correction,
         prefill=prefill,
         score=score,
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -26,6 +26,7 @@
     SetEvacuation,
 )
 from figpaddle.regional._events import EventSplitter
+from figpaddle.routing import BackendReport
 from figpaddle.wire import BackendState, InstanceRole
 
 DIALECT = PlatformDialect()
@@ -208,10 +209,17 @@
     assert not names & {b"x-figpaddle-hold", b"kv-from", b"connection", b"x-private"}
 
 
+def _load(*, pace: float) -> BackendReport:
+    return BackendReport(running=3, waiting=2, slots=8, pace=pace)
+
+
 @pytest.mark.parametrize(
     ("status", "fields", "not_run", "wrong", "load"),
     [
-        (200, ((b"X-Figpaddle-Server-Load", b"3,2,8"),), False, False, 5),
+        (200, ((b"X-Figpaddle-Server-Load", b"3,2,8"),), False, False, _load(pace=1.0)),
+        (200, ((b"X-Figpaddle-Server-Load", b"3,2,8,250"),), False, False, _load(pace=2.5)),
+        (200, ((b"X-Figpaddle-Server-Load", b"3,2,8,100,7"),), False, False, None),
+        (200, ((b"X-Figpaddle-Server-Load", b"3,2,8,-1"),), False, False, None),
         (200, ((b"X-Figpaddle-Server-Load", b"busy"),), False, False, None),
         (503, (), False, False, None),
         (503, ((b"X-Figpaddle-Not-Executed", b"full"),), True, False, None),
@@ -219,7 +227,7 @@
     ],
 )
 def test_an_answer_says_whether_the_request_ran(
-    status: int, fields: Headers, not_run: bool, wrong: bool, load: int | None
+    status: int, fields: Headers, not_run: bool, wrong: bool, load: BackendReport | None
 ) -> None:
     response = DIALECT.read_answer(ResponseHead(status=status, headers=fields))
     assert (response.not_run, response.wrong_server, response.load) == (not_run, wrong, load)
