--- a/figpaddle/deployment/_gateway_routes.py
+++ b/figpaddle/deployment/_gateway_routes.py
@@ -120,6 +120,14 @@
                 priorities.setdefault(service, set()).add(route.priority)
         return {service: tuple(sorted(found)) for service, found in priorities.items()}
 
+    @functools.cached_property
+    def _targets(self) -> dict[str, tuple[tuple[int, float], ...]]:
+        targets: dict[str, set[tuple[int, float]]] = {}
+        for route in self.routes:
+            for service, _ in route.services:
+                targets.setdefault(service, set()).add((route.priority, route.target_s))
+        return {service: tuple(sorted(found)) for service, found in targets.items()}
+
     def route_for(self, host: str, path: str) -> GatewayRoute | None:
         """Return the route of ``host`` with the longest prefix of ``path``, or None."""
         for route in self._by_host.get(host, ()):
@@ -131,6 +139,10 @@
         """Return the service called ``name``, or None."""
         return self._services.get(name)
 
+    def targets_of(self, service: str) -> tuple[tuple[int, float], ...]:
+        """Return priority and latency target in seconds of the routes that use a service."""
+        return self._targets.get(service, ())
+
     def priorities_of(self, service: str) -> tuple[int, ...]:
         """Return the priorities of the routes that use a service, the most urgent first."""
         return self._priorities.get(service, ())
--- a/figpaddle/regional/_backend_attempts.py
+++ b/figpaddle/regional/_backend_attempts.py
@@ -76,7 +76,7 @@
                 context.request,
                 backend=backend.name,
                 remaining_s=remaining_s,
-                priority=context.route.priority,
+                priority=context.start_order,
                 last_event=context.last_event,
             ),
             connect_timeout_s=min(BACKEND_CONNECT_TIMEOUT_S, context.remaining_s(now=now)),
@@ -118,6 +118,10 @@
                 )
             return answer
 
+        def note_relaying() -> None:
+            tracker.note_events(attempt_key, now=self._clock())
+            self._note_relaying(attempt_key)
+
         def note_end(result: AttemptResult) -> AttemptResult:
             self._note_ended(attempt_key, result)
             self._placer.offer_limits.note_decided(backend.name, attempt_key)
@@ -177,7 +181,7 @@
             note_placed=note_placed if context.is_offered and not responder.started else None,
             note_kept=note_kept,
             clock=self._clock,
-            on_relaying=lambda: self._note_relaying(attempt_key),
+            on_relaying=note_relaying,
             on_relayed=lambda: self._note_relayed(attempt_key),
         )
         return Attempt(choice=choice, exchange=exchange, note_end=note_end)
--- a/figpaddle/regional/_placer.py
+++ b/figpaddle/regional/_placer.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable, Collection
 from typing import Any
 
-from figpaddle.deployment import Repeat
+from figpaddle.deployment import GatewayConfiguration, GatewayRoute, Repeat
 from figpaddle.http1 import ConnectionPool
 from figpaddle.regional._backend_records import reports_heard_at
 from figpaddle.regional._cluster import ClusterFollower
@@ -44,6 +44,7 @@
     OfferLimits,
     RemoteRegion,
     SlidingCount,
+    UrgencyOrder,
     backend_subset,
     choose,
     choose_forwarding_peer,
@@ -132,6 +133,9 @@
         self._subsets: dict[str, tuple[tuple[str, ...], tuple[str, ...], BackendSubset]] = {}
         self._subsets_expire_at: dict[str, float] = {}
         self._expectations = ExpectationModel()
+        #: The order of starts by service, and the configuration that it follows from.
+        self._urgency_orders: dict[str, UrgencyOrder] = {}
+        self._urgencies_of: GatewayConfiguration | None = None
         self._forwarded_counts: dict[tuple[str, str], SlidingCount] = {}
         self._cold_limit = ColdLimit(
             overshoot=settings.bounds.cold_overshoot,
@@ -184,6 +188,7 @@
         With ``is_offer``, another attempt stays in progress until the place has taken the request.
         """
         now = self._clock()
+        context.urgency = self._urgency(context.service.name, context.route)
         if context.confined_by is not None:
             return self._place_confined(context, now=now, is_offer=is_offer)
         candidates = self._candidates(context, now=now)
@@ -354,6 +359,7 @@
             prefill=choice.prefill,
             memory=context.caller.prompt_tokens + context.caller.output_tokens,
             expected_s=choice.expected_s,
+            usual_s=choice.usual_s,
             now=now,
         )
 
@@ -624,7 +630,8 @@
                     )
                     for backend in free_backends
                 ]
-                load = summarize_load(candidates, priority=priority, now=now)
+                urgency = self._least_urgent(service.name, priority)
+                load = summarize_load(candidates, priority=urgency, now=now)
                 loads.append(
                     RegionalLoad(
                         service=service.name,
@@ -700,6 +707,8 @@
                 "slowness": round(
                     self.tracker_of(backend.name).slowness(PRIORITY_CLASSES - 1, now=now), 2
                 ),
+                "speed_factor": round(self.tracker_of(backend.name).speed.factor, 2),
+                "event_gap_s": round(self.tracker_of(backend.name).stream_pace.gap_s(now=now), 3),
                 "failing": round(self.tracker_of(backend.name).failure_rate(now=now), 2),
             }
             for backend in self._fleet.backends()
@@ -904,6 +913,34 @@
             known = self._subsets[service] = (backends, entries, subset)
         return known[2]
 
+    def _urgency(self, service: str, route: GatewayRoute) -> int:
+        """Return the order in which backend servers of a service start requests of a route."""
+        return self._urgencies(service).urgency(priority=route.priority, target_s=route.target_s)
+
+    def _urgencies(self, service: str) -> UrgencyOrder:
+        configuration = self._follower.configuration
+        if configuration is not self._urgencies_of:
+            self._urgencies_of, self._urgency_orders = configuration, {}
+        order = self._urgency_orders.get(service)
+        if order is None:
+            targets = () if configuration is None else configuration.targets_of(service)
+            order = self._urgency_orders[service] = UrgencyOrder(routes=targets)
+        return order
+
+    def _least_urgent(self, service: str, priority: int) -> int:
+        """Return the last place in the order of starts that requests of a priority have."""
+        configuration = self._follower.configuration
+        targets = () if configuration is None else configuration.targets_of(service)
+        order = self._urgencies(service)
+        return max(
+            (
+                order.urgency(priority=priority, target_s=target_s)
+                for other, target_s in targets
+                if other == priority
+            ),
+            default=priority,
+        )
+
     def _classes_above(self, service: str, priority: int) -> int:
         """Return the number of priorities of a service that are more urgent than ``priority``."""
         configuration = self._follower.configuration
--- a/figpaddle/regional/_request_context.py
+++ b/figpaddle/regional/_request_context.py
@@ -11,7 +11,7 @@
 from figpaddle.deployment import GatewayRoute, GatewayService, Repeat
 from figpaddle.http1 import HttpClientConnection, HttpRequest, ResponseHead
 from figpaddle.regional._dialect import BackendAnswer, CallerRequest
-from figpaddle.routing import Demand, Process, RequestTraits
+from figpaddle.routing import MIN_EVENTS, Demand, Process, RequestTraits
 
 if TYPE_CHECKING:
     from figpaddle.regional._attempt import Attempt
@@ -179,6 +179,8 @@
     taker: Attempt | None = None
     #: Whether an attempt at a silent server ended as another place had taken the request over.
     left_silent_server: bool = False
+    #: Its order among the waiting requests of a backend server, 0 first; None before it is placed.
+    urgency: int | None = None
     #: Reason for which the last attempt failed.
     last_failure: str = ""
     #: Number of the last attempt that was begun, from 1; 0 before the first.
@@ -203,6 +205,16 @@
         """Identifier of the last attempt that was begun, within this process."""
         return f"{self.request_id}/{self.attempt}"
 
+    @property
+    def _longest_pause_s(self) -> float:
+        events = self.caller.output_tokens / max(1, self.service.tokens_per_event)
+        return self.route.gap_s if self.route.streaming and events >= MIN_EVENTS else 0.0
+
+    @property
+    def start_order(self) -> int:
+        """Order in which a backend server starts it; the priority of its route before it is placed."""
+        return self.route.priority if self.urgency is None else self.urgency
+
     @property
     def sender_decides_retries(self) -> bool:
         """Whether the entry that forwarded it alone decides on further attempts once its stream has begun."""
@@ -274,13 +286,14 @@
             request_id=self.request_id,
             member="",
             service=self.service.name,
-            priority=self.route.priority,
+            priority=self.start_order,
             deadline_s=self.remaining_s(now=now),
             prefixes=self.caller.prefixes,
             prompt_tokens=self.caller.prompt_tokens,
             output_tokens=self.caller.output_tokens,
             body_bytes=len(self.request.body),
             streamed=self.route.streaming,
+            longest_pause_s=self._longest_pause_s,
             forwarded=self.forwarded,
         )
 
--- a/figpaddle/routing/__init__.py
+++ b/figpaddle/routing/__init__.py
@@ -86,6 +86,7 @@
 from figpaddle.routing._retry_after import jittered_retry_after
 from figpaddle.routing._retry_budget import RetryBudget
 from figpaddle.routing._scored import Estimate, PolicyName, ScoredPolicy, make_policy
+from figpaddle.routing._stream_pace import MIN_EVENTS
 from figpaddle.routing._stream_versions import (
     ASKED_PER_REGION,
     STREAM_TTL_S,
@@ -105,6 +106,7 @@
     SuspectedAttempt,
     UnsettledAttempts,
 )
+from figpaddle.routing._urgency import UrgencyOrder
 from figpaddle.routing._version_history import VersionHistory, majority_heard_at
 from figpaddle.routing._warmth import ASKED_AHEAD_S, CONTROL_SILENCE_S, max_warmth_age_s
 from figpaddle.routing._zone_work import OwnWorkHistory, newest_limits, peer_load, sum_work
@@ -154,6 +156,7 @@
     "MAX_MEMORY_FRACTION",
     "MAX_UTILIZATION_FOR_REMOTE_REQUESTS",
     "MEAN_PROMPT_TOKENS",
+    "MIN_EVENTS",
     "MIN_FAILURE_STATUS",
     "MIN_LIMIT_PER_S",
     "NamedLimits",
@@ -193,6 +196,7 @@
     "UNANNOUNCED_S",
     "UnsettledAttempts",
     "TransitTimes",
+    "UrgencyOrder",
     "VersionHistory",
     "assumed_answer_s",
     "backend_subset",
--- a/figpaddle/routing/_backend_load.py
+++ b/figpaddle/routing/_backend_load.py
@@ -6,8 +6,10 @@
 import math
 
 from figpaddle.routing._backend_report import BackendReport
+from figpaddle.routing._backend_speed import BackendSpeed
 from figpaddle.routing._demand import Demand
 from figpaddle.routing._prefix_cache import PrefixCacheEstimate
+from figpaddle.routing._stream_pace import StreamPace
 
 #: Age at which another entry's load report expires, seconds; a few heartbeats.
 PEER_REPORT_TTL_S = 2.0
@@ -25,6 +27,8 @@
 INITIAL_STREAM_S = 2.0
 #: Weight of a new sample in a moving average.
 SAMPLE_WEIGHT = 0.08
+#: Initial estimate of the prompt tokens that an engine computes for a request.
+INITIAL_PREFILL_TOKENS = 1000.0
 #: Limit on one slowness sample, as a multiple of the expected time.
 MAX_SLOWNESS_SAMPLE = 8.0
 #: Half-life of measured slowness without new samples, seconds.
@@ -48,8 +52,11 @@
     memory: int
     sent_at: float
     expected_s: float
+    usual_s: float
     streamed: bool
     first_at: float | None = None
+    #: When its last event came; None while the caller holds the answer up.
+    event_at: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -81,6 +88,8 @@
 
     def __init__(self, *, now: float) -> None:
         self.cache = PrefixCacheEstimate()
+        self.speed = BackendSpeed()
+        self.stream_pace = StreamPace()
         self._local_requests: dict[str, _LocalRequest] = {}
         self._peer_reports: dict[str, tuple[PeerLoad, float]] = {}
         # Running sums over the peer reports, because placement reads them for many engines.
@@ -92,6 +101,7 @@
         self._backend_report: tuple[BackendReport, float] | None = None
         # Moving average of the measured slowness and the time of its last sample, by priority class.
         self._slowness: dict[int, tuple[float, float]] = {}
+        self._mean_prefill = INITIAL_PREFILL_TOKENS
         self._mean_plain_request_s = INITIAL_PLAIN_REQUEST_S
         self._mean_stream_s = INITIAL_STREAM_S
         self._recent_ended = 0.0
@@ -181,11 +191,27 @@
         classes_ahead = _priority_class(priority) + 1
         less_urgent = sum(unanswered[classes_ahead:]) + sum(self._peer_unanswered[classes_ahead:])
         waiting = max(0, math.ceil(self.requests(now=now) - slots))
+        known = sum(unanswered) + sum(self._peer_unanswered)
+        unknown_prefill = self._unknown_waiting(known, now=now) * self._mean_prefill
         return WorkAhead(
             requests=max(0, waiting - less_urgent),
-            prefill=sum(prefill[:classes_ahead]) + sum(self._peer_prefill[:classes_ahead]),
+            prefill=sum(prefill[:classes_ahead])
+            + sum(self._peer_prefill[:classes_ahead])
+            + unknown_prefill,
         )
 
+    def _unknown_waiting(self, known: int, *, now: float) -> float:
+        """Return the requests that the backend server said wait there beyond the ``known`` ones.
+
+        Those that another entry sent since its last report, or that an entry left there when it ended.
+        They count less the older the statement is.
+        """
+        if self._backend_report is None:
+            return 0.0
+        report, reported_at = self._backend_report
+        freshness = max(0.0, 1.0 - (now - reported_at) / BACKEND_REPORT_TTL_S)
+        return max(0, report.waiting - known) * freshness
+
     def note_sent(
         self,
         key: str,
@@ -194,17 +220,24 @@
         prefill: float,
         memory: int,
         expected_s: float,
+        usual_s: float = 0.0,
         now: float,
     ) -> None:
-        """Record a request that is being sent."""
+        """Record a request that is being sent.
+
+        ``usual_s`` is the time to its first byte that is expected of a server of the usual speed; 0 if
+        nothing is to be learned from it.
+        """
         self._local_requests[key] = _LocalRequest(
             priority=demand.priority,
             prefill=prefill,
             memory=memory,
             sent_at=now,
             expected_s=expected_s,
+            usual_s=usual_s,
             streamed=demand.streamed,
         )
+        self._mean_prefill += (prefill - self._mean_prefill) * SAMPLE_WEIGHT
         self.cache.note_sent(demand.prefixes, now=now)
 
     def note_first_byte(self, key: str, *, now: float) -> float | None:
@@ -218,10 +251,20 @@
         request.first_at = now
         elapsed_s = now - request.sent_at
         reference_s = max(BASE_FIRST_TOKEN_S, request.expected_s)
+        self.speed.note(expected_s=request.usual_s, measured_s=elapsed_s)
         sample = min(MAX_SLOWNESS_SAMPLE, elapsed_s / reference_s)
         self._add_slowness_sample(_priority_class(request.priority), sample, now)
         return elapsed_s
 
+    def note_events(self, key: str, *, now: float) -> None:
+        """Record that events of a stream have come; the time since the last ones is a sample of its pace."""
+        request = self._local_requests.get(key)
+        if request is None or not request.streamed:
+            return
+        if request.event_at is not None:
+            self.stream_pace.note(now - request.event_at, now=now)
+        request.event_at = now
+
     @property
     def oldest_sent_at(self) -> float:
         """When the oldest request in progress was sent; infinity without one."""
--- a/figpaddle/routing/_demand.py
+++ b/figpaddle/routing/_demand.py
@@ -41,6 +41,8 @@
     body_bytes: int = 0
     #: Whether the response is streamed, so that the time to its first token can be measured.
     streamed: bool = True
+    #: Longest pause between its events that the caller accepts, seconds; 0 if it is too short to pause.
+    longest_pause_s: float = 0.0
     #: Whether the request came from another region.
     forwarded: bool = False
 
--- a/figpaddle/routing/_regional_placement.py
+++ b/figpaddle/routing/_regional_placement.py
@@ -15,6 +15,7 @@
 from figpaddle.routing._fleet import FleetBackend
 from figpaddle.routing._ranking import highest_ranked, unit_weight
 from figpaddle.routing._retry_after import jittered_retry_after
+from figpaddle.routing._stream_pace import pause_penalty_s
 from figpaddle.routing._subsets import BackendSubset
 
 #: Fraction of an engine's memory that running requests may take. Above it the engine preempts
@@ -129,6 +130,10 @@
     wait_s: float
     #: The factor in ``expected_s`` by which the estimate was corrected.
     correction: float = 1.0
+    #: The expected time at an engine of the usual speed, seconds; 0 for other places.
+    usual_s: float = 0.0
+    #: The part of the score for pauses between the events of a stream, seconds.
+    pause_s: float = 0.0
     #: Prompt tokens to be computed.
     prefill: float
     #: Score in seconds; the lowest one wins.
@@ -205,7 +210,12 @@
         unloaded_s = tracker.mean_plain_request_s
         expected_s = unloaded_s * (1.0 + waiting / slots)
         utilization_penalty_s = PLAIN_UTILIZATION_PENALTY * tracker.mean_plain_request_s
+    usual_s = 0.0
     pace = tracker.pace(now=now)
+    if candidate.memory_tokens:
+        # What the present pace and the correction for the kind of request explain is no speed.
+        usual_s = expected_s * candidate.correction * pace
+        pace *= tracker.speed.factor
     expected_s *= slowness * candidate.correction * pace
     score = expected_s + utilization_penalty_s * utilization * utilization
     if not candidate.is_preferred and demand.prompt_tokens:
@@ -214,6 +224,8 @@
         )
         score += PREFIX_RECOMPUTE_PENALTY * recomputed_tokens / PREFILL_TOKENS_PER_S
     score += FAILURE_PENALTY_S * tracker.failure_rate(now=now)
+    pause_s = pause_penalty_s(tracker.stream_pace.gap_s(now=now), longest_s=demand.longest_pause_s)
+    score += pause_s
     return Choice(
         backend=candidate.backend,
         region="",
@@ -221,6 +233,8 @@
         # An engine that is slow by itself makes nobody wait for others, and may be the only one.
         wait_s=expected_s - unloaded_s * slowness * pace if requests else 0.0,
         correction=candidate.correction,
+        usual_s=usual_s,
+        pause_s=pause_s,
         prefill=prefill,
         score=score,
     )
--- /dev/null
+++ b/figpaddle/routing/tests/test_uneven_engines.py
@@ -0,0 +1,155 @@
+"""Placement among engines that differ in speed, pace and load, and the order in which requests start."""
+
+from __future__ import annotations
+
+import collections
+import random
+
+import pytest
+
+from figpaddle.routing import (
+    BackendLoadTracker,
+    BackendReport,
+    Candidate,
+    Demand,
+    Fleet,
+    UrgencyOrder,
+    choose,
+    estimate,
+)
+from figpaddle.wire import BackendRecord, BackendState
+
+
+def engines(*names: str) -> list[Candidate]:
+    fleet = Fleet()
+    for number, name in enumerate(names):
+        record = BackendRecord(
+            name=name,
+            born=1,
+            sequence=1,
+            service="s",
+            address=f"10.0.0.{number}:80",
+            zone="z",
+            state=BackendState.SERVING,
+            slots=64,
+            warmup_s=0.0,
+            age_s=0.0,
+        )
+        fleet.apply(record, now=0.0)
+    return [
+        Candidate(
+            backend=backend,
+            tracker=BackendLoadTracker(now=0.0),
+            slots=64,
+            memory_tokens=450_000,
+        )
+        for backend in fleet.backends()
+    ]
+
+
+def demand(*, prompt: int = 6000, longest_pause_s: float = 0.0) -> Demand:
+    return Demand(
+        request_id="r",
+        member="",
+        service="s",
+        priority=1,
+        deadline_s=10.0,
+        prompt_tokens=prompt,
+        output_tokens=300,
+        longest_pause_s=longest_pause_s,
+    )
+
+
+def serve(candidate: Candidate, *, takes: float, count: int) -> None:
+    """Have an engine serve requests one by one, each in ``takes`` times its estimate."""
+    now = 0.0
+    for number in range(count):
+        choice = estimate(candidate, demand(), now=now)
+        assert choice is not None
+        candidate.tracker.note_sent(
+            f"{number}",
+            demand(),
+            prefill=choice.prefill,
+            memory=6300,
+            expected_s=choice.expected_s,
+            usual_s=choice.usual_s,
+            now=now,
+        )
+        now += choice.usual_s * takes
+        candidate.tracker.note_first_byte(f"{number}", now=now)
+        candidate.tracker.note_ended(f"{number}", failed=False, now=now)
+
+
+def used(candidates: list[Candidate], wanted: Demand, *, now: float) -> collections.Counter[str]:
+    counts: collections.Counter[str] = collections.Counter()
+    for seed in range(60):
+        choice = choose(wanted, candidates, [], rng=random.Random(seed), now=now)
+        assert choice is not None and choice.backend is not None
+        counts[choice.backend.name] += 1
+    return counts
+
+
+def test_the_expected_time_at_a_slow_engine_follows_its_answers() -> None:
+    slow, fast = engines("slow", "fast")
+    serve(slow, takes=1.7, count=80)
+    serve(fast, takes=0.7, count=80)
+    at_slow, at_fast = (estimate(engine, demand(), now=60.0) for engine in (slow, fast))
+    assert at_slow is not None and at_fast is not None
+    assert at_slow.expected_s / at_fast.expected_s == pytest.approx(1.7 / 0.7, rel=0.15)
+
+
+def test_long_streams_avoid_an_engine_whose_events_come_slowly_and_short_ones_do_not() -> None:
+    slow, quick = engines("slow", "quick")
+    for number in range(100):
+        for engine, gap_s in ((slow, 0.3), (quick, 0.05)):
+            engine.tracker.stream_pace.note(gap_s, now=number * gap_s)
+    assert used([slow, quick], demand(longest_pause_s=0.4), now=30.0)["slow"] == 0
+    assert used([slow, quick], demand(), now=30.0)["slow"] > 10
+
+
+def test_requests_that_the_engine_reports_beyond_the_known_ones_delay_the_next() -> None:
+    (engine,) = engines("a")
+    idle = estimate(engine, demand(), now=0.0)
+    report = BackendReport(running=10, waiting=20, slots=64)
+    engine.tracker.note_backend_report(report, now=0.0)
+    at_once, later = (estimate(engine, demand(), now=now) for now in (0.0, 2.0))
+    assert idle is not None and at_once is not None and later is not None
+    assert at_once.wait_s > 0.2
+    assert later.expected_s == idle.expected_s
+
+
+def test_a_moment_in_which_work_takes_longer_counts_and_passes() -> None:
+    (engine,) = engines("a")
+    idle = estimate(engine, demand(), now=0.0)
+    report = BackendReport(running=0, waiting=0, slots=64, pace=2.5)
+    engine.tracker.note_backend_report(report, now=0.0)
+    at_once, later = (estimate(engine, demand(), now=now) for now in (0.0, 3.0))
+    assert idle is not None and at_once is not None and later is not None
+    assert at_once.expected_s == pytest.approx(2.5 * idle.expected_s)
+    assert later.expected_s == pytest.approx(idle.expected_s, rel=0.01)
+
+
+def test_requests_with_a_long_target_start_after_those_that_cannot_wait() -> None:
+    order = UrgencyOrder(routes=[(0, 2.5), (1, 1.5), (2, 1.2), (0, 2.4)])
+    urgencies = [
+        order.urgency(priority=priority, target_s=target_s)
+        for priority, target_s in ((1, 1.5), (2, 1.2), (0, 2.5))
+    ]
+    assert urgencies == [0, 1, 2]
+
+
+@pytest.mark.parametrize(
+    "routes",
+    [
+        [(0, 0.8), (1, 0.6), (2, 1.0)],
+        [(0, 0.8), (1, 0.8), (2, 2.5)],
+        [(2, 0.4)],
+        [(5, 1.0), (7, 2.0)],
+    ],
+)
+def test_the_order_of_starts_is_that_of_the_priorities_where_targets_do_not_differ_much(
+    routes: list[tuple[int, float]],
+) -> None:
+    order = UrgencyOrder(routes=routes)
+    for priority, target_s in routes:
+        assert order.urgency(priority=priority, target_s=target_s) == priority
