--- a/figpaddle/regional/_placer.py
+++ b/figpaddle/regional/_placer.py
@@ -881,10 +881,11 @@
         correction: float = 1.0,
         classes_above: int = 0,
     ) -> Candidate:
+        tracker = self.tracker_of(backend.name)
         return Candidate(
             backend=backend,
-            tracker=self.tracker_of(backend.name),
-            slots=backend.record.slots or slots or 1,
+            tracker=tracker,
+            slots=tracker.slots_in_use(backend.record.slots or slots or 1, now=self._clock()),
             memory_tokens=memory_tokens,
             correction=correction,
             classes_above=classes_above,
@@ -941,6 +942,15 @@
             default=priority,
         )
 
+    def _is_paced(self, service: str) -> bool:
+        """Return whether backend servers of a service that start find their pace by their answers.
+
+        The operator says of a service whether its servers are cold after a start.
+        """
+        configuration = self._follower.configuration
+        found = None if configuration is None else configuration.service(service)
+        return found is not None and found.is_model and found.cold_per_s > 0
+
     def _classes_above(self, service: str, priority: int) -> int:
         """Return the number of priorities of a service that are more urgent than ``priority``."""
         configuration = self._follower.configuration
@@ -1019,7 +1029,8 @@
             if change.value in ("nothing", "confirmed"):
                 continue
             if change.value == "started":
-                self._trackers[record.name] = BackendLoadTracker(now=now)
+                is_paced = record.warmup_s > 0 and self._is_paced(record.service)
+                self._trackers[record.name] = BackendLoadTracker(now=now, has_just_started=is_paced)
             self._log.info(
                 "backend_believed",
                 backend=record.name,
--- a/figpaddle/routing/_backend_load.py
+++ b/figpaddle/routing/_backend_load.py
@@ -9,6 +9,7 @@
 from figpaddle.routing._backend_speed import BackendSpeed
 from figpaddle.routing._demand import Demand
 from figpaddle.routing._prefix_cache import PrefixCacheEstimate
+from figpaddle.routing._start_pace import StartPace
 from figpaddle.routing._stream_pace import StreamPace
 
 #: Age at which another entry's load report expires, seconds; a few heartbeats.
@@ -86,7 +87,10 @@
 class BackendLoadTracker:
     """Tracks local requests, load reports, speed and failures of one backend server."""
 
-    def __init__(self, *, now: float) -> None:
+    def __init__(self, *, now: float, has_just_started: bool = False) -> None:
+        #: Where it has just started: how much of it is used.
+        self.start_pace = StartPace(now=now) if has_just_started else None
+        self._slots = 0
         self.cache = PrefixCacheEstimate()
         self.speed = BackendSpeed()
         self.stream_pace = StreamPace()
@@ -252,10 +256,17 @@
         elapsed_s = now - request.sent_at
         reference_s = max(BASE_FIRST_TOKEN_S, request.expected_s)
         self.speed.note(expected_s=request.usual_s, measured_s=elapsed_s)
+        if self.start_pace is not None and request.streamed:
+            self.start_pace.note_answer(elapsed_s / reference_s, slots=self._slots)
         sample = min(MAX_SLOWNESS_SAMPLE, elapsed_s / reference_s)
         self._add_slowness_sample(_priority_class(request.priority), sample, now)
         return elapsed_s
 
+    def slots_in_use(self, slots: int, *, now: float) -> int:
+        """Return how many of its ``slots`` are used: fewer while it has just started."""
+        self._slots = slots
+        return slots if self.start_pace is None else self.start_pace.slots(slots, now=now)
+
     def note_events(self, key: str, *, now: float) -> None:
         """Record that events of a stream have come; the time since the last ones is a sample of its pace."""
         request = self._local_requests.get(key)
--- a/figpaddle/routing/tests/test_uneven_engines.py
+++ b/figpaddle/routing/tests/test_uneven_engines.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import dataclasses
 import random
 
 import pytest
@@ -129,6 +130,50 @@
     assert later.expected_s == pytest.approx(idle.expected_s, rel=0.01)
 
 
+def place_burst(candidates: list[Candidate], *, count: int) -> collections.Counter[str]:
+    """Place requests that come at once, before any is answered."""
+    counts: collections.Counter[str] = collections.Counter()
+    rng = random.Random(3)
+    for number in range(count):
+        paced = [
+            dataclasses.replace(item, slots=item.tracker.slots_in_use(64, now=0.0))
+            for item in candidates
+        ]
+        choice = choose(demand(prompt=100), paced, [], rng=rng, now=0.0)
+        assert choice is not None and choice.backend is not None
+        counts[choice.backend.name] += 1
+        tracker = next(item.tracker for item in candidates if item.backend is choice.backend)
+        tracker.note_sent(
+            f"b{number}", demand(prompt=100), prefill=100, memory=400, expected_s=0.1, now=0.0
+        )
+    return counts
+
+
+def test_a_burst_does_not_flood_an_engine_that_has_just_started() -> None:
+    old, new = engines("old", "new")
+    new = dataclasses.replace(new, tracker=BackendLoadTracker(now=0.0, has_just_started=True))
+    for number in range(12):
+        old.tracker.note_sent(
+            f"{number}", demand(prompt=100), prefill=0, memory=400, expected_s=0.1, now=0.0
+        )
+    counts = place_burst([old, new], count=30)
+    assert 0 < counts["new"] <= 10
+
+
+def test_an_engine_that_has_just_started_is_used_wholly_once_it_answers_in_time() -> None:
+    (engine,) = engines("new")
+    tracker = BackendLoadTracker(now=0.0, has_just_started=True)
+    engine = dataclasses.replace(engine, tracker=tracker)
+    first = tracker.slots_in_use(64, now=0.0)
+    serve(engine, takes=5.0, count=10)
+    assert tracker.slots_in_use(64, now=0.0) == first
+    tracker = BackendLoadTracker(now=0.0, has_just_started=True)
+    engine = dataclasses.replace(engine, tracker=tracker)
+    tracker.slots_in_use(64, now=0.0)
+    serve(engine, takes=1.0, count=60)
+    assert tracker.slots_in_use(64, now=0.0) == 64
+
+
 def test_requests_with_a_long_target_start_after_those_that_cannot_wait() -> None:
     order = UrgencyOrder(routes=[(0, 2.5), (1, 1.5), (2, 1.2), (0, 2.4)])
     urgencies = [
