--- a/figpaddle/regional/_gateway.py
+++ b/figpaddle/regional/_gateway.py
@@ -11,7 +11,7 @@
 
 import anyio
 
-from figpaddle.deployment import GatewayConfiguration, GatewayRoute, GatewayService, Repeat
+from figpaddle.deployment import GatewayConfiguration, GatewayService, Repeat, Workspace
 from figpaddle.errors import InvalidRequestError, MalformedRequestError
 from figpaddle.http1 import ConnectionPool, Headers, HttpRequest, Responder, header
 from figpaddle.regional._attempts import AttemptRunner
@@ -44,10 +44,14 @@
 from figpaddle.routing import (
     ALIVE_S,
     CLOSE_RESERVE_S,
+    AccessRefusal,
+    CallerAccess,
     Choice,
     RetryCharge,
     SharedRetryBudget,
     TransitTimes,
+    WorkspaceFairness,
+    decide_access,
     is_announced,
     jittered_retry_after,
     may_begin,
@@ -127,6 +131,7 @@
             log=log,
             metrics=metrics,
         )
+        self._fairness = WorkspaceFairness()
         self._requests = requests
         self._stopping_at: float | None = None
         self._stopped_accepting = False
@@ -190,7 +195,16 @@
         if route is None:
             await self._refuse_unrouted(caller, responder, 404, "no route")
             return None
-        context = self._new_context(request, caller, route, configuration)
+        access = decide_access(
+            configuration, route, caller.key_digest, keys_are_current=self._keys_are_current()
+        )
+        if isinstance(access, AccessRefusal):
+            await self._refuse_unrouted(
+                caller, responder, access.status, access.reason, workspace=access.workspace
+            )
+            return None
+        request = self._without_identity(request, configuration)
+        context = self._new_context(request, caller, access, configuration)
         if context is None:
             await self._refuse_unrouted(caller, responder, 503, "no such service")
             return None
@@ -204,6 +218,7 @@
         try:
             terms = decode_terms(request)
             request = dataclasses.replace(request, headers=without_terms(request.headers))
+            request = self._without_identity(request, self._follower.configuration)
             caller = self._dialect.read_request(request)
         except (MalformedRequestError, InvalidRequestError) as error:
             self._log.warning("hop_invalid", reason=str(error))
@@ -219,6 +234,7 @@
             service=terms.service,
             revision=terms.revision,
             deadline_at=sent_after + terms.left_s,
+            workspace=self._stated_workspace(terms),
             origin=terms.origin,
             attempts_left=terms.attempts,
             last_event=terms.last_event,
@@ -247,8 +263,9 @@
         return context
 
     def expire(self) -> None:
-        """Forget what is known of entries that no longer forward requests."""
+        """Forget what is known of entries that no longer forward requests, and of silent workspaces."""
         self._transits.expire(now=self._boot_clock())
+        self._fairness.expire(now=self._clock())
 
     def _delay_s(self, request: HttpRequest, terms: ForwardingTerms) -> float:
         """Return by how much at least a forwarded request has come later than usual, seconds."""
@@ -262,13 +279,41 @@
             received_at=request.received_at + boot_offset_s,
         )
 
+    def _keys_are_current(self) -> bool:
+        """Return whether a key that was taken away would be known to be so, where that matters."""
+        bounds = self._settings.bounds
+        if not bounds.fail_closed:
+            return True
+        return self._clock() - self._placer.voters_heard_at() <= bounds.revoke_s
+
+    def _without_identity(
+        self, request: HttpRequest, configuration: GatewayConfiguration | None
+    ) -> HttpRequest:
+        """Return a request without a key or workspace of its caller's, unless none matter here."""
+        if configuration is not None and not configuration.workspaces:
+            return request
+        headers = self._dialect.without_identity(request.headers)
+        return dataclasses.replace(request, headers=headers)
+
+    def _stated_workspace(self, terms: ForwardingTerms) -> Workspace | None:
+        """Return the workspace that the entry which accepted a request found, as this one knows it.
+
+        The configuration here may be an older one without it, or a newer one.
+        """
+        if not terms.workspace:
+            return None
+        configuration = self._follower.configuration
+        known = None if configuration is None else configuration.workspace(terms.workspace)
+        return known or Workspace(name=terms.workspace)
+
     def _new_context(
         self,
         request: HttpRequest,
         caller: CallerRequest,
-        route: GatewayRoute,
+        access: CallerAccess,
         configuration: GatewayConfiguration,
     ) -> RequestContext | None:
+        route = access.route
         names, weights = zip(*route.services, strict=True)
         service = configuration.service(self._rng.choices(names, weights=weights)[0])
         if service is None:
@@ -283,6 +328,7 @@
             service=service,
             revision=self._follower.state.revision,
             deadline_at=request.arrived_after + min(caller_timeout_s, route.timeout_s),
+            workspace=access.workspace,
             attempts_left=max(1, route.max_attempts),
             last_event=caller.last_event,
             goes_on=bool(caller.last_event),
@@ -325,11 +371,20 @@
             context.revision, timeout_s=REVISION_WAIT_S
         ):
             reason = "cluster state older than the sender's"
+        elif self._lacks_workspace(context):
+            reason = "workspace not stated"
         else:
             return True
         await self._refuse(context, responder, reason, self._retry_after_s(DEFAULT_RETRY_AFTER_S))
         return False
 
+    def _lacks_workspace(self, context: RequestContext) -> bool:
+        """Return whether an entry that knows no workspaces has forwarded a request that needs one."""
+        configuration = self._follower.configuration
+        if context.workspace is not None or configuration is None:
+            return False
+        return configuration.needs_workspace(context.route.name)
+
     async def _answer_interrupted(self, context: RequestContext, responder: Responder) -> None:
         """Answer a request that this process can't keep until its end."""
         if responder.started:
@@ -423,7 +478,28 @@
         )
         return False
 
+    def _max_wait_s(self, context: RequestContext) -> float:
+        """Return the longest time that a request may wait, shorter beyond its workspace's share."""
+        if context.workspace is None:
+            return context.max_wait_s
+        return context.max_wait_s * self._fairness.wait_fraction(
+            context.service.name, context.route.priority, context.workspace.name, now=self._clock()
+        )
+
+    def _note_work(self, context: RequestContext) -> None:
+        """Count a request as work of its workspace."""
+        if context.workspace is not None:
+            caller = context.caller
+            self._fairness.note_request(
+                context.service.name,
+                context.route.priority,
+                context.workspace.name,
+                work=float(caller.prompt_tokens + caller.output_tokens) or 1.0,
+                now=self._clock(),
+            )
+
     async def _attempt_until_done(self, context: RequestContext, responder: Responder) -> None:
+        self._note_work(context)
         unsent_attempts = 0
         unplaced_since = None
         failed: AttemptResult | None = None
@@ -455,8 +531,9 @@
                 await self._fail_leaving(context, responder)
                 return
             if not context.may_have_run and not responder.started:
+                max_wait_s = self._max_wait_s(context)
                 refusal = refuse_late(
-                    context.demand(now=now), choice, max_wait_s=context.max_wait_s, rng=self._rng
+                    context.demand(now=now), choice, max_wait_s=max_wait_s, rng=self._rng
                 )
                 if refusal is not None:
                     self._log.warning(
@@ -466,6 +543,8 @@
                         place=choice.region or (choice.backend.name if choice.backend else ""),
                         expected_s=round(choice.expected_s, 3),
                         wait_s=round(choice.wait_s, 3),
+                        max_wait_s=round(max_wait_s, 3),
+                        workspace=context.workspace_name,
                         target_s=context.route.target_s,
                         left_s=round(context.remaining_s(now=now), 3),
                         retry_after_s=refusal.retry_after_s,
@@ -736,11 +815,14 @@
         status: int,
         reason: str,
         retry_after_s: float = STARTUP_RETRY_AFTER_S,
+        *,
+        workspace: str = "",
     ) -> None:
         self._log.warning(
             "request_ended",
             request=caller.request_id,
             host=caller.host,
+            workspace=workspace,
             outcome=f"refused: {reason}",
             revision=self._follower.state.revision,
             version=self._follower.state.version,
@@ -775,6 +857,7 @@
             request=context.request_id,
             route=context.route.name,
             service=context.service.name,
+            workspace=context.workspace_name,
             outcome=outcome,
             attempts=context.attempt,
             priority=context.route.priority,
