--- a/figpaddle/deployment/_gateway_routes.py
+++ b/figpaddle/deployment/_gateway_routes.py
@@ -127,6 +127,14 @@
                 priorities.setdefault(service, set()).update(self._priorities_on(route))
         return {service: tuple(sorted(found)) for service, found in priorities.items()}
 
+    @functools.cached_property
+    def _targets(self) -> dict[str, tuple[tuple[int, float], ...]]:
+        targets: dict[str, set[tuple[int, float]]] = {}
+        for route in self.routes:
+            for service, _ in route.services:
+                targets.setdefault(service, set()).add((route.priority, route.target_s))
+        return {service: tuple(sorted(found)) for service, found in targets.items()}
+
     @functools.cached_property
     def _workspaces_by_digest(self) -> dict[bytes, tuple[bytes, Workspace]]:
         return {
@@ -218,6 +226,14 @@
         """Return the service called ``name``, or None."""
         return self._services.get(name)
 
+    def targets_of(self, service: str) -> tuple[tuple[int, float], ...]:
+        """Return priority and latency target in seconds of the routes that use a service.
+
+        Empty where workspaces have priorities: they are agreed with the operator, so targets say nothing of
+        the order between workspaces.
+        """
+        return () if self.workspaces else self._targets.get(service, ())
+
     def priorities_of(self, service: str) -> tuple[int, ...]:
         """Return the priorities of the requests for a service, the most urgent first."""
         return self._priorities.get(service, ())
