--- a/figpaddle/regional/_gateway.py
+++ b/figpaddle/regional/_gateway.py
@@ -203,7 +203,7 @@
             configuration, route, caller.key_digest, keys_are_current=self._keys_are_current()
         )
         if isinstance(access, AccessRefusal):
-            wait_s = OTHER_ENTRY_RETRY_AFTER_S if access.is_own else CONFIGURATION_RETRY_AFTER_S
+            wait_s = OTHER_ENTRY_RETRY_AFTER_S if access.elsewhere else CONFIGURATION_RETRY_AFTER_S
             await self._refuse_unrouted(
                 caller, responder, access.status, access.reason, wait_s, workspace=access.workspace
             )
--- a/figpaddle/routing/_caller_access.py
+++ b/figpaddle/routing/_caller_access.py
@@ -27,7 +27,7 @@
     #: The workspace, if its key is known.
     workspace: str = ""
     #: Whether another entry may handle it now.
-    is_own: bool = False
+    elsewhere: bool = False
 
 
 def decide_access(
@@ -45,7 +45,7 @@
     if configuration.workspaces and not route.public:
         if not keys_are_current:
             return AccessRefusal(
-                status=503, reason="out of contact, keys may be outdated", is_own=True
+                status=503, reason="out of contact, keys may be outdated", elsewhere=True
             )
         if not key_digest:
             return AccessRefusal(status=401, reason="key missing")
