--- a/figpaddle/coordination/_heartbeats.py
+++ b/figpaddle/coordination/_heartbeats.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+from collections.abc import Iterable
 from typing import Any, ClassVar, Generic, Protocol, TypeVar
 
 #: After this long without a heartbeat an instance no longer counts as live, seconds.
@@ -62,6 +63,7 @@
     """The newest heartbeat of each instance; late and duplicate ones are ignored."""
 
     def __init__(self) -> None:
+        # Ordered by name, as it is read far more often than an instance is added.
         self._newest: dict[str, ReceivedHeartbeat[HeartbeatT]] = {}
 
     def record(self, heartbeat: HeartbeatT, *, now: float) -> bool:
@@ -71,9 +73,7 @@
             known_order = (known.heartbeat.incarnation, known.heartbeat.sequence)
             if (heartbeat.incarnation, heartbeat.sequence) <= known_order:
                 return False
-        self._newest[heartbeat.name] = ReceivedHeartbeat(
-            heartbeat=heartbeat, received_at=now, direct_at=now
-        )
+        self._replace(ReceivedHeartbeat(heartbeat=heartbeat, received_at=now, direct_at=now))
         if known is None or now - known.alive_at > HEARTBEAT_TIMEOUT_S:
             return True
         return heartbeat.incarnation != known.heartbeat.incarnation
@@ -86,7 +86,7 @@
         """
         known = self._newest.get(heartbeat.name)
         if known is None or heartbeat.incarnation > known.heartbeat.incarnation:
-            self._newest[heartbeat.name] = ReceivedHeartbeat(heartbeat=heartbeat, received_at=now)
+            self._replace(ReceivedHeartbeat(heartbeat=heartbeat, received_at=now))
             return True
         if heartbeat.incarnation < known.heartbeat.incarnation:
             return False
@@ -109,8 +109,9 @@
         """Return the newest heartbeats of the live instances, ordered by name."""
         return [
             received.heartbeat
-            for _, received in sorted(self._newest.items())
-            if now - received.alive_at <= HEARTBEAT_TIMEOUT_S
+            for received in self._newest.values()
+            if now - received.received_at <= HEARTBEAT_TIMEOUT_S
+            or now - received.vouched_at <= HEARTBEAT_TIMEOUT_S
         ]
 
     def heard_directly(self, max_age_s: float, *, now: float) -> list[HeartbeatT]:
@@ -125,9 +126,13 @@
         """Return the newest heartbeat of an instance, or None."""
         return self._newest.get(name)
 
+    def received(self) -> Iterable[ReceivedHeartbeat[HeartbeatT]]:
+        """Return the newest heartbeats of all recorded instances, ordered by name."""
+        return self._newest.values()
+
     def names(self) -> list[str]:
         """Return the names of all recorded instances, sorted."""
-        return sorted(self._newest)
+        return list(self._newest)
 
     def expire(self, *, now: float) -> list[str]:
         """Remove the records of instances that have been silent for long; return their names."""
@@ -139,3 +144,10 @@
         for name in expired:
             del self._newest[name]
         return expired
+
+    def _replace(self, received: ReceivedHeartbeat[HeartbeatT]) -> None:
+        name = received.heartbeat.name
+        is_new = name not in self._newest
+        self._newest[name] = received
+        if is_new:
+            self._newest = dict(sorted(self._newest.items()))
--- a/figpaddle/http1/_channel.py
+++ b/figpaddle/http1/_channel.py
@@ -69,9 +69,9 @@
         self._unsent = bytearray()
         self._peer_close: PeerClose | None = None
         self._peer_closed_since: float | None = None
-        self._input_event: anyio.Event | None = None
-        self._peer_close_event: anyio.Event | None = None
-        self._sent_event: anyio.Event | None = None
+        self._input_event: asyncio.Event | None = None
+        self._peer_close_event: asyncio.Event | None = None
+        self._sent_event: asyncio.Event | None = None
         self._on_peer_close: Callable[[], None] | None = None
         self._received_bytes = 0
         self._closed = False
@@ -141,13 +141,13 @@
         """Return once bytes can be read or the peer has closed its side."""
         while not self._buffer and self._peer_close is None:
             if self._input_event is None:
-                self._input_event = anyio.Event()
+                self._input_event = asyncio.Event()
             await self._input_event.wait()
 
     async def wait_for_peer_close(self) -> None:
         """Return once the peer has closed its side, even if unread bytes remain."""
         if self._peer_close is None:
-            self._peer_close_event = self._peer_close_event or anyio.Event()
+            self._peer_close_event = self._peer_close_event or asyncio.Event()
             await self._peer_close_event.wait()
 
     async def send(self, data: bytes) -> None:
@@ -162,7 +162,7 @@
                 self._unsent += memoryview(data)[sent:]
                 self._loop.add_writer(self._raw, self._send_unsent)
         while self._unsent and not self._closed:
-            self._sent_event = self._sent_event or anyio.Event()
+            self._sent_event = self._sent_event or asyncio.Event()
             await self._sent_event.wait()
         if self._closed:
             raise self._lost_error()
--- a/figpaddle/regional/_contact_watch.py
+++ b/figpaddle/regional/_contact_watch.py
@@ -55,9 +55,10 @@
     async def run(self) -> None:
         """Check whenever a check is due, until cancelled."""
         while True:
-            addresses = self._addresses()
-            if self._contact.needs_check(servers=addresses, now=self._clock()):
-                await self._check(addresses)
+            if self._contact.has_signs:
+                addresses = self._addresses()
+                if self._contact.needs_check(servers=addresses, now=self._clock()):
+                    await self._check(addresses)
             await anyio.sleep(WATCH_INTERVAL_S)
 
     async def reaches_others(self, excluded: Collection[str]) -> bool:
--- a/figpaddle/regional/_heartbeat_sender.py
+++ b/figpaddle/regional/_heartbeat_sender.py
@@ -65,7 +65,8 @@
         self._mesh.detect_silent(now)
         self._update_plan(now)
         names_by_receiver: dict[_Receiver, list[str]] = {}
-        for name in self._mesh.take_reply_requests() - self._plan.keys():
+        regular = self._plan.keys() if self._relaying.enabled else self._mesh.peer_names
+        for name in self._mesh.take_reply_requests() - regular:
             receiver = _Receiver(interval_s=0.0, same_region=self._is_in_same_region(name))
             names_by_receiver.setdefault(receiver, []).append(name)
         for name, receiver in self._plan.items():
@@ -91,7 +92,11 @@
 
     def _update_plan(self, now: float) -> None:
         if not self._relaying.enabled:
-            self._plan = {name: self._direct_receiver(name, now) for name in self._mesh.peer_names}
+            self._plan = {
+                name: self._direct_receiver(name, now)
+                for name in self._mesh.peer_names
+                if self._next_at.get(name, 0.0) <= now
+            }
             return
         relays = (self._relaying.relays, self._relaying.asked_relays)
         if now < self._plan_expires_at and relays == self._planned_relays:
--- a/figpaddle/regional/_mesh.py
+++ b/figpaddle/regional/_mesh.py
@@ -381,9 +381,9 @@
         if now < self._next_check_at:
             return
         self._next_check_at = now + SILENCE_CHECK_INTERVAL_S
-        for name in self._table.names():
-            heard = self._table.get(name)
-            if heard is None or now - heard.alive_at <= HEARTBEAT_TIMEOUT_S or name in self._silent:
+        for heard in self._table.received():
+            name = heard.heartbeat.name
+            if now - heard.alive_at <= HEARTBEAT_TIMEOUT_S or name in self._silent:
                 continue
             self._silent.add(name)
             self._log.warning(
@@ -510,14 +510,19 @@
 
     async def _receive(self, datagrams: socket.socket) -> None:
         times = DatagramTimes(datagrams, clock=self._clock, wall=time.time)
+        is_empty = True
         while True:
-            await anyio.wait_readable(datagrams)
+            if is_empty:
+                await anyio.wait_readable(datagrams)
             ends_at = self._clock() + MAX_BATCH_S
+            is_empty = True
             for _ in range(MAX_DATAGRAMS_PER_BATCH):
                 if self._clock() >= ends_at:
                     break
                 try:
                     data, arrived_at = times.receive(MAX_DATAGRAM_BYTES)
+                    # Some often come during the pause; to be told of them costs more than to look.
+                    is_empty = False
                 except BlockingIOError:
                     break
                 except OSError as error:
@@ -550,8 +555,7 @@
 
     def _received(self, role: InstanceRole) -> list[ReceivedHeartbeat[InstanceHeartbeat]]:
         """Return the newest heartbeat of each other instance of a role, silent ones included."""
-        received = (self._table.get(name) for name in self._table.names())
-        return [heard for heard in received if heard is not None and heard.heartbeat.role is role]
+        return [heard for heard in self._table.received() if heard.heartbeat.role is role]
 
     def _note_peer_up(self, heartbeat: InstanceHeartbeat, *, source: str) -> None:
         self._live = (0.0, [])
--- a/figpaddle/regional/_placer.py
+++ b/figpaddle/regional/_placer.py
@@ -552,6 +552,8 @@
         self._warmth_wanted_at = {
             name: at for name, at in self._warmth_wanted_at.items() if now - at <= WANTED_TTL_S
         }
+        if not self._warmth_wanted_at:
+            return []
         due_age_s = self._max_warmth_age_s(now) - ASKED_AHEAD_S
         questions = []
         for service in configuration.services:
@@ -599,7 +601,7 @@
                 ),
             )
             for name, tracker in self._trackers.items()
-            if (load := tracker.local_load).requests
+            if tracker.local_requests and (load := tracker.local_load).requests
         )
 
     def regional_loads(self) -> tuple[RegionalLoad, ...]:
--- a/figpaddle/routing/_backend_contact.py
+++ b/figpaddle/routing/_backend_contact.py
@@ -103,6 +103,11 @@
         """Return those of ``servers`` that weren't known yet at the last check."""
         return set(servers) - self._known_at_check
 
+    @property
+    def has_signs(self) -> bool:
+        """Whether anything speaks for a check; without that none is due, whatever servers there are."""
+        return bool(self.cut_off or self._unreached_at or self._unanswered_since)
+
     def needs_check(self, *, servers: Collection[str], now: float) -> bool:
         """Return whether a check is due; ``servers`` are the servers of the region.
 
