--- a/figpaddle/http1/tests/test_whole_chunks.py
+++ b/figpaddle/http1/tests/test_whole_chunks.py
@@ -7,9 +7,9 @@
 import h11
 import pytest
 
-from figpaddle.errors import MalformedAnswerError, TransportError
+from figpaddle.errors import TransportError
 from figpaddle.http1._client import HttpClientConnection
-from figpaddle.http1._whole_chunks import encode_chunk, take_whole_chunks
+from figpaddle.http1._whole_chunks import encode_chunk
 
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 
@@ -100,13 +100,3 @@
             await _read(pieces)
     else:
         assert await _read(pieces) == expected
-
-
-def test_a_chunk_that_is_longer_than_it_says_is_left_to_the_parser() -> None:
-    assert take_whole_chunks(b"1\r\na\r\n3\r\nabcd\r\n") == (b"a", b"3\r\nabcd\r\n")
-
-
-@pytest.mark.anyio
-async def test_a_malformed_chunk_after_whole_ones_is_an_error() -> None:
-    with pytest.raises(MalformedAnswerError):
-        await _read([HEAD, b"1\r\na\r\n", b"1\r\nb\r\n", b"x\r\n", b"0\r\n\r\n"])
