--- a/figpaddle/regional/_mesh.py
+++ b/figpaddle/regional/_mesh.py
@@ -49,7 +49,7 @@
 #: interval at which instances send.
 DATAGRAM_PAUSE_S = 0.04
 #: The same while a request waits for a datagram, seconds.
-SHORT_PAUSE_S = 0.002
+SHORT_PAUSE_S = 0.01
 #: Time for which the lists of live instances and of the live entries of a region are reused, seconds. Placement reads it
 #: several times for each request; it is short compared with the time after which an instance counts
 #: as silent.
