--- a/figpaddle/deployment/_gateway_routes.py
+++ b/figpaddle/deployment/_gateway_routes.py
@@ -10,8 +10,8 @@
 from figpaddle.deployment._effective_routes import (
     PriorityPair,
     effective_route,
-    priority_pair,
     rank_priorities,
+    workspace_priority,
 )
 from figpaddle.deployment._workspaces import Workspace
 
@@ -127,6 +127,14 @@
                 priorities.setdefault(service, set()).update(self._priorities_on(route))
         return {service: tuple(sorted(found)) for service, found in priorities.items()}
 
+    @functools.cached_property
+    def _targets(self) -> dict[str, tuple[tuple[int, float], ...]]:
+        targets: dict[str, set[tuple[int, float]]] = {}
+        for route in self.routes:
+            for service, _ in route.services:
+                targets.setdefault(service, set()).add((route.priority, route.target_s))
+        return {service: tuple(sorted(found)) for service, found in targets.items()}
+
     @functools.cached_property
     def _workspaces_by_digest(self) -> dict[bytes, tuple[bytes, Workspace]]:
         return {
@@ -148,9 +156,20 @@
         # By host, path prefix and workspace.
         return {}
 
+    @functools.cached_property
+    def _workspace_priorities(self) -> frozenset[int]:
+        return frozenset(map(workspace_priority, self.workspaces))
+
+    def _pair(self, route: GatewayRoute, workspace: Workspace | None) -> PriorityPair:
+        """Return the priorities of a request; one without a workspace goes with the least urgent."""
+        if workspace is None:
+            return max(self._workspace_priorities, default=0), route.priority
+        return workspace_priority(workspace), route.priority
+
     def _pairs_on(self, route: GatewayRoute) -> set[PriorityPair]:
-        workspaces = (None,) if route.public else self.workspaces
-        return {priority_pair(route, workspace) for workspace in workspaces}
+        if route.public:
+            return {self._pair(route, None)}
+        return {(priority, route.priority) for priority in self._workspace_priorities}
 
     def _priorities_on(self, route: GatewayRoute) -> set[int]:
         """Return the priorities of the requests on a route."""
@@ -182,7 +201,7 @@
         key = (route.host, route.path_prefix, "" if workspace is None else workspace.name)
         cache = self._effective_routes
         if key not in cache:
-            priority = self._ranks[priority_pair(route, workspace)]
+            priority = self._ranks[self._pair(route, workspace)]
             cache[key] = effective_route(route, workspace, priority=priority)
         return cache[key]
 
@@ -192,7 +211,9 @@
 
     @functools.cached_property
     def _public_routes(self) -> frozenset[str]:
-        return frozenset(route.name for route in self.routes if route.public)
+        # Of several routes with one name, all must be public.
+        others = {route.name for route in self.routes if not route.public}
+        return frozenset(route.name for route in self.routes) - others
 
     def route_for(self, host: str, path: str) -> GatewayRoute | None:
         """Return the route of ``host`` with the longest prefix of ``path``, or None."""
@@ -205,6 +226,14 @@
         """Return the service called ``name``, or None."""
         return self._services.get(name)
 
+    def targets_of(self, service: str) -> tuple[tuple[int, float], ...]:
+        """Return priority and latency target in seconds of the routes that use a service.
+
+        Empty where workspaces have priorities: they are agreed with the operator, so targets say nothing of
+        the order between workspaces.
+        """
+        return () if self.workspaces else self._targets.get(service, ())
+
     def priorities_of(self, service: str) -> tuple[int, ...]:
         """Return the priorities of the requests for a service, the most urgent first."""
         return self._priorities.get(service, ())
--- a/figpaddle/routing/__init__.py
+++ b/figpaddle/routing/__init__.py
@@ -4,6 +4,7 @@
 from figpaddle.routing._answer_times import MIN_FAILURE_STATUS, AnswerTimes, assumed_answer_s
 from figpaddle.routing._backend_contact import ALIVE_S, BackendContact
 from figpaddle.routing._backend_load import PRIORITY_CLASSES, BackendLoadTracker, PeerLoad
+from figpaddle.routing._backend_report import BackendReport
 from figpaddle.routing._backends import (
     ANNOUNCEMENT_TTL_S,
     MAX_UTILIZATION_FOR_REMOTE_REQUESTS,
@@ -56,6 +57,18 @@
     RoundRobinPolicy,
 )
 from figpaddle.routing._prefix_cache import PrefixCacheEstimate
+from figpaddle.routing._quota_parts import QuotaParts
+from figpaddle.routing._quota_shares import (
+    LOAN_TIMEOUT_S,
+    QuotaDecision,
+    QuotaDemand,
+    QuotaParcel,
+    QuotaShare,
+    QuotaShares,
+    QuotaTerms,
+    quota_terms,
+)
+from figpaddle.routing._quota_stock import QuotaCharge, QuotaStock
 from figpaddle.routing._ranking import highest_ranked
 from figpaddle.routing._rate_limits import (
     ColdLimit,
@@ -83,9 +96,14 @@
     forwarded_gap_timeout_s,
     is_worth_offering,
 )
-from figpaddle.routing._retry_after import jittered_retry_after
+from figpaddle.routing._retry_after import (
+    MAX_RETRY_AFTER_S,
+    MIN_RETRY_AFTER_S,
+    jittered_retry_after,
+)
 from figpaddle.routing._retry_budget import RetryBudget
 from figpaddle.routing._scored import Estimate, PolicyName, ScoredPolicy, make_policy
+from figpaddle.routing._stream_pace import MIN_EVENTS
 from figpaddle.routing._stream_versions import (
     ASKED_PER_REGION,
     STREAM_TTL_S,
@@ -105,6 +123,7 @@
     SuspectedAttempt,
     UnsettledAttempts,
 )
+from figpaddle.routing._urgency import UrgencyOrder
 from figpaddle.routing._version_history import VersionHistory, majority_heard_at
 from figpaddle.routing._warmth import ASKED_AHEAD_S, CONTROL_SILENCE_S, max_warmth_age_s
 from figpaddle.routing._workspace_fairness import WorkspaceFairness
@@ -123,6 +142,7 @@
     "AnswerTimes",
     "BackendContact",
     "BackendLoadTracker",
+    "BackendReport",
     "BackendSubset",
     "BackendTable",
     "CHARACTERS_PER_TOKEN",
@@ -150,6 +170,7 @@
     "FleetBackend",
     "KnownBackend",
     "KnownEntry",
+    "LOAN_TIMEOUT_S",
     "LOSS_TTL_S",
     "LeastLoadPolicy",
     "LeastReportedLoadPolicy",
@@ -157,9 +178,12 @@
     "MAX_CROSSINGS",
     "MAX_MEMORY_FRACTION",
     "MAX_UTILIZATION_FOR_REMOTE_REQUESTS",
+    "MAX_RETRY_AFTER_S",
     "MEAN_PROMPT_TOKENS",
+    "MIN_EVENTS",
     "MIN_FAILURE_STATUS",
     "MIN_LIMIT_PER_S",
+    "MIN_RETRY_AFTER_S",
     "NamedLimits",
     "OfferLimits",
     "OwnWorkHistory",
@@ -173,6 +197,15 @@
     "PrefixCacheEstimate",
     "Process",
     "QuarantineVerdict",
+    "QuotaCharge",
+    "QuotaDecision",
+    "QuotaDemand",
+    "QuotaParcel",
+    "QuotaParts",
+    "QuotaShare",
+    "QuotaShares",
+    "QuotaStock",
+    "QuotaTerms",
     "REMOTE_REPORT_DELAY_S",
     "RecordChange",
     "Refusal",
@@ -197,6 +230,7 @@
     "UNANNOUNCED_S",
     "UnsettledAttempts",
     "TransitTimes",
+    "UrgencyOrder",
     "VersionHistory",
     "assumed_answer_s",
     "backend_subset",
@@ -224,6 +258,7 @@
     "peer_load",
     "permitted_service",
     "prompt_shape",
+    "quota_terms",
     "rank_entries",
     "refuse_late",
     "reports_load",
