--- a/figpaddle/regional/_placer.py
+++ b/figpaddle/regional/_placer.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable, Collection
 from typing import Any
 
-from figpaddle.deployment import Repeat
+from figpaddle.deployment import GatewayConfiguration, GatewayRoute, Repeat
 from figpaddle.http1 import ConnectionPool
 from figpaddle.regional._backend_records import reports_heard_at
 from figpaddle.regional._cluster import ClusterFollower
@@ -44,6 +44,7 @@
     OfferLimits,
     RemoteRegion,
     SlidingCount,
+    UrgencyOrder,
     backend_subset,
     choose,
     choose_forwarding_peer,
@@ -132,6 +133,9 @@
         self._subsets: dict[str, tuple[tuple[str, ...], tuple[str, ...], BackendSubset]] = {}
         self._subsets_expire_at: dict[str, float] = {}
         self._expectations = ExpectationModel()
+        #: The order of starts by service, and the configuration that it follows from.
+        self._urgency_orders: dict[str, UrgencyOrder] = {}
+        self._urgencies_of: GatewayConfiguration | None = None
         self._forwarded_counts: dict[tuple[str, str], SlidingCount] = {}
         self._cold_limit = ColdLimit(
             overshoot=settings.bounds.cold_overshoot,
@@ -188,6 +192,7 @@
         With ``is_offer``, another attempt stays in progress until the place has taken the request.
         """
         now = self._clock()
+        context.urgency = self._urgency(context.service.name, context.route)
         if context.confined_by is not None:
             return self._place_confined(context, now=now, is_offer=is_offer)
         candidates = self._candidates(context, now=now)
@@ -358,6 +363,7 @@
             prefill=choice.prefill,
             memory=context.caller.prompt_tokens + context.caller.output_tokens,
             expected_s=choice.expected_s,
+            usual_s=choice.usual_s,
             now=now,
         )
 
@@ -552,6 +558,8 @@
         self._warmth_wanted_at = {
             name: at for name, at in self._warmth_wanted_at.items() if now - at <= WANTED_TTL_S
         }
+        if not self._warmth_wanted_at:
+            return []
         due_age_s = self._max_warmth_age_s(now) - ASKED_AHEAD_S
         questions = []
         for service in configuration.services:
@@ -599,7 +607,7 @@
                 ),
             )
             for name, tracker in self._trackers.items()
-            if (load := tracker.local_load).requests
+            if tracker.local_requests and (load := tracker.local_load).requests
         )
 
     def regional_loads(self) -> tuple[RegionalLoad, ...]:
@@ -630,7 +638,8 @@
                     )
                     for backend in free_backends
                 ]
-                load = summarize_load(candidates, priority=priority, now=now)
+                urgency = self._least_urgent(service.name, priority)
+                load = summarize_load(candidates, priority=urgency, now=now)
                 loads.append(
                     RegionalLoad(
                         service=service.name,
@@ -706,6 +715,8 @@
                 "slowness": round(
                     self.tracker_of(backend.name).slowness(PRIORITY_CLASSES - 1, now=now), 2
                 ),
+                "speed_factor": round(self.tracker_of(backend.name).speed.factor, 2),
+                "event_gap_s": round(self.tracker_of(backend.name).stream_pace.gap_s(now=now), 3),
                 "failing": round(self.tracker_of(backend.name).failure_rate(now=now), 2),
             }
             for backend in self._fleet.backends()
@@ -878,10 +889,11 @@
         correction: float = 1.0,
         classes_above: int = 0,
     ) -> Candidate:
+        tracker = self.tracker_of(backend.name)
         return Candidate(
             backend=backend,
-            tracker=self.tracker_of(backend.name),
-            slots=backend.record.slots or slots or 1,
+            tracker=tracker,
+            slots=tracker.slots_in_use(backend.record.slots or slots or 1, now=self._clock()),
             memory_tokens=memory_tokens,
             correction=correction,
             classes_above=classes_above,
@@ -910,6 +922,43 @@
             known = self._subsets[service] = (backends, entries, subset)
         return known[2]
 
+    def _urgency(self, service: str, route: GatewayRoute) -> int:
+        """Return the order in which backend servers of a service start requests of a route."""
+        return self._urgencies(service).urgency(priority=route.priority, target_s=route.target_s)
+
+    def _urgencies(self, service: str) -> UrgencyOrder:
+        configuration = self._follower.configuration
+        if configuration is not self._urgencies_of:
+            self._urgencies_of, self._urgency_orders = configuration, {}
+        order = self._urgency_orders.get(service)
+        if order is None:
+            targets = () if configuration is None else configuration.targets_of(service)
+            order = self._urgency_orders[service] = UrgencyOrder(routes=targets)
+        return order
+
+    def _least_urgent(self, service: str, priority: int) -> int:
+        """Return the last place in the order of starts that requests of a priority have."""
+        configuration = self._follower.configuration
+        targets = () if configuration is None else configuration.targets_of(service)
+        order = self._urgencies(service)
+        return max(
+            (
+                order.urgency(priority=priority, target_s=target_s)
+                for other, target_s in targets
+                if other == priority
+            ),
+            default=priority,
+        )
+
+    def _is_paced(self, service: str) -> bool:
+        """Return whether backend servers of a service that start find their pace by their answers.
+
+        The operator says of a service whether its servers are cold after a start.
+        """
+        configuration = self._follower.configuration
+        found = None if configuration is None else configuration.service(service)
+        return found is not None and found.is_model and found.cold_per_s > 0
+
     def _classes_above(self, service: str, priority: int) -> int:
         """Return the number of priorities of a service that are more urgent than ``priority``."""
         configuration = self._follower.configuration
@@ -988,7 +1037,8 @@
             if change.value in ("nothing", "confirmed"):
                 continue
             if change.value == "started":
-                self._trackers[record.name] = BackendLoadTracker(now=now)
+                is_paced = record.warmup_s > 0 and self._is_paced(record.service)
+                self._trackers[record.name] = BackendLoadTracker(now=now, has_just_started=is_paced)
             self._log.info(
                 "backend_believed",
                 backend=record.name,
--- a/figpaddle/routing/__init__.py
+++ b/figpaddle/routing/__init__.py
@@ -4,6 +4,7 @@
 from figpaddle.routing._answer_times import MIN_FAILURE_STATUS, AnswerTimes, assumed_answer_s
 from figpaddle.routing._backend_contact import ALIVE_S, BackendContact
 from figpaddle.routing._backend_load import PRIORITY_CLASSES, BackendLoadTracker, PeerLoad
+from figpaddle.routing._backend_report import BackendReport
 from figpaddle.routing._backends import (
     ANNOUNCEMENT_TTL_S,
     MAX_UTILIZATION_FOR_REMOTE_REQUESTS,
@@ -102,6 +103,7 @@
 )
 from figpaddle.routing._retry_budget import RetryBudget
 from figpaddle.routing._scored import Estimate, PolicyName, ScoredPolicy, make_policy
+from figpaddle.routing._stream_pace import MIN_EVENTS
 from figpaddle.routing._stream_versions import (
     ASKED_PER_REGION,
     STREAM_TTL_S,
@@ -121,6 +123,7 @@
     SuspectedAttempt,
     UnsettledAttempts,
 )
+from figpaddle.routing._urgency import UrgencyOrder
 from figpaddle.routing._version_history import VersionHistory, majority_heard_at
 from figpaddle.routing._warmth import ASKED_AHEAD_S, CONTROL_SILENCE_S, max_warmth_age_s
 from figpaddle.routing._workspace_fairness import WorkspaceFairness
@@ -139,6 +142,7 @@
     "AnswerTimes",
     "BackendContact",
     "BackendLoadTracker",
+    "BackendReport",
     "BackendSubset",
     "BackendTable",
     "CHARACTERS_PER_TOKEN",
@@ -176,6 +180,7 @@
     "MAX_UTILIZATION_FOR_REMOTE_REQUESTS",
     "MAX_RETRY_AFTER_S",
     "MEAN_PROMPT_TOKENS",
+    "MIN_EVENTS",
     "MIN_FAILURE_STATUS",
     "MIN_LIMIT_PER_S",
     "MIN_RETRY_AFTER_S",
@@ -225,6 +230,7 @@
     "UNANNOUNCED_S",
     "UnsettledAttempts",
     "TransitTimes",
+    "UrgencyOrder",
     "VersionHistory",
     "assumed_answer_s",
     "backend_subset",
