--- a/figpaddle/regional/_quota_client.py
+++ b/figpaddle/regional/_quota_client.py
@@ -154,9 +154,12 @@
         cost = _cost(workspace, context)
         began_at = self._clock()
         patience_s = min(MAX_WAIT_S, MAX_WAIT_FRACTION * context.remaining_s(now=began_at))
-        self._stock(workspace.name, now=self._boot_clock()).note_request(
-            cost, now=self._boot_clock()
-        )
+        stock = self._stock(workspace.name, now=self._boot_clock())
+        stock.note_request(cost, now=self._boot_clock())
+        refill_s = stock.refill_left_s(cost, now=self._boot_clock())
+        if refill_s is not None:
+            # Under a load many times the quota, a question for each request would delay all others.
+            return self._refuse(context, workspace, 429, "over quota", refill_s, holder="")
         tried: set[str] = set()
         while (left_s := began_at + patience_s - self._clock()) > 0.0:
             holder = self._holder(workspace.name, tried)
@@ -173,6 +176,7 @@
                 )
                 return None
             if waiter.is_refused:
+                stock.note_refused(cost, refill_s=waiter.refill_s, now=self._boot_clock())
                 return self._refuse(
                     context, workspace, 429, "over quota", waiter.refill_s, holder=holder
                 )
--- a/figpaddle/routing/_quota_stock.py
+++ b/figpaddle/routing/_quota_stock.py
@@ -12,6 +12,8 @@
 MIN_REQUESTS_AHEAD = 2.0
 #: Time for which an entry asks ahead, seconds; below the shortest lifetime of grants.
 AHEAD_S = 0.3
+#: Longest time for which a refusal is remembered, seconds. What others return or lend meanwhile isn't known here.
+MAX_REMEMBERED_S = 0.25
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -35,6 +37,14 @@
     >>> charge = stock.take(3.0, now=0.1)
     >>> charge is not None, stock.take(3.0, now=0.1) is None, stock.available(now=2.0)
     (True, True, 0)
+
+    While a refusal is remembered, requests that cost as much needn't ask again.
+
+    >>> stock.note_refused(4.0, refill_s=0.2, now=2.0)
+    >>> stock.refill_left_s(3.0, now=2.1) is None, stock.refill_left_s(4.0, now=2.3) is None
+    (True, True)
+    >>> round(stock.refill_left_s(5.0, now=2.1), 3)
+    0.1
     """
 
     def __init__(self, *, workspace: str, now: float) -> None:
@@ -42,12 +52,25 @@
         self._parcels: list[tuple[float, float]] = []
         self._cost = DemandEstimate(now=now)
         self._requests = DemandEstimate(now=now)
+        # The cost that a voter refused last, and when the quota has refilled that much.
+        self._refused_cost, self._refilled_at = float("inf"), float("-inf")
 
     def note_request(self, cost: float, *, now: float) -> None:
         """Count a request for the demand."""
         self._cost.note(cost, now=now)
         self._requests.note(1.0, now=now)
 
+    def note_refused(self, cost: float, *, refill_s: float, now: float) -> None:
+        """Record that a voter has nothing left for a request of ``cost``, and for how long."""
+        self._refused_cost = cost
+        self._refilled_at = now + min(refill_s, MAX_REMEMBERED_S)
+
+    def refill_left_s(self, cost: float, *, now: float) -> float | None:
+        """Return the time until it is worth asking for a request of ``cost``, seconds; None for now."""
+        if cost < self._refused_cost or now >= self._refilled_at:
+            return None
+        return self._refilled_at - now
+
     def add(self, parcels: Iterable[QuotaParcel], *, asked_at: float) -> None:
         """Add a grant; its lifetime counts from when it was asked for."""
         self._parcels.extend((asked_at + parcel.life_s, parcel.amount) for parcel in parcels)
