--- a/figpaddle/regional/_placer.py
+++ b/figpaddle/regional/_placer.py
@@ -890,10 +890,12 @@
         classes_above: int = 0,
     ) -> Candidate:
         tracker = self.tracker_of(backend.name)
+        slots = backend.record.slots or slots or 1
         return Candidate(
             backend=backend,
             tracker=tracker,
-            slots=tracker.slots_in_use(backend.record.slots or slots or 1, now=self._clock()),
+            slots=slots,
+            paced_slots=tracker.slots_in_use(slots, now=self._clock()),
             memory_tokens=memory_tokens,
             correction=correction,
             classes_above=classes_above,
--- a/figpaddle/routing/_backend_load.py
+++ b/figpaddle/routing/_backend_load.py
@@ -262,10 +262,10 @@
         self._add_slowness_sample(_priority_class(request.priority), sample, now)
         return elapsed_s
 
-    def slots_in_use(self, slots: int, *, now: float) -> int:
-        """Return how many of its ``slots`` are used: fewer while it has just started."""
+    def slots_in_use(self, slots: int, *, now: float) -> int | None:
+        """Return how many of its ``slots`` are used while it has just started; None for all."""
         self._slots = slots
-        return slots if self.start_pace is None else self.start_pace.slots(slots, now=now)
+        return None if self.start_pace is None else self.start_pace.slots(slots, now=now)
 
     def note_events(self, key: str, *, now: float) -> None:
         """Record that events of a stream have come; the time since the last ones is a sample of its pace."""
--- a/figpaddle/routing/_regional_placement.py
+++ b/figpaddle/routing/_regional_placement.py
@@ -87,6 +87,8 @@
     tracker: BackendLoadTracker
     #: Number of requests that it processes at once.
     slots: int
+    #: How many of the slots are used while it has just started; None for all.
+    paced_slots: int | None = None
     #: Number of priority classes at the service that are more urgent than the request.
     classes_above: int = 0
     #: Memory of an engine, tokens; 0 for a plain server, which is not a model engine.
@@ -224,6 +226,7 @@
         )
         score += PREFIX_RECOMPUTE_PENALTY * recomputed_tokens / PREFILL_TOKENS_PER_S
     score += FAILURE_PENALTY_S * tracker.failure_rate(now=now)
+    score += _start_penalty_s(candidate, requests)
     pause_s = pause_penalty_s(tracker.stream_pace.gap_s(now=now), longest_s=demand.longest_pause_s)
     score += pause_s
     return Choice(
@@ -240,6 +243,18 @@
     )
 
 
+def _start_penalty_s(candidate: Candidate, requests: int) -> float:
+    """Return the penalty for exceeding the slots in use of a server that has just started, seconds of waiting.
+
+    It is the wait that there would be if no other slots existed. It doesn't count as a wait, so a request for
+    which no other place is left is sent there rather than refused.
+    """
+    paced = candidate.paced_slots
+    if paced is None or requests < paced or not candidate.memory_tokens:
+        return 0.0
+    return (requests + 1 - paced) / paced * candidate.tracker.mean_stream_s
+
+
 def estimate_remote(option: RemoteRegion, demand: Demand) -> Choice | None:
     """Return the expected outcome in another region, or None if it has no capacity."""
     if option.backends == 0 or _unreported_in_flight(option, demand) >= max(1, option.room):
--- a/figpaddle/routing/_start_pace.py
+++ b/figpaddle/routing/_start_pace.py
@@ -21,8 +21,7 @@
 
     A server that has just started has no requests, so it looks best to all entries at once, and it may be
     slow for seconds. It begins with a few slots, each answer in time adds to them, and late answers take
-    some back. Beyond them requests count as waiting for a slot: they go elsewhere if any other server is
-    better, and are not refused for it. It ends once all slots are in use.
+    some back. Requests beyond them go elsewhere if any other server is better, and are not refused for it. It ends once all slots are in use.
 
     >>> pace = StartPace(now=0.0)
     >>> pace.slots(64, now=0.0)
--- a/figpaddle/routing/tests/test_uneven_engines.py
+++ b/figpaddle/routing/tests/test_uneven_engines.py
@@ -17,6 +17,7 @@
     UrgencyOrder,
     choose,
     estimate,
+    refuse_late,
 )
 from figpaddle.wire import BackendRecord, BackendState
 
@@ -136,7 +137,7 @@
     rng = random.Random(3)
     for number in range(count):
         paced = [
-            dataclasses.replace(item, slots=item.tracker.slots_in_use(64, now=0.0))
+            dataclasses.replace(item, paced_slots=item.tracker.slots_in_use(64, now=0.0))
             for item in candidates
         ]
         choice = choose(demand(prompt=100), paced, [], rng=rng, now=0.0)
@@ -160,6 +161,17 @@
     assert 0 < counts["new"] <= 10
 
 
+def test_no_request_is_refused_for_the_pace_of_the_only_engine() -> None:
+    (engine,) = engines("new")
+    tracker = BackendLoadTracker(now=0.0, has_just_started=True)
+    engine = dataclasses.replace(engine, tracker=tracker)
+    assert place_burst([engine], count=40) == {"new": 40}
+    paced = dataclasses.replace(engine, paced_slots=tracker.slots_in_use(64, now=0.0))
+    choice = estimate(paced, demand(prompt=100), now=0.0)
+    assert choice is not None
+    assert refuse_late(demand(prompt=100), choice, max_wait_s=0.4, rng=random.Random(1)) is None
+
+
 def test_an_engine_that_has_just_started_is_used_wholly_once_it_answers_in_time() -> None:
     (engine,) = engines("new")
     tracker = BackendLoadTracker(now=0.0, has_just_started=True)
