--- a/figpaddle/http1/_server.py
+++ b/figpaddle/http1/_server.py
@@ -12,6 +12,7 @@
 import h11
 
 from figpaddle.errors import ConnectionLostError, MalformedRequestError, TransportError
+from figpaddle.http1._body_parts import BodyParts
 from figpaddle.http1._channel import Channel
 from figpaddle.http1._handler_failures import (
     FailureHandler,
@@ -486,12 +487,12 @@
         declared = header(head.headers, b"content-length")
         if declared is not None and int(declared) > self._highest_limits(first_limits).body_bytes:
             raise MalformedRequestError(what="the body exceeds the limit", status=413)
-        body = bytearray()
+        body = BodyParts()
         size = 0
         while True:
             event = await self._next_event()
             if isinstance(event, h11.EndOfMessage):
-                return bytes(body)
+                return body.joined()
             if not isinstance(event, h11.Data):
                 continue
             size += len(event.data)
@@ -499,8 +500,8 @@
                 raise MalformedRequestError(what="the body exceeds the limit", status=413)
             self._account.note_passed(self, len(event.data), now=self._clock())
             if self._keeps_body:
-                body += event.data
-                self._check_room(head_bytes + len(body))
+                body.add(event.data)
+                self._check_room(head_bytes + body.size)
 
     def _check_room(self, request_bytes: int) -> None:
         """Raise MalformedRequestError if the request has to be refused for want of memory."""
