--- a/figpaddle/http1/_held_bytes.py
+++ b/figpaddle/http1/_held_bytes.py
@@ -152,10 +152,9 @@
         grows = held_bytes > hold.held_bytes
         self._held_bytes += held_bytes - hold.held_bytes
         hold.held_bytes = held_bytes
-        if not grows or self._held_bytes <= self._limits.held_bytes:
-            return True
-        self._end_stalled(client, now=now)
-        if self._held_bytes <= self._limits.held_bytes:
+        if grows and self._held_bytes > self._limits.held_bytes:
+            self._end_stalled(client, now=now)
+        if not held_bytes or self._held_bytes <= self._limits.held_bytes:
             return True
         reserve = self._limits.held_bytes * RESERVE_FRACTION
         return held_bytes <= SMALL_BYTES and self._held_bytes <= self._limits.held_bytes + reserve
--- a/figpaddle/http1/tests/test_held_bytes.py
+++ b/figpaddle/http1/tests/test_held_bytes.py
@@ -57,6 +57,16 @@
     assert not served.ended
 
 
+def test_uploads_that_all_get_on_are_refused_beyond_the_limit_though_they_hold_no_more() -> None:
+    held = account()
+    uploads = [Client(held) for _ in range(4)]
+    # Input that was read ahead becomes a part of a body, so what is held for it stays the same.
+    for client in uploads:
+        held.hold(client, LIMIT // 2, now=0.0)
+    assert not held.hold(uploads[0], LIMIT // 2, now=0.1)
+    assert held.hold(uploads[0], 0, now=0.1)
+
+
 def test_a_new_connection_takes_the_place_of_one_that_has_sent_nothing_before_an_idle_one() -> None:
     held = account(connections=2)
     idle, silent = Client(held), Client(held, now=0.5)
