--- a/tests/test_attempt_times.py
+++ b/tests/test_attempt_times.py
@@ -48,6 +48,7 @@
         pool=unused,
         quarantine=unused,
         streams=unused,
+        quotas=unused,
         take_retry=lambda *_: None,
         give_retry_back=lambda _: None,
         may_begin=lambda *_: True,
--- a/tests/test_charged_repeats.py
+++ b/tests/test_charged_repeats.py
@@ -158,6 +158,10 @@
         boot_clock=clock,
         quarantine=quarantine,
         streams=unused,
+        # Its requests are of no workspace, so there is no quota to charge.
+        quotas=SimpleNamespace(
+            try_charge=lambda context: True, settle=lambda context, *, may_have_run: None
+        ),
         rng=random.Random(1),
         log=structlog.wrap_logger(structlog.ReturnLogger(), processors=[]),
         metrics=MetricsRegistry(),
