--- a/figpaddle/regional/_placer.py
+++ b/figpaddle/regional/_placer.py
@@ -715,7 +715,7 @@
                 "slowness": round(
                     self.tracker_of(backend.name).slowness(PRIORITY_CLASSES - 1, now=now), 2
                 ),
-                "speed_factor": round(self.tracker_of(backend.name).speed.factor, 2),
+                "speed_factor": round(self.tracker_of(backend.name).speed.factor(), 2),
                 "event_gap_s": round(self.tracker_of(backend.name).stream_pace.gap_s(now=now), 3),
                 "failing": round(self.tracker_of(backend.name).failure_rate(now=now), 2),
             }
--- a/figpaddle/routing/_regional_placement.py
+++ b/figpaddle/routing/_regional_placement.py
@@ -11,6 +11,7 @@
     PREFILL_TOKENS_PER_S,
     BackendLoadTracker,
 )
+from figpaddle.routing._backend_speed import fastest_factor
 from figpaddle.routing._demand import Demand
 from figpaddle.routing._fleet import FleetBackend
 from figpaddle.routing._ranking import highest_ranked, unit_weight
@@ -93,6 +94,8 @@
     classes_above: int = 0
     #: Memory of an engine, tokens; 0 for a plain server, which is not a model engine.
     memory_tokens: int
+    #: Speed factor of the fastest engine that may be chosen.
+    fastest_factor: float = 1.0
     #: Whether all entries of the region prefer this engine for the prompt's shared prefix.
     is_preferred: bool = False
     #: Factor on the estimated time to the first byte, from ``ExpectationModel``.
@@ -217,7 +220,7 @@
     if candidate.memory_tokens:
         # What the present pace and the correction for the kind of request explain is no speed.
         usual_s = expected_s * candidate.correction * pace
-        pace *= tracker.speed.factor
+        pace *= tracker.speed.factor(fastest=candidate.fastest_factor)
     expected_s *= slowness * candidate.correction * pace
     score = expected_s + utilization_penalty_s * utilization * utilization
     if not candidate.is_preferred and demand.prompt_tokens:
@@ -413,10 +416,15 @@
     Only these are estimated, because a region may have dozens of engines.
     """
     sampled: list[Choice] = []
+    fastest = fastest_factor(candidate.tracker.speed for candidate in candidates)
 
     def estimate_candidate(candidate: Candidate) -> Choice | None:
-        is_preferred = candidate.backend.name == preferred
-        return estimate(dataclasses.replace(candidate, is_preferred=is_preferred), demand, now=now)
+        compared = dataclasses.replace(
+            candidate,
+            is_preferred=candidate.backend.name == preferred,
+            fastest_factor=fastest,
+        )
+        return estimate(compared, demand, now=now)
 
     sample_size = max(MIN_SAMPLED, math.ceil(len(candidates) / max(1, entries)))
     if len(eligible) < len(candidates):
--- a/figpaddle/routing/tests/test_uneven_engines.py
+++ b/figpaddle/routing/tests/test_uneven_engines.py
@@ -91,6 +91,14 @@
     return counts
 
 
+def test_an_engine_with_few_answers_is_tried_beside_one_that_is_known_to_be_fast() -> None:
+    known, unknown = candidates = engines("known", "unknown")
+    serve(known, takes=0.5, count=80)
+    serve(unknown, takes=0.5, count=4)
+    counts = used(candidates, demand(prompt=3000), now=60.0)
+    assert min(counts["known"], counts["unknown"]) >= 15, counts
+
+
 def test_the_expected_time_at_a_slow_engine_follows_its_answers() -> None:
     slow, fast = engines("slow", "fast")
     serve(slow, takes=1.7, count=80)
