--- a/figpaddle/regional/_backend_attempts.py
+++ b/figpaddle/regional/_backend_attempts.py
@@ -229,7 +229,7 @@
             return
         backoff_s = 0.0
         if result.outcome is AttemptOutcome.NOT_SENT and not result.own_cause:
-            backoff_s = self._placer.fleet.note_unreachable(name, now=now)
+            backoff_s = self._placer.note_unreachable(name)
             self._placer.contact.note_unreached(name, now=now)
             if not self._placer.contact.cut_off:
                 self._pool.close_idle(address)
@@ -239,7 +239,7 @@
             if result.lost_connection:
                 self._placer.contact.note_unreached(name, now=now)
             if result.closed_unanswered or result.too_large:
-                backoff_s = self._placer.fleet.note_disconnect(name, now=now)
+                backoff_s = self._placer.note_disconnect(name)
             if now - sent_at >= STALE_CONNECTION_S:
                 # Other connections that were open as long may be half-open too.
                 self._pool.close_idle(address)
--- a/figpaddle/regional/_placer.py
+++ b/figpaddle/regional/_placer.py
@@ -392,9 +392,26 @@
         requests = self.tracker_of(name).requests(now=now)
         self._brittle.note_refused(name, attempt_key, requests=requests, now=now)
 
-    def note_unreachable(self, name: str) -> None:
-        """Back off from a backend server whose address doesn't accept a connection."""
-        self._fleet.note_unreachable(name, now=self._clock())
+    def note_unreachable(self, name: str) -> float:
+        """Back off from a backend server that accepts no connection; return for how long, seconds."""
+        backoff_s = self._fleet.note_unreachable(name, now=self._clock())
+        self._pace_recovery(name)
+        return backoff_s
+
+    def note_disconnect(self, name: str) -> float:
+        """Record a connection closed before the response began; return the backoff, seconds."""
+        backoff_s = self._fleet.note_disconnect(name, now=self._clock())
+        self._pace_recovery(name)
+        return backoff_s
+
+    def _pace_recovery(self, name: str) -> None:
+        """Have a backend server find its pace by its answers from the end of its backoff or pause on."""
+        backend = self._fleet.get(name)
+        if backend is None or not self._is_paced(backend.record.service):
+            return
+        recovers_at = backend.recovers_at(now=self._clock())
+        if recovers_at is not None:
+            self.tracker_of(name).begin_pace(at=recovers_at)
 
     def note_refused_repeat(self, context: RequestContext, name: str) -> None:
         """Record that a backend server refused a request that an earlier one has begun.
@@ -443,6 +460,7 @@
                 )
         if answer.pause_s is not None:
             is_news = self._fleet.note_pause(name, answer.pause_s, born=born, now=now)
+            self._pace_recovery(name)
             if is_news:
                 self._log.info(
                     "backend_pausing",
@@ -953,7 +971,7 @@
         )
 
     def _is_paced(self, service: str) -> bool:
-        """Return whether backend servers of a service that start find their pace by their answers.
+        """Return whether backend servers of a service that start or recover find their pace by their answers.
 
         The operator says of a service whether its servers are cold after a start.
         """
--- a/figpaddle/regional/_request_quarantine.py
+++ b/figpaddle/regional/_request_quarantine.py
@@ -110,7 +110,7 @@
         tasks: ContainedTasks,
         fleet: Fleet,
         reaches_others: Callable[[Collection[str]], Awaitable[bool]],
-        on_unreachable: Callable[[str], None],
+        on_unreachable: Callable[[str], object],
         rng: random.Random,
         clock: Callable[[], float],
         log: Log,
--- a/figpaddle/routing/_backend_load.py
+++ b/figpaddle/routing/_backend_load.py
@@ -88,7 +88,7 @@
     """Tracks local requests, load reports, speed and failures of one backend server."""
 
     def __init__(self, *, now: float, has_just_started: bool = False) -> None:
-        #: Where it has just started: how much of it is used.
+        #: Where it has just started or recovered: how much of it is used.
         self.start_pace = StartPace(now=now) if has_just_started else None
         self._slots = 0
         self.cache = PrefixCacheEstimate()
@@ -256,14 +256,19 @@
         elapsed_s = now - request.sent_at
         reference_s = max(BASE_FIRST_TOKEN_S, request.expected_s)
         self.speed.note(expected_s=request.usual_s, measured_s=elapsed_s)
-        if self.start_pace is not None and request.streamed:
-            self.start_pace.note_answer(elapsed_s / reference_s, slots=self._slots)
+        pace = self.start_pace
+        if pace is not None and request.streamed and request.sent_at >= pace.begun_at:
+            pace.note_answer(elapsed_s / reference_s, slots=self._slots)
         sample = min(MAX_SLOWNESS_SAMPLE, elapsed_s / reference_s)
         self._add_slowness_sample(_priority_class(request.priority), sample, now)
         return elapsed_s
 
+    def begin_pace(self, *, at: float) -> None:
+        """Use few of the slots at first from a time on, as after a start."""
+        self.start_pace = StartPace(now=at)
+
     def slots_in_use(self, slots: int, *, now: float) -> int | None:
-        """Return how many of its ``slots`` are used while it has just started; None for all."""
+        """Return how many of its ``slots`` are used while it has just started or recovered; None for all."""
         self._slots = slots
         return None if self.start_pace is None else self.start_pace.slots(slots, now=now)
 
--- a/figpaddle/routing/_fleet.py
+++ b/figpaddle/routing/_fleet.py
@@ -29,6 +29,9 @@
 INITIAL_BACKOFF_S = 0.4
 #: Longest backoff, seconds.
 MAX_BACKOFF_S = 2.0
+#: Consecutive failures to reach a backend server after which it counts as one that has to recover; a single
+#: one may be that of a connection.
+FAILURES_BEFORE_RECOVERY = 2
 #: Longest pause that a backend server may ask for, seconds; a malformed value must not exclude it for
 #: good.
 MAX_PAUSE_S = 300.0
@@ -96,6 +99,17 @@
         """Return whether it is cold by its own word."""
         return now < max(self.cold_until, self.cold_by_answer_until)
 
+    def recovers_at(self, *, now: float) -> float | None:
+        """Return when it may be used again after failures or a pause; None if it is in use.
+
+        A single failure to reach it doesn't count.
+        """
+        backoff_until = self.backoff_until
+        if self.consecutive_failures < FAILURES_BEFORE_RECOVERY:
+            backoff_until = now
+        recovers_at = max(backoff_until, self.paused_until)
+        return recovers_at if recovers_at > now else None
+
     def may_be_cold(self, *, now: float, max_age_s: float = float("inf")) -> bool:
         """Return whether it is cold, or may have become cold since it last told.
 
--- a/figpaddle/routing/_start_pace.py
+++ b/figpaddle/routing/_start_pace.py
@@ -1,4 +1,4 @@
-"""How much of a backend server that has just started is used, by how it answers."""
+"""How much of a backend server that has just started or recovered is used, by how it answers."""
 
 from __future__ import annotations
 
@@ -20,8 +20,10 @@
     """The slots of a backend server that are used while it shows what it bears.
 
     A server that has just started has no requests, so it looks best to all entries at once, and it may be
-    slow for seconds. It begins with a few slots, each answer in time adds to them, and late answers take
-    some back. Requests beyond them go elsewhere if any other server is better, and are not refused for it. It ends once all slots are in use.
+    slow for seconds. The same holds for one that is reached again after failures or a pause; its time then
+    begins with the end of these. It begins with a few slots, each answer in time adds to them, and late answers take
+    some back. Requests beyond them go elsewhere if any other server is better, and are not refused for it. It
+    ends once all slots are in use.
 
     >>> pace = StartPace(now=0.0)
     >>> pace.slots(64, now=0.0)
@@ -38,6 +40,11 @@
         self._window: float | None = None
         self._has_ended = False
 
+    @property
+    def begun_at(self) -> float:
+        """When the server may first get requests, seconds."""
+        return self._begun_at
+
     def slots(self, slots: int, *, now: float) -> int:
         """Return how many of the slots of the server are used."""
         self._has_ended = self._has_ended or now - self._begun_at > MAX_PACED_S
--- a/figpaddle/routing/tests/test_uneven_engines.py
+++ b/figpaddle/routing/tests/test_uneven_engines.py
@@ -22,8 +22,8 @@
 from figpaddle.wire import BackendRecord, BackendState
 
 
-def engines(*names: str) -> list[Candidate]:
-    fleet = Fleet()
+def engines(*names: str, fleet: Fleet | None = None) -> list[Candidate]:
+    fleet = Fleet() if fleet is None else fleet
     for number, name in enumerate(names):
         record = BackendRecord(
             name=name,
@@ -82,6 +82,14 @@
         candidate.tracker.note_ended(f"{number}", failed=False, now=now)
 
 
+def serve_at_once(candidate: Candidate, *, count: int, now: float) -> None:
+    """Send an engine streams that stay in progress."""
+    for number in range(count):
+        candidate.tracker.note_sent(
+            f"{number}", demand(), prefill=100, memory=400, expected_s=0.1, now=now
+        )
+
+
 def used(candidates: list[Candidate], wanted: Demand, *, now: float) -> collections.Counter[str]:
     counts: collections.Counter[str] = collections.Counter()
     for seed in range(60):
@@ -139,21 +147,23 @@
     assert later.expected_s == pytest.approx(idle.expected_s, rel=0.01)
 
 
-def place_burst(candidates: list[Candidate], *, count: int) -> collections.Counter[str]:
+def place_burst(
+    candidates: list[Candidate], *, count: int, now: float = 0.0
+) -> collections.Counter[str]:
     """Place requests that come at once, before any is answered."""
     counts: collections.Counter[str] = collections.Counter()
     rng = random.Random(3)
     for number in range(count):
         paced = [
-            dataclasses.replace(item, paced_slots=item.tracker.slots_in_use(64, now=0.0))
+            dataclasses.replace(item, paced_slots=item.tracker.slots_in_use(64, now=now))
             for item in candidates
         ]
-        choice = choose(demand(prompt=100), paced, [], rng=rng, now=0.0)
+        choice = choose(demand(prompt=100), paced, [], rng=rng, now=now)
         assert choice is not None and choice.backend is not None
         counts[choice.backend.name] += 1
         tracker = next(item.tracker for item in candidates if item.backend is choice.backend)
         tracker.note_sent(
-            f"b{number}", demand(prompt=100), prefill=100, memory=400, expected_s=0.1, now=0.0
+            f"b{number}", demand(prompt=100), prefill=100, memory=400, expected_s=0.1, now=now
         )
     return counts
 
@@ -194,6 +204,38 @@
     assert tracker.slots_in_use(64, now=0.0) == 64
 
 
+def test_a_burst_does_not_flood_an_engine_that_is_reached_again() -> None:
+    fleet = Fleet()
+    old, back = engines("old", "back", fleet=fleet)
+    for number in range(12):
+        old.tracker.note_sent(
+            f"{number}", demand(prompt=100), prefill=0, memory=400, expected_s=0.1, now=9.8
+        )
+    fleet.note_unreachable("back", now=8.5)
+    assert back.backend.recovers_at(now=8.5) is None
+    backoff_s = fleet.note_unreachable("back", now=9.0)
+    recovers_at = back.backend.recovers_at(now=9.0)
+    assert recovers_at == 9.0 + backoff_s
+    back.tracker.begin_pace(at=recovers_at)
+    assert 0 < place_burst([old, back], count=30, now=9.8)["back"] <= 10
+
+
+def test_answers_from_before_a_pause_do_not_speed_up_the_time_after_it() -> None:
+    fleet = Fleet()
+    (engine,) = engines("back", fleet=fleet)
+    first = BackendLoadTracker(now=0.0, has_just_started=True).slots_in_use(64, now=0.0)
+    engine.tracker.slots_in_use(64, now=0.0)
+    serve_at_once(engine, count=40, now=0.0)
+    assert fleet.note_pause("back", 3.0, born=1, now=0.1)
+    recovers_at = engine.backend.recovers_at(now=0.1)
+    assert recovers_at == pytest.approx(3.1)
+    engine.tracker.begin_pace(at=recovers_at)
+    for number in range(40):
+        engine.tracker.note_first_byte(f"{number}", now=0.2)
+    assert engine.tracker.slots_in_use(64, now=recovers_at) == first
+    assert engine.tracker.slots_in_use(64, now=recovers_at + 9.0) == 64
+
+
 def test_requests_with_a_long_target_start_after_those_that_cannot_wait() -> None:
     order = UrgencyOrder(routes=[(0, 2.5), (1, 1.5), (2, 1.2), (0, 2.4)])
     urgencies = [
