--- a/figpaddle/daemon/_client_account.py
+++ b/figpaddle/daemon/_client_account.py
@@ -7,6 +7,7 @@
 
 import anyio
 
+from figpaddle.daemon._client_connections import ClientConnection, ClientConnections
 from figpaddle.daemon._http import Receive, Scope, Send, send_problem
 from figpaddle.errors import NoRoomError
 from figpaddle.http1 import ClientAccount, ClientPhase, HeldClient
@@ -20,7 +21,8 @@
 class _ReceivedRequest(HeldClient):
     """A request that is being received; reading its body fails once it is ended for others."""
 
-    def __init__(self, *, scope: Scope) -> None:
+    def __init__(self, *, scope: Scope, connection: ClientConnection) -> None:
+        self.connection = connection
         self.held_bytes = len(scope["raw_path"]) + sum(
             len(name) + len(value) + FIELD_OVERHEAD_BYTES for name, value in scope["headers"]
         )
@@ -51,10 +53,16 @@
     """
 
     def __init__(
-        self, *, application: Any, account: ClientAccount, clock: Callable[[], float]
+        self,
+        *,
+        application: Any,
+        account: ClientAccount,
+        connections: ClientConnections,
+        clock: Callable[[], float],
     ) -> None:
         self._application = application
         self._account = account
+        self._connections = connections
         self._clock = clock
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
@@ -62,7 +70,9 @@
         if scope["type"] != "http":
             await self._application(scope, receive, send)
             return
-        request = _ReceivedRequest(scope=scope)
+        connection = self._connections.find(scope)
+        request = _ReceivedRequest(scope=scope, connection=connection)
+        connection.begin(request)
         self._account.add(request, now=self._clock())
         self._account.enter(request, ClientPhase.RECEIVING, now=self._clock())
         try:
@@ -74,6 +84,7 @@
             await self._application(scope, lambda: self._receive(request, receive), send)
         finally:
             self._account.remove(request)
+            connection.end(request)
 
     async def _receive(
         self, request: _ReceivedRequest, receive: Receive
@@ -85,9 +96,11 @@
         if event["type"] != "http.request" or not event.get("more_body", False):
             request.reads_body = False
             self._account.enter(request, ClientPhase.SERVING, now=now)
+            request.connection.note_received(request)
         size = len(event.get("body", b""))
         request.held_bytes += size
         self._account.note_passed(request, size, now=now)
+        request.connection.note_passed(size)
         if not self._account.hold(request, request.held_bytes, now=now) and request.reads_body:
             self._account.note_refused()
             raise NoRoomError(retry_after_s=NO_ROOM_RETRY_AFTER_S)
--- /dev/null
+++ b/figpaddle/daemon/_client_connections.py
@@ -0,0 +1,193 @@
+"""Bounds the open connections of all clients at an HTTP port."""
+
+from __future__ import annotations
+
+import array
+import contextlib
+import fcntl
+import socket
+import struct
+import termios
+from collections.abc import Callable
+from typing import Any
+
+from figpaddle.daemon._http import Scope
+from figpaddle.http1 import ClientAccount, ClientPhase, HeldClient
+
+#: Connections beyond the limit that may be open while they are being closed.
+MAX_ENDING_CONNECTIONS = 64
+#: Connections that are refused in one turn of the event loop.
+MAX_REFUSALS_PER_TURN = 64
+#: Value of SO_LINGER with which a close resets the connection, so that a part of an answer can't look whole.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+
+class ClientConnection(HeldClient):
+    """An open connection and the requests that are in progress on it."""
+
+    def __init__(self, *, account: ClientAccount, clock: Callable[[], float]) -> None:
+        self._account = account
+        self._clock = clock
+        self._requests: dict[HeldClient, ClientPhase] = {}
+        self._socket: _ClientSocket | None = None
+
+    @property
+    def is_busy(self) -> bool:
+        """Whether a request is in progress."""
+        return bool(self._requests)
+
+    def attach(self, accepted: _ClientSocket) -> None:
+        """Set the socket of the connection."""
+        self._socket = accepted
+
+    def begin(self, request: HeldClient) -> None:
+        """Record that a request is being received."""
+        self._enter(request, ClientPhase.RECEIVING)
+
+    def note_passed(self, size: int) -> None:
+        """Record that bytes of a request have been received."""
+        self._account.note_passed(self, size, now=self._clock())
+
+    def note_received(self, request: HeldClient) -> None:
+        """Record that a request was read as a whole."""
+        self._enter(request, ClientPhase.SERVING)
+
+    def end(self, request: HeldClient) -> None:
+        """Record that a request is no longer in progress."""
+        self._requests.pop(request, None)
+        phase = max(self._requests.values(), default=ClientPhase.IDLE)
+        self._account.enter(self, phase, now=self._clock())
+
+    def end_for_others(self) -> None:
+        """Refuse the requests that are being received; without any, close the connection."""
+        for request in tuple(self._requests):
+            request.end_for_others()
+        if not self._requests and self._socket is not None:
+            self._socket.abort()
+
+    def _enter(self, request: HeldClient, phase: ClientPhase) -> None:
+        self._requests[request] = phase
+        # Several requests share a connection in HTTP/2; none that was read as a whole is given up.
+        self._account.enter(self, max(self._requests.values()), now=self._clock())
+
+
+class ClientConnections:
+    """The connections of clients at an HTTP port.
+
+    ``account`` decides which connection is closed for a new one. ``port_socket`` returns the socket from which
+    an HTTP server accepts; the server needs to know nothing of the limit.
+    """
+
+    def __init__(
+        self, *, account: ClientAccount, max_connections: int, clock: Callable[[], float]
+    ) -> None:
+        self._account = account
+        self._max_open = max_connections + MAX_ENDING_CONNECTIONS
+        self._clock = clock
+        self._open: dict[tuple[Any, Any], ClientConnection] = {}
+
+    def port_socket(self, listening: socket.socket) -> socket.socket:
+        """Return a socket that takes over ``listening`` and accepts within the limit."""
+        return _PortSocket(connections=self, listening=listening)
+
+    def find(self, scope: Scope) -> ClientConnection:
+        """Return the connection of a request; one that is closed already isn't counted."""
+        connection = self._open.get((scope["client"], scope["server"]))
+        return connection or ClientConnection(account=self._account, clock=self._clock)
+
+    def admit(self, accepted: socket.socket) -> socket.socket | None:
+        """Return the socket of a new connection, or None if it is refused."""
+        now = self._clock()
+        try:
+            ends = (accepted.getpeername(), accepted.getsockname())
+        except OSError:
+            # The client has reset it already.
+            accepted.close()
+            return None
+        if len(self._open) >= self._max_open or not self._account.has_room(now=now):
+            self._account.note_refused("connections")
+            accepted.close()
+            return None
+        connection = ClientConnection(account=self._account, clock=self._clock)
+        client_socket = _ClientSocket(
+            accepted=accepted,
+            connection=connection,
+            on_close=lambda: self._remove(ends, connection),
+        )
+        connection.attach(client_socket)
+        self._open[ends] = connection
+        self._account.add(connection, now=now)
+        return client_socket
+
+    def _remove(self, ends: tuple[Any, Any], connection: ClientConnection) -> None:
+        self._account.remove(connection)
+        # A client that has reset a connection may use its port again before the socket is closed.
+        if self._open.get(ends) is connection:
+            del self._open[ends]
+
+
+class _PortSocket(socket.socket):
+    """A listening socket that accepts connections within the limit."""
+
+    def __init__(self, *, connections: ClientConnections, listening: socket.socket) -> None:
+        family, kind, protocol = listening.family, listening.type, listening.proto
+        super().__init__(family, kind, protocol, fileno=listening.detach())
+        self._connections = connections
+
+    def accept(self) -> tuple[socket.socket, Any]:
+        """Return the next connection that is within the limit; raises BlockingIOError if none waits."""
+        for _ in range(MAX_REFUSALS_PER_TURN):
+            accepted, address = super().accept()
+            admitted = self._connections.admit(accepted)
+            if admitted is not None:
+                return admitted, address
+        raise BlockingIOError
+
+
+class _ClientSocket(socket.socket):
+    """The socket of a connection, which reports its close."""
+
+    def __init__(
+        self,
+        *,
+        accepted: socket.socket,
+        connection: ClientConnection,
+        on_close: Callable[[], None],
+    ) -> None:
+        family, kind, protocol = accepted.family, accepted.type, accepted.proto
+        super().__init__(family, kind, protocol, fileno=accepted.detach())
+        self._connection = connection
+        self._on_close = on_close
+        self._is_aborted = False
+
+    @property
+    def unread_bytes(self) -> int:
+        """Bytes that the client's side hasn't acknowledged."""
+        count = array.array("i", [0])
+        fcntl.ioctl(self, termios.TIOCOUTQ, count)
+        return count[0]
+
+    def abort(self) -> None:
+        """Have the server reset the connection at its next turn of reading."""
+        self._is_aborted = True
+        # The client may have reset the connection.
+        with contextlib.suppress(OSError):
+            self.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            # A socket that is shut down is readable.
+            self.shutdown(socket.SHUT_RDWR)
+
+    def recv(self, size: int, flags: int = 0, /) -> bytes:
+        """Return received bytes; raises ConnectionResetError once the connection isn't needed any more."""
+        if self._is_aborted:
+            raise ConnectionResetError
+        data = super().recv(size, flags)
+        if not data and not self._connection.is_busy and not self.unread_bytes:
+            # The HTTP server would keep a connection that its client has closed until the idle timeout.
+            self.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            raise ConnectionResetError
+        return data
+
+    def close(self) -> None:
+        """Close the socket."""
+        super().close()
+        self._on_close()
--- a/figpaddle/daemon/_http_port.py
+++ b/figpaddle/daemon/_http_port.py
@@ -14,10 +14,11 @@
 import anyio
 import anyio.abc
 from hypercorn.asyncio import serve as serve_http
-from hypercorn.config import Config
+from hypercorn.config import Config, Sockets
 
+from figpaddle.daemon._client_connections import ClientConnections
 from figpaddle.daemon._http import problem_document
-from figpaddle.daemon._sockets import BACKLOG, Listener, detach_to_fd_address
+from figpaddle.daemon._sockets import BACKLOG, Listener
 from figpaddle.errors import DrainingError
 from figpaddle.http1 import Channel, HttpRequest, RequestLimits, Responder, ServerConnection
 
@@ -32,6 +33,21 @@
 IDLE_TIMEOUT_S = 30.0
 
 
+class _PortConfig(Config):
+    """Configuration of an HTTP server whose connections are bounded in number."""
+
+    def __init__(self, *, listener: Listener, connections: ClientConnections) -> None:
+        super().__init__()
+        self._listener = listener
+        self._connections = connections
+
+    def create_sockets(self) -> Sockets:
+        """Return the sockets that the server takes over."""
+        port_socket = self._connections.port_socket(self._listener.socket)
+        port_socket.setblocking(False)
+        return Sockets([], [port_socket], [])
+
+
 class HttpPort:
     """Serves an ASGI application on a listening socket until it is told to close.
 
@@ -40,10 +56,17 @@
     """
 
     def __init__(
-        self, *, application: Any, listener: Listener, instance: str, clock: Callable[[], float]
+        self,
+        *,
+        application: Any,
+        listener: Listener,
+        connections: ClientConnections,
+        instance: str,
+        clock: Callable[[], float],
     ) -> None:
         self._application = application
         self._listener = listener
+        self._connections = connections
         self._instance = instance
         self._clock = clock
 
@@ -51,8 +74,7 @@
         """Serve until ``closing`` is set, then answer what has come and close the port."""
         waiting = self._listener.socket.dup()
         descriptor = self._listener.socket.fileno()
-        config = Config()
-        config.bind = [detach_to_fd_address(self._listener)]
+        config = _PortConfig(listener=self._listener, connections=self._connections)
         config.accesslog = None
         config.errorlog = None
         config.graceful_timeout = PORT_CLOSE_TIMEOUT_S
--- a/figpaddle/daemon/_instance.py
+++ b/figpaddle/daemon/_instance.py
@@ -18,6 +18,7 @@
 from figpaddle.daemon._backends_port import BackendsPort
 from figpaddle.daemon._callers import CallersPort
 from figpaddle.daemon._client_account import BoundedApplication
+from figpaddle.daemon._client_connections import ClientConnections
 from figpaddle.daemon._component import Component
 from figpaddle.daemon._control import Control, initial_configuration
 from figpaddle.daemon._fault_reporter import FaultReporter
@@ -307,11 +308,24 @@
         guarded = ProblemBoundary(
             application=application, faults=self._faults, metrics=self._metrics, log=self._log
         )
+        # Each port has room of its own: a crowd of callers mustn't keep backend servers and operators out.
+        max_connections = self._settings.limits.client_connections
+        connections = ClientConnections(
+            account=ClientAccount(
+                limits=ClientLimits(connections=max_connections), on_ended=self._note_ended_client
+            ),
+            max_connections=max_connections,
+            clock=self._clock,
+        )
         port = HttpPort(
             application=BoundedApplication(
-                application=guarded, account=self._clients, clock=self._clock
+                application=guarded,
+                account=self._clients,
+                connections=connections,
+                clock=self._clock,
             ),
             listener=listener,
+            connections=connections,
             instance=self._settings.instance,
             clock=self._clock,
         )
--- a/figpaddle/daemon/_settings.py
+++ b/figpaddle/daemon/_settings.py
@@ -68,6 +68,8 @@
     body_bytes: Annotated[int, pydantic.Field(gt=0)] = 8 * 1024 * 1024
     #: Bytes that the process holds of the requests of all clients while it receives and serves them.
     client_bytes: Annotated[int, pydantic.Field(gt=0)] = 64 * 1024 * 1024
+    #: Open connections at each of the ports for callers, backend servers and operators.
+    client_connections: Annotated[int, pydantic.Field(gt=0)] = 1024
     #: Longest time without progress in reading a caller's request body or in sending it the
     #: response, seconds; the request is then given up.
     caller_idle_s: Annotated[float, pydantic.Field(gt=0)] = 30.0
--- /dev/null
+++ b/figpaddle/daemon/tests/test_client_connections.py
@@ -0,0 +1,97 @@
+"""Connections beyond the limit are closed for others, never one whose request was read as a whole."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+
+import anyio
+import pytest
+
+from figpaddle.daemon._client_connections import ClientConnections
+from figpaddle.daemon._http import Receive, Scope, Send, send_json
+from figpaddle.daemon._http_port import HttpPort
+from figpaddle.daemon._sockets import listen, split_address
+from figpaddle.http1 import ClientAccount, ClientLimits, HeldClient
+
+REQUEST = b"GET /v1/entries HTTP/1.1\r\nHost: figpaddle\r\n\r\n"
+#: Longest wait of a client, seconds.
+WAIT_S = 5.0
+
+
+class Request(HeldClient):
+    def end_for_others(self) -> None:
+        raise AssertionError("a request that was read as a whole was refused")
+
+
+def make_connections(limit: int) -> tuple[ClientConnections, list[float], list[str]]:
+    """Return connections with their clock and what they were ended for."""
+    now, ended = [0.0], list[str]()
+    account = ClientAccount(limits=ClientLimits(connections=limit), on_ended=ended.append)
+    connections = ClientConnections(account=account, max_connections=limit, clock=lambda: now[0])
+    return connections, now, ended
+
+
+def test_a_stalled_connection_gives_way_and_one_whose_request_is_served_does_not() -> None:
+    connections, now, ended = make_connections(2)
+    listener = listen("127.0.0.1:0")
+    address = split_address(listener.address)
+    with contextlib.ExitStack() as stack:
+        port = stack.enter_context(connections.port_socket(listener.socket))
+        served, _ = (stack.enter_context(socket.create_connection(address)) for _ in range(2))
+        accepted, _ = port.accept()
+        scope = {"client": served.getsockname(), "server": address}
+        request, connection = Request(), connections.find(scope)
+        connection.begin(request)
+        connection.note_received(request)
+        silent, _ = port.accept()
+        refused = stack.enter_context(socket.create_connection(address, WAIT_S))
+        with pytest.raises(BlockingIOError):
+            port.accept()
+        assert refused.recv(1) == b"" and ended == ["connections"]
+        now[0] = 2.0
+        stack.enter_context(socket.create_connection(address))
+        newcomer, _ = port.accept()
+        with pytest.raises(ConnectionResetError):
+            silent.recv(1)
+        assert served.send(b"x") and accepted.recv(1) == b"x"
+        assert ended == ["connections"] * 2 and connections.find(scope).is_busy
+        for opened in (accepted, silent, newcomer):
+            opened.close()
+    assert not connections.find(scope).is_busy
+
+
+async def serve_in_turn() -> list[bytes]:
+    """Return the answers to callers that connect one after another beside clients that close unheard."""
+
+    async def application(scope: Scope, receive: Receive, send: Send) -> None:
+        if scope["type"] == "http":
+            await send_json(send, status=200, value="served")
+
+    connections, _, _ = make_connections(3)
+    listener = listen("127.0.0.1:0")
+    port = HttpPort(
+        application=application,
+        listener=listener,
+        connections=connections,
+        instance="seoul-1",
+        clock=anyio.current_time,
+    )
+    closing, answers = anyio.Event(), []
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(port.run, closing)
+        for _ in range(6):
+            host, number = split_address(listener.address)
+            async with await anyio.connect_tcp(host, number):
+                pass
+            with anyio.fail_after(WAIT_S):
+                async with await anyio.connect_tcp(host, number) as caller:
+                    await caller.send(REQUEST)
+                    answers.append(await caller.receive())
+        closing.set()
+    return answers
+
+
+def test_a_connection_that_its_client_has_closed_leaves_its_room_at_once() -> None:
+    answers = anyio.run(serve_in_turn)
+    assert all(answer.startswith(b"HTTP/1.1 200 ") for answer in answers), answers
--- a/figpaddle/daemon/tests/test_http_port.py
+++ b/figpaddle/daemon/tests/test_http_port.py
@@ -7,9 +7,11 @@
 import anyio
 import pytest
 
+from figpaddle.daemon._client_connections import ClientConnections
 from figpaddle.daemon._http import Receive, Scope, Send, send_json
 from figpaddle.daemon._http_port import HttpPort
 from figpaddle.daemon._sockets import listen, split_address
+from figpaddle.http1 import ClientAccount, ClientLimits
 
 #: Turns of the event loop from the end of the port until callers connect, which the closing takes.
 CLOSING_TURNS = range(8)
@@ -25,8 +27,15 @@
 async def call_while_closing(turns: int) -> list[bytes]:
     """Return what callers get that connect some turns after the port is told to close."""
     listener = listen("127.0.0.1:0")
+    account = ClientAccount(limits=ClientLimits())
     port = HttpPort(
-        application=answer, listener=listener, instance="seoul-1", clock=anyio.current_time
+        application=answer,
+        listener=listener,
+        connections=ClientConnections(
+            account=account, max_connections=CALLERS, clock=anyio.current_time
+        ),
+        instance="seoul-1",
+        clock=anyio.current_time,
     )
     closing = anyio.Event()
     callers = []
--- a/figpaddle/http1/_held_bytes.py
+++ b/figpaddle/http1/_held_bytes.py
@@ -159,9 +159,9 @@
         reserve = self._limits.held_bytes * RESERVE_FRACTION
         return held_bytes <= SMALL_BYTES and self._held_bytes <= self._limits.held_bytes + reserve
 
-    def note_refused(self) -> None:
-        """Record that a request was refused as ``hold`` has returned false."""
-        self._on_ended("bytes")
+    def note_refused(self, short: str = "bytes") -> None:
+        """Record that a request or connection was refused as ``hold`` or ``has_room`` has returned false."""
+        self._on_ended(short)
 
     def _end_stalled(self, asking: HeldClient, *, now: float) -> None:
         """End stalled clients that hold bytes, the longest first, until the limit is kept."""
