--- a/figpaddle/daemon/_client_account.py
+++ b/figpaddle/daemon/_client_account.py
@@ -7,13 +7,15 @@
 
 import anyio
 
-from figpaddle.daemon._client_connections import ClientConnection, ClientConnections
+from figpaddle.daemon._client_connections import (
+    FIELD_OVERHEAD_BYTES,
+    ClientConnection,
+    ClientConnections,
+)
 from figpaddle.daemon._http import Receive, Scope, Send, send_problem
 from figpaddle.errors import NoRoomError
 from figpaddle.http1 import ClientAccount, ClientPhase, HeldClient
 
-#: Memory that a header field takes beside its name and value, bytes; the server keeps each several times.
-FIELD_OVERHEAD_BYTES = 300
 #: Retry-After of a request that is refused for want of memory, seconds.
 NO_ROOM_RETRY_AFTER_S = 1.0
 
@@ -71,6 +73,9 @@
             await self._application(scope, receive, send)
             return
         connection = self._connections.find(scope)
+        if not await connection.wait_until_read():
+            # Nobody waits for the answers to requests that were sent ahead.
+            return
         request = _ReceivedRequest(scope=scope, connection=connection)
         connection.begin(request)
         self._account.add(request, now=self._clock())
--- a/figpaddle/daemon/_client_connections.py
+++ b/figpaddle/daemon/_client_connections.py
@@ -5,31 +5,52 @@
 import array
 import contextlib
 import fcntl
+import re
 import socket
 import struct
 import termios
 from collections.abc import Callable
-from typing import Any
+from typing import Any, NoReturn
+
+import anyio
 
 from figpaddle.daemon._http import Scope
 from figpaddle.http1 import ClientAccount, ClientPhase, HeldClient
 
+#: Bytes of earlier answers that a client may have left unread when its next request begins, and the interval
+#: at which they are looked at, seconds. A client that doesn't send requests ahead has read them all.
+MAX_UNREAD_BYTES, UNREAD_POLL_S = 1024, 0.02
+#: Longest wait for a client to read them, seconds.
+UNREAD_TIMEOUT_S = 30.0
 #: Connections beyond the limit that may be open while they are being closed.
 MAX_ENDING_CONNECTIONS = 64
 #: Connections that are refused in one turn of the event loop.
 MAX_REFUSALS_PER_TURN = 64
+#: Memory that a header field takes beside its name and value, bytes; the server keeps each several times.
+FIELD_OVERHEAD_BYTES = 300
+#: The end of a head, and the bytes of it that may have come before the others.
+HEAD_END, HEAD_END_PART = re.compile(rb"\n\r?\n"), 2
 #: Value of SO_LINGER with which a close resets the connection, so that a part of an answer can't look whole.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 class ClientConnection(HeldClient):
-    """An open connection and the requests that are in progress on it."""
+    """An open connection, the head that it receives and the requests that are in progress on it.
+
+    ``account`` counts the connection, and ``held`` the memory that a head will take once it is parsed.
+    """
 
-    def __init__(self, *, account: ClientAccount, clock: Callable[[], float]) -> None:
+    def __init__(
+        self, *, account: ClientAccount, held: ClientAccount, clock: Callable[[], float]
+    ) -> None:
         self._account = account
+        self._held = held
         self._clock = clock
         self._requests: dict[HeldClient, ClientPhase] = {}
         self._socket: _ClientSocket | None = None
+        self._head_bytes = 0
+        self._head_tail = b""
+        self._has_head = False
 
     @property
     def is_busy(self) -> bool:
@@ -40,8 +61,39 @@
         """Set the socket of the connection."""
         self._socket = accepted
 
+    def receive(self, data: bytes) -> bool:
+        """Count the head of a request in received bytes; return whether there is room for it."""
+        if self._requests or self._has_head:
+            return True
+        if not self._head_bytes:
+            self._held.enter(self, ClientPhase.RECEIVING, now=self._clock())
+        end = HEAD_END.search(self._head_tail + data)
+        size = len(data) if end is None else max(0, end.end() - len(self._head_tail))
+        self._has_head, self._head_tail = end is not None, data[-HEAD_END_PART:]
+        fields = data.count(b"\n", 0, size)
+        return self._hold_head(self._head_bytes + size + fields * FIELD_OVERHEAD_BYTES)
+
+    async def wait_until_read(self) -> bool:
+        """Wait until the client has read earlier answers; return whether it has."""
+        if self._socket is None:
+            return False
+        if self._socket.unread_bytes > MAX_UNREAD_BYTES:
+            self._account.enter(self, ClientPhase.SENDING, now=self._clock())
+            with anyio.move_on_after(UNREAD_TIMEOUT_S):
+                while self._socket.is_open and self._socket.unread_bytes > MAX_UNREAD_BYTES:
+                    await anyio.sleep(UNREAD_POLL_S)
+            if self._socket.unread_bytes > MAX_UNREAD_BYTES:
+                self._socket.abort()
+        return self._socket.is_open
+
+    def refuse_head(self) -> None:
+        """Record that the connection is closed as there is no room for its head."""
+        self._hold_head(0)
+        self._held.note_refused()
+
     def begin(self, request: HeldClient) -> None:
-        """Record that a request is being received."""
+        """Record that the head of a request was parsed; who serves it counts it from now on."""
+        self._hold_head(0)
         self._enter(request, ClientPhase.RECEIVING)
 
     def note_passed(self, size: int) -> None:
@@ -55,6 +107,8 @@
     def end(self, request: HeldClient) -> None:
         """Record that a request is no longer in progress."""
         self._requests.pop(request, None)
+        if not self._requests:
+            self._has_head, self._head_tail = False, b""
         phase = max(self._requests.values(), default=ClientPhase.IDLE)
         self._account.enter(self, phase, now=self._clock())
 
@@ -65,6 +119,10 @@
         if not self._requests and self._socket is not None:
             self._socket.abort()
 
+    def _hold_head(self, size: int) -> bool:
+        self._head_bytes = size
+        return self._held.hold(self, size, now=self._clock())
+
     def _enter(self, request: HeldClient, phase: ClientPhase) -> None:
         self._requests[request] = phase
         # Several requests share a connection in HTTP/2; none that was read as a whole is given up.
@@ -79,9 +137,15 @@
     """
 
     def __init__(
-        self, *, account: ClientAccount, max_connections: int, clock: Callable[[], float]
+        self,
+        *,
+        account: ClientAccount,
+        held: ClientAccount,
+        max_connections: int,
+        clock: Callable[[], float],
     ) -> None:
         self._account = account
+        self._held = held
         self._max_open = max_connections + MAX_ENDING_CONNECTIONS
         self._clock = clock
         self._open: dict[tuple[Any, Any], ClientConnection] = {}
@@ -93,7 +157,7 @@
     def find(self, scope: Scope) -> ClientConnection:
         """Return the connection of a request; one that is closed already isn't counted."""
         connection = self._open.get((scope["client"], scope["server"]))
-        return connection or ClientConnection(account=self._account, clock=self._clock)
+        return connection or self._make_connection()
 
     def admit(self, accepted: socket.socket) -> socket.socket | None:
         """Return the socket of a new connection, or None if it is refused."""
@@ -108,7 +172,7 @@
             self._account.note_refused("connections")
             accepted.close()
             return None
-        connection = ClientConnection(account=self._account, clock=self._clock)
+        connection = self._make_connection()
         client_socket = _ClientSocket(
             accepted=accepted,
             connection=connection,
@@ -117,10 +181,15 @@
         connection.attach(client_socket)
         self._open[ends] = connection
         self._account.add(connection, now=now)
+        self._held.add(connection, now=now)
         return client_socket
 
+    def _make_connection(self) -> ClientConnection:
+        return ClientConnection(account=self._account, held=self._held, clock=self._clock)
+
     def _remove(self, ends: tuple[Any, Any], connection: ClientConnection) -> None:
         self._account.remove(connection)
+        self._held.remove(connection)
         # A client that has reset a connection may use its port again before the socket is closed.
         if self._open.get(ends) is connection:
             del self._open[ends]
@@ -160,9 +229,16 @@
         self._on_close = on_close
         self._is_aborted = False
 
+    @property
+    def is_open(self) -> bool:
+        """Whether the connection is neither closed nor about to be."""
+        return not self._is_aborted and self.fileno() >= 0
+
     @property
     def unread_bytes(self) -> int:
         """Bytes that the client's side hasn't acknowledged."""
+        if self.fileno() < 0:
+            return 0
         count = array.array("i", [0])
         fcntl.ioctl(self, termios.TIOCOUTQ, count)
         return count[0]
@@ -181,12 +257,19 @@
         if self._is_aborted:
             raise ConnectionResetError
         data = super().recv(size, flags)
+        if data and not self._connection.receive(data):
+            self._connection.refuse_head()
+            self._raise_reset()
         if not data and not self._connection.is_busy and not self.unread_bytes:
             # The HTTP server would keep a connection that its client has closed until the idle timeout.
-            self.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
-            raise ConnectionResetError
+            self._raise_reset()
         return data
 
+    def _raise_reset(self) -> NoReturn:
+        """Have the server close the connection with a reset."""
+        self.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        raise ConnectionResetError
+
     def close(self) -> None:
         """Close the socket."""
         super().close()
--- a/figpaddle/daemon/_instance.py
+++ b/figpaddle/daemon/_instance.py
@@ -314,6 +314,7 @@
             account=ClientAccount(
                 limits=ClientLimits(connections=max_connections), on_ended=self._note_ended_client
             ),
+            held=self._clients,
             max_connections=max_connections,
             clock=self._clock,
         )
--- a/figpaddle/daemon/tests/test_client_connections.py
+++ b/figpaddle/daemon/tests/test_client_connections.py
@@ -8,6 +8,7 @@
 import anyio
 import pytest
 
+from figpaddle.daemon._client_account import BoundedApplication
 from figpaddle.daemon._client_connections import ClientConnections
 from figpaddle.daemon._http import Receive, Scope, Send, send_json
 from figpaddle.daemon._http_port import HttpPort
@@ -15,6 +16,10 @@
 from figpaddle.http1 import ClientAccount, ClientLimits, HeldClient
 
 REQUEST = b"GET /v1/entries HTTP/1.1\r\nHost: figpaddle\r\n\r\n"
+#: Bytes that the clients may hold.
+HELD_BYTES = 100_000
+#: Requests that a client sends ahead.
+SENT_AHEAD = 30
 #: Longest wait of a client, seconds.
 WAIT_S = 5.0
 
@@ -28,7 +33,10 @@
     """Return connections with their clock and what they were ended for."""
     now, ended = [0.0], list[str]()
     account = ClientAccount(limits=ClientLimits(connections=limit), on_ended=ended.append)
-    connections = ClientConnections(account=account, max_connections=limit, clock=lambda: now[0])
+    held = ClientAccount(limits=ClientLimits(held_bytes=HELD_BYTES), on_ended=ended.append)
+    connections = ClientConnections(
+        account=account, held=held, max_connections=limit, clock=lambda: now[0]
+    )
     return connections, now, ended
 
 
@@ -95,3 +103,79 @@
 def test_a_connection_that_its_client_has_closed_leaves_its_room_at_once() -> None:
     answers = anyio.run(serve_in_turn)
     assert all(answer.startswith(b"HTTP/1.1 200 ") for answer in answers), answers
+
+
+def test_a_head_of_many_fields_is_counted_before_it_is_parsed() -> None:
+    connections, now, ended = make_connections(9)
+    listener = listen("127.0.0.1:0")
+    address = split_address(listener.address)
+    with contextlib.ExitStack() as stack:
+        port = stack.enter_context(connections.port_socket(listener.socket))
+
+        def receive(data: bytes) -> tuple[socket.socket, bytes]:
+            client = stack.enter_context(socket.create_connection(address))
+            client.sendall(data)
+            accepted = stack.enter_context(port.accept()[0])
+            return accepted, accepted.recv(1 << 16)
+
+        many_fields = REQUEST[:-2] + b"a:\r\n" * 300
+        first, _ = receive(many_fields + b"\r\n" + b"\n" * 9999)
+        with pytest.raises(ConnectionResetError):
+            receive(many_fields)
+        assert receive(REQUEST)[1] == REQUEST
+        assert ended == ["bytes"]
+        now[0] = 2.0
+        assert receive(many_fields)[1] == many_fields
+        with pytest.raises(ConnectionResetError):
+            first.recv(1)
+
+
+async def send_ahead(count: int) -> tuple[int, int, bytes]:
+    """Return how many requests were begun before and after the client read or left, and what it read."""
+    begun = 0
+
+    async def application(scope: Scope, receive: Receive, send: Send) -> None:
+        nonlocal begun
+        if scope["type"] == "http":
+            begun += 1
+            await send_json(send, status=200, value="x" * 4000)
+
+    connections, _, _ = make_connections(3)
+    account = ClientAccount(limits=ClientLimits())
+    listener = listen("127.0.0.1:0")
+    port = HttpPort(
+        application=BoundedApplication(
+            application=application,
+            account=account,
+            connections=connections,
+            clock=anyio.current_time,
+        ),
+        listener=listener,
+        connections=connections,
+        instance="seoul-1",
+        clock=anyio.current_time,
+    )
+    closing, answers = anyio.Event(), b""
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(port.run, closing)
+        with socket.socket() as client:
+            client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            client.connect(split_address(listener.address))
+            client.setblocking(False)
+            client.sendall(REQUEST * SENT_AHEAD)
+            await anyio.sleep(0.5)
+            begun_unread = begun
+            with anyio.fail_after(WAIT_S):
+                while answers.count(b"HTTP/1.1 200 ") < count:
+                    await anyio.wait_readable(client)
+                    answers += client.recv(1 << 16)
+        await anyio.sleep(0.2)
+        closing.set()
+    return begun_unread, begun, answers
+
+
+@pytest.mark.parametrize("count", [0, 30])
+def test_requests_sent_ahead_begin_as_their_client_reads_the_answers(count: int) -> None:
+    begun_unread, begun, answers = anyio.run(send_ahead, count)
+    assert begun_unread < 10 and answers.count(b"HTTP/1.1 200 ") == count
+    assert begun == SENT_AHEAD if count else begun == begun_unread
--- a/figpaddle/daemon/tests/test_http_port.py
+++ b/figpaddle/daemon/tests/test_http_port.py
@@ -32,7 +32,7 @@
         application=answer,
         listener=listener,
         connections=ClientConnections(
-            account=account, max_connections=CALLERS, clock=anyio.current_time
+            account=account, held=account, max_connections=CALLERS, clock=anyio.current_time
         ),
         instance="seoul-1",
         clock=anyio.current_time,
