--- a/tests/test_complete_responses.py
+++ b/tests/test_complete_responses.py
@@ -83,6 +83,12 @@
     "two lengths": write_bytes(
         b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\ncontent-length: 3\r\n\r\n{}x"
     ),
+    **{
+        f"status {status}": write_bytes(
+            f"HTTP/1.1 {status} Odd\r\ncontent-length: 2\r\n\r\n{{}}".encode()
+        )
+        for status in ("000", "600", "999")
+    },
     "switched protocols": write_bytes(b"HTTP/1.1 101 Switching\r\nupgrade: x\r\n\r\n"),
 }
 #: Responses that break off after some of their bytes reached the caller.
