--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -105,7 +105,7 @@
     padding_bytes: int = 0
     #: Time from the start of a run to the beginning of its answer, seconds.
     work_s: float = 0.0
-    #: Failure of every request, such as "reset" or "mute"; empty for none.
+    #: Failure of every request, such as "reset" or "mute", or the status of its answer; empty for none.
     failure: str = ""
     #: Draws the failure of each request, empty for none; used unless ``failure`` is set.
     draw_failure: Callable[[], str] = str
@@ -233,6 +233,9 @@
             await self._answer_without_end(echoed_headers, request_id, responder)
         if failure == "mute":
             await self._never_respond(request_id)
+        if failure.isdigit():
+            await responder.answer(int(failure), echoed_headers, b"odd")
+            return
         if failure == "error":
             await responder.answer(
                 500, (*echoed_headers, (b"X-Figpaddle-Server-Seal", b"e")), b"error"
