--- a/figpaddle/regional/_entry.py
+++ b/figpaddle/regional/_entry.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
+import dataclasses
 from typing import Any
 
 import anyio
 
-from figpaddle.http1 import ConnectionPool, HttpRequest, RequestLimits, Responder
+from figpaddle.http1 import ConnectionPool, HttpRequest, RequestLimits, Responder, header
 from figpaddle.regional._backend_records import is_record_sender, send_records
 from figpaddle.regional._contact_watch import ContactWatch
 from figpaddle.regional._dialect import EntryLookup, ReadinessCheck
@@ -15,10 +16,13 @@
 from figpaddle.regional._placer import Placer
 from figpaddle.regional._process import (
     DRAIN_CHECK_INTERVAL_S,
+    EXPLAIN_PATH,
+    EXPLAIN_WORKSPACE,
     SAME_REGION_ACK_TIMEOUT_S,
     RegionalProcess,
 )
 from figpaddle.regional._quota_client import QuotaClient
+from figpaddle.regional._request_explanation import RequestExplainer
 from figpaddle.regional._request_quarantine import RequestQuarantine
 from figpaddle.regional._stream_origins import StreamOrigins
 from figpaddle.regional._tasks import ContainedTasks
@@ -138,6 +142,16 @@
             log=self._log,
             metrics=self._metrics,
         )
+        self._explainer = RequestExplainer(
+            settings=settings,
+            dialect=self._dialect,
+            follower=self._follower,
+            gateway=self._gateway,
+            placer=self._placer,
+            quotas=self._quotas,
+            quarantine=self._quarantine,
+            clock=self._clock,
+        )
         self._metrics.labeled_gauge("backends_believed", "state", self._placer.count_by_state)
         self._metrics.labeled_gauge(
             "backends_oldest_seconds", "service", self._placer.oldest_record_ages
@@ -206,6 +220,13 @@
         except ValueError:
             return False
 
+    def _explain(self, request: HttpRequest) -> dict[str, Any]:
+        """Return where a request, whose path follows ``EXPLAIN_PATH``, would go."""
+        workspace = (header(request.headers, EXPLAIN_WORKSPACE) or b"").decode("latin-1")
+        target = request.target.removeprefix(EXPLAIN_PATH)
+        asked = dataclasses.replace(request, target=target)
+        return self._explainer.explain(asked, workspace=workspace)
+
     async def handle_forwarded(self, request: HttpRequest, responder: Responder) -> None:
         """Answer a request that an entry of another region forwarded."""
         await self._gateway.handle_forwarded_request(request, responder)
--- a/figpaddle/regional/_gateway.py
+++ b/figpaddle/regional/_gateway.py
@@ -41,6 +41,11 @@
 from figpaddle.regional._settings import ProcessSettings
 from figpaddle.regional._statements import state_attempts
 from figpaddle.regional._stream_origins import StreamOrigins
+from figpaddle.regional._unplaced_requests import (
+    DEFAULT_RETRY_AFTER_S,
+    unplaced_reason,
+    unplaced_refusal,
+)
 from figpaddle.regional._unsent_requests import unsent_on_error
 from figpaddle.regional._workspace_metrics import WorkspaceMetrics
 from figpaddle.routing import (
@@ -81,8 +86,18 @@
 STARTUP_RETRY_AFTER_S = 0.4
 #: Base of Retry-After where only another configuration can help, seconds.
 CONFIGURATION_RETRY_AFTER_S = 5.0
-#: Base of Retry-After where the reason of the refusal suggests no time, seconds.
-DEFAULT_RETRY_AFTER_S = 0.6
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class UnroutedRefusal:
+    """Why a caller's request isn't handled at all; it has not run."""
+
+    status: int
+    reason: str
+    #: Base of Retry-After, seconds.
+    wait_s: float = STARTUP_RETRY_AFTER_S
+    #: The workspace, if it is known.
+    workspace: str = ""
 
 
 class Gateway:
@@ -152,6 +167,11 @@
             first_start=settings.first_start,
         )
 
+    @property
+    def accepts(self) -> bool:
+        """Whether new requests are taken up."""
+        return not self._stopped_accepting
+
     @property
     def active(self) -> int:
         """Requests in progress."""
@@ -194,31 +214,44 @@
                 caller, responder, 503, "read too late", OTHER_ENTRY_RETRY_AFTER_S
             )
             return None
+        accepted = self.accept(request, caller, rng=self._rng)
+        if isinstance(accepted, UnroutedRefusal):
+            await self._refuse_unrouted(
+                caller,
+                responder,
+                accepted.status,
+                accepted.reason,
+                accepted.wait_s,
+                workspace=accepted.workspace,
+            )
+            return None
+        self.retry_budget.note_request(accepted.service.name, now=request.received_at)
+        return accepted
+
+    def accept(
+        self, request: HttpRequest, caller: CallerRequest, *, rng: random.Random
+    ) -> RequestContext | UnroutedRefusal:
+        """Decide whether a caller's request is handled, by whose and by which route; note nothing."""
         configuration = self._follower.configuration
         if configuration is None:
-            await self._refuse_unrouted(caller, responder, 503, "no configuration yet")
-            return None
-        path = request.path.decode("latin-1")
-        route = configuration.route_for(caller.host, path)
+            return UnroutedRefusal(status=503, reason="no configuration yet")
+        route = configuration.route_for(caller.host, request.path.decode("latin-1"))
         if route is None:
-            await self._refuse_unrouted(caller, responder, 404, "no route")
-            return None
+            return UnroutedRefusal(status=404, reason="no route")
         access = decide_access(
             configuration, route, caller.key_digest, keys_are_current=self._keys_are_current()
         )
         if isinstance(access, AccessRefusal):
             wait_s = OTHER_ENTRY_RETRY_AFTER_S if access.elsewhere else CONFIGURATION_RETRY_AFTER_S
-            await self._refuse_unrouted(
-                caller, responder, access.status, access.reason, wait_s, workspace=access.workspace
+            return UnroutedRefusal(
+                status=access.status,
+                reason=access.reason,
+                wait_s=wait_s,
+                workspace=access.workspace,
             )
-            return None
         request = self._without_identity(request, configuration)
-        context = self._new_context(request, caller, access, configuration)
-        if context is None:
-            await self._refuse_unrouted(caller, responder, 503, "no such service")
-            return None
-        self.retry_budget.note_request(context.service.name, now=request.received_at)
-        return context
+        context = self._new_context(request, caller, access, configuration, rng=rng)
+        return context or UnroutedRefusal(status=503, reason="no such service")
 
     async def _read_forwarded_request(
         self, request: HttpRequest, responder: Responder
@@ -321,10 +354,12 @@
         caller: CallerRequest,
         access: CallerAccess,
         configuration: GatewayConfiguration,
+        *,
+        rng: random.Random,
     ) -> RequestContext | None:
         route = access.route
         names, weights = zip(*route.services, strict=True)
-        service = configuration.service(self._rng.choices(names, weights=weights)[0])
+        service = configuration.service(rng.choices(names, weights=weights)[0])
         if service is None:
             return None
         caller_timeout_s = (
@@ -454,8 +489,20 @@
 
         A stream that is taken up would otherwise be broken off now, so it goes on for as long as it can.
         """
-        if self._stopping_at is None or responder.started:
-            return True
+        outlasting = None if responder.started else self.outlasting(context, choice)
+        if outlasting is not None:
+            self._log.warning(
+                "request_not_begun",
+                request=context.request_id,
+                service=context.service.name,
+                **outlasting,
+            )
+        return outlasting is None
+
+    def outlasting(self, context: RequestContext, choice: Choice) -> dict[str, Any] | None:
+        """Return what shows that a request's answer would outlast this process; None if it doesn't."""
+        if self._stopping_at is None:
+            return None
         now = self._clock()
         # A whole answer that doesn't come in time is replaced by a failure. A stream that has begun is cut,
         # so one whose caller could have gone elsewhere begins only if its deadline bounds it.
@@ -475,19 +522,15 @@
             deadline_s=deadline_s,
             only_bounded=only_bounded,
         ):
-            return True
-        self._log.warning(
-            "request_not_begun",
-            request=context.request_id,
-            service=context.service.name,
-            answer_s=None if math.isinf(answer_s) else round(answer_s, 3),
-            only_bounded=only_bounded,
-            deadline_s=round(deadline_s, 3),
-            stops_in_s=round(ends_by - now, 3),
-        )
-        return False
-
-    def _max_wait_s(self, context: RequestContext) -> float:
+            return None
+        return {
+            "answer_s": None if math.isinf(answer_s) else round(answer_s, 3),
+            "only_bounded": only_bounded,
+            "deadline_s": round(deadline_s, 3),
+            "stops_in_s": round(ends_by - now, 3),
+        }
+
+    def max_wait_s(self, context: RequestContext) -> float:
         """Return the longest time that a request may wait, shorter beyond its workspace's share."""
         if context.workspace is None:
             return context.max_wait_s
@@ -540,7 +583,7 @@
                 await self._fail_leaving(context, responder)
                 return
             if not context.may_have_run and not responder.started:
-                max_wait_s = self._max_wait_s(context)
+                max_wait_s = self.max_wait_s(context)
                 refusal = refuse_late(
                     context.demand(now=now), choice, max_wait_s=max_wait_s, rng=self._rng
                 )
@@ -709,25 +752,13 @@
         )
 
     async def _fail_unplaced(self, context: RequestContext, responder: Responder) -> None:
-        usable = self._placer.usable_count(context.service.name)
-        reason = "no room" if usable else "no backend server"
-        if context.version is not None:
-            reason = f"{reason} of version {context.version or 'unknown'}"
-        if context.confined_by is not None:
-            reason = f"suspected of a crash, {reason}"
         if context.may_have_run or responder.started:
-            reason = f"{reason} after {context.last_failure}"
+            reason = f"{unplaced_reason(context, self._placer)} after {context.last_failure}"
             await self._fail(
                 context, AttemptResult(outcome=AttemptOutcome.UNKNOWN, reason=reason), responder
             )
             return
-        limited_for_s = self._placer.limited_for_s(context.service.name)
-        if limited_for_s is not None:
-            wait_s = max(DEFAULT_RETRY_AFTER_S, limited_for_s)
-            await self._refuse(context, responder, "limited", self._retry_after_s(wait_s, context))
-            return
-        pause_left_s = self._placer.pause_left_s(context.service.name)
-        wait_s = DEFAULT_RETRY_AFTER_S if usable or pause_left_s is None else pause_left_s
+        reason, wait_s = unplaced_refusal(context, self._placer)
         await self._refuse(context, responder, reason, self._retry_after_s(wait_s, context))
 
     async def _fail_leaving(self, context: RequestContext, responder: Responder) -> None:
--- a/figpaddle/regional/_placer.py
+++ b/figpaddle/regional/_placer.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import copy
 import dataclasses
 import itertools
 import random
@@ -38,6 +39,7 @@
     ColdLimit,
     EntryShares,
     ExpectationModel,
+    ExplainedCandidate,
     Fleet,
     FleetBackend,
     NamedLimits,
@@ -48,6 +50,8 @@
     backend_subset,
     choose,
     choose_forwarding_peer,
+    estimate_remote,
+    explain_candidates,
     highest_ranked,
     majority_heard_at,
     max_warmth_age_s,
@@ -222,6 +226,62 @@
             choice = self._through_neighbour(choice, context, tried_candidates, now=now)
         return choice
 
+    def preview(self, *, rng: random.Random) -> Placer:
+        """Return a placer that knows what this one knows now and uses its own random numbers.
+
+        What is decided with it leaves no trace in this one. It serves for one moment, as news don't reach it.
+        """
+        preview = copy.copy(self)
+        preview._rng = rng
+        preview._fleet = self._fleet.snapshot()
+        preview._region_entries = self._region_entries.snapshot()
+        preview._named_limits = copy.deepcopy(self._named_limits)
+        preview._trackers = dict(self._trackers)
+        preview._warmth_wanted_at = dict(self._warmth_wanted_at)
+        preview._subsets = dict(self._subsets)
+        preview._subsets_expire_at = dict(self._subsets_expire_at)
+        preview._urgency_orders = dict(self._urgency_orders)
+        return preview
+
+    def compare_backends(self, context: RequestContext) -> list[ExplainedCandidate]:
+        """Return what is expected of each backend server that may get a request, the best first."""
+        now = self._clock()
+        candidates = self._candidates(context, now=now)
+        return explain_candidates(candidates, context.demand(now=now), now=now)
+
+    def compare_regions(self, context: RequestContext) -> list[tuple[RemoteRegion, Choice | None]]:
+        """Return the other regions that may get a request, and what is expected; None without capacity."""
+        now = self._clock()
+        demand = context.demand(now=now)
+        options = self._remote_regions(context, now=now)
+        return [(option, estimate_remote(option, demand)) for option in options]
+
+    def obstacles(self, context: RequestContext) -> dict[str, str]:
+        """Return why the other backend servers of the region and service get no request, by name."""
+        now = self._clock()
+        shares = self._region_entries.shares(now=now)
+        usable = {backend.name for backend in self._usable(context.service.name, now=now)}
+        obstacles = {}
+        for backend in self._fleet.backends():
+            record = backend.record
+            in_region = record.zone in self._settings.zones_of_region
+            if record.service != context.service.name or not in_region:
+                continue
+            if not context.route.allows(self._settings.region):
+                obstacle = "region not allowed"
+            elif backend.name not in usable:
+                evacuated = self._follower.state.evacuated
+                obstacle = self._fleet.unusable_reason(backend, evacuated=evacuated, now=now)
+            elif not _has_version(context, record.version):
+                obstacle = "another version"
+            elif not self._needs_neighbour(backend):
+                obstacle = self._send_obstacle(backend, context, shares, now=now)
+            else:
+                obstacle = "cold" if self._is_cold(backend, context, now) else ""
+            if obstacle:
+                obstacles[backend.name] = obstacle
+        return obstacles
+
     def _place_confined(
         self, context: RequestContext, *, now: float, is_offer: bool
     ) -> Choice | None:
@@ -861,21 +921,27 @@
         those that leave or pause. A neighbour that sends the request instead of a cut-off entry obeys
         them with its own share.
         """
+        return not self._send_obstacle(backend, context, shares, now=now)
+
+    def _send_obstacle(
+        self, backend: FleetBackend, context: RequestContext, shares: EntryShares, *, now: float
+    ) -> str:
+        """Return which of these limits of a backend server leaves nothing for one more request, or ""."""
         if self._is_cold(backend, context, now) and not self._cold_limit.allows(
             backend.name, per_s=context.service.cold_per_s, shares=shares, now=now
         ):
             if self._subset(context.service.name).uses(backend.name):
                 self._warmth_wanted_at[backend.name] = now
-            return False
+            return "cold"
         turn_at = self._turn_at(backend, shares, now=now)
         if turn_at is None or turn_at > now:
-            return False
+            return "limited"
         requests = self.tracker_of(backend.name).requests(now=now)
         if not self._brittle.allows(
             backend.name, context.service.name, requests=requests, shares=shares, now=now
         ):
-            return False
-        return self._has_free_connection(backend, context, shares.count)
+            return "brittle"
+        return "" if self._has_free_connection(backend, context, shares.count) else "no connection"
 
     def _limit_of(self, backend: FleetBackend, *, now: float) -> float | None:
         return self._named_limits.limit_of(backend.name, born=backend.record.born, now=now)
--- a/figpaddle/regional/_process.py
+++ b/figpaddle/regional/_process.py
@@ -65,6 +65,10 @@
 STATE_PATH = b"/state"
 #: Path at which an operator pardons a prompt part; its query is the part's digest in hexadecimal.
 PARDON_PATH = b"/quarantine/pardon"
+#: Path before that of a request of which an operator asks where it would go.
+EXPLAIN_PATH = b"/explain"
+#: Header field with the name of the workspace whose key the caller of such a request would have.
+EXPLAIN_WORKSPACE = b"figpaddle-explain-workspace"
 #: Base of Retry-After on connections beyond the limit, seconds; another instance may have room.
 OVER_LIMIT_RETRY_AFTER_S = 0.1
 #: Base of Retry-After for a request that an internal error ended before it was sent, seconds.
@@ -441,8 +445,14 @@
 
     async def _handle_metrics(self, request: HttpRequest, responder: Responder) -> None:
         if request.path == STATE_PATH:
-            headers = ((b"Content-Type", b"application/json"),)
-            await responder.answer(200, headers, json.dumps(self.dump(), indent=2).encode())
+            await _answer_document(responder, self.dump())
+            return
+        if request.path.startswith(EXPLAIN_PATH + b"/"):
+            explanation = self._explain(request)
+            if explanation is None:
+                await responder.answer(404, (), b"")
+                return
+            await _answer_document(responder, explanation)
             return
         if (request.method, request.path) == (b"POST", PARDON_PATH):
             await responder.answer(200 if self._pardon(request.query) else 404, (), b"")
@@ -454,6 +464,10 @@
         """Pardon a quarantined prompt part; return whether this process knows it."""
         return False
 
+    def _explain(self, request: HttpRequest) -> dict[str, Any] | None:
+        """Return where a request would go; None for a process that handles none of callers."""
+        return None
+
     def dump(self) -> dict[str, Any]:
         """Return the state of the process for operators, as a JSON object."""
         now = self._clock()
@@ -545,3 +559,8 @@
         added = self._mesh.add_seeds(new_settings.seeds)
         if reason == "signal" or added:
             self._log.info("settings_reloaded", reason=reason, new_seeds=",".join(added))
+
+
+async def _answer_document(responder: Responder, document: dict[str, Any]) -> None:
+    headers = ((b"Content-Type", b"application/json"),)
+    await responder.answer(200, headers, json.dumps(document, indent=2).encode())
--- a/figpaddle/regional/_quota_client.py
+++ b/figpaddle/regional/_quota_client.py
@@ -54,6 +54,19 @@
     retry_after_s: float
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class QuotaOutlook:
+    """What the quota of a workspace leaves for a request now."""
+
+    cost: float
+    #: What this entry may spend without a question.
+    available: float
+    #: Time for which a refusal by a voter is remembered, seconds; None if none is.
+    refill_s: float | None
+    #: The voter that would be asked; None if none can be.
+    holder: str | None
+
+
 @dataclasses.dataclass(kw_only=True)
 class _Waiter:
     """A request that waits for the answer to one item, or a question ahead for which nothing waits."""
@@ -193,6 +206,20 @@
             holder=",".join(sorted(tried)),
         )
 
+    def outlook(self, context: RequestContext) -> QuotaOutlook | None:
+        """Return what is left for a request, without a charge or a question; None if it needs no quota."""
+        workspace = context.workspace
+        if workspace is None or workspace.quota is None:
+            return None
+        now, cost = self._boot_clock(), _cost(workspace, context)
+        stock = self._stocks.get(workspace.name)
+        return QuotaOutlook(
+            cost=cost,
+            available=0.0 if stock is None else stock.available(now=now),
+            refill_s=None if stock is None else stock.refill_left_s(cost, now=now),
+            holder=self._holder(workspace.name, set()),
+        )
+
     def settle(self, context: RequestContext, *, may_have_run: bool) -> None:
         """End the charge of an attempt; what certainly didn't run is given back."""
         charge, context.quota_charge = context.quota_charge, None
--- a/figpaddle/regional/_region_entries.py
+++ b/figpaddle/regional/_region_entries.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import copy
 from collections.abc import Callable
 
 from figpaddle.regional._mesh import Mesh
@@ -41,6 +42,12 @@
             )
         return self._shares
 
+    def snapshot(self) -> RegionEntries:
+        """Return a copy for a look at the shares now; what it counts stays there."""
+        copied = copy.copy(self)
+        copied._census = copy.copy(self._census)
+        return copied
+
     def voters_heard_at(self) -> float:
         """Return the last moment since which a majority of the voters was heard that hear this entry.
 
--- a/figpaddle/routing/__init__.py
+++ b/figpaddle/routing/__init__.py
@@ -47,6 +47,11 @@
 from figpaddle.routing._loss_records import LOSS_TTL_S
 from figpaddle.routing._named_limits import MIN_LIMIT_PER_S, NamedLimits
 from figpaddle.routing._offer_limits import TAKEN_OVER_TTL_S, OfferLimits
+from figpaddle.routing._placement_explanation import (
+    ExplainedCandidate,
+    ScoreParts,
+    explain_candidates,
+)
 from figpaddle.routing._policy import (
     LeastLoadPolicy,
     LeastReportedLoadPolicy,
@@ -87,6 +92,7 @@
     RemoteRegion,
     choose,
     estimate,
+    estimate_remote,
     refuse_late,
 )
 from figpaddle.routing._response_timeouts import (
@@ -164,6 +170,7 @@
     "EntryAnswer",
     "Estimate",
     "ExpectationModel",
+    "ExplainedCandidate",
     "Finished",
     "FirstToken",
     "Fleet",
@@ -220,6 +227,7 @@
     "TAKEN_OVER_TTL_S",
     "ScoredPolicy",
     "Sent",
+    "ScoreParts",
     "SharedRetryBudget",
     "SlidingCount",
     "StreamOrigin",
@@ -241,7 +249,9 @@
     "entries_for",
     "entries_to_ask",
     "estimate",
+    "estimate_remote",
     "event_gap_timeout_s",
+    "explain_candidates",
     "first_byte_timeout_s",
     "forwarded_gap_timeout_s",
     "highest_ranked",
--- a/figpaddle/routing/_fleet.py
+++ b/figpaddle/routing/_fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import copy
 import dataclasses
 import enum
 import math
@@ -208,6 +209,28 @@
             and not self._is_lost(backend)
         ]
 
+    def snapshot(self) -> Fleet:
+        """Return a copy for a look at what is known now; what is noted in it stays there."""
+        copied = copy.copy(self)
+        copied._backends_by_name = {
+            name: copy.copy(backend) for name, backend in self._backends_by_name.items()
+        }
+        return copied
+
+    def unusable_reason(
+        self, backend: FleetBackend, *, evacuated: tuple[str, ...], now: float
+    ) -> str:
+        """Return why ``usable`` leaves out a backend server of the region, for operators."""
+        if backend.record.state is not BackendState.SERVING:
+            return str(backend.record.state.value)
+        if backend.record.zone in evacuated:
+            return "zone evacuated"
+        if backend.paused_until > now:
+            return "pausing"
+        if backend.backoff_until > now:
+            return "unreachable"
+        return "crashed" if self._is_lost(backend) else "silent"
+
     def serving_names(
         self, service: str, *, region_zones: frozenset[str], evacuated: tuple[str, ...]
     ) -> tuple[str, ...]:
--- a/figpaddle/routing/_regional_placement.py
+++ b/figpaddle/routing/_regional_placement.py
@@ -223,13 +223,9 @@
         pace *= tracker.speed.factor(fastest=candidate.fastest_factor)
     expected_s *= slowness * candidate.correction * pace
     score = expected_s + utilization_penalty_s * utilization * utilization
-    if not candidate.is_preferred and demand.prompt_tokens:
-        recomputed_tokens = max(
-            0.0, shared_prefix_tokens(demand) - (demand.prompt_tokens - prefill)
-        )
-        score += PREFIX_RECOMPUTE_PENALTY * recomputed_tokens / PREFILL_TOKENS_PER_S
+    score += recompute_penalty_s(candidate, demand, prefill)
     score += FAILURE_PENALTY_S * tracker.failure_rate(now=now)
-    score += _start_penalty_s(candidate, requests)
+    score += start_penalty_s(candidate, requests)
     pause_s = pause_penalty_s(tracker.stream_pace.gap_s(now=now), longest_s=demand.longest_pause_s)
     score += pause_s
     return Choice(
@@ -246,7 +242,15 @@
     )
 
 
-def _start_penalty_s(candidate: Candidate, requests: int) -> float:
+def recompute_penalty_s(candidate: Candidate, demand: Demand, prefill: float) -> float:
+    """Return the penalty for computing a shared prefix that another engine probably caches, seconds of waiting."""
+    if candidate.is_preferred or not demand.prompt_tokens:
+        return 0.0
+    recomputed_tokens = max(0.0, shared_prefix_tokens(demand) - (demand.prompt_tokens - prefill))
+    return PREFIX_RECOMPUTE_PENALTY * recomputed_tokens / PREFILL_TOKENS_PER_S
+
+
+def start_penalty_s(candidate: Candidate, requests: int) -> float:
     """Return the penalty for exceeding the slots in use of a server that has just started, seconds of waiting.
 
     It is the wait that there would be if no other slots existed. It doesn't count as a wait, so a request for
@@ -353,7 +357,7 @@
     healthy: list[Candidate] = []
     unhealthy: list[Candidate] = []
     for candidate in candidates:
-        is_healthy = _is_healthy(candidate, demand.priority, now=now)
+        is_healthy = candidate_is_healthy(candidate, demand.priority, now=now)
         (healthy if is_healthy else unhealthy).append(candidate)
     in_subset = healthy
     if subset is not None:
@@ -393,7 +397,8 @@
     )
 
 
-def _is_healthy(candidate: Candidate, priority: int, *, now: float) -> bool:
+def candidate_is_healthy(candidate: Candidate, priority: int, *, now: float) -> bool:
+    """Return whether a backend server is used before those that fail or answer late."""
     tracker = candidate.tracker
     return (
         tracker.failure_rate(now=now) <= MAX_HEALTHY_FAILURE_RATE
--- a/figpaddle/tool/_main.py
+++ b/figpaddle/tool/_main.py
@@ -4,7 +4,16 @@
 
 import typer
 
-from figpaddle.tool import _configuration, _explain, _generate, _inspect, _outcomes, _send, _stop
+from figpaddle.tool import (
+    _configuration,
+    _explain,
+    _generate,
+    _inspect,
+    _outcomes,
+    _preview,
+    _send,
+    _stop,
+)
 
 app = typer.Typer(
     add_completion=False,
@@ -13,7 +22,16 @@
     help="Operate figpaddle: generate a configuration, inspect and stop instances, send requests.",
 )
 
-for command_group in (_configuration, _explain, _generate, _inspect, _outcomes, _send, _stop):
+for command_group in (
+    _configuration,
+    _explain,
+    _generate,
+    _inspect,
+    _outcomes,
+    _preview,
+    _send,
+    _stop,
+):
     app.add_typer(command_group.app)
 
 
