--- a/figpaddle/http1/_server.py
+++ b/figpaddle/http1/_server.py
@@ -262,7 +262,7 @@
         self._keeps_body = keeps_body
         #: Whether the account has ended the connection.
         self._ended = False
-        self._phase = ClientPhase.FRESH
+        self._phase = self._phase_before_sending = ClientPhase.FRESH
         #: Bytes held for the request, and those of an answer that the client hasn't taken.
         self._request_bytes = 0
         self._unsent_bytes = 0
@@ -379,11 +379,13 @@
 
     def _note_unsent(self, unsent_bytes: int) -> None:
         if unsent_bytes and not self._unsent_bytes:
+            self._phase_before_sending = self._phase
             self._enter(ClientPhase.SENDING)
         self._account.note_passed(self, self._unsent_bytes - unsent_bytes, now=self._clock())
         self._unsent_bytes = unsent_bytes
         if not unsent_bytes:
-            self._enter(ClientPhase.SERVING)
+            # An interim response is sent while the body is received.
+            self._enter(self._phase_before_sending)
         # An answer to a request that has run is never given up for one that is refused.
         self._update_hold()
 
