--- a/figpaddle/http1/_client.py
+++ b/figpaddle/http1/_client.py
@@ -10,8 +10,9 @@
 
 from figpaddle.errors import AnswerTooLargeError, ConnectionLostError, MalformedAnswerError
 from figpaddle.http1._channel import Channel, PeerClose, connect
+from figpaddle.http1._client_parser import ClientParser
 from figpaddle.http1._messages import Headers, header, joined_parts
-from figpaddle.http1._whole_chunks import take_whole_chunks
+from figpaddle.http1._plain_heads import PlainResponseHead
 
 #: Highest status code of HTTP; the parser takes three digits.
 MAX_STATUS = 599
@@ -49,8 +50,7 @@
 
     def __init__(self, *, channel: Channel, opened_at: float) -> None:
         self._channel = channel
-        self._parser = h11.Connection(h11.CLIENT)
-        self._request: h11.Request | None = None
+        self._parser = ClientParser()
         self._idle_deadline = opened_at + DEFAULT_IDLE_TIMEOUT_S
         self._idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
         self._exchange_complete = True
@@ -59,8 +59,6 @@
         self._exchange_count = 0
         self._refused_requests: set[str] = set()
         self._received_before = 0
-        # Whether the next bytes read are the beginning of a chunk of a body with chunked coding.
-        self._at_chunk = False
 
     @property
     def channel(self) -> Channel:
@@ -132,13 +130,12 @@
         A response may arrive while the body is still being sent. The connection is then not
         reused, since the server may read the next request as the rest of this body.
         """
-        self._request = h11.Request(method=method, target=target, headers=list(headers))
+        encoded = self._parser.encode_request(
+            method=method, target=target, headers=headers, body=body
+        )
         self._exchange_count += 1
         self._exchange_complete = False
         self._received_before = self._channel.received_bytes
-        encoded: list[bytes] = []
-        for event in (self._request, h11.Data(data=body), h11.EndOfMessage()):
-            encoded += self._parser.send_with_data_passthrough(event) or []
         on_sending()
         for part in joined_parts(encoded):
             await self._channel.send(part)
@@ -168,7 +165,7 @@
                 if interim_count > MAX_INTERIM_RESPONSES:
                     raise self._too_large_error("too many interim responses")
                 event = await self._next_event()
-            if not isinstance(event, h11.Response):
+            if not isinstance(event, PlainResponseHead | h11.Response):
                 raise self._malformed_error(f"{type(event).__name__} before the response head")
             head = _head_of(event)
             if head.status > MAX_STATUS:
@@ -211,22 +208,17 @@
             if isinstance(event, bytes):
                 yield event
             elif isinstance(event, h11.Data):
-                # The parser has only the line end of that chunk left to read, if nothing follows it.
-                self._at_chunk = event.chunk_end and self._parser.trailing_data[0] == b"\r\n"
                 yield bytes(event.data)
             elif isinstance(event, h11.EndOfMessage):
                 break
-        self._at_chunk = False
         if self._ends_with_connection and self._channel.was_reset():
             raise self._lost_error()
         self._exchange_complete = True
-        if self._parser.their_state is not h11.DONE or self._parser.our_state is not h11.DONE:
+        if not self._parser.can_continue:
             self._must_close = True
             return
         self._must_close = (
-            self._must_close
-            or self._channel.unread_bytes > 0
-            or bool(self._parser.trailing_data[0])
+            self._must_close or self._channel.unread_bytes > 0 or self._parser.unparsed_bytes > 0
         )
         if not self._must_close:
             self._parser.start_next_cycle()
@@ -248,35 +240,27 @@
 
     def _expect_another_response(self) -> None:
         """Await the response to the current request after one to an earlier request."""
-        if self._channel.peer_close is not None or self._request is None:
+        if self._channel.peer_close is not None:
             raise self._malformed_error("a response to another request")
-        remaining_data = self._parser.trailing_data[0]
-        self._parser = h11.Connection(h11.CLIENT)
-        self._parser.send(self._request)
-        self._parser.send(h11.EndOfMessage())
+        self._parser.expect_another_response()
         self._exchange_complete = False
         self._must_close = True
-        if remaining_data:
-            self._parser.receive_data(remaining_data)
 
-    async def _next_event(self) -> h11.Event | bytes:
-        """Return the next event of the parser, or the content of whole chunks that it needn't see."""
+    async def _next_event(self) -> PlainResponseHead | h11.Event | bytes:
+        """Return the next event of the parser."""
         while True:
-            event = None if self._at_chunk else self._parse_event()
+            event = None if self._parser.needs_data else self._parse_event()
             if event is not None:
                 return event
             await self._channel.wait_for_input()
             data = self._channel.read_buffered()
             if not data and self._channel.peer_close is PeerClose.RESET:
                 raise self._lost_error()
-            content, rest = take_whole_chunks(data) if self._at_chunk else (b"", data)
-            if rest or not content:
-                self._at_chunk = False
-                self._parser.receive_data(rest)
+            content = self._parser.receive_data(data)
             if content:
                 return content
 
-    def _parse_event(self) -> h11.Event | None:
+    def _parse_event(self) -> PlainResponseHead | h11.Event | bytes | None:
         """Return the next event that the parser finds in what it has received, or None."""
         try:
             event = self._parser.next_event()
@@ -291,7 +275,7 @@
             return None
         if event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
             raise self._lost_error()
-        assert isinstance(event, h11.Event)
+        assert not isinstance(event, type)
         return event
 
     def _update_keep_alive(self, head: ResponseHead) -> None:
@@ -318,7 +302,9 @@
         return MalformedAnswerError(what=what, where=self._channel.peer)
 
 
-def _head_of(event: h11.Response | h11.InformationalResponse) -> ResponseHead:
+def _head_of(event: PlainResponseHead | h11.Response | h11.InformationalResponse) -> ResponseHead:
+    if isinstance(event, PlainResponseHead):
+        return ResponseHead(status=event.status, headers=event.headers)
     return ResponseHead(status=event.status_code, headers=tuple(event.headers.raw_items()))
 
 
--- a/figpaddle/http1/_server.py
+++ b/figpaddle/http1/_server.py
@@ -31,8 +31,9 @@
     joined_parts,
 )
 from figpaddle.http1._parsing_turns import LONG_INPUT_BYTES, ParsingTurns
+from figpaddle.http1._plain_heads import PlainRequestHead
 from figpaddle.http1._request_limits import RequestLimits
-from figpaddle.http1._whole_chunks import encode_chunk
+from figpaddle.http1._server_parser import ServerParser
 
 #: Time without input after which a half-closed connection is closed, and the longest time for which it
 #: is read, seconds. Unread bytes would cause a reset that destroys the response before the caller has
@@ -112,9 +113,9 @@
 Handler = Callable[[HttpRequest, Responder], Awaitable[None]]
 
 
-class _H11Responder(Responder):
+class _ParserResponder(Responder):
     def __init__(
-        self, *, parser: h11.Connection, channel: Channel, close_after_response: Callable[[], bool]
+        self, *, parser: ServerParser, channel: Channel, close_after_response: Callable[[], bool]
     ):
         self._parser = parser
         self._channel = channel
@@ -123,9 +124,6 @@
         self._on_start: Callable[[], None] | None = None
         self._started = False
         self._finished = False
-        # Whether the parser has sent a piece of the body as a chunk. It keeps no count of these, so that the
-        # next ones needn't pass through it.
-        self._sends_chunks = False
 
     @property
     def started(self) -> bool:
@@ -151,7 +149,7 @@
 
     def begin_anew(self) -> None:
         """Replace the parser, which has refused a response; the connection can't be used any longer."""
-        self._parser = h11.Connection(h11.SERVER)
+        self._parser = ServerParser()
         self._close_after_response = lambda: True
 
     def note_caller_left(self) -> None:
@@ -163,27 +161,21 @@
         await self._send_first(self._encode_head(status, headers, length))
 
     async def inform(self, status: int, headers: Headers) -> None:
-        interim = h11.InformationalResponse(status_code=status, headers=list(headers))
-        await self._send(self._encode(interim))
+        await self._send(self._parser.encode_interim(status, headers))
 
     async def write(self, data: bytes) -> None:
-        if self._sends_chunks and data and self._parser.our_state is h11.SEND_BODY:
-            await self._send(encode_chunk(data))
-            return
-        encoded = self._encode(h11.Data(data=data))
-        self._sends_chunks = bool(data) and encoded == encode_chunk(data)
-        await self._send(encoded)
+        await self._send(self._parser.encode_data(data))
 
     async def finish(self) -> None:
-        await self._send(self._encode(h11.EndOfMessage()))
+        await self._send(self._parser.encode_end())
         self._finished = True
 
     async def answer(self, status: int, headers: Headers, body: bytes) -> None:
         """Send a complete response, and nothing of one that can't be encoded as a whole."""
         parts = [self._encode_head(status, headers, len(body))]
         if body:
-            parts += self._parser.send_with_data_passthrough(h11.Data(data=body)) or []
-        parts.append(self._encode(h11.EndOfMessage()))
+            parts.append(self._parser.encode_data(body))
+        parts.append(self._parser.encode_end())
         first, *rest = joined_parts(parts)
         await self._send_first(first)
         for part in rest:
@@ -192,17 +184,11 @@
 
     def _encode_head(self, status: int, headers: Headers, length: int | None) -> bytes:
         """Return the head of a response; an invalid one leaves the parser usable."""
-        fields = list(headers)
-        if length is not None:
-            fields.append((b"Content-Length", str(length).encode()))
-        elif header(headers, b"content-length") is not None:
+        if length is None and header(headers, b"content-length") is not None:
             raise h11.LocalProtocolError("a length in the head of a response of unknown length")
-        if self._close_after_response():
-            fields.append((b"Connection", b"close"))
-        return self._encode(h11.Response(status_code=status, headers=fields))
-
-    def _encode(self, event: h11.Event) -> bytes:
-        return self._parser.send(event) or b""
+        return self._parser.encode_head(
+            status, headers, length=length, closes=self._close_after_response()
+        )
 
     async def _send_first(self, data: bytes) -> None:
         self._started = True
@@ -282,7 +268,7 @@
         self._close_after_response = close_after_response
         self._on_failure = on_failure
         self._on_unanswered = on_unanswered
-        self._parser = h11.Connection(h11.SERVER, max_incomplete_event_size=1 << 20)
+        self._parser = ServerParser()
         self._account.add(self, now=clock())
         channel.on_read_ahead(self._may_read_ahead)
         channel.on_unsent(self._note_unsent)
@@ -333,7 +319,7 @@
 
     async def _serve_request(self) -> bool:
         """Serve one request and return whether the connection can serve another."""
-        responder = _H11Responder(
+        responder = _ParserResponder(
             parser=self._parser,
             channel=self._channel,
             close_after_response=self._close_after_response,
@@ -354,7 +340,7 @@
             self._check_answered(request, responder, otherwise=NOT_ANSWERED)
             self._channel.abort()
             return False
-        return self._parser.our_state is h11.DONE and self._parser.their_state is h11.DONE
+        return self._parser.can_continue
 
     def _enter(self, phase: ClientPhase) -> None:
         self._phase = phase
@@ -388,17 +374,17 @@
         self._update_hold()
 
     def _has_input(self) -> bool:
-        return bool(self._pending or self._channel.unread_bytes or self._parser.trailing_data[0])
+        return bool(self._pending or self._channel.unread_bytes or self._parser.unparsed_bytes)
 
     def _check_answered(
-        self, request: HttpRequest, responder: _H11Responder, *, otherwise: str
+        self, request: HttpRequest, responder: _ParserResponder, *, otherwise: str
     ) -> None:
         """Call ``on_unanswered`` if a request whose connection ends has no answer; its caller may have left."""
         if not responder.started and not responder.caller_left():
             with contextlib.suppress(Exception):
                 self._on_unanswered(UnansweredRequest(request=request, reason=otherwise))
 
-    async def _handle(self, request: HttpRequest, responder: _H11Responder) -> bool:
+    async def _handle(self, request: HttpRequest, responder: _ParserResponder) -> bool:
         """Handle a request and return whether its response is complete."""
         error: Exception | None = None
         with anyio.CancelScope() as scope:
@@ -443,9 +429,9 @@
             # The log itself may be what failed.
             return FailureResponse()
 
-    async def _answer_failure(self, response: FailureResponse, responder: _H11Responder) -> bool:
+    async def _answer_failure(self, response: FailureResponse, responder: _ParserResponder) -> bool:
         """Answer a request that its handler has left unanswered; return whether that is complete."""
-        if self._parser.our_state is h11.ERROR:
+        if self._parser.has_failed:
             # It refused the response of the handler.
             responder.begin_anew()
         with contextlib.suppress(ConnectionLostError):
@@ -510,7 +496,7 @@
             raise MalformedRequestError(what="no memory is left for the request", status=503)
 
     async def _wait_for_first_bytes(self) -> bool:
-        self._head_bytes = len(self._parser.trailing_data[0])
+        self._head_bytes = self._parser.unparsed_bytes
         if self._head_bytes or self._pending:
             return True
         began_at, timeout_s = anyio.current_time(), float("-inf")
@@ -541,14 +527,19 @@
 
     async def _read_head(self, first_limits: RequestLimits) -> _Head:
         event = await self._next_event(head_limits=first_limits)
-        if not isinstance(event, h11.Request):
+        if isinstance(event, PlainRequestHead):
+            headers = event.headers
+        elif isinstance(event, h11.Request):
+            headers = tuple(event.headers.raw_items())
+        else:
             raise MalformedRequestError(
                 what=f"{type(event).__name__} before the request head", status=400
             )
-        headers = tuple(event.headers.raw_items())
         size = len(event.target) + sum(len(name) + len(value) + 4 for name, value in headers)
         if size > self._highest_limits(first_limits).header_bytes:
             raise MalformedRequestError(what="the header exceeds the limit", status=431)
+        if isinstance(event, PlainRequestHead):
+            return _Head(method=event.method, target=event.target, headers=headers)
         has_transfer_coding = header(headers, b"transfer-encoding") is not None
         if has_transfer_coding and header(headers, b"content-length") is not None:
             raise MalformedRequestError(
@@ -558,7 +549,9 @@
             raise MalformedRequestError(what="not exactly one Host field", status=400)
         return _Head(method=event.method, target=event.target, headers=headers)
 
-    async def _next_event(self, *, head_limits: RequestLimits | None = None) -> h11.Event:
+    async def _next_event(
+        self, *, head_limits: RequestLimits | None = None
+    ) -> PlainRequestHead | h11.Event:
         """Return the next event; ``head_limits`` are those of a head that isn't parsed yet."""
         while True:
             began_at = self._clock() if self._parses_long else None
@@ -574,16 +567,15 @@
             if began_at is not None:
                 self._parsing.note(self._clock() - began_at)
             if event is h11.NEED_DATA:
-                if self._parser.they_are_waiting_for_100_continue:
-                    continue_response = h11.InformationalResponse(status_code=100, headers=[])
-                    await self._channel.send(self._parser.send(continue_response))
+                if self._parser.awaits_continue:
+                    await self._channel.send(self._parser.encode_interim(100, ()))
                 if head_limits is not None:
                     self._check_head_size(head_limits)
                 self._parser.receive_data(await self._next_part())
                 continue
             if event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
                 raise ConnectionLostError(where=self._channel.peer, reset=False, received=False)
-            assert isinstance(event, h11.Event)
+            assert not isinstance(event, type)
             return event
 
     def _check_head_size(self, first_limits: RequestLimits) -> None:
@@ -624,9 +616,9 @@
     def _ended_error(self) -> ConnectionLostError:
         return ConnectionLostError(where=self._channel.peer, reset=False, received=True)
 
-    async def _reject(self, responder: _H11Responder, status: int) -> None:
+    async def _reject(self, responder: _ParserResponder, status: int) -> None:
         self._hold_request(0)
-        if self._parser.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+        if self._parser.may_begin_response:
             headers: Headers = ((b"Connection", b"close"),)
             if status == 503:
                 headers = (*headers, (b"Retry-After", NO_ROOM_RETRY_AFTER))
--- a/scripts/measure_processor.py
+++ b/scripts/measure_processor.py
@@ -21,11 +21,23 @@
 from figpaddle.wire import InstanceHeartbeat, InstanceRole, Readiness, decode, encode
 
 STARTS = 3
+EXCHANGES = 1500
 EVENTS = 3000
 REPEATS = 2000
 INSTANCES = (30, 100, 300)
 EVENT = b"id: %d\ndata: a token of an answer\n\n"
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+#: A request and a response of the usual size.
+REQUEST = (
+    b"POST /v1/answers HTTP/1.1\r\nHost: entry-1\r\nAuthorization: Bearer 0123456789abcdef\r\n"
+    b"Accept: */*\r\nContent-Type: application/json\r\nX-Request-Id: a7b50bce30af22ec\r\n"
+    b"Traceparent: 00-0123456789abcdef0123456789abcdef-0123456789abcdef-01\r\n"
+    b"X-Deadline: 4000\r\nContent-Length: 400\r\n\r\n" + b"a" * 400
+)
+RESPONSE = (
+    b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nX-Load: 0.5\r\nX-Request-Id: a7b50bce30af22ec\r\n"
+    b"Keep-Alive: timeout=8\r\nContent-Length: 300\r\n\r\n" + b"b" * 300
+)
 #: What a process of the regional program does before it reads its settings.
 START = (
     "import sys, time; sys.path[:0] = ['platform', '.']; import serve; print(time.process_time())"
@@ -36,6 +48,7 @@
     """Run every measurement and print its figures."""
     root = pathlib.Path(__file__).resolve().parent.parent
     measure_start(root)
+    asyncio.run(measure_exchange())
     asyncio.run(measure_stream())
     measure_log_lines()
     for instances in INSTANCES:
@@ -77,6 +90,44 @@
     return near, accepted[0]
 
 
+async def measure_exchange() -> None:
+    """Measure the processor time of relaying a request and its response, without any decision."""
+    loop = asyncio.get_running_loop()
+    backend, upstream = await _pair()
+    caller, accepted = await _pair()
+    connection = HttpClientConnection(channel=Channel(raw=upstream), opened_at=0.0)
+
+    async def handle(request: HttpRequest, responder: Responder) -> None:
+        await connection.send(
+            method=request.method,
+            target=request.target,
+            headers=request.headers,
+            body=request.body,
+        )
+        head = await connection.read_head(lambda _: True)
+        body = await connection.read_whole_body(max_bytes=1 << 20)
+        await responder.answer(head.status, head.headers[:-1], body)
+
+    server = ServerConnection(
+        channel=Channel(raw=accepted),
+        handler=handle,
+        limits=RequestLimits,
+        clock=time.monotonic,
+        close_after_response=lambda: False,
+    )
+    serving = asyncio.create_task(server.run())
+    began_at = time.process_time()
+    for _ in range(EXCHANGES):
+        await loop.sock_sendall(caller, REQUEST)
+        await loop.sock_recv(backend, 4096)
+        await loop.sock_sendall(backend, RESPONSE)
+        await loop.sock_recv(caller, 4096)
+    print_figure("exchange_us", (time.process_time() - began_at) / EXCHANGES * 1e6)
+    serving.cancel()
+    for raw in (backend, caller):
+        raw.close()
+
+
 async def measure_stream() -> None:
     """Measure the processor time of relaying an event that arrives alone, from server to caller."""
     loop = asyncio.get_running_loop()
