--- a/figpaddle/http1/tests/test_plain_heads.py
+++ b/figpaddle/http1/tests/test_plain_heads.py
@@ -7,6 +7,7 @@
 import h11
 import pytest
 
+from figpaddle.http1._client import _head_of
 from figpaddle.http1._client_parser import ClientParser
 from figpaddle.http1._plain_heads import (
     PlainRequestHead,
@@ -262,3 +263,19 @@
     head = parser.encode_head(413, ((b"Connection", b"close"),), length=0, closes=False)
     assert head == b"HTTP/1.1 413 \r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
     assert parser.encode_end() == b"" and not parser.can_continue
+
+
+@pytest.mark.parametrize("value", [b"plain", b"\xe9"])
+def test_a_request_with_a_body_gets_its_response_after_one_to_another_request(
+    value: bytes,
+) -> None:
+    parser = ClientParser()
+    headers = ((b"Host", b"a"), (b"Content-Length", b"2"), (b"X-One", value))
+    parser.encode_request(method=b"POST", target=b"/", headers=headers, body=b"ab")
+    first = b"HTTP/1.1 200 \r\nContent-Length: 1\r\n\r\n1"
+    second = b"HTTP/1.1 404 \r\nContent-Length: 1\r\n\r\n2"
+    events = _events(parser, [first + second])
+    assert (events[0], events[2]) == (200, b"1")
+    parser.expect_another_response()
+    assert isinstance(event := parser.next_event(), PlainResponseHead | h11.Response)
+    assert _head_of(event).status == 404
