--- a/figpaddle/regional/_forwarded_attempts.py
+++ b/figpaddle/regional/_forwarded_attempts.py
@@ -160,7 +160,7 @@
         def decode_head(head: ResponseHead) -> BackendAnswer:
             nonlocal used_there
             used_there = stated_attempts(head.headers)
-            return _decode_forwarded_answer(self._dialect, head, context)
+            return _decode_forwarded_answer(self._dialect, head, context, is_offer=is_offer)
 
         def note_first_byte_time(_: BackendAnswer) -> None:
             if context.first_byte_s is None:
@@ -301,12 +301,16 @@
 
 
 def _decode_forwarded_answer(
-    dialect: Dialect, head: ResponseHead, context: RequestContext
+    dialect: Dialect, head: ResponseHead, context: RequestContext, *, is_offer: bool
 ) -> BackendAnswer:
-    """Decode the head of an answer from an entry of another region."""
+    """Decode the head of an answer from an entry of another region.
+
+    That the workspace is over its quota there ends the request, but not one of which an earlier attempt is
+    in progress: that attempt decides.
+    """
     forward_outcome = header(head.headers, OUTCOME_FIELD)
     answer = dialect.read_answer(head)
-    if forward_outcome == NOT_RUN and head.status == OVER_QUOTA_STATUS:
+    if forward_outcome == NOT_RUN and head.status == OVER_QUOTA_STATUS and not is_offer:
         context.over_quota_s = _stated_retry_after_s(head)
     if forward_outcome is None:
         return dataclasses.replace(
