--- a/figpaddle/regional/_forwarded_attempts.py
+++ b/figpaddle/regional/_forwarded_attempts.py
@@ -301,7 +301,7 @@
 
 
 def _decode_forwarded_answer(
-    dialect: Dialect, head: ResponseHead, context: RequestContext, *, is_offer: bool
+    dialect: Dialect, head: ResponseHead, context: RequestContext, *, is_offer: bool = False
 ) -> BackendAnswer:
     """Decode the head of an answer from an entry of another region.
 
