--- a/figpaddle/daemon/_client_connections.py
+++ b/figpaddle/daemon/_client_connections.py
@@ -22,8 +22,6 @@
 MAX_UNREAD_BYTES, UNREAD_POLL_S = 1024, 0.02
 #: Longest wait for a client to read them, seconds.
 UNREAD_TIMEOUT_S = 30.0
-#: Connections beyond the limit that may be open while they are being closed.
-MAX_ENDING_CONNECTIONS = 64
 #: Connections that are refused in one turn of the event loop.
 MAX_REFUSALS_PER_TURN = 64
 #: Memory that a header field takes beside its name and value, bytes; the server keeps each several times.
@@ -141,12 +139,10 @@
         *,
         account: ClientAccount,
         held: ClientAccount,
-        max_connections: int,
         clock: Callable[[], float],
     ) -> None:
         self._account = account
         self._held = held
-        self._max_open = max_connections + MAX_ENDING_CONNECTIONS
         self._clock = clock
         self._open: dict[tuple[Any, Any], ClientConnection] = {}
 
@@ -168,7 +164,7 @@
             # The client has reset it already.
             accepted.close()
             return None
-        if len(self._open) >= self._max_open or not self._account.has_room(now=now):
+        if not self._account.has_room(now=now):
             self._account.note_refused("connections")
             accepted.close()
             return None
--- a/figpaddle/daemon/_instance.py
+++ b/figpaddle/daemon/_instance.py
@@ -315,7 +315,6 @@
                 limits=ClientLimits(connections=max_connections), on_ended=self._note_ended_client
             ),
             held=self._clients,
-            max_connections=max_connections,
             clock=self._clock,
         )
         port = HttpPort(
