--- a/figpaddle/http1/__init__.py
+++ b/figpaddle/http1/__init__.py
@@ -5,6 +5,7 @@
 bytes arrived, and whether a caller has disconnected while its request waits.
 """
 
+from figpaddle.http1._body_parts import BodyParts
 from figpaddle.http1._channel import Channel, PeerClose, connect, set_socket_options
 from figpaddle.http1._client import ConnectionPool, HttpClientConnection, ResponseHead
 from figpaddle.http1._handler_failures import (
@@ -29,6 +30,7 @@
 from figpaddle.http1._turns import TurnTimes, timed_event_loop
 
 __all__ = [
+    "BodyParts",
     "ResponseHead",
     "HttpClientConnection",
     "Channel",
--- a/figpaddle/http1/_body_parts.py
+++ b/figpaddle/http1/_body_parts.py
@@ -13,8 +13,8 @@
     >>> body = BodyParts()
     >>> for piece in (b"ab", b"c", b"d" * MAX_PART_BYTES):
     ...     body.add(piece)
-    >>> body.size - MAX_PART_BYTES, body.joined()[:4]
-    (3, b'abcd')
+    >>> body.size - MAX_PART_BYTES, body.take()[:4], body.size
+    (3, b'abcd', 0)
     """
 
     def __init__(self) -> None:
@@ -33,6 +33,9 @@
         self._parts[-1] += piece
         self._size += len(piece)
 
-    def joined(self) -> bytes:
-        """Return the whole body."""
-        return b"".join(self._parts)
+    def take(self) -> bytes:
+        """Return the whole body and keep nothing of it."""
+        whole = b"".join(self._parts)
+        self._parts.clear()
+        self._size = 0
+        return whole
--- a/figpaddle/http1/_client.py
+++ b/figpaddle/http1/_client.py
@@ -9,6 +9,7 @@
 import h11
 
 from figpaddle.errors import AnswerTooLargeError, ConnectionLostError, MalformedAnswerError
+from figpaddle.http1._body_parts import BodyParts
 from figpaddle.http1._channel import Channel, PeerClose, connect
 from figpaddle.http1._client_parser import ClientParser
 from figpaddle.http1._messages import Headers, header, joined_parts
@@ -184,18 +185,18 @@
             self._expect_another_response()
         raise self._malformed_error("only responses to other requests")
 
-    async def read_whole_body(self, *, max_bytes: int, body: bytearray | None = None) -> bytes:
+    async def read_whole_body(self, *, max_bytes: int, body: BodyParts | None = None) -> bytes:
         """Return the whole body; raises AnswerTooLargeError once it exceeds ``max_bytes``.
 
         The chunks are added to ``body``, so that a call that was cancelled can be repeated with what it
         has read. Raises the errors of ``read_body`` too.
         """
-        body = bytearray() if body is None else body
+        body = BodyParts() if body is None else body
         async for chunk in self.read_body():
-            body += chunk
-            if len(body) > max_bytes:
+            body.add(chunk)
+            if body.size > max_bytes:
                 raise self._too_large_error(f"a body of more than {max_bytes} bytes")
-        return bytes(body)
+        return body.take()
 
     async def read_body(self) -> AsyncIterator[bytes]:
         """Yield the chunks of the body as they arrive.
--- a/figpaddle/http1/_server.py
+++ b/figpaddle/http1/_server.py
@@ -480,7 +480,7 @@
         while True:
             event = await self._next_event()
             if isinstance(event, h11.EndOfMessage):
-                return body.joined()
+                return body.take()
             if not isinstance(event, h11.Data):
                 continue
             size += len(event.data)
--- a/figpaddle/regional/_exchange.py
+++ b/figpaddle/regional/_exchange.py
@@ -18,6 +18,7 @@
     TransportError,
 )
 from figpaddle.http1 import (
+    BodyParts,
     ConnectionPool,
     Headers,
     HttpClientConnection,
@@ -584,13 +585,15 @@
         self, connection: HttpClientConnection, answer: BackendAnswer
     ) -> AttemptResult:
         """Relay an answer once it is complete, so that a retry can replace an incomplete one."""
-        body = bytearray()
+        body = BodyParts()
         deadline = anyio.current_time() + self._remaining_s()
         last_input = _LastInput(connection, deadline=deadline)
         while True:
             with anyio.CancelScope(deadline=deadline) as scope:
                 try:
-                    await connection.read_whole_body(max_bytes=MAX_WHOLE_ANSWER_BYTES, body=body)
+                    whole = await connection.read_whole_body(
+                        max_bytes=MAX_WHOLE_ANSWER_BYTES, body=body
+                    )
                 except TransportError as error:
                     connection.close()
                     return AttemptResult(
@@ -615,7 +618,7 @@
         self._context.answer_started_at = self._clock()
         self._on_relaying()
         try:
-            await self._responder.answer(answer.status, answer.headers, bytes(body))
+            await self._responder.answer(answer.status, answer.headers, whole)
         except ConnectionLostError as error:
             raise _caller_gone_error() from error
         return AttemptResult(
