--- a/figpaddle/daemon/_backend_announcements.py
+++ b/figpaddle/daemon/_backend_announcements.py
@@ -11,7 +11,7 @@
 from figpaddle.daemon._component import Component
 from figpaddle.daemon._peers import PeerNetwork
 from figpaddle.daemon._regions import RegionView
-from figpaddle.routing import BackendTable, KnownBackend
+from figpaddle.routing import ANNOUNCEMENTS_READ_INTERVAL_S, BackendTable, KnownBackend
 from figpaddle.telemetry import Log
 from figpaddle.wire import BackendInfo, BackendsUpdate, Message, RegionSummary
 
@@ -70,6 +70,16 @@
 
     async def run(self) -> None:
         """Send summaries and remove expired backend servers until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._note_reading)
+            await self._send_summaries()
+
+    async def _note_reading(self) -> None:
+        while True:
+            self._backends.note_reading(now=self._clock())
+            await anyio.sleep(ANNOUNCEMENTS_READ_INTERVAL_S)
+
+    async def _send_summaries(self) -> None:
         while True:
             self._send_summary()
             for name in self._backends.expire(now=self._clock()):
--- a/figpaddle/routing/__init__.py
+++ b/figpaddle/routing/__init__.py
@@ -7,6 +7,7 @@
 from figpaddle.routing._backend_report import BackendReport
 from figpaddle.routing._backends import (
     ANNOUNCEMENT_TTL_S,
+    ANNOUNCEMENTS_READ_INTERVAL_S,
     MAX_UTILIZATION_FOR_REMOTE_REQUESTS,
     BackendTable,
     KnownBackend,
@@ -144,6 +145,7 @@
     "ASKED_AHEAD_S",
     "ASKED_PER_REGION",
     "ANNOUNCEMENT_TTL_S",
+    "ANNOUNCEMENTS_READ_INTERVAL_S",
     "Admission",
     "AnswerTimes",
     "BackendContact",
--- a/figpaddle/routing/_backends.py
+++ b/figpaddle/routing/_backends.py
@@ -15,6 +15,8 @@
 #: Number of consecutive refused connections after which a backend server gets no requests until it
 #: announces itself again. A single refusal may be caused by the network.
 MAX_REFUSED_CONNECTIONS = 2
+#: Interval at which a process tells the table that it reads announcements, seconds.
+ANNOUNCEMENTS_READ_INTERVAL_S = 0.2
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -39,6 +41,10 @@
 class BackendTable:
     """Backend servers by name.
 
+    A process whose event loop is busy reads announcements late. Time in which it read none doesn't count as
+    silence of the backend servers: ``note_reading`` is called each ``ANNOUNCEMENTS_READ_INTERVAL_S`` by a process
+    that can be late.
+
     >>> table = BackendTable()
     >>> info = BackendInfo(name="e1", address="127.0.0.1:9", region="seoul", zone="seoul-a",
     ...                    services=("draft",), incarnation=1, sequence=1)
@@ -50,6 +56,9 @@
 
     def __init__(self) -> None:
         self._known: dict[str, KnownBackend] = {}
+        #: Until when each announcement is valid, without the lateness since the last reading, seconds.
+        self._valid_until: dict[str, float] = {}
+        self._read_at: float | None = None
         self._services_ever_announced: set[str] = set()
 
     @property
@@ -64,6 +73,7 @@
             return False
         in_flight = known.in_flight if known is not None else 0
         self._known[info.name] = KnownBackend(info=info, received_at=now, in_flight=in_flight)
+        self._valid_until[info.name] = now - self._late_s(now) + ANNOUNCEMENT_TTL_S
         self._services_ever_announced.update(info.services)
         return True
 
@@ -79,8 +89,7 @@
             address_changed = (
                 same_name and not same_address and other.incarnation == info.incarnation
             )
-            is_current = now - known.received_at <= ANNOUNCEMENT_TTL_S
-            if is_current and (address_changed or (same_address and not same_name)):
+            if self._is_valid(known, now) and (address_changed or (same_address and not same_name)):
                 return other.name
         return None
 
@@ -92,10 +101,10 @@
         expired = [
             name
             for name, known in self._known.items()
-            if now - known.received_at > ANNOUNCEMENT_TTL_S and known.in_flight == 0
+            if not self._is_valid(known, now) and known.in_flight == 0
         ]
         for name in expired:
-            del self._known[name]
+            del self._known[name], self._valid_until[name]
         return tuple(expired)
 
     def candidates(self, service: str, *, now: float) -> tuple[KnownBackend, ...]:
@@ -105,9 +114,17 @@
             for known in self.backends
             if service in known.info.services
             and known.accepts_requests
-            and now - known.received_at <= ANNOUNCEMENT_TTL_S
+            and self._is_valid(known, now)
         )
 
+    def note_reading(self, *, now: float) -> None:
+        """Record that the process reads announcements; lengthens the known ones by what it is late."""
+        late_s = self._late_s(now)
+        self._read_at = now
+        if late_s:
+            for name in self._valid_until:
+                self._valid_until[name] += late_s
+
     def ever_offered(self, service: str) -> bool:
         """Return whether a backend server of the local region has ever announced ``service``."""
         return service in self._services_ever_announced
@@ -151,6 +168,15 @@
             room=max(0, math.ceil(slots * MAX_UTILIZATION_FOR_REMOTE_REQUESTS) - load),
         )
 
+    def _is_valid(self, known: KnownBackend, now: float) -> bool:
+        return now - self._late_s(now) <= self._valid_until[known.info.name]
+
+    def _late_s(self, now: float) -> float:
+        """Return how much longer than usual nothing has been read, seconds."""
+        if self._read_at is None:
+            return 0.0
+        return max(0.0, now - self._read_at - ANNOUNCEMENTS_READ_INTERVAL_S)
+
     def _change_in_flight(self, name: str, change: int) -> None:
         known = self._known.get(name)
         if known is not None:
