--- a/figpaddle/daemon/_client_connections.py
+++ b/figpaddle/daemon/_client_connections.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import array
+import asyncio
 import contextlib
 import fcntl
 import re
@@ -17,13 +18,22 @@
 from figpaddle.daemon._http import Scope
 from figpaddle.http1 import ClientAccount, ClientPhase, HeldClient
 
-#: Bytes of earlier answers that a client may have left unread when its next request begins, and the interval
-#: at which they are looked at, seconds. A client that doesn't send requests ahead has read them all.
-MAX_UNREAD_BYTES, UNREAD_POLL_S = 1024, 0.02
+#: Bytes of earlier answers that a client may have left unread when its next request begins. A client that doesn't
+#: send requests ahead has read them all.
+MAX_UNREAD_BYTES = 1024
+#: Shortest and longest interval at which they are looked at, seconds; it doubles each time, so that a crowd
+#: that doesn't read doesn't keep the process busy.
+MIN_UNREAD_POLL_S, MAX_UNREAD_POLL_S = 0.02, 1.0
+#: Turns of the event loop in which a request that came before its client closed its side has begun, and a
+#: short one has ended.
+END_TURNS = 16
 #: Longest wait for a client to read them, seconds.
 UNREAD_TIMEOUT_S = 30.0
 #: Connections that are refused in one turn of the event loop.
 MAX_REFUSALS_PER_TURN = 64
+#: Size from which a head is long, bytes, and how much of long heads is read in one turn of the event loop. A head
+#: of thousands of fields takes many milliseconds to parse, and many may come at once.
+LONG_HEAD_BYTES, LONG_HEAD_BYTES_PER_TURN = 4096, 16 * 1024
 #: Memory that a header field takes beside its name and value, bytes; the server keeps each several times.
 FIELD_OVERHEAD_BYTES = 300
 #: The end of a head, and the bytes of it that may have come before the others.
@@ -32,6 +42,24 @@
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
+class HeadTurns:
+    """Spreads the reading of long heads of many connections over the turns of the event loop."""
+
+    def __init__(self) -> None:
+        self._read_bytes = 0
+
+    def take(self, size: int) -> int:
+        """Return how much of a long head may be read in this turn, at most ``size`` bytes."""
+        if not self._read_bytes:
+            asyncio.get_running_loop().call_soon(self._begin_turn)
+        granted = min(size, LONG_HEAD_BYTES_PER_TURN - self._read_bytes)
+        self._read_bytes += granted
+        return granted
+
+    def _begin_turn(self) -> None:
+        self._read_bytes = 0
+
+
 class ClientConnection(HeldClient):
     """An open connection, the head that it receives and the requests that are in progress on it.
 
@@ -39,30 +67,47 @@
     """
 
     def __init__(
-        self, *, account: ClientAccount, held: ClientAccount, clock: Callable[[], float]
+        self,
+        *,
+        account: ClientAccount,
+        held: ClientAccount,
+        turns: HeadTurns,
+        clock: Callable[[], float],
     ) -> None:
         self._account = account
         self._held = held
+        self._turns = turns
         self._clock = clock
         self._requests: dict[HeldClient, ClientPhase] = {}
+        #: Requests that wait until the answers to earlier ones are read.
+        self._waiting = 0
         self._socket: _ClientSocket | None = None
-        self._head_bytes = 0
+        #: Bytes of the present head that were read, and the memory that it will take.
+        self._read_head_bytes = self._head_bytes = 0
         self._head_tail = b""
         self._has_head = False
 
     @property
     def is_busy(self) -> bool:
-        """Whether a request is in progress."""
-        return bool(self._requests)
+        """Whether a request is in progress or waits for its turn."""
+        return bool(self._requests or self._waiting)
 
     def attach(self, accepted: _ClientSocket) -> None:
         """Set the socket of the connection."""
         self._socket = accepted
 
+    def readable_bytes(self, size: int) -> int:
+        """Return how many of ``size`` bytes may be read in this turn of the event loop."""
+        if self._requests or self._has_head:
+            return size
+        short_bytes = LONG_HEAD_BYTES - self._read_head_bytes
+        return min(size, short_bytes) if short_bytes > 0 else self._turns.take(size)
+
     def receive(self, data: bytes) -> bool:
         """Count the head of a request in received bytes; return whether there is room for it."""
         if self._requests or self._has_head:
             return True
+        self._read_head_bytes += len(data)
         if not self._head_bytes:
             self._held.enter(self, ClientPhase.RECEIVING, now=self._clock())
         end = HEAD_END.search(self._head_tail + data)
@@ -77,9 +122,15 @@
             return False
         if self._socket.unread_bytes > MAX_UNREAD_BYTES:
             self._account.enter(self, ClientPhase.SENDING, now=self._clock())
-            with anyio.move_on_after(UNREAD_TIMEOUT_S):
-                while self._socket.is_open and self._socket.unread_bytes > MAX_UNREAD_BYTES:
-                    await anyio.sleep(UNREAD_POLL_S)
+            self._waiting += 1
+            try:
+                with anyio.move_on_after(UNREAD_TIMEOUT_S):
+                    poll_s = MIN_UNREAD_POLL_S
+                    while self._socket.is_open and self._socket.unread_bytes > MAX_UNREAD_BYTES:
+                        await anyio.sleep(poll_s)
+                        poll_s = min(2 * poll_s, MAX_UNREAD_POLL_S)
+            finally:
+                self._waiting -= 1
             if self._socket.unread_bytes > MAX_UNREAD_BYTES:
                 self._socket.abort()
         return self._socket.is_open
@@ -106,7 +157,7 @@
         """Record that a request is no longer in progress."""
         self._requests.pop(request, None)
         if not self._requests:
-            self._has_head, self._head_tail = False, b""
+            self._has_head, self._head_tail, self._read_head_bytes = False, b"", 0
         phase = max(self._requests.values(), default=ClientPhase.IDLE)
         self._account.enter(self, phase, now=self._clock())
 
@@ -144,6 +195,7 @@
         self._account = account
         self._held = held
         self._clock = clock
+        self._turns = HeadTurns()
         self._open: dict[tuple[Any, Any], ClientConnection] = {}
 
     def port_socket(self, listening: socket.socket) -> socket.socket:
@@ -181,7 +233,9 @@
         return client_socket
 
     def _make_connection(self) -> ClientConnection:
-        return ClientConnection(account=self._account, held=self._held, clock=self._clock)
+        return ClientConnection(
+            account=self._account, held=self._held, turns=self._turns, clock=self._clock
+        )
 
     def _remove(self, ends: tuple[Any, Any], connection: ClientConnection) -> None:
         self._account.remove(connection)
@@ -224,6 +278,11 @@
         self._connection = connection
         self._on_close = on_close
         self._is_aborted = False
+        #: Turns since the client has closed its side, and whether the server was told so.
+        self._turns_since_end = 0
+        self._is_client_done = False
+        #: Whether the kernel hasn't taken all that the server sends.
+        self._has_unsent = False
 
     @property
     def is_open(self) -> bool:
@@ -249,18 +308,47 @@
             self.shutdown(socket.SHUT_RDWR)
 
     def recv(self, size: int, flags: int = 0, /) -> bytes:
-        """Return received bytes; raises ConnectionResetError once the connection isn't needed any more."""
+        """Return received bytes; raises ConnectionResetError once the connection isn't needed any more.
+
+        Raises BlockingIOError if the bytes, or the end, are left for a later turn of the event loop.
+        """
         if self._is_aborted:
             raise ConnectionResetError
-        data = super().recv(size, flags)
+        readable = self._connection.readable_bytes(size)
+        if not readable:
+            raise BlockingIOError
+        data = super().recv(readable, flags)
         if data and not self._connection.receive(data):
             self._connection.refuse_head()
             self._raise_reset()
-        if not data and not self._connection.is_busy and not self.unread_bytes:
-            # The HTTP server would keep a connection that its client has closed until the idle timeout.
-            self._raise_reset()
+        if not data:
+            self._note_end()
         return data
 
+    def send(self, data: bytes, flags: int = 0, /) -> int:  # type: ignore[override]
+        """Send what the kernel takes; raises ConnectionResetError after the last of what a client gets that is done."""
+        self._has_unsent = True
+        sent = super().send(data, flags)
+        self._has_unsent = sent < len(data)
+        self._check_needed()
+        return sent
+
+    def _note_end(self) -> None:
+        """Record that the client has closed its side; raises the errors of ``recv``."""
+        self._turns_since_end += 1
+        if self._turns_since_end <= END_TURNS:
+            raise BlockingIOError
+        self._is_client_done = True
+        self._check_needed()
+
+    def _check_needed(self) -> None:
+        """Have the server close a connection whose client has closed its side and gets nothing more.
+
+        It would keep it until the idle timeout. What the kernel has taken is still delivered.
+        """
+        if self._is_client_done and not self._connection.is_busy and not self._has_unsent:
+            raise ConnectionResetError
+
     def _raise_reset(self) -> NoReturn:
         """Have the server close the connection with a reset."""
         self.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
--- a/figpaddle/daemon/tests/test_client_connections.py
+++ b/figpaddle/daemon/tests/test_client_connections.py
@@ -4,15 +4,20 @@
 
 import contextlib
 import socket
+from collections.abc import Awaitable, Callable
 
 import anyio
 import pytest
 
 from figpaddle.daemon._client_account import BoundedApplication
-from figpaddle.daemon._client_connections import ClientConnections
+from figpaddle.daemon._client_connections import (
+    LONG_HEAD_BYTES_PER_TURN,
+    ClientConnections,
+    HeadTurns,
+)
 from figpaddle.daemon._http import Receive, Scope, Send, send_json
 from figpaddle.daemon._http_port import HttpPort
-from figpaddle.daemon._sockets import listen, split_address
+from figpaddle.daemon._sockets import Listener, listen, split_address
 from figpaddle.http1 import ClientAccount, ClientLimits, HeldClient
 
 REQUEST = b"GET /v1/entries HTTP/1.1\r\nHost: figpaddle\r\n\r\n"
@@ -128,6 +133,25 @@
             first.recv(1)
 
 
+def bounded_port(
+    application: Callable[[Scope, Receive, Send], Awaitable[None]],
+    connections: ClientConnections,
+    listener: Listener,
+) -> HttpPort:
+    return HttpPort(
+        application=BoundedApplication(
+            application=application,
+            account=ClientAccount(limits=ClientLimits()),
+            connections=connections,
+            clock=anyio.current_time,
+        ),
+        listener=listener,
+        connections=connections,
+        instance="seoul-1",
+        clock=anyio.current_time,
+    )
+
+
 async def send_ahead(count: int) -> tuple[int, int, bytes]:
     """Return how many requests were begun before and after the client read or left, and what it read."""
     begun = 0
@@ -139,20 +163,8 @@
             await send_json(send, status=200, value="x" * 4000)
 
     connections, _, _ = make_connections(3)
-    account = ClientAccount(limits=ClientLimits())
     listener = listen("127.0.0.1:0")
-    port = HttpPort(
-        application=BoundedApplication(
-            application=application,
-            account=account,
-            connections=connections,
-            clock=anyio.current_time,
-        ),
-        listener=listener,
-        connections=connections,
-        instance="seoul-1",
-        clock=anyio.current_time,
-    )
+    port = bounded_port(application, connections, listener)
     closing, answers = anyio.Event(), b""
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(port.run, closing)
@@ -177,3 +189,63 @@
     begun_unread, begun, answers = anyio.run(send_ahead, count)
     assert begun_unread < 10 and answers.count(b"HTTP/1.1 200 ") == count
     assert begun == SENT_AHEAD if count else begun == begun_unread
+
+
+async def close_side(answer_bytes: int, work_s: float, delay_s: float) -> tuple[bytes, int]:
+    """Return the answer to a client that closes its side, and the connections open before it was read."""
+    account = ClientAccount(limits=ClientLimits())
+    connections = ClientConnections(account=account, held=account, clock=anyio.current_time)
+
+    async def application(scope: Scope, receive: Receive, send: Send) -> None:
+        if scope["type"] == "http":
+            await anyio.sleep(work_s)
+            await send_json(send, status=200, value="x" * answer_bytes)
+
+    listener = listen("127.0.0.1:0")
+    port = bounded_port(application, connections, listener)
+    closing, answer = anyio.Event(), b""
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(port.run, closing)
+        with socket.socket() as client:
+            client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            client.connect(split_address(listener.address))
+            client.setblocking(False)
+            client.sendall(REQUEST)
+            await anyio.sleep(delay_s)
+            client.shutdown(socket.SHUT_WR)
+            await anyio.sleep(work_s + 0.5)
+            still_open = account.connections
+            with anyio.fail_after(WAIT_S):
+                await anyio.wait_readable(client)
+                while piece := client.recv(1 << 16):
+                    answer += piece
+                    await anyio.wait_readable(client)
+        closing.set()
+    return answer, still_open
+
+
+@pytest.mark.parametrize(
+    ("answer_bytes", "work_s", "delay_s"),
+    [(10, 0.0, 0.0), (100_000, 0.0, 0.0), (100_000, 0.0, 0.3), (10, 0.5, 0.2)],
+    ids=["at once", "at once, unread", "after its answer, unread", "while it is served"],
+)
+def test_a_client_that_has_closed_its_side_gets_its_answer_and_leaves_its_room(
+    answer_bytes: int, work_s: float, delay_s: float
+) -> None:
+    answer, still_open = anyio.run(close_side, answer_bytes, work_s, delay_s)
+    assert answer.startswith(b"HTTP/1.1 200 ") and answer.endswith(
+        b'"' + b"x" * answer_bytes + b'"'
+    )
+    assert still_open == 0
+
+
+async def read_long_heads(crowd: int) -> list[int]:
+    """Return how many bytes of the head of each of a crowd are read in one turn of the event loop."""
+    turns = HeadTurns()
+    granted = [turns.take(4 * LONG_HEAD_BYTES_PER_TURN) for _ in range(crowd)]
+    await anyio.sleep(0)
+    return [*granted, turns.take(10)]
+
+
+def test_long_heads_of_a_crowd_are_spread_over_the_turns_of_the_event_loop() -> None:
+    assert anyio.run(read_long_heads, 3) == [LONG_HEAD_BYTES_PER_TURN, 0, 0, 10]
