--- a/tests/test_request_explanation_of_entries.py
+++ b/tests/test_request_explanation_of_entries.py
@@ -9,7 +9,7 @@
 from typer.testing import CliRunner
 
 from figpaddle.tool._main import app
-from tests.platform_standin import HOST, PlatformDeployment, platform_deployment
+from tests.platform_standin import HOST, WAIT_TIMEOUT_S, PlatformDeployment, platform_deployment
 from tests.test_workspaces import KEY, with_tenants
 
 pytestmark = pytest.mark.anyio
@@ -36,15 +36,19 @@
         reply = await platform.send_operator_command("POST", "/v1/config/put", document)
         assert reply.status == 200
         in_json = ("--output", "json")
+        unknown = ("--header", "X-Figpaddle-Key: key-unknown")
+        with anyio.fail_after(WAIT_TIMEOUT_S):
+            # The command has been decided, and the entry applies it a moment later.
+            while True:
+                outcome = json.loads(await ask(platform, "m-4", *unknown, *in_json))["outcome"]
+                if (outcome["kind"], outcome.get("status")) == ("refusal", 401):
+                    break
         for access in (("--header", f"X-Figpaddle-Key: {KEY}"), ("--workspace", "desk")):
             text = await ask(platform, "m-4", *access, *in_json)
             explanation = json.loads(text)
             assert explanation["workspace"] == "desk" and KEY not in text
             servers = {item["name"] for item in explanation["backends"]}
             assert explanation["outcome"]["place"] in servers
-        unknown = ("--header", "X-Figpaddle-Key: key-unknown")
-        outcome = json.loads(await ask(platform, "m-4", *unknown, *in_json))["outcome"]
-        assert (outcome["kind"], outcome["status"]) == ("refusal", 401)
         outcome = json.loads(await ask(platform, "m-4", "--workspace", "southern", *in_json))[
             "outcome"
         ]
