--- a/figpaddle/regional/_placer.py
+++ b/figpaddle/regional/_placer.py
@@ -28,6 +28,7 @@
 from figpaddle.routing import (
     ASKED_AHEAD_S,
     MIN_LIMIT_PER_S,
+    NO_CORRECTION,
     PRIORITY_CLASSES,
     REMOTE_REPORT_DELAY_S,
     BackendContact,
@@ -37,6 +38,7 @@
     Candidate,
     Choice,
     ColdLimit,
+    Correction,
     EntryShares,
     ExpectationModel,
     ExplainedCandidate,
@@ -970,7 +972,7 @@
         slots: int,
         memory_tokens: int,
         *,
-        correction: float = 1.0,
+        correction: Correction = NO_CORRECTION,
         classes_above: int = 0,
     ) -> Candidate:
         tracker = self.tracker_of(backend.name)
--- a/figpaddle/regional/_request_explanation.py
+++ b/figpaddle/regional/_request_explanation.py
@@ -214,7 +214,7 @@
         "preferred_for_prefix": candidate.is_preferred,
         "speed_factor": _rounded(explained.speed_factor),
         "pace": _rounded(explained.pace),
-        "correction": _rounded(candidate.correction),
+        "correction": _rounded(candidate.correction.factor),
         "full": choice is None,
         **({} if choice is None else _expected(choice)),
         "parts": (
--- a/figpaddle/routing/__init__.py
+++ b/figpaddle/routing/__init__.py
@@ -40,7 +40,7 @@
 from figpaddle.routing._entries import ENTRY_TTL_S, EntryAnswer, rank_entries
 from figpaddle.routing._entry_lookup import KnownEntry, entries_for, unrestricted_regions
 from figpaddle.routing._entry_shares import EntryCensus, EntryShares
-from figpaddle.routing._expectation import ExpectationModel
+from figpaddle.routing._expectation import NO_CORRECTION, Correction, ExpectationModel
 from figpaddle.routing._fleet import Fleet, FleetBackend, RecordChange
 from figpaddle.routing._forwarding import MAX_CROSSINGS, check_forward, permitted_service
 from figpaddle.routing._forwarding_peers import choose_forwarding_peer
@@ -169,6 +169,8 @@
     "ENTRY_TTL_S",
     "EntryAnswer",
     "Estimate",
+    "NO_CORRECTION",
+    "Correction",
     "ExpectationModel",
     "ExplainedCandidate",
     "Finished",
--- a/figpaddle/routing/_regional_placement.py
+++ b/figpaddle/routing/_regional_placement.py
@@ -13,6 +13,7 @@
 )
 from figpaddle.routing._backend_speed import fastest_factor
 from figpaddle.routing._demand import Demand
+from figpaddle.routing._expectation import NO_CORRECTION, Correction
 from figpaddle.routing._fleet import FleetBackend
 from figpaddle.routing._ranking import highest_ranked, unit_weight
 from figpaddle.routing._retry_after import jittered_retry_after
@@ -98,8 +99,8 @@
     fastest_factor: float = 1.0
     #: Whether all entries of the region prefer this engine for the prompt's shared prefix.
     is_preferred: bool = False
-    #: Factor on the estimated time to the first byte, from ``ExpectationModel``.
-    correction: float = 1.0
+    #: Correction of the estimated time to the first byte, from ``ExpectationModel``.
+    correction: Correction = NO_CORRECTION
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -117,8 +118,8 @@
     round_trip_s: float
     #: Requests that this entry sent there recently and that the reported load may not include yet.
     recently_sent: int
-    #: Factor on the estimated time to the first byte, from ``ExpectationModel``.
-    correction: float = 1.0
+    #: Correction of the estimated time to the first byte, from ``ExpectationModel``.
+    correction: Correction = NO_CORRECTION
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -219,9 +220,10 @@
     pace = tracker.pace(now=now)
     if candidate.memory_tokens:
         # What the present pace and the correction for the kind of request explain is no speed.
-        usual_s = expected_s * candidate.correction * pace
+        usual_s = candidate.correction.corrected_s(expected_s * pace)
         pace *= tracker.speed.factor(fastest=candidate.fastest_factor)
-    expected_s *= slowness * candidate.correction * pace
+    estimated_s = expected_s * slowness * pace
+    expected_s = candidate.correction.corrected_s(estimated_s)
     score = expected_s + utilization_penalty_s * utilization * utilization
     score += recompute_penalty_s(candidate, demand, prefill)
     score += FAILURE_PENALTY_S * tracker.failure_rate(now=now)
@@ -234,7 +236,7 @@
         expected_s=expected_s,
         # An engine that is slow by itself makes nobody wait for others, and may be the only one.
         wait_s=expected_s - unloaded_s * slowness * pace if requests else 0.0,
-        correction=candidate.correction,
+        correction=expected_s / estimated_s,
         usual_s=usual_s,
         pause_s=pause_s,
         prefill=prefill,
@@ -270,9 +272,10 @@
     queue_s = option.recently_sent * MEAN_PROMPT_TOKENS / PREFILL_TOKENS_PER_S / option.backends
     if demand.prompt_tokens == 0:
         prefill_s = queue_s = 0.0
-    expected_s = (
+    estimated_s = (
         max(BASE_FIRST_TOKEN_S, option.expected_s + prefill_s) + queue_s + option.round_trip_s
-    ) * option.correction
+    )
+    expected_s = option.correction.corrected_s(estimated_s)
     unloaded_s = (
         BASE_FIRST_TOKEN_S + demand.prompt_tokens / PREFILL_TOKENS_PER_S + option.round_trip_s
     )
@@ -281,7 +284,7 @@
         region=option.region,
         expected_s=expected_s,
         wait_s=expected_s - unloaded_s,
-        correction=option.correction,
+        correction=expected_s / estimated_s,
         prefill=float(demand.prompt_tokens),
         score=expected_s
         + _remote_penalty_s(demand)
--- a/figpaddle/routing/tests/test_regional_placement.py
+++ b/figpaddle/routing/tests/test_regional_placement.py
@@ -15,6 +15,7 @@
     BackendSubset,
     Candidate,
     Choice,
+    Correction,
     Demand,
     Fleet,
     PeerLoad,
@@ -309,7 +310,7 @@
 
 def test_a_slow_engine_without_other_requests_refuses_nothing() -> None:
     """Its region may have no other engine, and a late answer is better than none."""
-    engine = dataclasses.replace(candidates(1)[0], correction=3.0)
+    engine = dataclasses.replace(candidates(1)[0], correction=Correction(factor=3.0))
     for number in range(40):
         engine.tracker.note_sent(
             str(number), demand(priority=0), prefill=0, memory=0, expected_s=0.1, now=0.0
