--- a/figpaddle/wire/_codec.py
+++ b/figpaddle/wire/_codec.py
@@ -6,9 +6,10 @@
 from typing import Any, ClassVar, TypeVar
 
 import cbor2
-import pydantic
+from pydantic_core import SchemaSerializer, SchemaValidator, ValidationError
 
 from figpaddle.errors import MalformedMessageError, UnknownMessageError
+from figpaddle.wire._message_schemas import message_schema
 
 #: Version of the message format; frames of any other version are rejected.
 PROTOCOL_VERSION = 1
@@ -16,7 +17,7 @@
 MAX_FRAME_BYTES = 4 * 1024 * 1024
 
 _REGISTRY: dict[str, type[Message]] = {}
-_ADAPTERS: dict[str, pydantic.TypeAdapter[Any]] = {}
+_ADAPTERS: dict[str, _Adapter] = {}
 
 MessageT = TypeVar("MessageT", bound="type[Message]")
 
@@ -49,10 +50,19 @@
     return register
 
 
-def _adapter(cls: type[Message]) -> pydantic.TypeAdapter[Any]:
+class _Adapter:
+    """Converts the messages of one type from and to plain values."""
+
+    def __init__(self, cls: type[Message]) -> None:
+        schema = message_schema(cls)
+        self.validate = SchemaValidator(schema).validate_python
+        self.dump = SchemaSerializer(schema).to_python
+
+
+def _adapter(cls: type[Message]) -> _Adapter:
     adapter = _ADAPTERS.get(cls.wire_name)
     if adapter is None:
-        adapter = pydantic.TypeAdapter(cls)
+        adapter = _Adapter(cls)
         _ADAPTERS[cls.wire_name] = adapter
     return adapter
 
@@ -66,7 +76,7 @@
 
     Raises MalformedMessageError for an item with a text that can't be encoded.
     """
-    fields = _adapter(type(item)).dump_python(item)
+    fields = _adapter(type(item)).dump(item)
     try:
         return cbor2.dumps(
             [PROTOCOL_VERSION, item.wire_name, correlation, fields], default=_encode_enum
@@ -112,8 +122,8 @@
     if cls is None:
         raise UnknownMessageError(what=f"unknown message type {name!r}", correlation=correlation)
     try:
-        return Frame(item=_adapter(cls).validate_python(fields), correlation=correlation)
-    except pydantic.ValidationError as error:
+        return Frame(item=_adapter(cls).validate(fields), correlation=correlation)
+    except ValidationError as error:
         raise MalformedMessageError(
             what=f"{error.error_count()} invalid fields", where=str(name)
         ) from error
