--- a/figpaddle/regional/__init__.py
+++ b/figpaddle/regional/__init__.py
@@ -6,7 +6,9 @@
 messages of one platform and the types of this package.
 """
 
-from figpaddle.regional._control_process import ControlProcess
+from typing import TYPE_CHECKING
+
+from figpaddle._deferred_names import deferred_names
 from figpaddle.regional._dialect import (
     BackendAnswer,
     BackendCall,
@@ -21,10 +23,21 @@
     ReadinessCheck,
     SetEvacuation,
 )
-from figpaddle.regional._entry import EntryProcess
 from figpaddle.regional._process import RegionalProcess, SettingsReader
 from figpaddle.regional._settings import Bounds, ProcessSettings
 
+if TYPE_CHECKING:
+    from figpaddle.regional._control_process import ControlProcess
+    from figpaddle.regional._entry import EntryProcess
+else:
+    __getattr__ = deferred_names(
+        __name__,
+        {
+            "_control_process": "ControlProcess",
+            "_entry": "EntryProcess",
+        },
+    )
+
 __all__ = [
     "BackendAnswer",
     "BackendCall",
--- a/figpaddle/routing/_backend_load.py
+++ b/figpaddle/routing/_backend_load.py
@@ -8,6 +8,7 @@
 from figpaddle.routing._backend_report import BackendReport
 from figpaddle.routing._backend_speed import BackendSpeed
 from figpaddle.routing._demand import Demand
+from figpaddle.routing._peer_load import PeerLoad
 from figpaddle.routing._prefix_cache import PrefixCacheEstimate
 from figpaddle.routing._start_pace import StartPace
 from figpaddle.routing._stream_pace import StreamPace
@@ -60,20 +61,6 @@
     event_at: float | None = None
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class PeerLoad:
-    """Load of another entry instance at one backend server."""
-
-    #: Requests in progress.
-    requests: int = 0
-    #: Memory that they take, tokens.
-    memory: int = 0
-    #: Those without a first byte, by priority class from 0; absent classes have none.
-    unanswered: tuple[int, ...] = ()
-    #: Prompt tokens of these, likewise.
-    prefill: tuple[int, ...] = ()
-
-
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class WorkAhead:
     """What a backend server does before it begins a new request."""
--- a/figpaddle/routing/_demand.py
+++ b/figpaddle/routing/_demand.py
@@ -4,8 +4,12 @@
 
 import dataclasses
 import zlib
+from typing import TYPE_CHECKING
 
-from figpaddle.wire import BackendInfo, Prefix, PromptShape
+from figpaddle.wire import Prefix, PromptShape
+
+if TYPE_CHECKING:
+    from figpaddle.wire import BackendInfo
 
 #: Estimated prompt characters per token, as there is no tokenizer.
 CHARACTERS_PER_TOKEN = 4
--- a/figpaddle/routing/_regional_load.py
+++ b/figpaddle/routing/_regional_load.py
@@ -5,7 +5,6 @@
 import dataclasses
 
 from figpaddle.routing._demand import Demand
-from figpaddle.routing._ranking import highest_ranked
 from figpaddle.routing._regional_placement import (
     MAX_MEMORY_FRACTION,
     MEAN_PROMPT_TOKENS,
@@ -19,20 +18,6 @@
 #: Expected time to the first byte that stands for a lack of capacity, seconds; longer than any
 #: deadline.
 EXPECTED_WITHOUT_CAPACITY_S = 60.0
-#: Number of entries that report the load of their region to other regions. The others make up for a
-#: lost heartbeat of one, and more would repeat the same figures.
-LOAD_REPORTERS = 3
-
-
-def reports_load(name: str, region: str, ready: list[str]) -> bool:
-    """Return whether the entry ``name`` reports the load of ``region`` to other regions.
-
-    ``ready`` are the other entries of the region that accept callers.
-
-    >>> [reports_load("a", "north", ["b", "c"]), reports_load("a", "north", [])]
-    [True, True]
-    """
-    return name in highest_ranked(region, {*ready, name}, count=LOAD_REPORTERS)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/figpaddle/routing/_zone_work.py
+++ b/figpaddle/routing/_zone_work.py
@@ -7,7 +7,7 @@
 import itertools
 from collections.abc import Iterable
 
-from figpaddle.routing._backend_load import PeerLoad
+from figpaddle.routing._peer_load import PeerLoad
 from figpaddle.wire import BackendLimit, BackendWork
 
 #: Number of own heartbeats whose work is kept; more than are sent while a sum is on its way.
--- a/figpaddle/wire/__init__.py
+++ b/figpaddle/wire/__init__.py
@@ -1,5 +1,8 @@
 """Typed messages between instances, their CBOR frames and the authentication of connections."""
 
+from typing import TYPE_CHECKING
+
+from figpaddle._deferred_names import deferred_names
 from figpaddle.wire._bounded import (
     MAX_WHOLE_NUMBER,
     decimal,
@@ -21,75 +24,7 @@
     encode,
     message,
 )
-from figpaddle.wire._control_messages import (
-    ChangeReply,
-    ConfigurationNews,
-    ConfigurationQuestion,
-    FormationAnswer,
-    FormationQuestion,
-    InForce,
-    InForceQuestion,
-    PartInForce,
-    SubmitChange,
-)
-from figpaddle.wire._forward_messages import ForwardAlive, ForwardAsk
-from figpaddle.wire._handshake import NONCE_BYTES, Handshake
-from figpaddle.wire._ledger_messages import (
-    LedgerAbandon,
-    LedgerBegin,
-    LedgerFinish,
-    LedgerKept,
-    LedgerLook,
-    LedgerPage,
-    LedgerRecord,
-    LedgerRecover,
-    LedgerSeen,
-    LedgerVote,
-    RecordedAnswer,
-    RecordKey,
-    SlotVote,
-    StoredIncarnation,
-    StoredMemory,
-    StoredRecord,
-    StoredRelease,
-    Verdict,
-)
-from figpaddle.wire._log_messages import (
-    AppendReply,
-    AppendRequest,
-    Entry,
-    EntryKind,
-    JoinRequest,
-    LogMembership,
-    LogMessage,
-    Peer,
-    Snapshot,
-    SnapshotRequest,
-    VoteReply,
-    VoteRequest,
-)
-from figpaddle.wire._membership_messages import Ack, IndirectPing, MemberNews, Ping, Sync, SyncReply
-from figpaddle.wire._messages import (
-    BackendInfo,
-    BackendState,
-    BackendsUpdate,
-    CacheEvent,
-    Challenge,
-    ForwardBody,
-    ForwardFailed,
-    ForwardHead,
-    ForwardOpen,
-    Hello,
-    InstanceInfo,
-    InstanceState,
-    LinkPurpose,
-    Prefix,
-    PromptShape,
-    Refused,
-    RegionSummary,
-    ServiceSummary,
-    Welcome,
-)
+from figpaddle.wire._placement_values import BackendState, Prefix, PromptShape
 from figpaddle.wire._quarantine_messages import (
     BackendLoss,
     SuspectNews,
@@ -139,7 +74,6 @@
     ZoneRoster,
     ZoneWork,
 )
-from figpaddle.wire._request_authentication import EXCHANGE_NONCE_BYTES, ExchangeAuthenticator
 from figpaddle.wire._stream_messages import (
     RegionVersions,
     StreamNews,
@@ -148,6 +82,110 @@
     StreamReply,
 )
 
+if TYPE_CHECKING:
+    from figpaddle.wire._control_messages import (
+        ChangeReply,
+        ConfigurationNews,
+        ConfigurationQuestion,
+        FormationAnswer,
+        FormationQuestion,
+        InForce,
+        InForceQuestion,
+        PartInForce,
+        SubmitChange,
+    )
+    from figpaddle.wire._forward_messages import ForwardAlive, ForwardAsk
+    from figpaddle.wire._handshake import NONCE_BYTES, Handshake
+    from figpaddle.wire._ledger_messages import (
+        LedgerAbandon,
+        LedgerBegin,
+        LedgerFinish,
+        LedgerKept,
+        LedgerLook,
+        LedgerPage,
+        LedgerRecord,
+        LedgerRecover,
+        LedgerSeen,
+        LedgerVote,
+        RecordedAnswer,
+        RecordKey,
+        SlotVote,
+        StoredIncarnation,
+        StoredMemory,
+        StoredRecord,
+        StoredRelease,
+        Verdict,
+    )
+    from figpaddle.wire._log_messages import (
+        AppendReply,
+        AppendRequest,
+        Entry,
+        EntryKind,
+        JoinRequest,
+        LogMembership,
+        LogMessage,
+        Peer,
+        Snapshot,
+        SnapshotRequest,
+        VoteReply,
+        VoteRequest,
+    )
+    from figpaddle.wire._membership_messages import (
+        Ack,
+        IndirectPing,
+        MemberNews,
+        Ping,
+        Sync,
+        SyncReply,
+    )
+    from figpaddle.wire._messages import (
+        BackendInfo,
+        BackendsUpdate,
+        CacheEvent,
+        Challenge,
+        ForwardBody,
+        ForwardFailed,
+        ForwardHead,
+        ForwardOpen,
+        Hello,
+        InstanceInfo,
+        InstanceState,
+        LinkPurpose,
+        Refused,
+        RegionSummary,
+        ServiceSummary,
+        Welcome,
+    )
+    from figpaddle.wire._request_authentication import EXCHANGE_NONCE_BYTES, ExchangeAuthenticator
+else:
+    __getattr__ = deferred_names(
+        __name__,
+        {
+            "_control_messages": (
+                "ChangeReply ConfigurationNews ConfigurationQuestion FormationAnswer "
+                "FormationQuestion InForce InForceQuestion PartInForce SubmitChange"
+            ),
+            "_forward_messages": "ForwardAlive ForwardAsk",
+            "_handshake": "NONCE_BYTES Handshake",
+            "_ledger_messages": (
+                "LedgerAbandon LedgerBegin LedgerFinish LedgerKept LedgerLook LedgerPage "
+                "LedgerRecord LedgerRecover LedgerSeen LedgerVote RecordedAnswer RecordKey "
+                "SlotVote StoredIncarnation StoredMemory StoredRecord StoredRelease Verdict"
+            ),
+            "_log_messages": (
+                "AppendReply AppendRequest Entry EntryKind JoinRequest LogMembership LogMessage "
+                "Peer Snapshot SnapshotRequest VoteReply VoteRequest"
+            ),
+            "_membership_messages": "Ack IndirectPing MemberNews Ping Sync SyncReply",
+            "_messages": (
+                "BackendInfo BackendsUpdate CacheEvent Challenge ForwardBody ForwardFailed "
+                "ForwardHead ForwardOpen Hello InstanceInfo InstanceState LinkPurpose Refused "
+                "RegionSummary ServiceSummary Welcome"
+            ),
+            "_request_authentication": "EXCHANGE_NONCE_BYTES ExchangeAuthenticator",
+        },
+    )
+
 __all__ = [
     "MAX_WHOLE_NUMBER",
     "AcceptReply",
--- a/figpaddle/wire/_messages.py
+++ b/figpaddle/wire/_messages.py
@@ -6,6 +6,7 @@
 import enum
 
 from figpaddle.wire._codec import Message, message
+from figpaddle.wire._placement_values import BackendState, PromptShape
 
 
 class LinkPurpose(enum.Enum):
@@ -98,17 +99,6 @@
         return dataclasses.replace(self, state=state)
 
 
-class BackendState(enum.Enum):
-    """Whether a backend server accepts new requests."""
-
-    #: Accepts new requests.
-    SERVING = "serving"
-    #: Drains: accepts no new requests and is about to stop.
-    LEAVING = "leaving"
-    #: Has stopped; nothing may be sent to it.
-    GONE = "gone"
-
-
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class CacheEvent:
     """A change of an engine's prefix cache."""
@@ -196,34 +186,6 @@
     services: tuple[ServiceSummary, ...]
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Prefix:
-    """A prefix of a prompt."""
-
-    #: Digest of the prefix.
-    digest: int
-    #: Its length, tokens.
-    tokens: int
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class PromptShape:
-    """Properties of a prompt that placement uses, without its text."""
-
-    #: Prefixes of the prompt, shortest first.
-    prefixes: tuple[Prefix, ...] = ()
-    #: Length of the prompt, tokens.
-    tokens: int = 0
-    #: Expected length of the answer, tokens.
-    output_tokens: int = 0
-    #: Size of the request body, bytes.
-    body_bytes: int = 0
-    #: Whether the answer is streamed token by token.
-    streamed: bool = False
-    #: Hashes of the parts that other prompts may have too.
-    shared_parts: tuple[bytes, ...] = ()
-
-
 @message("forward.open")
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class ForwardOpen(Message):
--- a/figpaddle/wire/_regional_messages.py
+++ b/figpaddle/wire/_regional_messages.py
@@ -6,7 +6,7 @@
 import enum
 
 from figpaddle.wire._codec import Message, message
-from figpaddle.wire._messages import BackendState
+from figpaddle.wire._placement_values import BackendState
 
 
 class InstanceRole(enum.Enum):
--- a/scripts/measure_processor.py
+++ b/scripts/measure_processor.py
@@ -38,9 +38,10 @@
     b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nX-Load: 0.5\r\nX-Request-Id: a7b50bce30af22ec\r\n"
     b"Keep-Alive: timeout=8\r\nContent-Length: 300\r\n\r\n" + b"b" * 300
 )
-#: What a process of the regional program does before it reads its settings.
+#: What a process of the regional program does before its first task: it imports the modules of its role.
 START = (
-    "import sys, time; sys.path[:0] = ['platform', '.']; import serve; print(time.process_time())"
+    "import sys, time; sys.path[:0] = ['platform', '.']; import serve; "
+    "serve.process_class(serve.InstanceRole(sys.argv[1])); print(time.process_time())"
 )
 
 
@@ -69,12 +70,11 @@
 
 
 def measure_start(root: pathlib.Path) -> None:
-    """Measure the processor time until a process has its modules."""
-    times = [
-        float(subprocess.check_output([sys.executable, "-c", START], cwd=root))
-        for _ in range(STARTS)
-    ]
-    print_figure("start_s", min(times))
+    """Measure the processor time until a process of each role has its modules."""
+    for role in InstanceRole:
+        command = [sys.executable, "-c", START, role.value]
+        times = [float(subprocess.check_output(command, cwd=root)) for _ in range(STARTS)]
+        print_figure(f"start_s_{role.value}", min(times))
 
 
 async def _pair() -> tuple[socket.socket, socket.socket]:
