--- a/figpaddle/charts/__init__.py
+++ b/figpaddle/charts/__init__.py
@@ -1,4 +1,4 @@
-"""Life cycles as state charts in YAML files, and the class that runs them."""
+"""Life cycles as state charts in JSON files, and the class that runs them."""
 
 from figpaddle.charts._life_cycle import LifeCycle, TransitionError
 
--- a/figpaddle/charts/_life_cycle.py
+++ b/figpaddle/charts/_life_cycle.py
@@ -3,11 +3,8 @@
 from __future__ import annotations
 
 import functools
-import importlib.resources
-
-from sismic.interpreter import Interpreter
-from sismic.io import import_from_yaml
-from sismic.model import Statechart
+import json
+import pkgutil
 
 from figpaddle.errors import FigpaddleError
 
@@ -23,16 +20,33 @@
         )
 
 
+class _Chart:
+    """The states of a chart without nested states, guards or actions."""
+
+    def __init__(self, *, source: bytes) -> None:
+        root = json.loads(source)["statechart"]["root state"]
+        self.initial: str = root["initial"]
+        #: The next state by state and event.
+        self.targets: dict[tuple[str, str], str] = {
+            (state["name"], transition["event"]): transition["target"]
+            for state in root["states"]
+            for transition in state.get("transitions", ())
+        }
+
+
 @functools.cache
-def _load_chart(name: str) -> Statechart:
-    source = importlib.resources.files("figpaddle.charts") / f"{name}.yaml"
-    return import_from_yaml(source.read_text(encoding="utf-8"))
+def _load_chart(name: str) -> _Chart:
+    source = pkgutil.get_data("figpaddle.charts", f"{name}.json")
+    assert source is not None
+    return _Chart(source=source)
 
 
 class LifeCycle:
     """The current state of one object, such as a link, according to a chart of this package.
 
-    ``chart`` is the name of a YAML file in this package, without its suffix.
+    ``chart`` is the name of a JSON file in this package, without its suffix. Its format is that of
+    ``sismic``, which reads it for plots and checks; running the few plain states with that library
+    would make its import a large part of the start of a process.
 
     >>> link = LifeCycle(chart="link")
     >>> link.handle("dial")
@@ -43,9 +57,8 @@
 
     def __init__(self, *, chart: str) -> None:
         self._chart_name = chart
-        self._interpreter = Interpreter(_load_chart(chart))
-        self._interpreter.execute()
-        self._state = self._active_state()
+        self._chart = _load_chart(chart)
+        self._state = self._chart.initial
 
     @property
     def state(self) -> str:
@@ -57,13 +70,8 @@
 
         Raises TransitionError if the current state has no transition for it.
         """
-        self._interpreter.queue(event)
-        steps = self._interpreter.execute()
-        if not any(step.transitions for step in steps):
+        target = self._chart.targets.get((self._state, event))
+        if target is None:
             raise TransitionError(chart=self._chart_name, state=self._state, event=event)
-        entered = [name for step in steps for name in step.entered_states]
-        self._state = entered[-1] if entered else self._state
-        return self._state
-
-    def _active_state(self) -> str:
-        return str(self._interpreter.configuration[-1])
+        self._state = target
+        return target
