--- a/tests/test_modules_of_processes.py
+++ b/tests/test_modules_of_processes.py
@@ -16,8 +16,11 @@
     "httpx",
     "hypercorn",
     "pydantic",
+    "ruamel",
+    "sismic",
     "typer",
     "websockets",
+    "yaml",
 }
 #: Packages and modules that no platform process uses.
 UNUSED_BY_ALL = {
