--- a/figpaddle/regional/_control.py
+++ b/figpaddle/regional/_control.py
@@ -156,18 +156,36 @@
         self, call: SetEvacuation, request: HttpRequest, responder: Responder
     ) -> tuple[int, bytes]:
         began_at = self._boot_clock()
-        kind = "evacuate" if call.evacuated else "return"
         if call.zone not in self._settings.zones:
             self._log.warning("evacuation_refused", zone=call.zone, reason="unknown zone")
             return 404, b""
-        try:
-            with anyio.fail_after(CHANGE_TIMEOUT_S):
-                base = (await self._register.read()).order_count(call.zone)
-        except (NoMajorityError, StorageError, TimeoutError) as error:
-            self._log.warning(
-                "evacuation_not_based", zone=call.zone, reason=str(error) or "timeout"
-            )
-            return 503, b""
+        # Mostly the state that is known here is the newest one, and the order needs no read before it. An
+        # order that rests on an older state has no effect.
+        base = self._follower.state.order_count(call.zone)
+        status = await self._make_order(call, request, responder, base=base, began_at=began_at)
+        if status is None:
+            try:
+                with anyio.fail_after(CHANGE_TIMEOUT_S):
+                    base = (await self._register.read()).order_count(call.zone)
+            except (NoMajorityError, StorageError, TimeoutError) as error:
+                self._log.warning(
+                    "evacuation_not_based", zone=call.zone, reason=str(error) or "timeout"
+                )
+                return 503, b""
+            status = await self._make_order(call, request, responder, base=base, began_at=began_at)
+        return 503 if status is None else status, b""
+
+    async def _make_order(
+        self,
+        call: SetEvacuation,
+        request: HttpRequest,
+        responder: Responder,
+        *,
+        base: int,
+        began_at: float,
+    ) -> int | None:
+        """Make an order for a zone that rests on ``base`` orders; return None if another one overtook it."""
+        kind = "evacuate" if call.evacuated else "return"
         # Whatever is confirmed from here on overtakes the order. What was confirmed before, while this
         # process stood still, its operator may have sent after it.
         age_s = self._boot_clock() - began_at + request.unread_s
@@ -175,16 +193,21 @@
             self._log.warning(
                 "evacuation_too_late", kind=kind, zone=call.zone, age_s=round(age_s, 3)
             )
-            return 503, b""
+            return 503
         order = StateChange(kind=kind, version=0, document=b"", zone=call.zone, base=base)
-        return await self._make_change(order), b""
+        try:
+            return await self._make_change(order)
+        except OrderOvertakenError as error:
+            self._log.info("evacuation_overtaken", kind=kind, zone=call.zone, reason=str(error))
+            return None
 
     async def _make_change(self, change_request: StateChange) -> int:
+        """Make a change and return the status of the answer; raises OrderOvertakenError."""
         started_at = self._clock()
         try:
             with anyio.fail_after(CHANGE_TIMEOUT_S):
                 state = await self._register.change(change_request)
-        except (NoMajorityError, OrderOvertakenError, StorageError, TimeoutError) as error:
+        except (NoMajorityError, StorageError, TimeoutError) as error:
             self._log.warning(
                 "order_not_confirmed",
                 kind=change_request.kind,
--- a/figpaddle/regional/_register_host.py
+++ b/figpaddle/regional/_register_host.py
@@ -171,6 +171,8 @@
                 state = decode_state(reply.state)
                 self._follower.install(state, source=proposer)
                 return state
+            if reply is not None and reply.overtaken:
+                raise OrderOvertakenError(what="another order for the zone followed it")
         return await self._change_locally(change_request)
 
     async def read(self) -> ClusterState:
@@ -381,7 +383,8 @@
             state = await self._change_locally(query)
         except (NoMajorityError, OrderOvertakenError) as error:
             self._log.warning("change_not_confirmed", kind=query.kind, reason=str(error))
-            return StateChangeReply(done=False, state=b"")
+            is_overtaken = isinstance(error, OrderOvertakenError)
+            return StateChangeReply(done=False, state=b"", overtaken=is_overtaken)
         return StateChangeReply(done=True, state=encode_state(state))
 
     async def _upkeep(self) -> None:
--- a/figpaddle/wire/_regional_messages.py
+++ b/figpaddle/wire/_regional_messages.py
@@ -298,3 +298,5 @@
     done: bool
     #: The agreed state including the change; empty if the change isn't durable.
     state: bytes
+    #: Whether it had no effect because another order followed it.
+    overtaken: bool = False
