--- a/figpaddle/regional/_gateway.py
+++ b/figpaddle/regional/_gateway.py
@@ -566,6 +566,11 @@
             if quarantine is not None:
                 await self._fail_quarantined(context, quarantine, responder)
                 return
+            if not context.may_have_run and not responder.started:
+                over_quota = self._quotas.known_refusal(context)
+                if over_quota is not None:
+                    await self._fail_over_quota(context, over_quota, responder)
+                    return
             waited_s = 0.0 if unplaced_since is None else now - unplaced_since
             may_wait = _may_wait_for_place(context, waited_s=waited_s, now=now) and (
                 unplaced_since is not None or self._placer.has_place_later(context)
@@ -632,6 +637,7 @@
                     reason="over quota elsewhere",
                     retry_after_s=context.over_quota_s,
                 )
+                self._quotas.note_refused_elsewhere(context, refill_s=refused.retry_after_s)
                 await self._fail_over_quota(context, refused, responder)
                 return
             owes_charge = owes_charge and not result.has_arrived
--- a/figpaddle/regional/_quota_client.py
+++ b/figpaddle/regional/_quota_client.py
@@ -32,8 +32,9 @@
 NEAR_REPLY_S, FAR_REPLY_S = 0.4, 0.6
 #: Time for which a voter that said nothing is asked last, seconds; then it counts as silent if it is.
 SILENT_HOLDER_S = 2.5
-#: Time by which a request outwaits the voter that it waits for, seconds.
-ANSWER_MARGIN_S = 0.1
+#: Time by which a request outwaits the voter that it waits for, seconds: a voter decides at intervals of 0.1 s,
+#: and its answer takes a while.
+ANSWER_MARGIN_S = 0.15
 #: Interval at which an entry asks ahead for one workspace, seconds.
 TOP_UP_INTERVAL_S = 0.1
 #: Time after which questions and unused stocks are forgotten, seconds; no grant lives as long.
@@ -146,6 +147,29 @@
         context.quota_charge = self._take(workspace, _cost(workspace, context), now=now)
         return context.quota_charge is not None
 
+    def known_refusal(self, context: RequestContext) -> QuotaRefusal | None:
+        """Return the refusal of a request for which a voter has just had nothing left; None if it may ask.
+
+        Under a load many times the quota, each request that is placed or asks first would delay all others.
+        """
+        workspace = context.workspace
+        if workspace is None or workspace.quota is None or context.quota_charge is not None:
+            return None
+        now, cost = self._boot_clock(), _cost(workspace, context)
+        stock = self._stocks.get(workspace.name)
+        refill_s = None if stock is None else stock.refill_left_s(cost, now=now)
+        if stock is None or refill_s is None or stock.available(now=now) >= cost:
+            return None
+        stock.note_request(cost, now=now)
+        return self._refuse(context, workspace, 429, "over quota", refill_s, holder="")
+
+    def note_refused_elsewhere(self, context: RequestContext, *, refill_s: float) -> None:
+        """Record that another entry got nothing of the quota for a request."""
+        workspace = context.workspace
+        if workspace is not None and workspace.quota is not None:
+            now, cost = self._boot_clock(), _cost(workspace, context)
+            self._stock(workspace.name, now=now).note_refused(cost, refill_s=refill_s, now=now)
+
     def charge_offer(self, context: RequestContext) -> QuotaCharge | None:
         """Return a charge for a further attempt, which begins at once; ask for one if there is none."""
         workspace = context.workspace
@@ -167,12 +191,11 @@
         cost = _cost(workspace, context)
         began_at = self._clock()
         patience_s = min(MAX_WAIT_S, MAX_WAIT_FRACTION * context.remaining_s(now=began_at))
+        refusal = self.known_refusal(context)
+        if refusal is not None:
+            return refusal
         stock = self._stock(workspace.name, now=self._boot_clock())
         stock.note_request(cost, now=self._boot_clock())
-        refill_s = stock.refill_left_s(cost, now=self._boot_clock())
-        if refill_s is not None:
-            # Under a load many times the quota, a question for each request would delay all others.
-            return self._refuse(context, workspace, 429, "over quota", refill_s, holder="")
         tried: set[str] = set()
         while (left_s := began_at + patience_s - self._clock()) > 0.0:
             holder = self._holder(workspace.name, tried)
@@ -180,7 +203,8 @@
                 break
             tried.add(holder)
             waiter = _Waiter(workspace=workspace.name, cost=cost)
-            question = self._ask(holder, [waiter], waits_s=left_s)
+            waits_s = max(0.0, left_s - ANSWER_MARGIN_S)
+            question = self._ask(holder, [waiter], waits_s=waits_s)
             is_heard = await self._await_answer(question, waiter, left_s=left_s)
             if waiter.charge is not None:
                 context.quota_charge = waiter.charge
@@ -335,7 +359,7 @@
                 await question.heard.wait()
             if question.heard.is_set() and not waiter.settled.is_set():
                 self._mesh.expect_reply(left_s)
-                with anyio.move_on_after(left_s + ANSWER_MARGIN_S):
+                with anyio.move_on_after(left_s):
                     await waiter.settled.wait()
         except BaseException:
             if waiter.charge is not None:
--- a/figpaddle/regional/_quota_holder.py
+++ b/figpaddle/regional/_quota_holder.py
@@ -163,6 +163,7 @@
                 workspace=item.workspace,
                 cost=item.cost,
                 ahead=item.ahead,
+                arrived_at=now,
                 waits_until=now + item.waits_s,
             )
             decision = self._shares.decide(demand, now=now)
--- a/figpaddle/regional/_request_explanation.py
+++ b/figpaddle/regional/_request_explanation.py
@@ -149,6 +149,9 @@
         quarantine = self._quarantine.refusal(context.traits)
         if quarantine is not None:
             return _refused(503, quarantine.reason, quarantine.remaining_s)
+        lacks_quota = quota is not None and quota.available < quota.cost
+        if quota is not None and lacks_quota and quota.refill_s is not None:
+            return _refused(429, "over quota", quota.refill_s)
         if choice is None:
             reason, wait_s = unplaced_refusal(context, placer)
             remaining_s = max(0.0, context.remaining_s(now=now))
@@ -168,9 +171,7 @@
                 "through": entry,
                 **_expected(choice),
             }
-        if quota is not None and quota.available < quota.cost:
-            if quota.refill_s is not None:
-                return _refused(429, "over quota", quota.refill_s)
+        if quota is not None and lacks_quota:
             if quota.holder is None:
                 return _refused(503, "quota not known")
             reason = f"voter {quota.holder} is asked for the quota first"
--- a/figpaddle/routing/_quota_shares.py
+++ b/figpaddle/routing/_quota_shares.py
@@ -192,7 +192,8 @@
     workspace: str
     cost: float
     ahead: float
-    #: Until when its request waits, seconds of the clock.
+    #: When it came, and until when its request waits, seconds of the clock.
+    arrived_at: float
     waits_until: float
 
 
@@ -317,6 +318,10 @@
                     break
                 decisions.append(decision)
                 waiting.pop(0)
+            # One that waits behind a larger one may have less time.
+            overdue = [demand for demand in waiting if now >= demand.waits_until]
+            decisions += [self._refusal(demand, demand.cost, now=now) for demand in overdue]
+            waiting[:] = [demand for demand in waiting if now < demand.waits_until]
             if not waiting:
                 del self._waiting[workspace]
         return decisions
@@ -422,7 +427,12 @@
             return None
         # What is granted ahead may expire unused, so the larger part stays for other entries.
         ahead = max(0.0, min(demand.ahead, (available - demand.cost) / 2))
-        parcels = share.take(demand.cost + ahead, lifetime_s=lifetime_s, now=now)
+        # The entry counts lifetimes from when it asked, which is no later than when the demand came.
+        waited_s = max(0.0, now - demand.arrived_at)
+        parcels = tuple(
+            dataclasses.replace(parcel, life_s=parcel.life_s + waited_s)
+            for parcel in share.take(demand.cost + ahead, lifetime_s=lifetime_s, now=now)
+        )
         return QuotaDecision(key=demand.key, parcels=parcels)
 
     def _refusal(self, demand: QuotaDemand, missing: float, *, now: float) -> QuotaDecision:
