--- a/figpaddle/routing/__init__.py
+++ b/figpaddle/routing/__init__.py
@@ -12,6 +12,7 @@
     from figpaddle.routing._backend_report import BackendReport
     from figpaddle.routing._backends import (
         ANNOUNCEMENT_TTL_S,
+        ANNOUNCEMENTS_READ_INTERVAL_S,
         MAX_UTILIZATION_FOR_REMOTE_REQUESTS,
         BackendTable,
         KnownBackend,
@@ -150,7 +151,7 @@
             "_backend_contact": "ALIVE_S BackendContact",
             "_backend_load": "PRIORITY_CLASSES BackendLoadTracker",
             "_backend_report": "BackendReport",
-            "_backends": "ANNOUNCEMENT_TTL_S MAX_UTILIZATION_FOR_REMOTE_REQUESTS BackendTable KnownBackend",
+            "_backends": "ANNOUNCEMENT_TTL_S ANNOUNCEMENTS_READ_INTERVAL_S MAX_UTILIZATION_FOR_REMOTE_REQUESTS BackendTable KnownBackend",
             "_boot_clock": "boot_time",
             "_brittle_servers": "BrittleServers",
             "_byte_budget": "ByteBudget",
@@ -229,6 +230,7 @@
     "ASKED_AHEAD_S",
     "ASKED_PER_REGION",
     "ANNOUNCEMENT_TTL_S",
+    "ANNOUNCEMENTS_READ_INTERVAL_S",
     "Admission",
     "AnswerTimes",
     "BackendContact",
