--- a/figpaddle/regional/_cluster.py
+++ b/figpaddle/regional/_cluster.py
@@ -18,6 +18,7 @@
 from figpaddle.errors import MalformedMessageError, PeerUnreachableError
 from figpaddle.regional._dialect import Dialect, InvalidConfigurationError
 from figpaddle.regional._mesh import Mesh
+from figpaddle.regional._wake_ups import sleep_until_shared
 from figpaddle.telemetry import Log
 from figpaddle.wire import InstanceHeartbeat, Message, StateQuery, StateReply
 
@@ -152,7 +153,7 @@
             source = self._choose_source()
             if source is not None:
                 await self._fetch(source)
-            await anyio.sleep(FOLLOW_INTERVAL_S)
+            await sleep_until_shared(FOLLOW_INTERVAL_S)
 
     def _choose_source(self) -> InstanceHeartbeat | None:
         """Return an instance with a newer revision, preferably one of the own region.
--- a/figpaddle/regional/_contact_watch.py
+++ b/figpaddle/regional/_contact_watch.py
@@ -10,6 +10,7 @@
 
 from figpaddle.errors import ConnectFailedError
 from figpaddle.http1 import connect
+from figpaddle.regional._wake_ups import sleep_until_shared
 from figpaddle.routing import BackendContact
 from figpaddle.telemetry import Log, MetricsRegistry
 
@@ -59,7 +60,7 @@
                 addresses = self._addresses()
                 if self._contact.needs_check(servers=addresses, now=self._clock()):
                     await self._check(addresses)
-            await anyio.sleep(WATCH_INTERVAL_S)
+            await sleep_until_shared(WATCH_INTERVAL_S)
 
     async def reaches_others(self, excluded: Collection[str]) -> bool:
         """Return whether a backend server that isn't ``excluded`` accepts a connection now.
--- a/figpaddle/regional/_control.py
+++ b/figpaddle/regional/_control.py
@@ -27,6 +27,7 @@
 from figpaddle.regional._register_host import RegisterHost
 from figpaddle.regional._relaying import Relaying
 from figpaddle.regional._settings import ProcessSettings
+from figpaddle.regional._wake_ups import sleep_until_shared
 from figpaddle.routing import Fleet, RecordChange
 from figpaddle.telemetry import Log, MetricsRegistry
 from figpaddle.wire import (
@@ -306,7 +307,7 @@
         """Send all records to each other instance in turn, to repair lost updates."""
         round_number = 0
         while True:
-            await anyio.sleep(ANTI_ENTROPY_INTERVAL_S)
+            await sleep_until_shared(ANTI_ENTROPY_INTERVAL_S)
             self._fleet.expire(now=self._clock())
             peers = self._mesh.live_heartbeats()
             if not peers:
--- a/figpaddle/regional/_heartbeat_sender.py
+++ b/figpaddle/regional/_heartbeat_sender.py
@@ -20,6 +20,9 @@
 HEARTBEAT_CHECK_INTERVAL_S = SAME_REGION_INTERVAL_S / 2
 #: Interval at which the receivers of heartbeats are chosen anew while they go through relays, seconds.
 PLAN_INTERVAL_S = 0.4
+#: Time before which a heartbeat counts as due, seconds. Checks come at whole multiples of their interval, each a
+#: little late, and one must not be passed over because the one before it was later.
+DUE_TOLERANCE_S = 0.02
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -70,7 +73,7 @@
             receiver = _Receiver(interval_s=0.0, same_region=self._is_in_same_region(name))
             names_by_receiver.setdefault(receiver, []).append(name)
         for name, receiver in self._plan.items():
-            if self._next_at.get(name, 0.0) <= now:
+            if self._next_at.get(name, 0.0) <= now + DUE_TOLERANCE_S:
                 self._next_at[name] = now + receiver.interval_s
                 names_by_receiver.setdefault(receiver, []).append(name)
         for receiver, names in names_by_receiver.items():
@@ -95,7 +98,7 @@
             self._plan = {
                 name: self._direct_receiver(name, now)
                 for name in self._mesh.peer_names
-                if self._next_at.get(name, 0.0) <= now
+                if self._next_at.get(name, 0.0) <= now + DUE_TOLERANCE_S
             }
             return
         relays = (self._relaying.relays, self._relaying.asked_relays)
--- a/figpaddle/regional/_mesh.py
+++ b/figpaddle/regional/_mesh.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import functools
 import itertools
 import random
 import socket
@@ -29,6 +30,7 @@
 from figpaddle.http1 import ConnectionPool, HttpRequest, Responder
 from figpaddle.regional._datagram_times import DatagramTimes
 from figpaddle.regional._settings import ProcessSettings
+from figpaddle.regional._wake_ups import Alarm
 from figpaddle.telemetry import Log, MetricsRegistry
 from figpaddle.wire import InstanceHeartbeat, InstanceRole, Message, Readiness, decode, encode
 
@@ -126,11 +128,12 @@
         self._peer_up_handlers: list[Callable[[InstanceHeartbeat], None]] = []
         self._query_handlers: dict[type[Message], QueryHandler] = {}
         self._make_heartbeat: Callable[[bool], InstanceHeartbeat]
-        self._heartbeats_requested = anyio.Event()
+        self._heartbeats_requested = Alarm()
         self._replies_requested: set[str] = set()
-        # Until when a reply is expected as a datagram, and set when one begins to be.
-        self._reply_expected_until = float("-inf")
-        self._reply_expected = anyio.Event()
+        # Until when each reply is expected as a datagram; the alarm rings when one begins to be.
+        self._expected_replies: dict[int, float] = {}
+        self._reply_numbers = itertools.count()
+        self._reply_expected = Alarm()
         self._tasks: anyio.abc.TaskGroup | None = None
         self._warming_addresses: set[str] = set()
 
@@ -351,15 +354,11 @@
 
     def send_heartbeats_now(self) -> None:
         """Have heartbeats sent immediately, because this instance's state changed."""
-        self._heartbeats_requested.set()
+        self._heartbeats_requested.ring()
 
     async def wait_for_heartbeat_request(self, timeout_s: float) -> bool:
-        """Wait for ``send_heartbeats_now``, at most ``timeout_s``; return whether it was called."""
-        with anyio.move_on_after(timeout_s):
-            await self._heartbeats_requested.wait()
-        requested = self._heartbeats_requested.is_set()
-        self._heartbeats_requested = anyio.Event()
-        return requested
+        """Wait for ``send_heartbeats_now``, about ``timeout_s`` at most; return whether it was called."""
+        return await self._heartbeats_requested.wait(timeout_s)
 
     def request_reply(self, name: str) -> None:
         """Have one heartbeat sent to an instance that doesn't get them regularly."""
@@ -376,10 +375,15 @@
             return
         self.send_encoded(encode(message), names)
 
-    def expect_reply(self, within_s: float) -> None:
-        """Read datagrams with hardly a pause for a time, as something waits for a reply."""
-        self._reply_expected_until = max(self._reply_expected_until, self._clock() + within_s)
-        self._reply_expected.set()
+    def expect_reply(self, within_s: float) -> Callable[[], object]:
+        """Read datagrams with hardly a pause for a time, as something waits for a reply.
+
+        The function that is returned ends this time, once the reply has come.
+        """
+        number = next(self._reply_numbers)
+        self._expected_replies[number] = self._clock() + within_s
+        self._reply_expected.ring()
+        return functools.partial(self._expected_replies.pop, number, None)
 
     def send_encoded(self, data: bytes, names: list[str]) -> None:
         """Send an encoded message to instances as datagrams."""
@@ -536,6 +540,7 @@
                 except BlockingIOError:
                     break
                 except OSError as error:
+                    is_empty = False
                     # An ICMP error for an earlier datagram; the next heartbeat replaces that datagram.
                     self._log.debug("datagram_refused", reason=str(error))
                     continue
@@ -543,15 +548,18 @@
             else:
                 await anyio.sleep(0)
                 continue
-            await self._pause_reading()
+            if not is_empty:
+                await self._pause_reading()
 
     async def _pause_reading(self) -> None:
-        if self._clock() < self._reply_expected_until:
+        now = self._clock()
+        for number in [item for item, until in self._expected_replies.items() if until <= now]:
+            del self._expected_replies[number]
+        if self._expected_replies:
             await anyio.sleep(SHORT_PAUSE_S)
             return
-        self._reply_expected = anyio.Event()
-        with anyio.move_on_after(DATAGRAM_PAUSE_S):
-            await self._reply_expected.wait()
+        self._reply_expected.clear()
+        await self._reply_expected.wait(DATAGRAM_PAUSE_S)
 
     def _handle_heartbeat(self, heartbeat: InstanceHeartbeat) -> None:
         if heartbeat.name == self._settings.ip:
--- a/figpaddle/regional/_process.py
+++ b/figpaddle/regional/_process.py
@@ -41,6 +41,7 @@
 from figpaddle.regional._settings import ProcessSettings
 from figpaddle.regional._tasks import ContainedTasks
 from figpaddle.regional._unsent_requests import UnsentRequestError, unsent_on_error
+from figpaddle.regional._wake_ups import sleep_until_shared
 from figpaddle.routing import CLOSE_MARGIN_S, CLOSE_RESERVE_S, boot_time, jittered_retry_after
 from figpaddle.telemetry import BoundedWriter, Log, MetricsRegistry
 from figpaddle.wire import InstanceHeartbeat, Readiness
@@ -503,7 +504,7 @@
         while True:
             self._ran_at = (self._clock(), self._ran_at[0])
             self._writer.write_available()
-            await anyio.sleep(LOG_INTERVAL_S)
+            await sleep_until_shared(LOG_INTERVAL_S)
 
     async def _housekeeping_loop(self, peer_pool: ConnectionPool) -> None:
         reload_at = self._clock() + RELOAD_INTERVAL_S
--- a/figpaddle/regional/_quota_client.py
+++ b/figpaddle/regional/_quota_client.py
@@ -329,12 +329,13 @@
             for item in self._mesh.live_controls()
         )
         reply_s = NEAR_REPLY_S if is_near else FAR_REPLY_S
-        self._mesh.expect_reply(reply_s)
+        end_expectation = self._mesh.expect_reply(reply_s)
         try:
             with anyio.move_on_after(reply_s):
                 await question.heard.wait()
             if question.heard.is_set() and not waiter.settled.is_set():
-                self._mesh.expect_reply(left_s)
+                end_expectation()
+                end_expectation = self._mesh.expect_reply(left_s)
                 with anyio.move_on_after(left_s + ANSWER_MARGIN_S):
                     await waiter.settled.wait()
         except BaseException:
@@ -342,6 +343,7 @@
                 self.give_back(waiter.charge)
             raise
         finally:
+            end_expectation()
             waiter.is_waiting = False
         return question.heard.is_set()
 
--- a/figpaddle/regional/_quota_holder.py
+++ b/figpaddle/regional/_quota_holder.py
@@ -6,12 +6,11 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
-import anyio
-
 from figpaddle.deployment import GatewayConfiguration
 from figpaddle.regional._cluster import ClusterFollower
 from figpaddle.regional._mesh import Mesh
 from figpaddle.regional._settings import ProcessSettings
+from figpaddle.regional._wake_ups import sleep_until_shared
 from figpaddle.routing import (
     LOAN_TIMEOUT_S,
     QuotaDecision,
@@ -83,7 +82,7 @@
                 self._shares.expire(now=now)
                 self._settle(now)
                 self._ask_loans(now, ahead=True)
-            await anyio.sleep(HOLDER_INTERVAL_S if self._terms else IDLE_INTERVAL_S)
+            await sleep_until_shared(HOLDER_INTERVAL_S if self._terms else IDLE_INTERVAL_S)
 
     def dump(self) -> dict[str, Any]:
         """Return the state of this voter's parts for operators."""
@@ -207,7 +206,7 @@
 
     def _ask_loans(self, now: float, *, ahead: bool = False) -> None:
         questions = self._shares.ask_loans(now=now, ahead=ahead)
-        if questions:
+        if questions and self._shares.has_waiting:
             self._mesh.expect_reply(LOAN_TIMEOUT_S)
         for peer, number, amounts in questions:
             items = tuple(
--- a/figpaddle/regional/_relaying.py
+++ b/figpaddle/regional/_relaying.py
@@ -21,6 +21,7 @@
 from figpaddle.regional._mesh import Mesh, is_ready
 from figpaddle.regional._report_queue import ReportQueue
 from figpaddle.regional._settings import ProcessSettings
+from figpaddle.regional._wake_ups import sleep_until_shared
 from figpaddle.routing import OwnWorkHistory, newest_limits, reports_load, sum_work
 from figpaddle.telemetry import Log, MetricsRegistry
 from figpaddle.wire import (
@@ -279,7 +280,7 @@
                 self.send_due(now)
                 for source in self.take_sources(now):
                     tasks.start_soon(self.fetch_rosters, source)
-                await anyio.sleep(RELAY_INTERVAL_S)
+                await sleep_until_shared(RELAY_INTERVAL_S)
 
     def send_due(self, now: float) -> None:
         """Choose relays, and send as one if this instance is one."""
--- a/figpaddle/regional/_request_quarantine.py
+++ b/figpaddle/regional/_request_quarantine.py
@@ -138,6 +138,7 @@
             bytes_per_s=REPORT_BYTES_PER_S, burst_bytes=REPORT_BURST_BYTES
         )
         self._is_report_begun = False
+        self._are_reports_repeated = False
         self._record_budget = ByteBudget(
             bytes_per_s=RECORD_BYTES_PER_S, burst_bytes=RECORD_BURST_BYTES
         )
@@ -147,7 +148,6 @@
         mesh.on_datagram(SuspectNews, self._apply_news)
         mesh.on_peer_up(self._send_records_to)
         tasks.start_service(self._gossip)
-        tasks.start_service(self._repeat_reports)
 
     def refusal(self, traits: RequestTraits) -> QuarantineRefusal | None:
         """Return why a request is refused, or None if it isn't."""
@@ -353,12 +353,18 @@
         if not self._is_report_begun:
             self._is_report_begun = True
             self._tasks.start_soon(self._report)
+        if not self._are_reports_repeated:
+            self._are_reports_repeated = True
+            self._tasks.start_soon(self._repeat_reports)
 
     async def _repeat_reports(self) -> None:
-        while True:
-            await anyio.sleep(REPORT_INTERVAL_S)
-            if self._reports:
+        """Send reports whenever some are due, as long as there are any."""
+        try:
+            while self._reports:
+                await anyio.sleep(REPORT_INTERVAL_S)
                 await self._report()
+        finally:
+            self._are_reports_repeated = False
 
     async def _report(self) -> None:
         """Send the due reports to all entries, as far as there is room."""
--- a/figpaddle/regional/_stream_origins.py
+++ b/figpaddle/regional/_stream_origins.py
@@ -16,6 +16,7 @@
 from figpaddle.regional._settings import ProcessSettings
 from figpaddle.regional._stream_records import StreamRecords
 from figpaddle.regional._tasks import ContainedTasks
+from figpaddle.regional._wake_ups import sleep_until_shared
 from figpaddle.routing import (
     ASKED_PER_REGION,
     STREAM_TTL_S,
@@ -231,7 +232,7 @@
     async def _send_news(self) -> None:
         controls_due_at = self._clock()
         while True:
-            await anyio.sleep(NEWS_INTERVAL_S)
+            await sleep_until_shared(NEWS_INTERVAL_S)
             if self._begun:
                 begun, self._begun = self._begun, []
                 self._tell_holders(begun, self._entries())
--- a/figpaddle/regional/_warmth_checks.py
+++ b/figpaddle/regional/_warmth_checks.py
@@ -11,6 +11,7 @@
 from figpaddle.regional._dialect import Dialect, HealthAnswer
 from figpaddle.regional._placer import Placer, WarmthQuestion
 from figpaddle.regional._tasks import ContainedTasks
+from figpaddle.regional._wake_ups import sleep_until_shared
 from figpaddle.telemetry import Log, MetricsRegistry
 
 #: Interval at which the checks that are due are begun, seconds.
@@ -55,7 +56,7 @@
                 if question.name not in self._asked:
                     self._asked.add(question.name)
                     self._tasks.start_soon(self._ask, question)
-            await anyio.sleep(CHECK_INTERVAL_S)
+            await sleep_until_shared(CHECK_INTERVAL_S)
 
     async def _ask(self, question: WarmthQuestion) -> None:
         try:
--- a/figpaddle/regional/tests/test_quota_exchange.py
+++ b/figpaddle/regional/tests/test_quota_exchange.py
@@ -58,7 +58,7 @@
     return SimpleNamespace(
         incarnation=1,
         on_datagram=handlers.__setitem__,
-        expect_reply=lambda within_s: None,
+        expect_reply=lambda within_s: lambda: None,
         # Those that fail now aren't known to be silent yet.
         live_controls=lambda: voters,
         known_controls=lambda: voters,
