--- a/figpaddle/regional/_entry.py
+++ b/figpaddle/regional/_entry.py
@@ -7,6 +7,7 @@
 
 import anyio
 
+from figpaddle.deployment import GatewayConfiguration
 from figpaddle.http1 import ConnectionPool, HttpRequest, RequestLimits, Responder, header
 from figpaddle.regional._backend_records import is_record_sender, send_records
 from figpaddle.regional._contact_watch import ContactWatch
@@ -56,6 +57,9 @@
         self._started_at = self._clock()
         self._stopped_accepting = False
         self._stopping_at: float | None = None
+        # The configuration of the last look-up, and the regions whose entries may handle all its requests.
+        self._looked_up_in: GatewayConfiguration | None = None
+        self._unrestricted_regions: frozenset[str] = frozenset()
         self._backend_pool = ConnectionPool(
             clock=self._clock, ack_timeout_s=SAME_REGION_ACK_TIMEOUT_S
         )
@@ -171,6 +175,11 @@
         if settings.lookup_address:
             self._listen(settings.lookup_address, self._handle_call, keeps_body=False)
 
+    @property
+    def _caller_address(self) -> str:
+        """The address at which this entry accepts callers; empty once it no longer does."""
+        return "" if self._stopped_accepting else self._settings.caller_address
+
     def heartbeat(self, *, same_region: bool) -> InstanceHeartbeat:
         """Return the heartbeat to send now.
 
@@ -186,7 +195,7 @@
             role=InstanceRole.ENTRY,
             region=settings.region,
             zone=settings.zone,
-            caller_address="" if self._stopped_accepting else settings.caller_address,
+            caller_address=self._caller_address,
             readiness=self.readiness(),
             stopping_s=self._stopping_for_s(),
             revision=self._follower.state.revision,
@@ -348,12 +357,6 @@
         configuration = self._follower.configuration
         if configuration is None:
             return ()
-        heartbeats = [
-            heartbeat
-            for heartbeat in self._mesh.live_heartbeats()
-            if heartbeat.role is InstanceRole.ENTRY
-        ]
-        heartbeats.append(self.heartbeat(same_region=True))
         known = [
             KnownEntry(
                 address=heartbeat.caller_address,
@@ -361,14 +364,27 @@
                 ready=is_ready(heartbeat),
                 stopping=accepts_while_stopping(heartbeat),
             )
-            for heartbeat in heartbeats
+            for heartbeat in self._mesh.live_heartbeats()
+            if heartbeat.role is InstanceRole.ENTRY
         ]
+        readiness = self.readiness()
+        known.append(
+            KnownEntry(
+                address=self._caller_address,
+                region=self._settings.region,
+                ready=readiness is Readiness.READY,
+                stopping=readiness is Readiness.LEAVING and bool(self._caller_address),
+            )
+        )
+        if configuration is not self._looked_up_in:
+            self._looked_up_in = configuration
+            self._unrestricted_regions = unrestricted_regions(
+                configuration, frozenset(self._settings.zones.values())
+            )
         addresses = entries_for(
             call.region,
             known,
-            unrestricted=unrestricted_regions(
-                configuration, frozenset(self._settings.zones.values())
-            ),
+            unrestricted=self._unrestricted_regions,
             view_is_complete=self._clock() - self._started_at >= DISCOVERY_S,
         )
         return tuple(addresses[:MAX_LOOKUP_ADDRESSES])
--- a/figpaddle/routing/_fleet.py
+++ b/figpaddle/routing/_fleet.py
@@ -150,7 +150,11 @@
 
         A record with a value out of bounds, which an earlier build may pass on, changes nothing.
         """
-        if not _is_within_bounds(record):
+        current = self._backends_by_name.get(record.name)
+        texts_known = current is not None and _texts(record) == _texts(current.record)
+        if not _has_numbers_within_bounds(record) or not (
+            texts_known or _has_texts_within_bounds(record)
+        ):
             return RecordChange.NOTHING
         address_owner = self._backends_by_name.get(self._name_by_address.get(record.address, ""))
         if (
@@ -159,7 +163,6 @@
             and address_owner.record.born > record.born
         ):
             return RecordChange.NOTHING
-        current = self._backends_by_name.get(record.name)
         reported_at = now - max(0.0, record.age_s)
         self._newest_report_at = max(self._newest_report_at, reported_at)
         if current is None or record.born > current.record.born:
@@ -482,12 +485,19 @@
 _STATE_ORDER = {BackendState.SERVING: 0, BackendState.LEAVING: 1, BackendState.GONE: 2}
 
 
-def _is_within_bounds(record: BackendRecord) -> bool:
-    texts = (record.name, record.service, record.zone, record.version, record.address)
+def _texts(record: BackendRecord) -> tuple[str, ...]:
+    return (record.name, record.service, record.zone, record.version, record.address)
+
+
+def _has_texts_within_bounds(record: BackendRecord) -> bool:
+    return all(plain_text(text) is not None for text in _texts(record)) and (
+        port_of(record.address) is not None or not record.address
+    )
+
+
+def _has_numbers_within_bounds(record: BackendRecord) -> bool:
     return (
-        all(plain_text(text) is not None for text in texts)
-        and (port_of(record.address) is not None or not record.address)
-        and whole_number(record.slots) is not None
+        whole_number(record.slots) is not None
         and whole_number(record.born) is not None
         and whole_number(record.sequence) is not None
         and number(record.warmup_s) is not None
