--- a/figpaddle/http1/_turns.py
+++ b/figpaddle/http1/_turns.py
@@ -9,6 +9,9 @@
 #: Time over which the longest turn counts as lateness, seconds. Requests that arrive now wait about as
 #: long as those before them.
 LATENESS_WINDOW_S = 1.0
+#: Time after its timeout from which the end of a poll is late, seconds. Timeouts are rounded up to a
+#: millisecond.
+LATE_POLL_S = 0.005
 
 
 class TurnTimes:
@@ -74,10 +77,11 @@
         self._clock = clock
 
     def select(self, timeout: float | None = None) -> list[tuple[selectors.SelectorKey, int]]:
-        self._turns.note_poll_began(self._clock())
+        began_at = self._clock()
+        self._turns.note_poll_began(began_at)
         try:
             ready = super().select(timeout)
-            if not ready and timeout != 0:
+            if not ready and timeout and self._clock() - began_at > timeout + LATE_POLL_S:
                 # A process that was stopped in a poll may leave it by the timeout without another look
                 # at the descriptors, and what came meanwhile would count from the end of that poll.
                 ready = super().select(0)
