--- a/figpaddle/regional/_forwarded_attempts.py
+++ b/figpaddle/regional/_forwarded_attempts.py
@@ -171,6 +171,8 @@
         def note_end(result: AttemptResult) -> AttemptResult:
             self._note_ended(attempt_key, result)
             self._placer.offer_limits.note_decided(choice.region, attempt_key)
+            if result.is_answer:
+                self._placer.note_forwarded_stream(context, choice.region)
             if not result.is_answer and result is not WITHDRAWN:
                 self._log.warning(
                     "hop_failed",
--- a/figpaddle/regional/_gateway.py
+++ b/figpaddle/regional/_gateway.py
@@ -986,6 +986,7 @@
 
 def _is_read_too_late(request: HttpRequest, caller: CallerRequest) -> bool:
     """Return whether the caller may have gone to another entry before its request was read."""
+            longest_gap_s=_rounded(context.longest_gap_s),
     return request.unread_s > _max_unread_s(caller.caller_timeout_s)
 
 
--- a/figpaddle/regional/_placer.py
+++ b/figpaddle/regional/_placer.py
@@ -44,6 +44,7 @@
     FleetBackend,
     NamedLimits,
     OfferLimits,
+    PauseRisk,
     RemoteRegion,
     SlidingCount,
     UrgencyOrder,
@@ -82,6 +83,8 @@
 SUBSET_TTL_S = 0.02
 #: Time after a request to a backend server in which the entry keeps up its knowledge of it, seconds.
 WANTED_TTL_S = 2.0
+#: Events of the stream for which the state dump states the risk of a pause.
+USUAL_EVENTS = 30
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -141,6 +144,8 @@
         self._urgency_orders: dict[str, UrgencyOrder] = {}
         self._urgencies_of: GatewayConfiguration | None = None
         self._forwarded_counts: dict[tuple[str, str], SlidingCount] = {}
+        #: Pauses of the streams that other regions served for this entry, by region and service.
+        self._region_pauses: dict[tuple[str, str], PauseRisk] = {}
         self._cold_limit = ColdLimit(
             overshoot=settings.bounds.cold_overshoot,
             slack=settings.bounds.cold_slack,
@@ -254,7 +259,7 @@
         now = self._clock()
         demand = context.demand(now=now)
         options = self._remote_regions(context, now=now)
-        return [(option, estimate_remote(option, demand)) for option in options]
+        return [(option, estimate_remote(option, demand, now=now)) for option in options]
 
     def obstacles(self, context: RequestContext) -> dict[str, str]:
         """Return why the other backend servers of the region and service get no request, by name."""
@@ -436,6 +441,15 @@
             now=self._clock(),
         )
 
+    def note_forwarded_stream(self, context: RequestContext, region: str) -> None:
+        """Record whether a stream that another region has served to its end paused too long."""
+        now, gap_s = self._clock(), context.longest_gap_s
+        demand = context.demand(now=now)
+        if gap_s is None or demand.longest_pause_s <= 0:
+            return
+        risk = self._region_pauses.setdefault((region, context.service.name), PauseRisk())
+        risk.note(events=demand.events, late=int(gap_s > demand.longest_pause_s), now=now)
+
     def note_bears_refusals(self, service: str, answer: BackendAnswer) -> None:
         """Record whether a server of a service says in an answer that it is brittle."""
         if self._brittle.note_stated(service, answer.bears_refusals):
@@ -794,6 +808,9 @@
                     self.tracker_of(backend.name).slowness(PRIORITY_CLASSES - 1, now=now), 2
                 ),
                 "speed_factor": round(self.tracker_of(backend.name).speed.factor(), 2),
+                "pause_risk": round(
+                    self.tracker_of(backend.name).pause_risk.of_stream(USUAL_EVENTS, now=now), 2
+                ),
                 "event_gap_s": round(self.tracker_of(backend.name).stream_pace.gap_s(now=now), 3),
                 "failing": round(self.tracker_of(backend.name).failure_rate(now=now), 2),
             }
@@ -1119,6 +1136,7 @@
         assert isinstance(message, BackendNews)
         now = self._mesh.message_at
         for record in message.records:
+                    pause_risk=self._region_pauses.get((region, context.service.name)),
             change = self._fleet.apply(record, now=now)
             if change.value in ("nothing", "confirmed"):
                 continue
--- a/figpaddle/regional/_request_context.py
+++ b/figpaddle/regional/_request_context.py
@@ -182,6 +182,8 @@
     abandoned_count: int = 0
     #: When the caller last got events of a stream, seconds of the monotonic clock; None before.
     last_event_at: float | None = None
+    #: Longest time between events that the caller got, seconds; None before the second.
+    longest_gap_s: float | None = None
     #: The next attempt, whose place has taken the request over from the present one; None if there is none.
     taker: Attempt | None = None
     #: Whether an attempt at a silent server ended as another place had taken the request over.
@@ -217,10 +219,15 @@
         """Identifier of the last attempt that was begun, within this process."""
         return f"{self.request_id}/{self.attempt}"
 
+    @property
+    def _events(self) -> int:
+        if not self.route.streaming:
+            return 0
+        return self.caller.output_tokens // max(1, self.service.tokens_per_event)
+
     @property
     def _longest_pause_s(self) -> float:
-        events = self.caller.output_tokens / max(1, self.service.tokens_per_event)
-        return self.route.gap_s if self.route.streaming and events >= MIN_EVENTS else 0.0
+        return self.route.gap_s if self._events >= MIN_EVENTS else 0.0
 
     @property
     def start_order(self) -> int:
@@ -284,6 +291,12 @@
         for connection in self.connections:
             connection.abandon()
 
+    def note_events(self, *, now: float) -> None:
+        """Record that the caller has got events of a stream."""
+        if self.last_event_at is not None:
+            self.longest_gap_s = max(self.longest_gap_s or 0.0, now - self.last_event_at)
+        self.last_event_at = now
+
     def note_sending(self) -> None:
         """Record that the present attempt is about to be sent."""
         self.is_sent = True
@@ -306,6 +319,7 @@
             body_bytes=len(self.request.body),
             streamed=self.route.streaming,
             longest_pause_s=self._longest_pause_s,
+            events=self._events,
             forwarded=self.forwarded,
         )
 
--- a/figpaddle/routing/__init__.py
+++ b/figpaddle/routing/__init__.py
@@ -47,6 +47,7 @@
 from figpaddle.routing._loss_records import LOSS_TTL_S
 from figpaddle.routing._named_limits import MIN_LIMIT_PER_S, NamedLimits
 from figpaddle.routing._offer_limits import TAKEN_OVER_TTL_S, OfferLimits
+from figpaddle.routing._pause_risk import PauseRisk
 from figpaddle.routing._placement_explanation import (
     ExplainedCandidate,
     ScoreParts,
@@ -198,6 +199,7 @@
     "PRIORITY_CLASSES",
     "PeerLoad",
     "Placement",
+    "PauseRisk",
     "PlacementOptions",
     "PlacementPolicy",
     "PolicyName",
--- a/figpaddle/routing/_backend_load.py
+++ b/figpaddle/routing/_backend_load.py
@@ -8,6 +8,7 @@
 from figpaddle.routing._backend_report import BackendReport
 from figpaddle.routing._backend_speed import BackendSpeed
 from figpaddle.routing._demand import Demand
+from figpaddle.routing._pause_risk import PauseRisk
 from figpaddle.routing._prefix_cache import PrefixCacheEstimate
 from figpaddle.routing._start_pace import StartPace
 from figpaddle.routing._stream_pace import StreamPace
@@ -55,6 +56,7 @@
     expected_s: float
     usual_s: float
     streamed: bool
+    longest_pause_s: float
     first_at: float | None = None
     #: When its last event came; None while the caller holds the answer up.
     event_at: float | None = None
@@ -94,6 +96,7 @@
         self.cache = PrefixCacheEstimate()
         self.speed = BackendSpeed()
         self.stream_pace = StreamPace()
+        self.pause_risk = PauseRisk()
         self._local_requests: dict[str, _LocalRequest] = {}
         self._peer_reports: dict[str, tuple[PeerLoad, float]] = {}
         # Running sums over the peer reports, because placement reads them for many engines.
@@ -240,6 +243,7 @@
             expected_s=expected_s,
             usual_s=usual_s,
             streamed=demand.streamed,
+            longest_pause_s=demand.longest_pause_s,
         )
         self._mean_prefill += (prefill - self._mean_prefill) * SAMPLE_WEIGHT
         self.cache.note_sent(demand.prefixes, now=now)
@@ -278,7 +282,11 @@
         if request is None or not request.streamed:
             return
         if request.event_at is not None:
-            self.stream_pace.note(now - request.event_at, now=now)
+            gap_s = now - request.event_at
+            self.stream_pace.note(gap_s, now=now)
+            if request.longest_pause_s > 0:
+                late = gap_s > request.longest_pause_s
+                self.pause_risk.note(events=1, late=int(late), now=now)
         request.event_at = now
 
     @property
--- a/figpaddle/routing/_demand.py
+++ b/figpaddle/routing/_demand.py
@@ -43,6 +43,8 @@
     streamed: bool = True
     #: Longest pause between its events that the caller accepts, seconds; 0 if it is too short to pause.
     longest_pause_s: float = 0.0
+    #: Expected number of events of its answer; 0 without a stream.
+    events: int = 0
     #: Whether the request came from another region.
     forwarded: bool = False
 
--- a/figpaddle/routing/_regional_placement.py
+++ b/figpaddle/routing/_regional_placement.py
@@ -14,6 +14,7 @@
 from figpaddle.routing._backend_speed import fastest_factor
 from figpaddle.routing._demand import Demand
 from figpaddle.routing._fleet import FleetBackend
+from figpaddle.routing._pause_risk import PauseRisk, pause_risk_penalty_s
 from figpaddle.routing._ranking import highest_ranked, unit_weight
 from figpaddle.routing._retry_after import jittered_retry_after
 from figpaddle.routing._stream_pace import pause_penalty_s
@@ -117,6 +118,8 @@
     round_trip_s: float
     #: Requests that this entry sent there recently and that the reported load may not include yet.
     recently_sent: int
+    #: Risk of streams that this entry sent there; None if it sent none.
+    pause_risk: PauseRisk | None = None
     #: Factor on the estimated time to the first byte, from ``ExpectationModel``.
     correction: float = 1.0
 
@@ -226,7 +229,13 @@
     score += recompute_penalty_s(candidate, demand, prefill)
     score += FAILURE_PENALTY_S * tracker.failure_rate(now=now)
     score += start_penalty_s(candidate, requests)
-    pause_s = pause_penalty_s(tracker.stream_pace.gap_s(now=now), longest_s=demand.longest_pause_s)
+    longest_s = demand.longest_pause_s
+    pause_s = max(
+        pause_penalty_s(tracker.stream_pace.gap_s(now=now), longest_s=longest_s),
+        pause_risk_penalty_s(
+            tracker.pause_risk, events=demand.events, longest_s=longest_s, now=now
+        ),
+    )
     score += pause_s
     return Choice(
         backend=candidate.backend,
@@ -262,7 +271,7 @@
     return (requests + 1 - paced) / paced * candidate.tracker.mean_stream_s
 
 
-def estimate_remote(option: RemoteRegion, demand: Demand) -> Choice | None:
+def estimate_remote(option: RemoteRegion, demand: Demand, *, now: float) -> Choice | None:
     """Return the expected outcome in another region, or None if it has no capacity."""
     if option.backends == 0 or _unreported_in_flight(option, demand) >= max(1, option.room):
         return None
@@ -276,14 +285,21 @@
     unloaded_s = (
         BASE_FIRST_TOKEN_S + demand.prompt_tokens / PREFILL_TOKENS_PER_S + option.round_trip_s
     )
+    pause_s = 0.0
+    if option.pause_risk is not None:
+        pause_s = pause_risk_penalty_s(
+            option.pause_risk, events=demand.events, longest_s=demand.longest_pause_s, now=now
+        )
     return Choice(
         backend=None,
         region=option.region,
         expected_s=expected_s,
         wait_s=expected_s - unloaded_s,
         correction=option.correction,
+        pause_s=pause_s,
         prefill=float(demand.prompt_tokens),
         score=expected_s
+        + pause_s
         + _remote_penalty_s(demand)
         + PREFIX_AFFINITY_S * _prefix_region_bias(demand, option.region),
     )
@@ -371,7 +387,7 @@
     sampled = sample(healthy, in_subset) or sample(healthy, healthy) or sample(unhealthy, unhealthy)
     remote_choices = [
         choice
-        for choice in (estimate_remote(option, demand) for option in remote_regions)
+        for choice in (estimate_remote(option, demand, now=now) for option in remote_regions)
         if choice is not None
     ]
     if any(choice.wait_s <= max_wait_s for choice in sampled + remote_choices):
