--- a/figpaddle/regional/_cluster.py
+++ b/figpaddle/regional/_cluster.py
@@ -146,6 +146,12 @@
                 await self._installed.wait()
         return self._state.revision >= revision
 
+    async def wait_for_configuration(self) -> GatewayConfiguration:
+        """Wait until there is a configuration, and return it."""
+        while self._configuration is None:
+            await self._installed.wait()
+        return self._configuration
+
     async def run(self) -> None:
         """Fetch newer revisions until cancelled."""
         while True:
--- a/figpaddle/regional/_gateway.py
+++ b/figpaddle/regional/_gateway.py
@@ -63,6 +63,7 @@
     jittered_retry_after,
     may_begin,
     refuse_late,
+    startup_wait_s,
 )
 from figpaddle.telemetry import Log, MetricsRegistry
 
@@ -158,6 +159,8 @@
         self._requests = requests
         self._stopping_at: float | None = None
         self._stopped_accepting = False
+        #: Requests that wait for the first configuration.
+        self._awaiting_configuration = 0
         bounds = settings.bounds
         self.retry_budget = SharedRetryBudget(
             ratio=bounds.retry_ratio,
@@ -214,6 +217,8 @@
                 caller, responder, 503, "read too late", OTHER_ENTRY_RETRY_AFTER_S
             )
             return None
+        if self._follower.configuration is None:
+            await self._await_configuration(request, caller, responder)
         accepted = self.accept(request, caller, rng=self._rng)
         if isinstance(accepted, UnroutedRefusal):
             await self._refuse_unrouted(
@@ -228,6 +233,40 @@
         self.retry_budget.note_request(accepted.service.name, now=request.received_at)
         return accepted
 
+    async def _await_configuration(
+        self, request: HttpRequest, caller: CallerRequest, responder: Responder
+    ) -> None:
+        """Wait for the first configuration and backend servers as long as a caller may be kept for them."""
+        wait_s = startup_wait_s(
+            uptime_s=self._mesh.uptime_s,
+            left_s=caller.caller_timeout_s,
+            waiting=self._awaiting_configuration,
+        )
+        if wait_s <= 0:
+            return
+        self._awaiting_configuration += 1
+        try:
+            await self._requests.run(
+                responder,
+                functools.partial(self._wait_until_known, request, caller, timeout_s=wait_s),
+            )
+        finally:
+            self._awaiting_configuration -= 1
+        has_come = self._follower.configuration is not None
+        self._metrics.count("startup_waits_total", outcome="served" if has_come else "refused")
+
+    async def _wait_until_known(
+        self, request: HttpRequest, caller: CallerRequest, *, timeout_s: float
+    ) -> None:
+        """Wait for the configuration and for a backend server that the route of a request may use."""
+        with anyio.move_on_after(timeout_s):
+            configuration = await self._follower.wait_for_configuration()
+            route = configuration.route_for(caller.host, request.path.decode("latin-1"))
+            services = () if route is None else route.services
+            # Their records come from control once it is heard, at about the same time.
+            while services and not any(self._placer.knows_backends(name) for name, _ in services):
+                await anyio.sleep(PLACE_INTERVAL_S)
+
     def accept(
         self, request: HttpRequest, caller: CallerRequest, *, rng: random.Random
     ) -> RequestContext | UnroutedRefusal:
@@ -947,6 +986,7 @@
                 if context.answer_started_at is None
                 else context.answer_started_at - received_at
             ),
+            longest_gap_s=_rounded(context.longest_gap_s),
             took_s=round(took_s, 3),
             revision=context.revision,
             origin=context.origin or self._settings.region,
@@ -986,7 +1026,6 @@
 
 def _is_read_too_late(request: HttpRequest, caller: CallerRequest) -> bool:
     """Return whether the caller may have gone to another entry before its request was read."""
-            longest_gap_s=_rounded(context.longest_gap_s),
     return request.unread_s > _max_unread_s(caller.caller_timeout_s)
 
 
--- a/figpaddle/regional/_placer.py
+++ b/figpaddle/regional/_placer.py
@@ -817,6 +817,15 @@
             for backend in self._fleet.backends()
         ]
 
+    def knows_backends(self, service: str) -> bool:
+        """Return whether a service has a backend server in use, in the region or by another one's report."""
+        loads = (
+            self._reports.regional_load(region, service, 0)
+            for region in self._settings.regions
+            if region != self._settings.region
+        )
+        return bool(self.usable_count(service)) or any(load and load.backends for load in loads)
+
     def usable_count(self, service: str) -> int:
         """Return the number of backend servers of the region that are usable for ``service``."""
         return len(self._usable(service, now=self._clock()))
@@ -1127,6 +1136,7 @@
                     recently_sent=(
                         forwarded_count.total(now=now) if forwarded_count is not None else 0
                     ),
+                    pause_risk=self._region_pauses.get((region, context.service.name)),
                     correction=self._expectations.correction(_kind_of(context, region), now=now),
                 )
             )
@@ -1136,7 +1146,6 @@
         assert isinstance(message, BackendNews)
         now = self._mesh.message_at
         for record in message.records:
-                    pause_risk=self._region_pauses.get((region, context.service.name)),
             change = self._fleet.apply(record, now=now)
             if change.value in ("nothing", "confirmed"):
                 continue
--- a/figpaddle/routing/__init__.py
+++ b/figpaddle/routing/__init__.py
@@ -110,6 +110,7 @@
 )
 from figpaddle.routing._retry_budget import RetryBudget
 from figpaddle.routing._scored import Estimate, PolicyName, ScoredPolicy, make_policy
+from figpaddle.routing._startup_wait import MAX_STARTUP_WAITING, startup_wait_s
 from figpaddle.routing._stream_pace import MIN_EVENTS
 from figpaddle.routing._stream_versions import (
     ASKED_PER_REGION,
@@ -188,6 +189,7 @@
     "MAX_UTILIZATION_FOR_REMOTE_REQUESTS",
     "MAX_RETRY_AFTER_S",
     "MEAN_PROMPT_TOKENS",
+    "MAX_STARTUP_WAITING",
     "MIN_EVENTS",
     "MIN_FAILURE_STATUS",
     "MIN_LIMIT_PER_S",
@@ -197,9 +199,9 @@
     "OwnWorkHistory",
     "PREFIX_BLOCK_TOKENS",
     "PRIORITY_CLASSES",
+    "PauseRisk",
     "PeerLoad",
     "Placement",
-    "PauseRisk",
     "PlacementOptions",
     "PlacementPolicy",
     "PolicyName",
@@ -277,6 +279,7 @@
     "stream_holders",
     "stream_key",
     "sum_work",
+    "startup_wait_s",
     "summarize_load",
     "unrestricted_regions",
 ]
