--- a/figpaddle/routing/__init__.py
+++ b/figpaddle/routing/__init__.py
@@ -54,6 +54,7 @@
     from figpaddle.routing._loss_records import LOSS_TTL_S
     from figpaddle.routing._named_limits import MIN_LIMIT_PER_S, NamedLimits
     from figpaddle.routing._offer_limits import TAKEN_OVER_TTL_S, OfferLimits
+    from figpaddle.routing._pause_risk import PauseRisk
     from figpaddle.routing._peer_load import PeerLoad
     from figpaddle.routing._placement_explanation import (
         ExplainedCandidate,
@@ -117,6 +118,7 @@
     )
     from figpaddle.routing._retry_budget import RetryBudget
     from figpaddle.routing._scored import Estimate, PolicyName, ScoredPolicy, make_policy
+    from figpaddle.routing._startup_wait import MAX_STARTUP_WAITING, startup_wait_s
     from figpaddle.routing._stream_pace import MIN_EVENTS
     from figpaddle.routing._stream_versions import (
         ASKED_PER_REGION,
@@ -177,6 +179,7 @@
             "_loss_records": "LOSS_TTL_S",
             "_named_limits": "MIN_LIMIT_PER_S NamedLimits",
             "_offer_limits": "TAKEN_OVER_TTL_S OfferLimits",
+            "_pause_risk": "PauseRisk",
             "_peer_load": "PeerLoad",
             "_placement_explanation": "ExplainedCandidate ScoreParts explain_candidates",
             "_policy": (
@@ -204,6 +207,7 @@
             "_retry_after": "MAX_RETRY_AFTER_S MIN_RETRY_AFTER_S jittered_retry_after",
             "_retry_budget": "RetryBudget",
             "_scored": "Estimate PolicyName ScoredPolicy make_policy",
+            "_startup_wait": "MAX_STARTUP_WAITING startup_wait_s",
             "_stream_pace": "MIN_EVENTS",
             "_stream_versions": (
                 "ASKED_PER_REGION STREAM_TTL_S StreamOrigin StreamVersions entries_to_ask "
@@ -276,6 +280,7 @@
     "MAX_UTILIZATION_FOR_REMOTE_REQUESTS",
     "MAX_RETRY_AFTER_S",
     "MEAN_PROMPT_TOKENS",
+    "MAX_STARTUP_WAITING",
     "MIN_EVENTS",
     "MIN_FAILURE_STATUS",
     "MIN_LIMIT_PER_S",
@@ -285,6 +290,7 @@
     "OwnWorkHistory",
     "PREFIX_BLOCK_TOKENS",
     "PRIORITY_CLASSES",
+    "PauseRisk",
     "PeerLoad",
     "Placement",
     "PlacementOptions",
@@ -364,6 +370,7 @@
     "stream_holders",
     "stream_key",
     "sum_work",
+    "startup_wait_s",
     "summarize_load",
     "unrestricted_regions",
 ]
