--- a/figpaddle/wire/_regional_messages.py
+++ b/figpaddle/wire/_regional_messages.py
@@ -6,7 +6,7 @@
 import enum
 
 from figpaddle.wire._codec import Message, message
-from figpaddle.wire._messages import BackendState
+from figpaddle.wire._placement_values import BackendState
 
 
 class InstanceRole(enum.Enum):
@@ -298,3 +298,5 @@
     done: bool
     #: The agreed state including the change; empty if the change isn't durable.
     state: bytes
+    #: Whether it had no effect because another order followed it.
+    overtaken: bool = False
