--- a/figpaddle/daemon/_client_connections.py
+++ b/figpaddle/daemon/_client_connections.py
@@ -56,6 +56,10 @@
         self._read_bytes += granted
         return granted
 
+    def give_back(self, size: int) -> None:
+        """Return what was granted in this turn and hadn't come."""
+        self._read_bytes -= size
+
     def _begin_turn(self) -> None:
         self._read_bytes = 0
 
@@ -96,12 +100,24 @@
         """Set the socket of the connection."""
         self._socket = accepted
 
-    def readable_bytes(self, size: int) -> int:
-        """Return how many of ``size`` bytes may be read in this turn of the event loop."""
+    def read(self, size: int, receive: Callable[[int], bytes]) -> bytes:
+        """Return up to ``size`` bytes of ``receive``, as many as may be read in this turn of the event loop.
+
+        Raises BlockingIOError if none may, and the errors of ``receive``.
+        """
         if self._requests or self._has_head:
-            return size
+            return receive(size)
         short_bytes = LONG_HEAD_BYTES - self._read_head_bytes
-        return min(size, short_bytes) if short_bytes > 0 else self._turns.take(size)
+        if short_bytes > 0:
+            return receive(min(size, short_bytes))
+        granted, data = self._turns.take(size), b""
+        if not granted:
+            raise BlockingIOError
+        try:
+            data = receive(granted)
+        finally:
+            self._turns.give_back(granted - len(data))
+        return data
 
     def receive(self, data: bytes) -> bool:
         """Count the head of a request in received bytes; return whether there is room for it."""
@@ -158,6 +174,8 @@
         self._requests.pop(request, None)
         if not self._requests:
             self._has_head, self._head_tail, self._read_head_bytes = False, b"", 0
+            if self._socket is not None:
+                self._socket.await_next_request()
         phase = max(self._requests.values(), default=ClientPhase.IDLE)
         self._account.enter(self, phase, now=self._clock())
 
@@ -314,10 +332,8 @@
         """
         if self._is_aborted:
             raise ConnectionResetError
-        readable = self._connection.readable_bytes(size)
-        if not readable:
-            raise BlockingIOError
-        data = super().recv(readable, flags)
+        receive = super().recv
+        data = self._connection.read(size, lambda readable: receive(readable, flags))
         if data and not self._connection.receive(data):
             self._connection.refuse_head()
             self._raise_reset()
@@ -326,13 +342,21 @@
         return data
 
     def send(self, data: bytes, flags: int = 0, /) -> int:  # type: ignore[override]
-        """Send what the kernel takes; raises ConnectionResetError after the last of what a client gets that is done."""
+        """Send what the kernel takes.
+
+        Raises ConnectionResetError after the last of what a client gets that has closed its side.
+        """
         self._has_unsent = True
         sent = super().send(data, flags)
         self._has_unsent = sent < len(data)
         self._check_needed()
         return sent
 
+    def await_next_request(self) -> None:
+        """Leave time for a request that was sent ahead to begin before the end is told."""
+        if not self._is_client_done:
+            self._turns_since_end = 0
+
     def _note_end(self) -> None:
         """Record that the client has closed its side; raises the errors of ``recv``."""
         self._turns_since_end += 1
--- a/figpaddle/daemon/tests/test_client_connections.py
+++ b/figpaddle/daemon/tests/test_client_connections.py
@@ -239,13 +239,19 @@
     assert still_open == 0
 
 
-async def read_long_heads(crowd: int) -> list[int]:
-    """Return how many bytes of the head of each of a crowd are read in one turn of the event loop."""
+async def read_long_heads(came: int) -> list[int]:
+    """Return how much of the heads of three connections is read in one turn, of which ``came`` bytes each came."""
     turns = HeadTurns()
-    granted = [turns.take(4 * LONG_HEAD_BYTES_PER_TURN) for _ in range(crowd)]
+    read = []
+    for _ in range(3):
+        granted = turns.take(4 * LONG_HEAD_BYTES_PER_TURN)
+        read.append(min(granted, came))
+        turns.give_back(granted - read[-1])
     await anyio.sleep(0)
-    return [*granted, turns.take(10)]
+    return [*read, turns.take(10)]
 
 
 def test_long_heads_of_a_crowd_are_spread_over_the_turns_of_the_event_loop() -> None:
-    assert anyio.run(read_long_heads, 3) == [LONG_HEAD_BYTES_PER_TURN, 0, 0, 10]
+    whole = LONG_HEAD_BYTES_PER_TURN
+    assert anyio.run(read_long_heads, 2 * whole) == [whole, 0, 0, 10]
+    assert anyio.run(read_long_heads, 1) == [1, 1, 1, 10]
--- a/figpaddle/regional/_backend_attempts.py
+++ b/figpaddle/regional/_backend_attempts.py
@@ -120,9 +120,15 @@
             return answer
 
         def note_relaying() -> None:
-            tracker.note_events(attempt_key, now=self._clock())
+            tracker.note_events(
+                attempt_key, now=self._clock(), arrived_after=self._placer.arrived_after()
+            )
             self._note_relaying(attempt_key)
 
+        def note_relayed() -> None:
+            tracker.note_relayed(attempt_key, now=self._clock())
+            self._note_relayed(attempt_key)
+
         def note_end(result: AttemptResult) -> AttemptResult:
             self._note_ended(attempt_key, result)
             self._placer.offer_limits.note_decided(backend.name, attempt_key)
@@ -183,7 +189,7 @@
             note_kept=note_kept,
             clock=self._clock,
             on_relaying=note_relaying,
-            on_relayed=lambda: self._note_relayed(attempt_key),
+            on_relayed=note_relayed,
         )
         return Attempt(choice=choice, exchange=exchange, note_end=note_end)
 
--- a/figpaddle/regional/_control.py
+++ b/figpaddle/regional/_control.py
@@ -161,21 +161,28 @@
             self._log.warning("evacuation_refused", zone=call.zone, reason="unknown zone")
             return 404, b""
         # Mostly the state that is known here is the newest one, and the order needs no read before it. An
-        # order that rests on an older state has no effect.
-        base = self._follower.state.order_count(call.zone)
-        status = await self._make_order(call, request, responder, base=base, began_at=began_at)
-        if status is None:
-            try:
-                with anyio.fail_after(CHANGE_TIMEOUT_S):
-                    base = (await self._register.read()).order_count(call.zone)
-            except (NoMajorityError, StorageError, TimeoutError) as error:
-                self._log.warning(
-                    "evacuation_not_based", zone=call.zone, reason=str(error) or "timeout"
-                )
-                return 503, b""
+        # order that rests on an older state has no effect. Then it rests on a read that began as the order
+        # came: what is confirmed later overtakes it.
+        bases: list[int] = []
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._read_order_count, call.zone, bases)
+            base = self._follower.state.order_count(call.zone)
+            status = await self._make_order(call, request, responder, base=base, began_at=began_at)
+            if status is not None:
+                tasks.cancel_scope.cancel()
+        if status is None and bases:
+            base = bases[0]
             status = await self._make_order(call, request, responder, base=base, began_at=began_at)
         return 503 if status is None else status, b""
 
+    async def _read_order_count(self, zone: str, counts: list[int]) -> None:
+        """Append the number of orders for a zone that are confirmed by now."""
+        try:
+            with anyio.fail_after(CHANGE_TIMEOUT_S):
+                counts.append((await self._register.read()).order_count(zone))
+        except (NoMajorityError, StorageError, TimeoutError) as error:
+            self._log.warning("evacuation_not_based", zone=zone, reason=str(error) or "timeout")
+
     async def _make_order(
         self,
         call: SetEvacuation,
--- a/figpaddle/regional/_entry.py
+++ b/figpaddle/regional/_entry.py
@@ -72,6 +72,7 @@
             rng=self._rng,
             log=self._log,
             metrics=self._metrics,
+            arrived_after=lambda: self._turns.arrived_after(now=self._clock()),
         )
         self._relaying.on_work(self._placer.reports.apply_relayed_work)
         self._relaying.on_load(self._placer.reports.apply_relayed_load)
--- a/figpaddle/regional/_forwarded_attempts.py
+++ b/figpaddle/regional/_forwarded_attempts.py
@@ -35,6 +35,7 @@
 )
 from figpaddle.regional._request_context import AttemptOutcome, AttemptResult, RequestContext
 from figpaddle.regional._settings import ProcessSettings
+from figpaddle.regional._stream_gaps import StreamGaps
 from figpaddle.routing import (
     MAX_RETRY_AFTER_S,
     MIN_RETRY_AFTER_S,
@@ -168,11 +169,20 @@
                 self._placer.offer_limits.note_decided(choice.region, attempt_key)
                 self._record_first_byte(context, choice, self._clock() - now)
 
+        gaps = StreamGaps()
+
+        def note_relaying() -> None:
+            gaps.note_relaying(arrived_after=self._placer.arrived_after())
+            self._note_relaying(attempt_key)
+
+        def note_relayed() -> None:
+            gaps.note_relayed(now=self._clock())
+            self._note_relayed(attempt_key)
+
         def note_end(result: AttemptResult) -> AttemptResult:
             self._note_ended(attempt_key, result)
             self._placer.offer_limits.note_decided(choice.region, attempt_key)
-            if result.is_answer:
-                self._placer.note_forwarded_stream(context, choice.region)
+            self._placer.note_forwarded_stream(context, choice.region, longest_gap_s=gaps.longest_s)
             if not result.is_answer and result is not WITHDRAWN:
                 self._log.warning(
                     "hop_failed",
@@ -254,8 +264,8 @@
             is_retryable=lambda answer: header(answer.headers, OUTCOME_FIELD) is not None,
             offer=offer_elsewhere,
             clock=self._clock,
-            on_relaying=lambda: self._note_relaying(attempt_key),
-            on_relayed=lambda: self._note_relayed(attempt_key),
+            on_relaying=note_relaying,
+            on_relayed=note_relayed,
         )
         return Attempt(choice=choice, exchange=exchange, note_end=note_end)
 
--- a/figpaddle/regional/_gateway.py
+++ b/figpaddle/regional/_gateway.py
@@ -237,23 +237,26 @@
         self, request: HttpRequest, caller: CallerRequest, responder: Responder
     ) -> None:
         """Wait for the first configuration and backend servers as long as a caller may be kept for them."""
+        timeout_s = caller.caller_timeout_s
+        left_s = None if timeout_s is None else timeout_s - (self._clock() - request.arrived_after)
         wait_s = startup_wait_s(
             uptime_s=self._mesh.uptime_s,
-            left_s=caller.caller_timeout_s,
+            left_s=left_s,
             waiting=self._awaiting_configuration,
         )
         if wait_s <= 0:
             return
         self._awaiting_configuration += 1
+        outcome = "left"
         try:
             await self._requests.run(
                 responder,
                 functools.partial(self._wait_until_known, request, caller, timeout_s=wait_s),
             )
+            outcome = "refused" if self._follower.configuration is None else "served"
         finally:
             self._awaiting_configuration -= 1
-        has_come = self._follower.configuration is not None
-        self._metrics.count("startup_waits_total", outcome="served" if has_come else "refused")
+            self._metrics.count("startup_waits_total", outcome=outcome)
 
     async def _wait_until_known(
         self, request: HttpRequest, caller: CallerRequest, *, timeout_s: float
@@ -622,6 +625,11 @@
             if choice is None:
                 await self._fail_unplaced(context, responder)
                 return
+            if choice.backend is None and not context.may_have_run and not responder.started:
+                over_quota = self._quotas.refusal_of_region(context, choice.region)
+                if over_quota is not None:
+                    await self._fail_over_quota(context, over_quota, responder)
+                    return
             # The server that has taken a request over is at work on it already.
             if context.taker is None and not self._may_begin(context, choice, responder):
                 await self._fail_leaving(context, responder)
@@ -676,7 +684,9 @@
                     reason="over quota elsewhere",
                     retry_after_s=context.over_quota_s,
                 )
-                self._quotas.note_refused_elsewhere(context, refill_s=refused.retry_after_s)
+                self._quotas.note_refused_elsewhere(
+                    context, choice.region, refill_s=refused.retry_after_s
+                )
                 await self._fail_over_quota(context, refused, responder)
                 return
             owes_charge = owes_charge and not result.has_arrived
--- a/figpaddle/regional/_placer.py
+++ b/figpaddle/regional/_placer.py
@@ -116,12 +116,15 @@
         rng: random.Random,
         log: Log,
         metrics: MetricsRegistry,
+        arrived_after: Callable[[], float] | None = None,
     ) -> None:
         self._settings = settings
         self._mesh = mesh
         self._follower = follower
         self._pool = pool
         self._clock = clock
+        #: Returns a time since when the bytes have come that are read now.
+        self.arrived_after = arrived_after or clock
         self._rng = rng
         self._log = log
         self._metrics = metrics
@@ -443,14 +446,17 @@
             now=self._clock(),
         )
 
-    def note_forwarded_stream(self, context: RequestContext, region: str) -> None:
-        """Record whether a stream that another region has served to its end paused too long."""
-        now, gap_s = self._clock(), context.longest_gap_s
+    def note_forwarded_stream(
+        self, context: RequestContext, region: str, *, longest_gap_s: float | None
+    ) -> None:
+        """Record whether a stream that another region served paused too long there."""
+        now = self._clock()
         demand = context.demand(now=now)
-        if gap_s is None or demand.longest_pause_s <= 0:
+        if longest_gap_s is None or demand.longest_pause_s <= 0:
             return
         risk = self._region_pauses.setdefault((region, context.service.name), PauseRisk())
-        risk.note(events=demand.events, late=int(gap_s > demand.longest_pause_s), now=now)
+        late = longest_gap_s > demand.longest_pause_s
+        risk.note(events=demand.events, late=int(late), now=now)
 
     def note_bears_refusals(self, service: str, answer: BackendAnswer) -> None:
         """Record whether a server of a service says in an answer that it is brittle."""
--- a/figpaddle/regional/_quota_client.py
+++ b/figpaddle/regional/_quota_client.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import itertools
+import math
 import random
 from collections.abc import Callable
 from typing import Any
@@ -16,6 +17,7 @@
 from figpaddle.regional._request_context import RequestContext
 from figpaddle.regional._settings import ProcessSettings
 from figpaddle.routing import (
+    MAX_REMEMBERED_S,
     QuotaCharge,
     QuotaParcel,
     QuotaStock,
@@ -35,6 +37,8 @@
 #: Time by which a request outwaits the voter that it waits for, seconds: a voter decides at intervals of 0.1 s,
 #: and its answer takes a while.
 ANSWER_MARGIN_S = 0.15
+#: Least fraction of the time of a request that its voter may take.
+MIN_VOTER_WAIT_FRACTION = 1 / 3
 #: Interval at which an entry asks ahead for one workspace, seconds.
 TOP_UP_INTERVAL_S = 0.1
 #: Time after which questions and unused stocks are forgotten, seconds; no grant lives as long.
@@ -129,6 +133,8 @@
         self._logged_at: dict[str, float] = {}
         # When each workspace last got a grant, and from which voter.
         self._granted: dict[str, tuple[float, str]] = {}
+        # The cost that another region last refused to each workspace, and until when that counts.
+        self._refused_elsewhere: dict[tuple[str, str], tuple[float, float]] = {}
         mesh.on_datagram(QuotaGrant, self._take_grant)
 
     def try_charge(self, context: RequestContext) -> bool:
@@ -163,12 +169,31 @@
         stock.note_request(cost, now=now)
         return self._refuse(context, workspace, 429, "over quota", refill_s, holder="")
 
-    def note_refused_elsewhere(self, context: RequestContext, *, refill_s: float) -> None:
-        """Record that another entry got nothing of the quota for a request."""
+    def note_refused_elsewhere(
+        self, context: RequestContext, region: str, *, refill_s: float
+    ) -> None:
+        """Record that an entry of another region got nothing of the quota for a request.
+
+        The voters of the own region may have more, so only requests to that region are refused.
+        """
         workspace = context.workspace
         if workspace is not None and workspace.quota is not None:
             now, cost = self._boot_clock(), _cost(workspace, context)
-            self._stock(workspace.name, now=now).note_refused(cost, refill_s=refill_s, now=now)
+            refilled_at = now + min(refill_s, MAX_REMEMBERED_S)
+            self._refused_elsewhere[workspace.name, region] = (cost, refilled_at)
+
+    def refusal_of_region(self, context: RequestContext, region: str) -> QuotaRefusal | None:
+        """Return the refusal of a request to a region that has just refused one as large; None to ask there."""
+        workspace = context.workspace
+        if workspace is None or workspace.quota is None:
+            return None
+        now = self._boot_clock()
+        cost, refilled_at = self._refused_elsewhere.get((workspace.name, region), (math.inf, now))
+        if _cost(workspace, context) < cost or now >= refilled_at:
+            return None
+        return self._refuse(
+            context, workspace, 429, "over quota elsewhere", refilled_at - now, holder=""
+        )
 
     def charge_offer(self, context: RequestContext) -> QuotaCharge | None:
         """Return a charge for a further attempt, which begins at once; ask for one if there is none."""
@@ -203,7 +228,8 @@
                 break
             tried.add(holder)
             waiter = _Waiter(workspace=workspace.name, cost=cost)
-            waits_s = max(0.0, left_s - ANSWER_MARGIN_S)
+            waits_s = max(MIN_VOTER_WAIT_FRACTION * left_s, left_s - ANSWER_MARGIN_S)
+            asked_at = self._clock()
             question = self._ask(holder, [waiter], waits_s=waits_s)
             is_heard = await self._await_answer(question, waiter, left_s=left_s)
             if waiter.charge is not None:
@@ -213,7 +239,9 @@
                 )
                 return None
             if waiter.is_refused:
-                stock.note_refused(cost, refill_s=waiter.refill_s, now=self._boot_clock())
+                if self._clock() - asked_at < waits_s:
+                    # Otherwise its own time ended, and the voter may have enough for others.
+                    stock.note_refused(cost, refill_s=waiter.refill_s, now=self._boot_clock())
                 return self._refuse(
                     context, workspace, 429, "over quota", waiter.refill_s, holder=holder
                 )
@@ -262,6 +290,9 @@
             for number, question in self._questions.items()
             if now - question.asked_at < RETENTION_S
         }
+        self._refused_elsewhere = {
+            key: refused for key, refused in self._refused_elsewhere.items() if refused[1] > now
+        }
         for workspace in [name for name, stock in self._stocks.items() if stock.is_idle(now=now)]:
             del self._stocks[workspace]
             for times in (self._topped_up_at, self._logged_at, self._granted):
--- a/figpaddle/regional/_quota_holder.py
+++ b/figpaddle/regional/_quota_holder.py
@@ -172,6 +172,8 @@
         if len(decisions) < len(ask.items):
             if not decisions:
                 self._send_grant(ask.sender, ask.incarnation, ask.number, ())
+            # Also where it relies on a loan that was asked for ahead.
+            self._mesh.expect_reply(LOAN_TIMEOUT_S)
             self._ask_loans(now)
 
     def _answer_voter(self, ask: Message) -> None:
@@ -207,8 +209,6 @@
 
     def _ask_loans(self, now: float, *, ahead: bool = False) -> None:
         questions = self._shares.ask_loans(now=now, ahead=ahead)
-        if questions and self._shares.has_waiting:
-            self._mesh.expect_reply(LOAN_TIMEOUT_S)
         for peer, number, amounts in questions:
             items = tuple(
                 QuotaLoanItem(workspace=workspace, amount=amount)
--- a/figpaddle/regional/_request_quarantine.py
+++ b/figpaddle/regional/_request_quarantine.py
@@ -355,16 +355,14 @@
             self._tasks.start_soon(self._report)
         if not self._are_reports_repeated:
             self._are_reports_repeated = True
-            self._tasks.start_soon(self._repeat_reports)
+            self._tasks.start_service(self._repeat_reports)
 
     async def _repeat_reports(self) -> None:
         """Send reports whenever some are due, as long as there are any."""
-        try:
-            while self._reports:
-                await anyio.sleep(REPORT_INTERVAL_S)
-                await self._report()
-        finally:
-            self._are_reports_repeated = False
+        while self._reports:
+            await anyio.sleep(REPORT_INTERVAL_S)
+            await self._report()
+        self._are_reports_repeated = False
 
     async def _report(self) -> None:
         """Send the due reports to all entries, as far as there is room."""
--- a/figpaddle/regional/_wake_ups.py
+++ b/figpaddle/regional/_wake_ups.py
@@ -18,8 +18,8 @@
 def shared_moment(now: float, interval_s: float, *, first: float) -> float:
     """Return the shared moment that is closest to the end of an interval from ``now``.
 
-    ``first`` is any of these moments. The interval is at least half of ``MOMENT_INTERVAL_S``. A task that sleeps for the same interval again
-    and again keeps it in the mean, whatever it does meanwhile.
+    ``first`` is any of these moments. The interval is longer than half of ``MOMENT_INTERVAL_S``. A task that sleeps
+    for the same interval again and again keeps it in the mean, whatever it does meanwhile.
 
     >>> [round(shared_moment(now, 0.1, first=1.0), 3) for now in (1.0, 1.003, 1.03)]
     [1.1, 1.1, 1.15]
--- a/figpaddle/regional/tests/test_quota_exchange.py
+++ b/figpaddle/regional/tests/test_quota_exchange.py
@@ -164,12 +164,17 @@
     await with_voters(network, body)
 
 
-async def test_a_refusal_of_another_entry_is_known_for_a_moment_and_for_requests_as_large() -> None:
+async def test_a_refusal_of_another_region_is_known_for_a_moment_there_and_for_requests_as_large() -> (
+    None
+):
     client = entry(Network(), "a")
-    assert client.known_refusal(request(50)) is None
-    client.note_refused_elsewhere(request(50), refill_s=3.0)
-    refusal = client.known_refusal(request(60))
+    assert client.refusal_of_region(request(50), "south") is None
+    client.note_refused_elsewhere(request(50), "south", refill_s=3.0)
+    refusal = client.refusal_of_region(request(60), "south")
     assert refusal is not None and refusal.status == 429
-    assert client.known_refusal(request(40)) is None
-    await anyio.sleep(0.3)
+    assert client.refusal_of_region(request(40), "south") is None
+    # The own voters may have more.
+    assert client.refusal_of_region(request(60), "north") is None
     assert client.known_refusal(request(60)) is None
+    await anyio.sleep(0.3)
+    assert client.refusal_of_region(request(60), "south") is None
--- a/figpaddle/routing/__init__.py
+++ b/figpaddle/routing/__init__.py
@@ -82,7 +82,7 @@
         QuotaTerms,
         quota_terms,
     )
-    from figpaddle.routing._quota_stock import QuotaCharge, QuotaStock
+    from figpaddle.routing._quota_stock import MAX_REMEMBERED_S, QuotaCharge, QuotaStock
     from figpaddle.routing._ranking import highest_ranked
     from figpaddle.routing._rate_limits import (
         ColdLimit,
@@ -192,7 +192,7 @@
                 "LOAN_TIMEOUT_S QuotaDecision QuotaDemand QuotaParcel QuotaShare QuotaShares "
                 "QuotaTerms quota_terms"
             ),
-            "_quota_stock": "QuotaCharge QuotaStock",
+            "_quota_stock": "MAX_REMEMBERED_S QuotaCharge QuotaStock",
             "_ranking": "highest_ranked",
             "_rate_limits": "ColdLimit RetryCharge SharedRetryBudget SlidingCount",
             "_regional_load": "summarize_load",
@@ -278,6 +278,7 @@
     "MAX_CROSSINGS",
     "MAX_MEMORY_FRACTION",
     "MAX_UTILIZATION_FOR_REMOTE_REQUESTS",
+    "MAX_REMEMBERED_S",
     "MAX_RETRY_AFTER_S",
     "MEAN_PROMPT_TOKENS",
     "MAX_STARTUP_WAITING",
--- a/figpaddle/routing/_backend_load.py
+++ b/figpaddle/routing/_backend_load.py
@@ -59,7 +59,7 @@
     streamed: bool
     longest_pause_s: float
     first_at: float | None = None
-    #: When its last event came; None while the caller holds the answer up.
+    #: When its last event came, or its caller had taken it; None before the first.
     event_at: float | None = None
 
 
@@ -263,8 +263,11 @@
         self._slots = slots
         return None if self.start_pace is None else self.start_pace.slots(slots, now=now)
 
-    def note_events(self, key: str, *, now: float) -> None:
-        """Record that events of a stream have come; the time since the last ones is a sample of its pace."""
+    def note_events(self, key: str, *, now: float, arrived_after: float | None = None) -> None:
+        """Record that events of a stream have come; the time since the last ones is a sample of its pace.
+
+        They came between ``arrived_after`` and ``now``: what this process read late is no pause of the server.
+        """
         request = self._local_requests.get(key)
         if request is None or not request.streamed:
             return
@@ -272,10 +275,17 @@
             gap_s = now - request.event_at
             self.stream_pace.note(gap_s, now=now)
             if request.longest_pause_s > 0:
-                late = gap_s > request.longest_pause_s
+                unread_s = 0.0 if arrived_after is None else max(0.0, now - arrived_after)
+                late = gap_s - unread_s > request.longest_pause_s
                 self.pause_risk.note(events=1, late=int(late), now=now)
         request.event_at = now
 
+    def note_relayed(self, key: str, *, now: float) -> None:
+        """Record that the caller has taken the events of a stream; the time until then isn't the server's."""
+        request = self._local_requests.get(key)
+        if request is not None and request.event_at is not None:
+            request.event_at = now
+
     @property
     def oldest_sent_at(self) -> float:
         """When the oldest request in progress was sent; infinity without one."""
--- a/figpaddle/routing/_quota_shares.py
+++ b/figpaddle/routing/_quota_shares.py
@@ -238,11 +238,6 @@
         self._near: frozenset[str] = frozenset()
         self._parts = 0
 
-    @property
-    def has_waiting(self) -> bool:
-        """Whether a demand waits for a decision; loans are also asked for ahead of demands."""
-        return bool(self._waiting)
-
     @property
     def shares(self) -> Mapping[str, QuotaShare]:
         """The own part of each quota, by workspace."""
--- a/figpaddle/routing/tests/test_stream_pauses.py
+++ b/figpaddle/routing/tests/test_stream_pauses.py
@@ -113,3 +113,17 @@
         item = (now + gap_s, next(order), key, name, gap_s, left - 1, has_paused or pauses)
         heapq.heappush(ends, item)
     assert sum(outcomes) <= 0.05 * len(outcomes), sum(outcomes)
+
+
+def test_time_in_which_events_were_read_late_or_their_caller_held_them_up_is_no_pause() -> None:
+    (candidate,) = engines("a")
+    tracker = candidate.tracker
+    tracker.note_sent("k", stream(), prefill=0, memory=0, expected_s=0.1, now=0.0)
+    tracker.note_events("k", now=0.1)
+    # The process stood still from 0.15 s on.
+    tracker.note_events("k", now=0.9, arrived_after=0.15)
+    tracker.note_relayed("k", now=3.0)
+    tracker.note_events("k", now=3.1)
+    assert tracker.pause_risk.of_stream(EVENTS, now=3.1) == 0.0
+    tracker.note_events("k", now=3.1 + SLOW_S, arrived_after=3.05 + SLOW_S)
+    assert tracker.pause_risk.of_stream(EVENTS, now=3.1 + SLOW_S) > 0.0
--- a/tests/test_charged_repeats.py
+++ b/tests/test_charged_repeats.py
@@ -161,6 +161,7 @@
         # Its requests are of no workspace, so there is no quota to charge.
         quotas=SimpleNamespace(
             known_refusal=lambda context: None,
+            refusal_of_region=lambda context, region: None,
             try_charge=lambda context: True,
             settle=lambda context, *, may_have_run: None,
         ),
