--- a/review/harness_2/harness.py
+++ b/review/harness_2/harness.py
@@ -9,7 +9,9 @@
 import asyncio
 import contextlib
 import dataclasses
+import functools
 import json
+import math
 import os
 import pathlib
 import random
@@ -26,6 +28,8 @@
 ZONES = {"seoul-a": "kr-seoul", "busan-a": "kr-busan", "daejeon-a": "kr-daejeon"}
 HEARTBEAT_S = 1.2
 MIB = 1 << 20
+#: Ends of a process with which the rule Fault is broken, and the delay after which the platform restarts one, seconds.
+MAX_ENDS, RESTART_DELAY_S = 3, 1.0
 #: Exit codes of a case: the rule held, it was broken, and the case couldn't run.
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
 _rng = random.SystemRandom()
@@ -69,7 +73,8 @@
     memory_mb: int
     process: subprocess.Popen[bytes] | None = None
     peak_kb: int = 0
-    killed_over_limit: bool = False
+    #: How often its process was killed for using more than the memory of the machine.
+    ends: int = 0
 
 
 async def read_head(reader: asyncio.StreamReader) -> tuple[str, dict[str, str]]:
@@ -437,7 +442,10 @@
         ]
 
     def enforce_memory(self) -> None:
-        """Kill each process that uses more than its machine's ``memory-mb``, as the platform does."""
+        """Kill each process that uses more than its machine's ``memory-mb``, as the platform does.
+
+        It is started again after a short delay, as the platform does too.
+        """
         for machine in self.machines.values():
             if machine.process is None or machine.process.poll() is not None:
                 continue
@@ -457,8 +465,46 @@
                         f"{machine.name} uses {sizes['VmRSS'] // 1024} MiB of"
                         f" {machine.memory_mb}: the platform kills it"
                     )
-                    machine.killed_over_limit = True
+                    machine.ends += 1
                     machine.process.kill()
+                    machine.process.wait()
+                    asyncio.get_running_loop().call_later(
+                        RESTART_DELAY_S, functools.partial(self.start, machine, bootstrap=False)
+                    )
+
+    @contextlib.asynccontextmanager
+    async def enforced_memory(self) -> AsyncIterator[None]:
+        """Look every 20 ms whether a process uses too much memory, until the end of the context."""
+
+        async def watch() -> None:
+            while True:
+                self.enforce_memory()
+                await asyncio.sleep(0.02)
+
+        watcher = asyncio.ensure_future(watch())
+        try:
+            yield
+        finally:
+            watcher.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await watcher
+            for machine in self.machines.values():
+                self.record.note(
+                    f"{machine.name}: killed {machine.ends} times,"
+                    f" peak {machine.peak_kb // 1024} of {machine.memory_mb} MiB"
+                )
+
+    def breaks_fault(self) -> bool:
+        """Return whether processes ended as often as the rule Fault says.
+
+        That is three times each on a tenth of the machines, two at least, or on half of the core.
+        """
+        often = [machine for machine in self.machines.values() if machine.ends >= MAX_ENDS]
+        core = self.of_role("core")
+        return (
+            len(often) >= max(2, math.ceil(len(self.machines) / 10))
+            or sum(machine in often for machine in core) >= len(core) / 2
+        )
 
 
 def route(name: str, kind: str, service: str, **changes: Any) -> dict[str, Any]:
