--- a/review/6/case.py
+++ b/review/6/case.py
@@ -12,7 +12,7 @@
 
 import harness
 
-#: The disruption, as `srv_grey` on the sheet of the site: one of three engines fails two in five of its
+#: The disruption, as `srv_grey` on the sheet of the site: one of eight engines fails two in five of its
 #: requests for 6.5 seconds, and its health check stays good.
 GREY_S, FAILED_OF_FIVE = 6.5, 2
 #: Time for which requests are sent, seconds, and the interval between them: 12.4 a second.
@@ -53,7 +53,7 @@
                 writer.write(harness.seal_head(request_id, f"Content-Length: {len(text)}") + text)
             await writer.drain()
 
-        for zone in ("seoul-a", "busan-a", "daejeon-a"):
+        for zone in 3 * ["seoul-a"] + 3 * ["busan-a"] + 2 * ["daejeon-a"]:
             system.add_engine("intake-core", zone, slots=6, serve=serve)
         await system.put_configuration(
             {
