Log and count answers that read as a refusal without their server's word

On-call engineers couldn't tell two kinds of 503, 429 and 408 apart: a refusal, which promises a caller that its request has not run, and the status of a server's failure after a run, which an entry passes on. The dialect now says which statuses callers take for that promise, and an answer with one of them that its server doesn't confirm is logged as refusal_unconfirmed, with the place, the status, whether the route allows repeats and what became of the answer, and counted in unconfirmed_refusals_total. Nothing else changes.

--- a/figpaddle/regional/_attempt_factory.py
+++ b/figpaddle/regional/_attempt_factory.py
@@ -78,6 +78,29 @@
             attempt_key, answered=result.is_answer and not result.is_failure, now=self._clock()
         )
 
+    def _note_unconfirmed_refusal(
+        self, context: RequestContext, result: AttemptResult, *, place: str
+    ) -> None:
+        """Log and count an answer that reads as a refusal and whose server doesn't state that it is one."""
+        if result.unconfirmed_status is None:
+            return
+        status = result.unconfirmed_status
+        self._log.warning(
+            "refusal_unconfirmed",
+            request=context.request_id,
+            place=place,
+            attempt=context.attempt,
+            status=status,
+            repeat=context.route.repeat.value,
+            fate=result.outcome.value,
+        )
+        self._metrics.count(
+            "unconfirmed_refusals_total",
+            service=context.service.name,
+            status=str(status),
+            fate=result.outcome.value,
+        )
+
     def _note_relaying(self, attempt_key: str) -> None:
         self._answer_times.note_relaying(attempt_key, now=self._clock())
 
--- a/figpaddle/regional/_backend_attempts.py
+++ b/figpaddle/regional/_backend_attempts.py
@@ -131,6 +131,7 @@
 
         def note_end(result: AttemptResult) -> AttemptResult:
             self._note_ended(attempt_key, result)
+            self._note_unconfirmed_refusal(context, result, place=backend.name)
             self._placer.offer_limits.note_decided(backend.name, attempt_key)
             failed = result is not WITHDRAWN and result.outcome in (
                 AttemptOutcome.UNKNOWN,
--- a/figpaddle/regional/_dialect.py
+++ b/figpaddle/regional/_dialect.py
@@ -65,6 +65,13 @@
     signed: bool = dataclasses.field(default=True, kw_only=True)
     #: Header fields to relay to the caller.
     headers: Headers
+    #: Whether callers take its status for the promise that the request has not run and never will.
+    reads_as_not_run: bool = dataclasses.field(default=False, kw_only=True)
+
+    @property
+    def is_unconfirmed_refusal(self) -> bool:
+        """Whether callers take it for a promise that its backend server doesn't make: the request may have run."""
+        return self.reads_as_not_run and not self.not_run
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/figpaddle/regional/_exchange.py
+++ b/figpaddle/regional/_exchange.py
@@ -414,7 +414,11 @@
             body = await self._read_failure_body(connection, body_deadline)
             if body is not None:
                 self._context.failure_answer = FailureAnswer(answer=answer, body=body)
-            return AttemptResult(outcome=AttemptOutcome.UNKNOWN, reason=f"status {answer.status}")
+            return AttemptResult(
+                outcome=AttemptOutcome.UNKNOWN,
+                reason=f"status {answer.status}",
+                unconfirmed_status=_unconfirmed_status(answer),
+            )
         if self._note_placed is not None:
             await self._note_placed()
         return None
@@ -625,6 +629,7 @@
             outcome=AttemptOutcome.ANSWERED,
             reason=f"status {answer.status}",
             is_failure=answer.status >= MIN_FAILURE_STATUS,
+            unconfirmed_status=_unconfirmed_status(answer),
         )
 
     async def _relay_stream(
@@ -819,6 +824,10 @@
     return media_type.partition(b";")[0].strip().lower() == b"text/event-stream"
 
 
+def _unconfirmed_status(answer: BackendAnswer) -> int | None:
+    return answer.status if answer.is_unconfirmed_refusal else None
+
+
 def _caller_gone_error() -> CallerGoneError:
     return CallerGoneError(what="the caller closed the connection", where="caller")
 
--- a/figpaddle/regional/_forwarded_attempts.py
+++ b/figpaddle/regional/_forwarded_attempts.py
@@ -181,6 +181,7 @@
 
         def note_end(result: AttemptResult) -> AttemptResult:
             self._note_ended(attempt_key, result)
+            self._note_unconfirmed_refusal(context, result, place=entry)
             self._placer.offer_limits.note_decided(choice.region, attempt_key)
             self._placer.note_forwarded_stream(context, choice.region, longest_gap_s=gaps.longest_s)
             if not result.is_answer and result is not WITHDRAWN:
--- a/figpaddle/regional/_request_context.py
+++ b/figpaddle/regional/_request_context.py
@@ -62,6 +62,9 @@
     is_failure: bool = False
     #: Whether the reason is one of this entry, which says nothing of the backend server.
     own_cause: bool = False
+    #: Status of an answer that callers take for a refusal, without a statement of its server that the
+    #: request has not run; None for any other answer.
+    unconfirmed_status: int | None = None
 
     @property
     def has_arrived(self) -> bool:
