Withhold failures after a run that callers read as refusals

Callers saw 503, 429 or 408 for a request that may run once and that a backend server had run.

Cause: an entry relayed the status of a server's failure unless a retry could replace it, which none can on a route that may run once. refusal_unconfirmed was logged for exactly the requests that broke the rule, each with one attempt and no refusal of an entry's own.

Change: an answer whose status is that promise, without its server's statement, isn't relayed on such a route. The caller gets 502 without the server's body and seal, as after a lost connection.

Why it works: no status of an entry's own that promises anything is sent once a request may have run, so what reached a server can end as 502, 504, an answer or a closed connection only.

--- a/figpaddle/regional/_backend_attempts.py
+++ b/figpaddle/regional/_backend_attempts.py
@@ -136,6 +136,7 @@
             failed = result is not WITHDRAWN and result.outcome in (
                 AttemptOutcome.UNKNOWN,
                 AttemptOutcome.BROKEN,
+                AttemptOutcome.WITHHELD,
             )
             tracker.note_ended(attempt_key, failed=failed, now=self._clock())
             is_refusal = result.outcome is AttemptOutcome.NOT_RUN
@@ -146,7 +147,7 @@
                 self._placer.note_accepted(backend.name, attempt_key)
             if result.outcome in (AttemptOutcome.NOT_SENT, AttemptOutcome.NOT_RUN):
                 self._quarantine.note_not_run(attempt_key)
-            self._quarantine.note_ended(attempt_key, complete=result.is_answer)
+            self._quarantine.note_ended(attempt_key, complete=result.is_complete)
             if result is not WITHDRAWN:
                 self._record_result(context, backend, process, result, sent_at=now, attempt=attempt)
             if is_refusal and context.may_have_run:
--- a/figpaddle/regional/_exchange.py
+++ b/figpaddle/regional/_exchange.py
@@ -410,6 +410,13 @@
         if not answer.signed:
             connection.close()
             return self._interrupted_result("a success without a signature")
+        if self._context.withholds(answer):
+            body = await self._read_failure_body(connection, body_deadline)
+            return AttemptResult(
+                outcome=AttemptOutcome.UNKNOWN if body is None else AttemptOutcome.WITHHELD,
+                reason=f"status {answer.status} without a statement",
+                unconfirmed_status=answer.status,
+            )
         if self._is_retryable(answer):
             body = await self._read_failure_body(connection, body_deadline)
             if body is not None:
--- a/figpaddle/regional/_request_context.py
+++ b/figpaddle/regional/_request_context.py
@@ -37,6 +37,8 @@
     UNKNOWN = "unknown"
     #: The answer was interrupted after its beginning was relayed to the caller.
     BROKEN = "broken"
+    #: The server answered with a failure that the caller may not get, see ``RequestContext.withholds``.
+    WITHHELD = "withheld"
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -76,6 +78,11 @@
         """Whether the caller got the whole answer."""
         return self.outcome is AttemptOutcome.ANSWERED
 
+    @property
+    def is_complete(self) -> bool:
+        """Whether the server sent its whole answer, so that it outlived the request."""
+        return self.is_answer or self.outcome is AttemptOutcome.WITHHELD
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class FailureAnswer:
@@ -268,6 +275,14 @@
         max_wait_s = MAX_WAIT_FRACTION * self.route.target_s
         return max(max_wait_s, MAX_TAKE_UP_WAIT_S) if self.last_event else max_wait_s
 
+    def withholds(self, answer: BackendAnswer) -> bool:
+        """Return whether the caller may not get an answer, which would have the request run twice.
+
+        Its caller would take the status for the promise that the request has not run, and send it again.
+        Where it may be repeated that does no harm, and the server's answer says more than one of the entry.
+        """
+        return self.route.repeat is Repeat.ONCE and answer.is_unconfirmed_refusal
+
     def tried_places(self) -> TriedPlaces:
         """Return where the request was sent so far."""
         return TriedPlaces(
