Soak: engines that run a request and fail with a status that reads as a refusal

The soak had no engine that fails so, and its check passed over refusals with an engine's seal. It counts them now, and failures with a seal whose status no engine gave.

--- a/tests/fault_soak.py
+++ b/tests/fault_soak.py
@@ -53,7 +53,8 @@
 FAULT_COUNT = 10
 #: Failures that engines draw at random, "slow" with twice the probability of any other, and the
 #: fraction of requests that get one.
-ENGINE_FAILURES, ENGINE_FAILURE_SHARE = ("full", "reset", "error", "midway", "slow", "slow"), 0.15
+ENGINE_FAILURES = ("full", "reset", "error", "unavailable", "midway", "slow", "slow")
+ENGINE_FAILURE_SHARE = 0.15
 #: Longest time after the last fault until every route is served again, seconds.
 RECOVERY_S = 15.0
 #: Fraction of requests whose callers disconnect early.
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -67,6 +67,8 @@
 MODEL_SERVICE, PLAIN_SERVICE = "model", "plain"
 HOST = "guide.example"
 PROMPT_PARTS_HEADER = b"x-figpaddle-prompt-prefix"
+#: Statuses of an engine's failures after a run, by the names of the failures.
+FAILED_STATUSES = {"error": 500, "unavailable": 503}
 #: Header field of requests that crash an engine with ``crash_paths``, whatever their path.
 CRASH_HEADER = b"crash"
 
@@ -124,6 +126,8 @@
     #: Arrival time and id of each request, including requests that the engine then rejected.
     arrivals: list[tuple[float, str]] = dataclasses.field(default_factory=list)
     executed: list[str] = dataclasses.field(default_factory=list)
+    #: Status of each request that failed after its run.
+    failed: dict[str, int] = dataclasses.field(default_factory=dict)
     #: When the engine stopped working on each request.
     ended_at: dict[str, float] = dataclasses.field(default_factory=dict)
     cancelled: list[str] = dataclasses.field(default_factory=list)
@@ -238,10 +242,10 @@
         if failure.isdigit():
             await responder.answer(int(failure), echoed_headers, b"odd")
             return
-        if failure == "error":
-            await responder.answer(
-                500, (*echoed_headers, (b"X-Figpaddle-Server-Seal", b"e")), b"error"
-            )
+        if failure in FAILED_STATUSES:
+            self.failed[request_id] = FAILED_STATUSES[failure]
+            seal = (b"X-Figpaddle-Server-Seal", b"e")
+            await responder.answer(FAILED_STATUSES[failure], (*echoed_headers, seal), b"error")
             return
         sealed_headers = (
             *echoed_headers,
--- a/tests/soak_record.py
+++ b/tests/soak_record.py
@@ -228,13 +228,11 @@
             findings.append("part of a stream that no engine that ran it sends")
     if request.route in AT_MOST_ONCE_ROUTES and len(engines_run) > 1:
         findings.append("ran more than once")
-    if (
-        request.route in AT_MOST_ONCE_ROUTES
-        and engines_run
-        and request.status in NOT_RUN_STATUSES
-        and not has_seal
-    ):
+    if request.route in AT_MOST_ONCE_ROUTES and engines_run and request.status in NOT_RUN_STATUSES:
         findings.append("refused as not run, but ran")
+    given_statuses = [engine.failed.get(request.request_id) for engine in engines_run]
+    if has_seal and request.status >= 400 and request.status not in given_statuses:
+        findings.append("a failure with a seal whose status no engine gave")
     for engine in engines_run:
         given_ms = int(
             engine.request_headers[request.request_id].get("x-figpaddle-deadline-ms", "0")
--- a/tests/test_soak_record.py
+++ b/tests/test_soak_record.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from tests.platform_standin import PLAIN_SERVICE, Engine
 from tests.soak_record import (
     DEADLINE_TOLERANCE_S,
     SCHEDULING_ALLOWANCE_S,
@@ -59,3 +60,28 @@
     record.note_turn(due_at=3.0, now=3.5)
     assert record.late_s(0.0, 10.0) == 1.5
     assert record.late_s(1.75, 3.25) == 0.5
+
+
+@pytest.mark.parametrize(
+    ("status", "seal", "violation"),
+    [
+        (503, "e", "refused as not run, but ran"),
+        (502, "e", "a failure with a seal whose status no engine gave"),
+        (502, "", ""),
+    ],
+)
+def test_a_failure_after_a_run_is_neither_a_refusal_nor_of_another_status(
+    status: int, seal: str, violation: str
+) -> None:
+    # Guards against a check that takes the sealed failure of an engine for a true refusal.
+    engine = Engine(
+        name="i-1", service=PLAIN_SERVICE, address="", zone="n-a", incarnation=1, executed=["s1"]
+    )
+    engine.failed["s1"] = 503
+    engine.request_headers["s1"] = {"x-figpaddle-deadline-ms": "1000"}
+    record = record_of_request(ended_at=1.0)
+    request = record.requests["s1"]
+    request.route, request.status = "hold", status
+    request.headers = {"x-figpaddle-server-seal": seal} if seal else {}
+    found = violations(record, [engine])
+    assert len(found) == bool(violation) and all(violation in finding for finding in found)
