Know how late an entry's first forward is from the clocks of all instances

A forwarded request that had lain in a full link was begun although its caller's time was over, if it was the first one of its sender.

Cause: its delay is told by earlier requests of the same sender, and a first one has none.

Change: heartbeats and rosters state when they were sent, and a relay's roster how far its clock is ahead of those of its members. The bounds add up over relays to one for entries that have never spoken. They are never too small, so no request is taken for later than it is. Fields of earlier builds have defaults, and earlier builds ignore the new ones.

Measured: four cases of tests/test_delayed_forwards.py failed while the offsets weren't used, and pass. Simulated instances know all clocks within 0.3 s.

--- a/figpaddle/coordination/_rosters.py
+++ b/figpaddle/coordination/_rosters.py
@@ -4,7 +4,7 @@
 
 import collections
 import dataclasses
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 from figpaddle.errors import MalformedMessageError
 from figpaddle.wire import InstanceHeartbeat, RosterMember, ZoneRoster
@@ -20,6 +20,9 @@
 #: Number of up-to-date members that a roster names. Instances choose one of them to fetch the cluster
 #: state from, and more spread the load.
 MAX_UP_TO_DATE = 3
+#: Change of the offset of a member's clock below which a roster isn't changed, seconds. It is short compared
+#: with the delays that matter, and the clocks of two machines drift apart by less within hours.
+OFFSET_STEP_S = 0.05
 
 
 def roster_member(heartbeat: InstanceHeartbeat) -> RosterMember:
@@ -58,21 +61,35 @@
         self._version = 0
         self._sequence = 0
         self._members: dict[str, RosterMember] = {}
+        self._clock_offsets: dict[str, float | None] = {}
         self._revision = 0
         self._up_to_date: tuple[str, ...] = ()
         # Version and time of each change of the last REPEAT_CHANGES_S, with the member's name.
         self._changes: collections.deque[tuple[int, float, str]] = collections.deque()
 
-    def update(self, heard: Iterable[InstanceHeartbeat], *, now: float) -> None:
-        """Replace the members by the instances heard within ``MEMBER_TIMEOUT_S``."""
+    def update(
+        self,
+        heard: Iterable[InstanceHeartbeat],
+        *,
+        now: float,
+        clock_offsets_s: Mapping[str, float] | None = None,
+    ) -> None:
+        """Replace the members by the instances heard within ``MEMBER_TIMEOUT_S``.
+
+        ``clock_offsets_s`` has by how much at most the relay's clock is ahead of those of members.
+        """
         heartbeats = {heartbeat.name: heartbeat for heartbeat in heard}
         for name, heartbeat in heartbeats.items():
             member, known = roster_member(heartbeat), self._members.get(name)
+            has_changed = self._renew_offset(name, (clock_offsets_s or {}).get(name))
             if known is None or dataclasses.replace(member, sequence=known.sequence) != known:
                 self._members[name] = member
+                has_changed = True
+            if has_changed:
                 self._note_change(name, now)
         for name in self._members.keys() - heartbeats.keys():
             del self._members[name]
+            self._clock_offsets.pop(name, None)
             self._note_change(name, now)
         self._revision = max((item.revision for item in heartbeats.values()), default=0)
         ahead = [name for name, item in heartbeats.items() if item.revision == self._revision]
@@ -92,6 +109,14 @@
         """Return the whole roster."""
         return self._roster(0, self._members, ())
 
+    def _renew_offset(self, name: str, offset_s: float | None) -> bool:
+        """Keep the offset of a member's clock; return whether it differs from the one before."""
+        known_s = self._clock_offsets.get(name)
+        if offset_s is None or (known_s is not None and abs(offset_s - known_s) < OFFSET_STEP_S):
+            return False
+        self._clock_offsets[name] = offset_s
+        return True
+
     def _note_change(self, name: str, now: float) -> None:
         self._version += 1
         self._changes.append((self._version, now, name))
@@ -100,6 +125,7 @@
         self, since: int, names: Iterable[str], acquaintances: tuple[str, ...]
     ) -> ZoneRoster:
         self._sequence += 1
+        members = [name for name in names if name in self._members]
         return ZoneRoster(
             relay=self._relay,
             incarnation=self._incarnation,
@@ -108,7 +134,8 @@
             zone=self._zone,
             version=self._version,
             since=since,
-            members=tuple(self._members[name].row() for name in names if name in self._members),
+            members=tuple(self._members[name].row() for name in members),
+            clock_offsets_s=tuple(self._clock_offsets.get(name) for name in members),
             removed=tuple(name for name in names if name not in self._members),
             revision=self._revision,
             up_to_date=self._up_to_date,
@@ -124,6 +151,7 @@
         self._version = 0
         self._members: dict[str, RosterMember] = {}
         self._heartbeats: dict[str, InstanceHeartbeat] = {}
+        self._clock_offsets: dict[str, tuple[int, float]] = {}
         self._newest: ZoneRoster | None = None
         self._heard_at = float("-inf")
 
@@ -145,6 +173,11 @@
         """
         return list(self._heartbeats.values())
 
+    @property
+    def clock_offsets_s(self) -> Mapping[str, tuple[int, float]]:
+        """The incarnation of members, and by how much at most the relay's clock is ahead of theirs, seconds."""
+        return self._clock_offsets
+
     def apply(self, roster: ZoneRoster, *, now: float) -> bool:
         """Apply a message; return False if changes before it are missing.
 
@@ -161,11 +194,15 @@
         except ValueError as error:
             raise MalformedMessageError(what=str(error), where=roster.relay) from error
         if has_restarted or roster.since == 0:
-            self._members, self._heartbeats = {}, {}
+            self._members, self._heartbeats, self._clock_offsets = {}, {}, {}
         for name in roster.removed:
             self._members.pop(name, None)
             self._heartbeats.pop(name, None)
+            self._clock_offsets.pop(name, None)
         self._members.update(changed)
+        for member, offset_s in zip(changed.values(), roster.clock_offsets_s, strict=False):
+            if offset_s is not None:
+                self._clock_offsets[member.name] = member.incarnation, offset_s
         before = self._newest
         renamed: set[str] = set()
         if before is None or _revisions(before) != _revisions(roster):
@@ -185,6 +222,10 @@
             self._newest,
             since=0,
             members=tuple(member.row() for member in self._members.values()),
+            clock_offsets_s=tuple(
+                self._clock_offsets[name][1] if name in self._clock_offsets else None
+                for name in self._members
+            ),
             removed=(),
         )
 
--- a/figpaddle/coordination/tests/test_rosters.py
+++ b/figpaddle/coordination/tests/test_rosters.py
@@ -8,6 +8,7 @@
 import pytest
 
 from figpaddle.coordination import RosterCopy, RosterMaker
+from figpaddle.coordination._rosters import OFFSET_STEP_S
 from figpaddle.coordination.tests.test_zone_relays import heartbeat
 from figpaddle.errors import MalformedMessageError
 from figpaddle.wire import InstanceHeartbeat, Readiness
@@ -31,6 +32,7 @@
     rng = random.Random(seed)
     maker, copy = make_maker(), RosterCopy()
     live: dict[str, InstanceHeartbeat] = {}
+    clocks: dict[str, float] = {}
     for step in range(200):
         now = step * 0.2
         for _ in range(rng.choice([0, 0, 0, 1, 3])):
@@ -42,7 +44,9 @@
                 live[name] = dataclasses.replace(
                     heartbeat(name), sequence=step, readiness=readiness, revision=step
                 )
-        maker.update(live.values(), now=now)
+        for name in live:
+            clocks[name] = clocks.get(name, 100.0) - rng.choice([0.0, 0.0, 0.02, 0.3])
+        maker.update(live.values(), now=now, clock_offsets_s=clocks)
         message = maker.changes(now=now)
         if rng.random() < 0.7:
             continue
@@ -52,6 +56,9 @@
         for item in copy.heartbeats:
             assert item.readiness is live[item.name].readiness
             assert item.revision <= live[item.name].revision
+            incarnation, offset_s = copy.clock_offsets_s[item.name]
+            assert incarnation == item.incarnation
+            assert abs(offset_s - clocks[item.name]) < OFFSET_STEP_S
 
 
 @pytest.mark.parametrize("name", CAPABILITIES)
--- a/figpaddle/regional/_gateway.py
+++ b/figpaddle/regional/_gateway.py
@@ -82,6 +82,8 @@
 #: Longest time from the earliest possible arrival of a request until it is read, seconds, and as a
 #: fraction of the time for which its caller waits. Callers go to another entry after that time.
 MAX_UNREAD_S, MAX_UNREAD_FRACTION = 1.0, 1 / 3
+#: Delay of a forwarded request on its way from which on it is logged, seconds.
+NOTED_DELAY_S = 0.25
 #: Base of Retry-After while there is no configuration, seconds: the usual time from the start of an
 #: entry to its first configuration.
 STARTUP_RETRY_AFTER_S = 0.4
@@ -308,7 +310,7 @@
             self._log.warning("hop_invalid", reason=str(error))
             await responder.answer(400, ((OUTCOME_FIELD, NOT_RUN),), b"")
             return None
-        delay_s = self._delay_s(request, terms)
+        by_forwards_s, delay_s = self._delays_s(request, terms)
         # Its time on the way counts too, as far as it is known.
         sent_after = request.arrived_after - delay_s
         context = RequestContext(
@@ -334,14 +336,18 @@
             takes_turns=terms.takes_turns,
             sender_answer_s=terms.answer_s or 0.0,
         )
-        if delay_s > _max_unread_s(terms.left_s):
+        is_refused = delay_s > _max_unread_s(terms.left_s)
+        if is_refused or delay_s > NOTED_DELAY_S:
             self._log.warning(
                 "forward_delayed",
                 request=context.request_id,
                 sender=request.caller,
                 delay_s=round(delay_s, 3),
+                by_forwards_s=round(by_forwards_s, 3),
                 left_s=round(terms.left_s, 3),
+                refused=is_refused,
             )
+        if is_refused:
             await self._refuse(context, responder, "read too late", OTHER_ENTRY_RETRY_AFTER_S)
             return None
         return context
@@ -351,17 +357,27 @@
         self._transits.expire(now=self._boot_clock())
         self._fairness.expire(now=self._clock())
 
-    def _delay_s(self, request: HttpRequest, terms: ForwardingTerms) -> float:
-        """Return by how much at least a forwarded request has come later than usual, seconds."""
+    def _delays_s(self, request: HttpRequest, terms: ForwardingTerms) -> tuple[float, float]:
+        """Return by how much at least a forwarded request has come later than usual, seconds.
+
+        First by the requests that its sender has forwarded before, which say nothing of the first one,
+        then by all that is known of the sender's clock.
+        """
         if terms.sent_at_s is None:
-            return 0.0
+            return 0.0, 0.0
+        sender = (request.caller, terms.incarnation)
         boot_offset_s = self._boot_clock() - self._clock()
-        return self._transits.note(
-            (request.caller, terms.incarnation),
+        received_after = request.arrived_after + boot_offset_s
+        by_forwards_s = self._transits.note(
+            sender,
             sent_at=terms.sent_at_s,
-            received_after=request.arrived_after + boot_offset_s,
+            received_after=received_after,
             received_at=request.received_at + boot_offset_s,
         )
+        offset_s = self._mesh.clock_offsets.offset_s(sender)
+        if offset_s is None:
+            return by_forwards_s, by_forwards_s
+        return by_forwards_s, max(by_forwards_s, received_after - terms.sent_at_s - offset_s)
 
     def _keys_are_current(self) -> bool:
         """Return whether a key that was taken away would be known to be so, where that matters."""
--- a/figpaddle/regional/_mesh.py
+++ b/figpaddle/regional/_mesh.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import dataclasses
 import functools
 import itertools
 import random
@@ -31,6 +32,7 @@
 from figpaddle.regional._datagram_times import DatagramTimes
 from figpaddle.regional._settings import ProcessSettings
 from figpaddle.regional._wake_ups import Alarm
+from figpaddle.routing import ClockOffsets, boot_time
 from figpaddle.telemetry import Log, MetricsRegistry
 from figpaddle.wire import InstanceHeartbeat, InstanceRole, Message, Readiness, decode, encode
 
@@ -96,11 +98,14 @@
         rng: random.Random,
         log: Log,
         metrics: MetricsRegistry,
+        boot_clock: Callable[[], float] = boot_time,
     ) -> None:
         self._settings = settings
         self._incarnation = incarnation
         self._pool = pool
         self._clock = clock
+        self._boot_clock = boot_clock
+        self._clock_offsets = ClockOffsets()
         self._started_at = clock()
         self._rng = rng
         self._log = log
@@ -142,6 +147,11 @@
         """When this process started, milliseconds of Unix time."""
         return self._incarnation
 
+    @property
+    def clock_offsets(self) -> ClockOffsets:
+        """How far the clocks of other instances are from the own one, those that go on in a suspension."""
+        return self._clock_offsets
+
     @property
     def pool(self) -> ConnectionPool:
         """The connections to other instances."""
@@ -191,7 +201,7 @@
 
     def own_heartbeat(self, *, same_region: bool) -> InstanceHeartbeat:
         """Return a heartbeat of this instance, with the next sequence number."""
-        return self._make_heartbeat(same_region)
+        return dataclasses.replace(self._make_heartbeat(same_region), sent_at_s=self._boot_clock())
 
     @property
     def message_at(self) -> float:
@@ -395,6 +405,7 @@
         if now < self._next_check_at:
             return
         self._next_check_at = now + SILENCE_CHECK_INTERVAL_S
+        self._clock_offsets.expire(now=self._boot_clock())
         for heard in self._table.received():
             name = heard.heartbeat.name
             if now - heard.alive_at <= HEARTBEAT_TIMEOUT_S or name in self._silent:
@@ -565,6 +576,13 @@
         if heartbeat.name == self._settings.ip:
             return
         now = self.message_at
+        if heartbeat.sent_at_s is not None:
+            # When it was read, which is certainly not before it came.
+            self._clock_offsets.note(
+                (heartbeat.name, heartbeat.incarnation),
+                sent_at=heartbeat.sent_at_s,
+                received_at=self._boot_clock(),
+            )
         if self._table.record(heartbeat, now=now):
             self._note_peer_up(heartbeat, source="direct")
         self._peer_names.add(heartbeat.name)
--- a/figpaddle/regional/_process.py
+++ b/figpaddle/regional/_process.py
@@ -161,6 +161,7 @@
                 rng=self._rng,
                 log=self._log,
                 metrics=self._metrics,
+                boot_clock=self._boot_clock,
             )
             self._mesh.set_heartbeat_source(
                 lambda same_region: self.heartbeat(same_region=same_region)
@@ -172,6 +173,7 @@
                 rng=self._rng,
                 log=self._log,
                 metrics=self._metrics,
+                boot_clock=self._boot_clock,
             )
             heartbeat_sender = HeartbeatSender(
                 settings=self._settings,
--- a/figpaddle/regional/_relaying.py
+++ b/figpaddle/regional/_relaying.py
@@ -4,7 +4,7 @@
 
 import dataclasses
 import random
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 
 import anyio
 
@@ -22,7 +22,7 @@
 from figpaddle.regional._report_queue import ReportQueue
 from figpaddle.regional._settings import ProcessSettings
 from figpaddle.regional._wake_ups import sleep_until_shared
-from figpaddle.routing import OwnWorkHistory, newest_limits, reports_load, sum_work
+from figpaddle.routing import OwnWorkHistory, boot_time, newest_limits, reports_load, sum_work
 from figpaddle.telemetry import Log, MetricsRegistry
 from figpaddle.wire import (
     BackendLimit,
@@ -129,7 +129,9 @@
         rng: random.Random,
         log: Log,
         metrics: MetricsRegistry,
+        boot_clock: Callable[[], float] = boot_time,
     ) -> None:
+        self._boot_clock = boot_clock
         self._settings = settings
         self._mesh = mesh
         self._clock = clock
@@ -376,7 +378,8 @@
     def _send_as_relay(self, now: float) -> None:
         own = self._mesh.own_heartbeat(same_region=True)
         self._own_work.note_sent(own.sequence, own.work, now=now)
-        self._maker.update(self._members(own), now=now)
+        members = self._members(own)
+        self._maker.update(members, now=now, clock_offsets_s=self._clock_offsets_s(members))
         zone_work = self._own_zone_work(own)
         self._send_to_relays(zone_work, now)
         region_work = self._region_work(zone_work, now)
@@ -400,6 +403,15 @@
         ]
         return [own, *direct, *(reporter.heartbeat for reporter in self._reporters.values())]
 
+    def _clock_offsets_s(self, members: Iterable[InstanceHeartbeat]) -> dict[str, float]:
+        """Return by how much at most the own clock is ahead of those of members, seconds."""
+        offsets_s = {self._settings.ip: 0.0}
+        for member in members:
+            offset_s = self._mesh.clock_offsets.direct_s((member.name, member.incarnation))
+            if offset_s is not None:
+                offsets_s[member.name] = offset_s
+        return offsets_s
+
     def _own_zone_work(self, own: InstanceHeartbeat) -> ZoneWork:
         heartbeats = [own, *(reporter.heartbeat for reporter in self._reporters.values())]
         return self._make_work(
@@ -457,10 +469,14 @@
             roster = self._maker.changes(
                 now=now, acquaintances=self._relays_by_zone.get(zone, ())[:SEARCHED_INSTANCES]
             )
-            self._mesh.send_datagrams(roster, names)
+            self._mesh.send_datagrams(self._stamped(roster), names)
         if self._load_due_at <= now:
             self._send_load(receivers, now)
 
+    def _stamped(self, roster: ZoneRoster) -> ZoneRoster:
+        """Return a roster of this relay that is about to be sent, with the time."""
+        return dataclasses.replace(roster, sent_at_s=self._boot_clock())
+
     def _send_load(self, receivers: Mapping[str, Sequence[str]], now: float) -> None:
         """Send the load of the region, if it is known, to those ``receivers`` that are in others."""
         self._load_due_at = now + ROSTER_INTERVAL_S
@@ -531,7 +547,7 @@
         both.
         """
         own = self._own_roster
-        message = self._maker.changes(now=now)
+        message = self._stamped(self._maker.changes(now=now))
         own.data, own.heard_at, own.state = encode(message), now, _state_of(message)
         due = []
         zones: set[str] = set()
@@ -609,6 +625,7 @@
         except MalformedMessageError as error:
             self._log.warning("datagram_unreadable", reason=str(error))
             return None
+        self._note_clock(message, roster)
         if not applied:
             self._sources.add(source)
             return None
@@ -618,6 +635,15 @@
             self._vouch(roster)
         return roster
 
+    def _note_clock(self, message: ZoneRoster, roster: _Roster) -> None:
+        """Record what a message tells of the clocks of its relay and of the members."""
+        if message.sent_at_s is None:
+            return
+        relay = message.relay, message.incarnation
+        offsets = self._mesh.clock_offsets
+        offsets.note(relay, sent_at=message.sent_at_s, received_at=self._boot_clock())
+        offsets.note_measured(relay, roster.copy.clock_offsets_s)
+
     def _vouch(self, roster: _Roster) -> None:
         roster.vouched_at = roster.copy.heard_at
         self._mesh.vouch(roster.copy.heartbeats, heard_at=roster.copy.heard_at)
--- a/figpaddle/regional/tests/simulated_instances.py
+++ b/figpaddle/regional/tests/simulated_instances.py
@@ -227,6 +227,11 @@
             return network.now
 
         rng = random.Random(f"{self.name} {network.now}")
+        self.clock_ahead_s = rng.uniform(-5000.0, 5000.0)
+
+        def boot_clock() -> float:
+            return network.now + self.clock_ahead_s
+
         log = structlog.wrap_logger(structlog.ReturnLogger(), processors=[])
         metrics = MetricsRegistry()
         self.alive = True
@@ -238,12 +243,19 @@
             rng=rng,
             log=log,
             metrics=metrics,
+            boot_clock=boot_clock,
         )
         self.mesh.network = network
         self.mesh._socket = _Socket(network, self.name)  # type: ignore[assignment]
         relaying_class = _NoRelaying if self.before_relays else Relaying
         self.relaying = relaying_class(
-            settings=self.settings, mesh=self.mesh, clock=clock, rng=rng, log=log, metrics=metrics
+            settings=self.settings,
+            mesh=self.mesh,
+            clock=clock,
+            rng=rng,
+            log=log,
+            metrics=metrics,
+            boot_clock=boot_clock,
         )
         self.sender = HeartbeatSender(
             settings=self.settings, mesh=self.mesh, relaying=self.relaying, clock=clock
--- a/figpaddle/regional/tests/test_relaying.py
+++ b/figpaddle/regional/tests/test_relaying.py
@@ -37,6 +37,9 @@
 ENTRY_LINK_BYTES_PER_S = 625_000.0
 #: Time within which a silent instance has left all lists, seconds.
 DETECTION_S = 5.0
+#: How far the bound of the offset of a clock may be above it, seconds: by the shortest of the ways over the relays,
+#: of which one waits for the next news.
+MAX_OFFSET_EXCESS_S = 0.3
 #: Time after which what an entry knows of the work of the others is complete, seconds.
 WORK_AGE_S = 0.6
 
@@ -480,3 +483,40 @@
     recipients = instances[0].mesh.live_heartbeats()
     instances[0].relaying.spread(SuspectNews(records=()), recipients)
     assert network.sent[instances[0].name] == len(recipients) == 11
+
+
+@pytest.mark.parametrize("count", [30, 100])
+async def test_entries_know_the_clocks_of_all_others_that_have_sent_them_nothing(
+    count: int,
+) -> None:
+    # Guards against a first forward that lies in a full link for a second and counts as punctual.
+    _, instances = await start(count)
+    entries = [item for item in instances if item.settings.role is InstanceRole.ENTRY]
+    for receiver in entries:
+        for sender in entries:
+            if sender is receiver:
+                continue
+            run = sender.name, sender.mesh.incarnation
+            offset_s = receiver.mesh.clock_offsets.offset_s(run)
+            assert offset_s is not None
+            excess_s = offset_s - (receiver.clock_ahead_s - sender.clock_ahead_s)
+            assert 0.0 <= excess_s <= MAX_OFFSET_EXCESS_S
+
+
+async def test_the_clock_of_a_process_that_has_restarted_is_learnt_anew() -> None:
+    # Guards against the clock of a machine's earlier run, by which each request of the new one is late.
+    network, instances = await start(100)
+    relays = {name for instance in instances for name in instance.relaying.relays}
+    restarted, receiver = [
+        item
+        for item in instances
+        if item.settings.role is InstanceRole.ENTRY and item.name not in relays
+    ][:2]
+    restarted.start()
+    later = restarted.name, restarted.mesh.incarnation
+    assert receiver.mesh.clock_offsets.offset_s(later) is None
+    await network.run(START_S)
+    offset_s = receiver.mesh.clock_offsets.offset_s(later)
+    assert offset_s is not None
+    excess_s = offset_s - (receiver.clock_ahead_s - restarted.clock_ahead_s)
+    assert 0.0 <= excess_s <= MAX_OFFSET_EXCESS_S
--- a/figpaddle/routing/__init__.py
+++ b/figpaddle/routing/__init__.py
@@ -21,6 +21,7 @@
     from figpaddle.routing._brittle_servers import BrittleServers
     from figpaddle.routing._byte_budget import ByteBudget
     from figpaddle.routing._caller_access import AccessRefusal, CallerAccess, decide_access
+    from figpaddle.routing._clock_offsets import ClockOffsets
     from figpaddle.routing._crash_quarantine import CrashQuarantine, QuarantineVerdict
     from figpaddle.routing._crash_reports import CrashReports
     from figpaddle.routing._demand import (
@@ -155,6 +156,7 @@
             "_backend_report": "BackendReport",
             "_backends": "ANNOUNCEMENT_TTL_S ANNOUNCEMENTS_READ_INTERVAL_S MAX_UTILIZATION_FOR_REMOTE_REQUESTS BackendTable KnownBackend",
             "_boot_clock": "boot_time",
+            "_clock_offsets": "ClockOffsets",
             "_brittle_servers": "BrittleServers",
             "_byte_budget": "ByteBudget",
             "_caller_access": "AccessRefusal CallerAccess decide_access",
@@ -250,6 +252,7 @@
     "ByteBudget",
     "Candidate",
     "Choice",
+    "ClockOffsets",
     "ColdLimit",
     "EntryCensus",
     "EntryShares",
--- a/figpaddle/routing/_transit_times.py
+++ b/figpaddle/routing/_transit_times.py
@@ -58,6 +58,11 @@
         known.present = min(known.present, offset)
         return max(0.0, received_after - sent_at - min(known.present, known.before))
 
+    def offset_s(self, sender: Hashable) -> float | None:
+        """Return the smallest difference of the times of a message of ``sender``; None if there is none."""
+        known = self._offsets.get(sender)
+        return None if known is None else min(known.present, known.before)
+
     def expire(self, *, now: float) -> None:
         """Forget senders that have sent nothing for long."""
         for sender, known in list(self._offsets.items()):
--- a/figpaddle/wire/_regional_messages.py
+++ b/figpaddle/wire/_regional_messages.py
@@ -139,6 +139,9 @@
     asks_for_news: bool = False
     #: Whether the sender asks for a heartbeat in return, as it hears nothing of the receiver.
     asks_for_reply: bool = False
+    #: When it was sent, seconds of a clock of the sender that goes on while its machine is suspended; None
+    #: from earlier builds.
+    sent_at_s: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/figpaddle/wire/_relay_messages.py
+++ b/figpaddle/wire/_relay_messages.py
@@ -116,6 +116,11 @@
     up_to_date: tuple[str, ...]
     #: Instances that the sender takes for relays of the receiver's zone.
     acquaintances: tuple[str, ...] = ()
+    #: When the relay sent it, seconds of a clock that goes on while its machine is suspended, and for each of
+    #: ``members`` by how much at most that clock is ahead of the member's; None if it isn't known. Earlier
+    #: builds state neither.
+    sent_at_s: float | None = None
+    clock_offsets_s: tuple[float | None, ...] = ()
 
 
 @message("regional.zone_work")
--- a/tests/test_delayed_forwards.py
+++ b/tests/test_delayed_forwards.py
@@ -3,13 +3,18 @@
 from __future__ import annotations
 
 import contextlib
+import dataclasses
 import io
 import socket
 
 import cbor2
+import pytest
 
+from figpaddle.coordination._rosters import roster_member
+from figpaddle.coordination.tests.test_zone_relays import heartbeat
 from figpaddle.regional._forwarding import OUTCOME_FIELD, TERMS_FIELD, encode_terms
 from figpaddle.regional.tests.test_forwarding import terms
+from figpaddle.wire import Message, ZoneRoster, encode
 from tests.long_turns import (
     READ_BYTES,
     SHORT_TURN_S,
@@ -81,6 +86,43 @@
             connection.close()
 
 
+class Acquaintance(Script):
+    """Has an entry hear of the sending one before that forwards anything: itself, or through a relay."""
+
+    def __init__(self, *, entry: LateEntry, relayed: bool) -> None:
+        self._entry = entry
+        self._relayed = relayed
+        self._is_heard = False
+
+    def step(self, now: float) -> None:
+        if self._is_heard or now < START_S - 0.5:
+            return
+        self._is_heard = True
+        sent_at_s = now - USUAL_TRANSIT_S + CLOCK_OFFSET_S
+        sender = dataclasses.replace(
+            heartbeat("127.0.0.1"), incarnation=INCARNATION, sent_at_s=sent_at_s
+        )
+        message: Message = sender
+        if self._relayed:
+            message = ZoneRoster(
+                relay="127.9.9.9",
+                incarnation=3,
+                sequence=1,
+                region="south",
+                zone="s-a",
+                version=1,
+                since=0,
+                members=(roster_member(sender).row(),),
+                removed=(),
+                revision=0,
+                up_to_date=(),
+                # The clock of the relay is a thousand seconds ahead of that of the entry.
+                sent_at_s=now - USUAL_TRANSIT_S + 1000.0,
+                clock_offsets_s=(1000.0 - CLOCK_OFFSET_S + USUAL_TRANSIT_S,),
+            )
+        self._entry.process._mesh.receive_datagram(encode(message))
+
+
 class Pause(Script):
     """Makes the first turn of an event loop that begins after a time last ``PAUSE_S``."""
 
@@ -154,6 +196,31 @@
         assert delayed.at + delayed.deadline_s <= deadline_at + MARGIN_S
 
 
+@pytest.mark.parametrize("relayed", [False, True])
+def test_the_first_request_of_an_entry_that_was_on_its_way_for_too_long_reaches_no_server(
+    relayed: bool,
+) -> None:
+    # Guards against work for callers that have left, whose first forward lay in a full link.
+    with late_entry() as entry:
+        entry.loop.scripts.append(Acquaintance(entry=entry, relayed=relayed))
+        sender = play(entry, {"delayed": 1.5, "next": USUAL_TRANSIT_S})
+        assert {item.request_id for item in arrivals(entry.servers)} == {"next"}
+        answer = sender.answers["delayed"].lower()
+        assert answer.startswith(b"http/1.1 503 ") and OUTCOME_FIELD + b": not run" in answer
+
+
+@pytest.mark.parametrize("relayed", [False, True])
+def test_the_deadline_of_the_first_request_of_an_entry_counts_from_when_it_was_sent(
+    relayed: bool,
+) -> None:
+    # Guards against attempts after the end of the caller's time, which began as its first forward was read.
+    with late_entry() as entry:
+        entry.loop.scripts.append(Acquaintance(entry=entry, relayed=relayed))
+        sender = play(entry, {"delayed": 0.8})
+        (delayed,) = arrivals(entry.servers)
+        assert delayed.at + delayed.deadline_s <= sender.sent_at["delayed"] + LEFT_S + MARGIN_S
+
+
 def test_requests_of_an_entry_with_another_clock_are_served() -> None:
     with late_entry() as entry:
         play(entry, usual(4))
