Log what relays send

Nothing told an entry whose link is full as a relay from one that is late for another reason. relay_traffic has, once a second, the members, how many of them ask for news, and the bytes of news, of what is passed on at once and of all datagrams.

--- a/figpaddle/regional/_mesh.py
+++ b/figpaddle/regional/_mesh.py
@@ -125,6 +125,7 @@
         self._silent: set[str] = set()
         self._sequence = itertools.count(1)
         self._socket: socket.socket | None = None
+        self._datagram_bytes_sent = 0
         # When the datagram arrived that is being handled; None outside of one.
         self._arrived_at: float | None = None
         #: Seconds spent on the datagrams of each type of message.
@@ -385,6 +386,11 @@
             return
         self.send_encoded(encode(message), names)
 
+    @property
+    def datagram_bytes_sent(self) -> int:
+        """Bytes of the datagrams that were sent, without their headers."""
+        return self._datagram_bytes_sent
+
     def expect_reply(self, within_s: float) -> Callable[[], object]:
         """Read datagrams with hardly a pause for a time, as something waits for a reply.
 
@@ -623,6 +629,7 @@
             return
         try:
             self._socket.sendto(data, (name, self._settings.peer_port))
+            self._datagram_bytes_sent += len(data)
         except OSError as error:
             self._metrics.count("datagrams_unsent_total")
             self._log.debug("datagram_unsent", peer=name, reason=str(error))
--- a/figpaddle/regional/_relaying.py
+++ b/figpaddle/regional/_relaying.py
@@ -81,6 +81,8 @@
 VOUCH_INTERVAL_S = 0.4
 #: Time after which the roster of a silent relay is forgotten, seconds.
 ROSTER_TTL_S = 60.0
+#: Interval between log lines of what a relay has sent, seconds.
+TRAFFIC_INTERVAL_S = 1.0
 #: Largest sum of encoded messages in one datagram, bytes, so that most fit into a packet.
 MAX_NEWS_BYTES = 1200
 
@@ -114,6 +116,24 @@
     at: float
 
 
+@dataclasses.dataclass(kw_only=True)
+class _Traffic:
+    """What a relay has sent since the last log line about it, without the headers of datagrams."""
+
+    #: Most instances that asked for news at a time.
+    asking: int = 0
+    news_bytes: int = 0
+    #: Bytes of messages that were passed on without waiting for the next news.
+    passed_on_bytes: int = 0
+    #: Bytes of all datagrams of the process until the last line.
+    total_before: int = 0
+
+    def note_news(self, asking: int, sent_bytes: int) -> None:
+        """Record one round of news."""
+        self.asking = max(self.asking, asking)
+        self.news_bytes += sent_bytes
+
+
 class Relaying:
     """Sends news as a relay while it is one, and takes in the news of relays.
 
@@ -172,6 +192,8 @@
         self._loads_passed: dict[str, tuple[str, int, int]] = {}
         self._sequence = 0
         self._is_relay = False
+        self._traffic = _Traffic()
+        self._traffic_due_at = 0.0
         # When another instance was last heard that sends through relays.
         self._relayed_heard_at = float("-inf")
         self._handle_work: WorkHandler | None = None
@@ -390,9 +412,28 @@
             *self._records_to_pass_on(now),
             encode(region_work),
         ]
-        for reporter in self._reporters.values():
-            if reporter.heartbeat.asks_for_news:
-                self._send_news(reporter.heartbeat, news)
+        asking = [item for item in self._reporters.values() if item.heartbeat.asks_for_news]
+        sent_before = self._mesh.datagram_bytes_sent
+        for reporter in asking:
+            self._send_news(reporter.heartbeat, news)
+        self._traffic.note_news(len(asking), self._mesh.datagram_bytes_sent - sent_before)
+        self._log_traffic(now)
+
+    def _log_traffic(self, now: float) -> None:
+        """Log what this instance has sent as a relay, once in ``TRAFFIC_INTERVAL_S``."""
+        if now < self._traffic_due_at:
+            return
+        self._traffic_due_at = now + TRAFFIC_INTERVAL_S
+        total = self._mesh.datagram_bytes_sent
+        self._log.info(
+            "relay_traffic",
+            members=len(self._reporters),
+            asking=self._traffic.asking,
+            news_bytes=self._traffic.news_bytes,
+            passed_on_bytes=self._traffic.passed_on_bytes,
+            bytes=total - self._traffic.total_before,
+        )
+        self._traffic = _Traffic(total_before=total)
 
     def _members(self, own: InstanceHeartbeat) -> list[InstanceHeartbeat]:
         """Return the instances of the zone that this relay hears regularly, itself included."""
@@ -693,6 +734,7 @@
             self._send_reports()
         elif self._is_relay:
             self._mesh.send_encoded(message.data, list(self._reporters))
+            self._traffic.passed_on_bytes += len(message.data) * len(self._reporters)
         if item is not None and not isinstance(item, PassedOn):
             self._mesh.dispatch(item)
 
@@ -705,6 +747,7 @@
         ]
         for data in self._reports.take(receivers=len(names), now=self._clock()):
             self._mesh.send_encoded(data, names)
+            self._traffic.passed_on_bytes += len(data) * len(names)
 
     def _receive_records(self, message: Message) -> None:
         assert isinstance(message, RegionBackendNews)
