Send one copy of a repeated record through a relay's link

Cause: nine control instances repeat each change of a backend server four times, and both relays of each zone sent each repetition on at once to all their members: 36 copies to 33 members for each change. One of the relays is an entry with a link of 5 Mbit/s.

Change: a relay adds repeated records to its next news, one copy of each content.

Why it works: news go only to members that ask, at a fixed interval, and mostly by the control instance, which has no callers; the change itself still goes to each instance at once.

--- a/figpaddle/regional/_relaying.py
+++ b/figpaddle/regional/_relaying.py
@@ -17,8 +17,8 @@
     zone_relays,
 )
 from figpaddle.errors import MalformedMessageError, PeerUnreachableError, UnknownMessageError
-from figpaddle.regional._backend_records import in_datagrams
 from figpaddle.regional._mesh import Mesh, is_ready
+from figpaddle.regional._record_queue import RecordQueue
 from figpaddle.regional._report_queue import ReportQueue
 from figpaddle.regional._settings import ProcessSettings
 from figpaddle.regional._wake_ups import sleep_until_shared
@@ -185,7 +185,7 @@
         self._search_due_at = 0.0
         self._query_due_at = 0.0
         # Records of backend servers to pass on, and when they came.
-        self._records: list[tuple[BackendRecord, float]] = []
+        self._records = RecordQueue()
         self._reports = ReportQueue()
         # Instances whose messages apply to rosters that this one lacks.
         self._sources: set[str] = set()
@@ -293,7 +293,7 @@
         ]
         self._mesh.send_datagrams(RegionBackendNews(records=(record,)), names)
         if self._settings.ip in names:
-            self._records.append((record, self._clock()))
+            self._records.add((record,), now=self._clock())
         return names
 
     async def run(self) -> None:
@@ -409,7 +409,7 @@
         news = [
             *self._rosters_to_pass_on(now),
             *self._loads_to_pass_on(now),
-            *self._records_to_pass_on(now),
+            *self._records.take(now=now),
             encode(region_work),
         ]
         asking = [item for item in self._reporters.values() if item.heartbeat.asks_for_news]
@@ -618,14 +618,6 @@
                 due.append(encode(load))
         return due
 
-    def _records_to_pass_on(self, now: float) -> list[bytes]:
-        records = [
-            dataclasses.replace(record, age_s=record.age_s + now - received_at)
-            for record, received_at in self._records
-        ]
-        self._records = []
-        return [encode(news) for news in in_datagrams(records)]
-
     def _send_news(self, receiver: InstanceHeartbeat, items: list[bytes]) -> None:
         batch: list[bytes] = []
         size = 0
@@ -732,6 +724,9 @@
         if self._is_relay and isinstance(item, SuspectNews):
             self._reports.add(item, message.data, now=self._clock())
             self._send_reports()
+        elif self._is_relay and isinstance(item, BackendNews):
+            # Each control instance repeats each change several times, and a link bears only one copy for each member.
+            self._records.add(item.records, now=self._clock())
         elif self._is_relay:
             self._mesh.send_encoded(message.data, list(self._reporters))
             self._traffic.passed_on_bytes += len(message.data) * len(self._reporters)
@@ -754,7 +749,7 @@
         now = self._clock()
         self._mesh.dispatch(BackendNews(records=message.records))
         if self._is_relay:
-            self._records += [(record, now) for record in message.records]
+            self._records.add(message.records, now=now)
 
     def _receive_news(self, message: Message) -> None:
         assert isinstance(message, RelayedNews)
--- a/figpaddle/regional/tests/test_relaying.py
+++ b/figpaddle/regional/tests/test_relaying.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 import collections
+import dataclasses
+import functools
 
 import pytest
 
+from figpaddle.regional._control import REPEAT_DELAYS_S
 from figpaddle.regional._relaying import RELAY_INTERVAL_S, VOUCH_INTERVAL_S
 from figpaddle.regional.tests.simulated_instances import (
     CONTROLS,
@@ -35,6 +38,8 @@
 START_S = 5.0
 #: Link of an entry, bytes per second: 5 Mbit/s.
 ENTRY_LINK_BYTES_PER_S = 625_000.0
+#: Longest time for which requests, resets and heartbeats may wait for an entry's link, seconds.
+MAX_LINK_WAIT_S = 0.5
 #: Time within which a silent instance has left all lists, seconds.
 DETECTION_S = 5.0
 #: How far the bound of the offset of a clock may be above it, seconds: by the shortest of the ways over the relays,
@@ -435,6 +440,45 @@
             assert all(0.5 <= item.age_s < 1.0 for item in got[instance.name])
 
 
+@pytest.mark.parametrize("loss", [0.0, 0.2])
+async def test_changes_of_many_backend_servers_leave_the_links_of_relays_with_callers_free(
+    loss: float,
+) -> None:
+    # Guards against requests, answers and resets that wait for seconds behind repeated changes.
+    network = Network(seed=1)
+    network.entry_link_bytes_per_s = ENTRY_LINK_BYTES_PER_S
+    instances = make_instances(network, 200)
+    await network.run(2 * START_S)
+    network.loss = loss
+    network.longest_wait_s.clear()
+    records = [dataclasses.replace(confirmed_record(), name=f"i-{n}") for n in range(6)]
+    got: dict[str, set[str]] = collections.defaultdict(set)
+
+    def keep(message: Message, name: str) -> None:
+        assert isinstance(message, BackendNews)
+        got[name] |= {record.name for record in message.records}
+
+    def repeat(control: SimulatedInstance) -> None:
+        recipients = [
+            item
+            for item in control.mesh.live_heartbeats()
+            if item.role is InstanceRole.CONTROL or item.region == "north"
+        ]
+        for record in records:
+            control.relaying.spread(BackendNews(records=(record,)), recipients)
+
+    for instance in instances:
+        instance.mesh.on_datagram(BackendNews, functools.partial(keep, name=instance.name))
+        for delay_s in REPEAT_DELAYS_S:
+            if instance.settings.role is InstanceRole.CONTROL:
+                network.at(network.now + delay_s, functools.partial(repeat, instance))
+    await network.run(4.0)
+    assert max(network.longest_wait_s.values()) < MAX_LINK_WAIT_S
+    for instance in instances:
+        if instance.settings.region == "north":
+            assert len(got[instance.name]) == len(records)
+
+
 async def test_without_relays_a_record_is_not_passed_on() -> None:
     network, instances = await start(12)
     record = confirmed_record()
