Bound the news of relays that have callers

While the first relay of a zone is late, all members ask the second one, an entry, for news.

Change: a relay that is an entry sends 200 kB of news at once over all receivers at most and 250 kB a second in the mean. Rosters that don't fit are left to later news, the oldest first.

Both cases of the new test failed before.

--- a/figpaddle/regional/_relaying.py
+++ b/figpaddle/regional/_relaying.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 import random
 from collections.abc import Callable, Iterable, Mapping, Sequence
 
@@ -22,7 +23,14 @@
 from figpaddle.regional._report_queue import ReportQueue
 from figpaddle.regional._settings import ProcessSettings
 from figpaddle.regional._wake_ups import sleep_until_shared
-from figpaddle.routing import OwnWorkHistory, boot_time, newest_limits, reports_load, sum_work
+from figpaddle.routing import (
+    ByteBudget,
+    OwnWorkHistory,
+    boot_time,
+    newest_limits,
+    reports_load,
+    sum_work,
+)
 from figpaddle.telemetry import Log, MetricsRegistry
 from figpaddle.wire import (
     BackendLimit,
@@ -81,6 +89,9 @@
 VOUCH_INTERVAL_S = 0.4
 #: Time after which the roster of a silent relay is forgotten, seconds.
 ROSTER_TTL_S = 60.0
+#: Bytes of news that a relay with callers sends at once, over all receivers, and in a second in the mean: a third of
+#: a second and two fifths of a link of 5 Mbit/s, the narrowest one.
+NEWS_BURST_BYTES, NEWS_BYTES_PER_S = 200_000.0, 250_000.0
 #: Interval between log lines of what a relay has sent, seconds.
 TRAFFIC_INTERVAL_S = 1.0
 #: Largest sum of encoded messages in one datagram, bytes, so that most fit into a packet.
@@ -186,6 +197,9 @@
         self._query_due_at = 0.0
         # Records of backend servers to pass on, and when they came.
         self._records = RecordQueue()
+        self._news_budget = ByteBudget(
+            bytes_per_s=NEWS_BYTES_PER_S, burst_bytes=NEWS_BYTES_PER_S * RELAY_INTERVAL_S
+        )
         self._reports = ReportQueue()
         # Instances whose messages apply to rosters that this one lacks.
         self._sources: set[str] = set()
@@ -406,19 +420,35 @@
         self._send_to_relays(zone_work, now)
         region_work = self._region_work(zone_work, now)
         self._take_work(region_work, own.sequence)
-        news = [
-            *self._rosters_to_pass_on(now),
-            *self._loads_to_pass_on(now),
-            *self._records.take(now=now),
-            encode(region_work),
-        ]
         asking = [item for item in self._reporters.values() if item.heartbeat.asks_for_news]
-        sent_before = self._mesh.datagram_bytes_sent
-        for reporter in asking:
-            self._send_news(reporter.heartbeat, news)
-        self._traffic.note_news(len(asking), self._mesh.datagram_bytes_sent - sent_before)
+        if not asking:
+            # Whoever begins to ask is sent the records of later changes, and gets the others directly.
+            self._records.take(now=now)
+        elif self._has_room_for_news(now):
+            sent_before = self._mesh.datagram_bytes_sent
+            news = self._make_news(region_work, receivers=len(asking), now=now)
+            for reporter in asking:
+                self._send_news(reporter.heartbeat, news)
+            sent_bytes = self._mesh.datagram_bytes_sent - sent_before
+            self._news_budget.spend(sent_bytes, now=now)
+            self._traffic.note_news(len(asking), sent_bytes)
         self._log_traffic(now)
 
+    @property
+    def _has_callers(self) -> bool:
+        """Whether requests and answers share the link with what this instance sends as a relay."""
+        return self._settings.role is InstanceRole.ENTRY
+
+    def _has_room_for_news(self, now: float) -> bool:
+        return not self._has_callers or self._news_budget.is_open(now=now)
+
+    def _make_news(self, region_work: ZoneWork, *, receivers: int, now: float) -> list[bytes]:
+        """Return what each of the receivers is sent now; rosters that don't fit are left to later news."""
+        news = [encode(region_work), *self._records.take(now=now), *self._loads_to_pass_on(now)]
+        max_bytes = NEWS_BURST_BYTES / receivers if self._has_callers else math.inf
+        left_bytes = max_bytes - sum(map(len, news))
+        return [*news, *self._rosters_to_pass_on(now, max_bytes=left_bytes)]
+
     def _log_traffic(self, now: float) -> None:
         """Log what this instance has sent as a relay, once in ``TRAFFIC_INTERVAL_S``."""
         if now < self._traffic_due_at:
@@ -581,16 +611,16 @@
     def _is_in_region(self, zone: str) -> bool:
         return zone in self._settings.zones_of_region
 
-    def _rosters_to_pass_on(self, now: float) -> list[bytes]:
+    def _rosters_to_pass_on(self, now: float, *, max_bytes: float) -> list[bytes]:
         """Return the rosters, this relay's too, that changed or weren't passed on for long.
 
         Those without a change that list the same zone take turns, since a lost datagram would lose
-        both.
+        both. One at least is returned, and others while ``max_bytes`` are left, the oldest first.
         """
         own = self._own_roster
         message = self._stamped(self._maker.changes(now=now))
         own.data, own.heard_at, own.state = encode(message), now, _state_of(message)
-        due = []
+        due: list[bytes] = []
         zones: set[str] = set()
         rosters = {self._settings.ip: own, **self._rosters}
         for name, roster in sorted(rosters.items(), key=lambda item: item[1].passed_at):
@@ -599,6 +629,9 @@
             zone = self._zone_of(name)
             is_due = now - roster.passed_at >= PASS_ON_INTERVAL_S and zone not in zones
             if is_due or roster.state != roster.passed_state:
+                max_bytes -= len(roster.data)
+                if due and max_bytes < 0:
+                    break
                 zones.add(zone)
                 roster.passed_at, roster.passed_state = now, roster.state
                 due.append(roster.data)
--- a/figpaddle/regional/tests/test_relaying.py
+++ b/figpaddle/regional/tests/test_relaying.py
@@ -440,6 +440,24 @@
             assert all(0.5 <= item.age_s < 1.0 for item in got[instance.name])
 
 
+@pytest.mark.parametrize("silent_from_s", [1.0, 8.0])
+async def test_relays_with_callers_keep_their_links_free_while_those_without_are_silent(
+    silent_from_s: float,
+) -> None:
+    # Guards against entries that are cut off for seconds by the news that they send for a silent relay.
+    network = Network(seed=1)
+    network.entry_link_bytes_per_s = ENTRY_LINK_BYTES_PER_S
+    instances = make_instances(network, 200)
+    controls = {item.name for item in instances if item.settings.role is InstanceRole.CONTROL}
+    await network.run(silent_from_s)
+    network.blocks = lambda sender, receiver: sender in controls and receiver not in controls
+    await network.run(2.0)
+    network.blocks = lambda sender, receiver: False
+    await network.run(6.0)
+    assert max(network.longest_wait_s.values()) < MAX_LINK_WAIT_S
+    assert_all_know(instances)
+
+
 @pytest.mark.parametrize("loss", [0.0, 0.2])
 async def test_changes_of_many_backend_servers_leave_the_links_of_relays_with_callers_free(
     loss: float,
