Forget the clock of an instance's earlier run where its present one states none

A roster kept the offset of a member whose process had started again with a build that doesn't state when it sends, and gave it for the new run. After a restart of the machine too, whose clock then begins anew, all its forwards would count as late and be refused.

Found by reading, not seen. The new test failed before: the offset 40.0 stood with the later run.

--- a/figpaddle/coordination/_rosters.py
+++ b/figpaddle/coordination/_rosters.py
@@ -81,6 +81,9 @@
         heartbeats = {heartbeat.name: heartbeat for heartbeat in heard}
         for name, heartbeat in heartbeats.items():
             member, known = roster_member(heartbeat), self._members.get(name)
+            if known is not None and known.incarnation != member.incarnation:
+                # The clock may have begun anew with the process.
+                self._clock_offsets.pop(name, None)
             has_changed = self._renew_offset(name, (clock_offsets_s or {}).get(name))
             if known is None or dataclasses.replace(member, sequence=known.sequence) != known:
                 self._members[name] = member
@@ -200,9 +203,14 @@
             self._heartbeats.pop(name, None)
             self._clock_offsets.pop(name, None)
         self._members.update(changed)
-        for member, offset_s in zip(changed.values(), roster.clock_offsets_s, strict=False):
-            if offset_s is not None:
-                self._clock_offsets[member.name] = member.incarnation, offset_s
+        # Relays of earlier builds state no offsets.
+        offsets_s = dict(zip(changed, roster.clock_offsets_s, strict=False))
+        for name, member in changed.items():
+            offset_s = offsets_s.get(name)
+            if offset_s is None:
+                self._clock_offsets.pop(name, None)
+            else:
+                self._clock_offsets[name] = member.incarnation, offset_s
         before = self._newest
         renamed: set[str] = set()
         if before is None or _revisions(before) != _revisions(roster):
--- a/figpaddle/coordination/tests/test_rosters.py
+++ b/figpaddle/coordination/tests/test_rosters.py
@@ -121,3 +121,17 @@
         copy.apply(damaged, now=0.0)
     assert names(copy) == set()
     assert copy.apply(message, now=0.0)
+
+
+def test_the_clock_of_an_earlier_run_is_not_taken_for_that_of_the_present_one() -> None:
+    # Guards against a machine that starts again with a build that doesn't state when it sends.
+    maker, copy, late_copy = make_maker(), RosterCopy(), RosterCopy()
+    maker.update([heartbeat("e1")], now=0.0, clock_offsets_s={"e1": 40.0})
+    assert copy.apply(maker.changes(now=0.0), now=0.0)
+    assert copy.clock_offsets_s == {"e1": (heartbeat("e1").incarnation, 40.0)}
+    restarted = dataclasses.replace(heartbeat("e1"), incarnation=99)
+    maker.update([restarted], now=0.2, clock_offsets_s={})
+    assert copy.apply(maker.changes(now=0.2), now=0.2)
+    snapshot = copy.snapshot()
+    assert snapshot is not None and late_copy.apply(snapshot, now=0.3)
+    assert not copy.clock_offsets_s and not late_copy.clock_offsets_s
