Grant the reading time and the streams of engines in leases, by class

Callers of the most urgent route got their long streams cut by the end of their time: engines read prompts of less urgent routes in nearly every step. No decision counted what a prompt costs the streams that run, and each entry divided an engine by its own late view of it. The traces of the seven failures agree that a bound on the queue is not enough (one decider with an exact view fails as 28 do) and that a bound on the flow is.

One entry near each engine keeps its account now. Entries state what they would begin there and the pace of their streams, and get leases of prompt tokens and of starts a second, which end by themselves. The more urgent classes come first; what is unused is lent. Without a lease less urgent classes use a small part, divided by a confirmed count.

The simulated region asks the accounts as entries do; no bound was changed.

--- a/figpaddle/coordination/_rosters.py
+++ b/figpaddle/coordination/_rosters.py
@@ -41,6 +41,7 @@
         cut_off=heartbeat.cut_off,
         states_offers=heartbeat.states_offers,
         states_workspaces=heartbeat.states_workspaces,
+        leases_engines=heartbeat.leases_engines,
     )
 
 
@@ -259,6 +260,7 @@
         cut_off=member.cut_off,
         states_offers=member.states_offers,
         states_workspaces=member.states_workspaces,
+        leases_engines=member.leases_engines,
         relayed=member.relays,
     )
 
--- a/figpaddle/regional/_entry.py
+++ b/figpaddle/regional/_entry.py
@@ -8,11 +8,13 @@
 import anyio
 
 from figpaddle.deployment import GatewayConfiguration
+from figpaddle.engine_leases import LeaseExchange
 from figpaddle.http1 import ConnectionPool, HttpRequest, RequestLimits, Responder, header
 from figpaddle.regional._backend_records import is_record_sender, send_records
 from figpaddle.regional._contact_watch import ContactWatch
 from figpaddle.regional._dialect import EntryLookup, ReadinessCheck
 from figpaddle.regional._gateway import Gateway
+from figpaddle.regional._lease_surroundings import EntryLeaseSurroundings
 from figpaddle.regional._mesh import accepts_while_stopping, is_ready
 from figpaddle.regional._placer import Placer
 from figpaddle.regional._process import (
@@ -97,6 +99,15 @@
             metrics=self._metrics,
         )
         tasks.start_service(warmth_checks.run)
+        self._lease_exchange = LeaseExchange(
+            surroundings=EntryLeaseSurroundings(
+                settings=settings, mesh=self._mesh, placer=self._placer
+            ),
+            book=self._placer.leases,
+            clock=self._clock,
+            log=self._log,
+        )
+        tasks.start_service(self._lease_exchange.run)
         self._quarantine = RequestQuarantine(
             settings=settings,
             mesh=self._mesh,
@@ -209,6 +220,7 @@
             keeps_stream_versions=True,
             states_offers=True,
             states_workspaces=True,
+            leases_engines=True,
             cut_off=self._placer.contact.cut_off,
             relays=True,
             relayed=self._relaying.enabled,
@@ -220,6 +232,7 @@
             **super().dump(),
             "backends": self._placer.dump(),
             "quotas": self._quotas.dump(),
+            "engine_leases": self._lease_exchange.dump(),
             **self._quarantine.dump(),
         }
 
--- a/figpaddle/regional/_gateway.py
+++ b/figpaddle/regional/_gateway.py
@@ -599,7 +599,8 @@
         )
 
     def _note_work(self, context: RequestContext) -> None:
-        """Count a request as work of its workspace."""
+        """Count a request as demand, and as work of its workspace."""
+        self._placer.note_demand(context)
         if context.workspace is not None:
             caller = context.caller
             self._fairness.note_request(
--- a/figpaddle/regional/_placer.py
+++ b/figpaddle/regional/_placer.py
@@ -11,6 +11,7 @@
 from typing import Any
 
 from figpaddle.deployment import GatewayConfiguration, GatewayRoute, Repeat
+from figpaddle.engine_leases import AskedEngine, EngineState, LeaseBook, LeasedRequest
 from figpaddle.http1 import ConnectionPool
 from figpaddle.regional._backend_records import reports_heard_at
 from figpaddle.regional._cluster import ClusterFollower
@@ -29,6 +30,7 @@
     ASKED_AHEAD_S,
     MIN_LIMIT_PER_S,
     NO_CORRECTION,
+    PREFILL_TOKENS_PER_S,
     PRIORITY_CLASSES,
     REMOTE_REPORT_DELAY_S,
     BackendContact,
@@ -137,6 +139,7 @@
         self._brittle = BrittleServers()
         self._contact = BackendContact()
         self._offer_limits = OfferLimits()
+        self._leases = LeaseBook()
         self._last_evacuated: set[str] = set()
         #: When a request last needed to know whether a backend server is cold.
         self._warmth_wanted_at: dict[str, float] = {}
@@ -185,6 +188,11 @@
         """Which places are offered requests whose server is silent."""
         return self._offer_limits
 
+    @property
+    def leases(self) -> LeaseBook:
+        """What this entry may begin at the engines of its region."""
+        return self._leases
+
     def voters_heard_at(self) -> float:
         """Return the last moment since which a majority of the voters was heard that hear this entry."""
         return self._region_entries.voters_heard_at()
@@ -247,6 +255,7 @@
         preview._region_entries = self._region_entries.snapshot()
         preview._named_limits = copy.deepcopy(self._named_limits)
         preview._trackers = dict(self._trackers)
+        preview._leases = copy.deepcopy(self._leases)
         preview._warmth_wanted_at = dict(self._warmth_wanted_at)
         preview._subsets = dict(self._subsets)
         preview._subsets_expire_at = dict(self._subsets_expire_at)
@@ -420,6 +429,14 @@
                 uptime_s=round(self._mesh.uptime_s, 2),
             )
         self._named_limits.note_sent(choice.backend.name, now=now)
+        service = context.service.name
+        self._leases.note_begun(
+            choice.backend.name,
+            service,
+            self._classes_above(service, context.route.priority),
+            prompt_tokens=choice.prefill,
+            now=now,
+        )
 
     def _track(self, context: RequestContext, choice: Choice) -> None:
         if choice.backend is None:
@@ -740,13 +757,23 @@
                 ]
                 urgency = self._least_urgent(service.name, priority)
                 load = summarize_load(candidates, priority=urgency, now=now)
+                room = load.room
+                if self._leases.is_leased(service.name):
+                    leased_room = self._leases.room(
+                        service.name,
+                        classes_above,
+                        entries=self.count_sharers(),
+                        within_s=REMOTE_REPORT_DELAY_S,
+                        now=now,
+                    )
+                    room = min(room, leased_room)
                 loads.append(
                     RegionalLoad(
                         service=service.name,
                         priority=priority,
                         backends=len(backends),
                         expected_s=load.expected_s,
-                        room=load.room,
+                        room=room,
                         versions=versions,
                         running_versions=running_versions,
                     )
@@ -975,7 +1002,79 @@
             backend.name, context.service.name, requests=requests, shares=shares, now=now
         ):
             return "brittle"
-        return "" if self._has_free_connection(backend, context, shares.count) else "no connection"
+        if not self._has_free_connection(backend, context, shares.count):
+            return "no connection"
+        return "" if self._is_within_lease(backend, context, now=now) else "no lease"
+
+    def _is_within_lease(
+        self, backend: FleetBackend, context: RequestContext, *, now: float
+    ) -> bool:
+        """Return whether the leases of this entry let a request begin at an engine.
+
+        One that has begun elsewhere has had its part of an engine, and its caller would lose what has come.
+        """
+        if context.may_have_run or context.last_event or context.confined_by is not None:
+            return True
+        service = context.service.name
+        urgency_class = self._classes_above(service, context.route.priority)
+        return self._leases.may_begin(backend.name, service, urgency_class, now=now)
+
+    def note_demand(self, context: RequestContext) -> None:
+        """Count a request that has come, whether or not it gets a place."""
+        service = context.service.name
+        if not self._leases.is_leased(service):
+            return
+        now = self._clock()
+        demand = context.demand(now=now)
+        self._leases.note_request(
+            LeasedRequest(
+                service=service,
+                urgency_class=self._classes_above(service, context.route.priority),
+                prompt_tokens=demand.prompt_tokens,
+                events=demand.events,
+                timeout_s=context.route.timeout_s,
+                target_s=context.route.target_s,
+            ),
+            now=now,
+        )
+
+    def leased_classes(self) -> dict[str, int]:
+        """Return the number of priorities of each service of model engines, whose engines are leased."""
+        configuration = self._follower.configuration
+        if configuration is None:
+            return {}
+        return {
+            service.name: len(configuration.priorities_of(service.name))
+            for service in configuration.services
+            if service.is_model and configuration.priorities_of(service.name)
+        }
+
+    def leased_engines(self, service: str) -> list[AskedEngine]:
+        """Return the engines of a service that this entry uses in the first place, and those that it has requests at."""
+        now = self._clock()
+        configuration = self._follower.configuration
+        known = None if configuration is None else configuration.service(service)
+        backends = {backend.name: backend for backend in self._usable(service, now=now)}
+        names = self._subset(service).select(set(backends)) | {
+            name for name in backends if self.tracker_of(name).local_requests
+        }
+        engines = []
+        for name in sorted(names):
+            tracker = self.tracker_of(name)
+            state = EngineState(
+                streams=tracker.local_requests,
+                gap_s=tracker.stream_pace.gap_s(now=now),
+                stream_s=tracker.mean_stream_s,
+                prompt_per_s=PREFILL_TOKENS_PER_S / tracker.speed.factor(),
+            )
+            record = backends[name].record
+            slots = record.slots or (0 if known is None else known.slots) or 1
+            engines.append(AskedEngine(name=name, zone=record.zone, slots=slots, state=state))
+        return engines
+
+    def count_sharers(self) -> int:
+        """Return the number of entries that share limits in the region, silent ones included."""
+        return self._region_entries.shares(now=self._clock()).count
 
     def _limit_of(self, backend: FleetBackend, *, now: float) -> float | None:
         return self._named_limits.limit_of(backend.name, born=backend.record.born, now=now)
--- a/figpaddle/regional/tests/simulated_region.py
+++ b/figpaddle/regional/tests/simulated_region.py
@@ -7,6 +7,13 @@
 import itertools
 import random
 
+from figpaddle.engine_leases import (
+    ASK_INTERVAL_S,
+    EngineAccount,
+    EngineState,
+    LeaseBook,
+    LeasedRequest,
+)
 from figpaddle.regional._request_context import MAX_WAIT_FRACTION
 from figpaddle.routing import (
     BackendLoadTracker,
@@ -34,6 +41,10 @@
 PATIENCE_TARGETS, MIN_PATIENCE_S = 4.0, 2.0
 #: Interval at which entries report their load to each other, seconds.
 REPORT_INTERVAL_S = 0.5
+#: Prompt tokens that entries expect an engine to read a second.
+ENGINE_PROMPT_PER_S = 80_000.0
+#: Time for which the entries have run when requests begin, seconds.
+STARTED_S = 10.0
 #: Deadline of all requests, seconds.
 DEADLINE_S = 12.0
 
@@ -158,6 +169,7 @@
     """An entry with its view of the engines."""
 
     def __init__(self, *, name: str, candidates: list[Candidate]) -> None:
+        self.leases = LeaseBook()
         self.name = name
         self.candidates = candidates
         self.trackers = {item.backend.name: item.tracker for item in candidates}
@@ -191,6 +203,10 @@
                 entry.name, [other.name for other in self._entries], list(self._engines)
             )
         self._keys = itertools.count()
+        self._accounts = {
+            name: EngineAccount(slots=slots, prompt_per_s=ENGINE_PROMPT_PER_S, now=-STARTED_S)
+            for name in self._engines
+        }
 
     def run(self, kinds: list[RequestKind], *, duration_s: float) -> dict[str, KindResult]:
         """Offer requests for ``duration_s`` and return the result of each kind by name."""
@@ -201,10 +217,14 @@
             heapq.heappush(events, (self._rng.expovariate(kind.per_s), next(order), kind))
         for name in self._engines:
             heapq.heappush(events, (0.0, next(order), name))
-        if len(self._entries) > 1:
-            for entry in self._entries:
-                first_at = self._rng.uniform(0.0, REPORT_INTERVAL_S)
-                heapq.heappush(events, (first_at, next(order), entry))
+        # The region has run without requests before, so all entries hold leases.
+        for entry in self._entries:
+            entry.leases.set_classes({"s": max(kind.priority for kind in kinds) + 1})
+            self._renew_leases(entry, -ASK_INTERVAL_S)
+        for entry in self._entries:
+            self._renew_leases(entry, 0.0)
+            first_at = self._rng.uniform(0.0, REPORT_INTERVAL_S)
+            heapq.heappush(events, (first_at, next(order), entry))
         while True:
             now, _, item = heapq.heappop(events)
             if now >= duration_s:
@@ -213,6 +233,7 @@
                 next_at = self._step(item, results, now)
             elif isinstance(item, _Entry):
                 self._report_load(item, now)
+                self._renew_leases(item, now)
                 next_at = now + REPORT_INTERVAL_S
             else:
                 self._offer(item, results[item.name], now)
@@ -233,11 +254,23 @@
         )
         length = kind.length(self._rng)
         result.offered += 1
+        entry.leases.note_request(
+            LeasedRequest(
+                service="s",
+                urgency_class=kind.priority,
+                prompt_tokens=kind.prompt_tokens,
+                events=demand.events,
+                timeout_s=DEADLINE_S,
+                target_s=kind.target_s,
+            ),
+            now=now,
+        )
         max_wait_s = MAX_WAIT_FRACTION * kind.target_s
         correction = entry.expectations.correction(kind.name, now=now)
         candidates = [
             dataclasses.replace(item, correction=correction, classes_above=kind.priority)
             for item in entry.candidates
+            if entry.leases.may_begin(item.backend.name, "s", kind.priority, now=now)
         ]
         choice = choose(
             demand,
@@ -258,6 +291,7 @@
             result.lengths.append((length, False))
             return
         name = choice.backend.name
+        entry.leases.note_begun(name, "s", kind.priority, prompt_tokens=choice.prefill, now=now)
         entry.trackers[name].note_sent(
             demand.request_id,
             demand,
@@ -316,6 +350,25 @@
                 if other is not entry:
                     other.trackers[name].note_peer_load(entry.name, tracker.local_load, now=now)
 
+    def _renew_leases(self, entry: _Entry, now: float) -> None:
+        """Ask the accounts of the entry's engines, whose answers come at once."""
+        asked = set(entry.trackers)
+        if entry.subset is not None:
+            asked = entry.subset.select(asked)
+        states = {
+            name: EngineState(
+                streams=tracker.local_requests,
+                gap_s=tracker.stream_pace.gap_s(now=now),
+                stream_s=tracker.mean_stream_s,
+                prompt_per_s=ENGINE_PROMPT_PER_S / tracker.speed.factor(),
+            )
+            for name in sorted(asked)
+            for tracker in (entry.trackers[name],)
+        }
+        for name, use in entry.leases.uses("s", states, now=now).items():
+            lease = self._accounts[name].grant(entry.name, use, now=now)
+            entry.leases.renew(name, "s", lease, asked_at=now)
+
 
 def _candidates(count: int, *, slots: int) -> list[Candidate]:
     fleet = Fleet()
--- a/figpaddle/routing/__init__.py
+++ b/figpaddle/routing/__init__.py
@@ -8,7 +8,11 @@
     from figpaddle.routing._admission import Admission
     from figpaddle.routing._answer_times import MIN_FAILURE_STATUS, AnswerTimes, assumed_answer_s
     from figpaddle.routing._backend_contact import ALIVE_S, BackendContact
-    from figpaddle.routing._backend_load import PRIORITY_CLASSES, BackendLoadTracker
+    from figpaddle.routing._backend_load import (
+        PREFILL_TOKENS_PER_S,
+        PRIORITY_CLASSES,
+        BackendLoadTracker,
+    )
     from figpaddle.routing._backend_report import BackendReport
     from figpaddle.routing._backends import (
         ANNOUNCEMENT_TTL_S,
@@ -153,7 +157,7 @@
             "_admission": "Admission",
             "_answer_times": "MIN_FAILURE_STATUS AnswerTimes assumed_answer_s",
             "_backend_contact": "ALIVE_S BackendContact",
-            "_backend_load": "PRIORITY_CLASSES BackendLoadTracker",
+            "_backend_load": "PREFILL_TOKENS_PER_S PRIORITY_CLASSES BackendLoadTracker",
             "_backend_report": "BackendReport",
             "_backends": "ANNOUNCEMENT_TTL_S ANNOUNCEMENTS_READ_INTERVAL_S MAX_UTILIZATION_FOR_REMOTE_REQUESTS BackendTable KnownBackend",
             "_boot_clock": "boot_time",
@@ -294,6 +298,7 @@
     "OfferLimits",
     "OwnWorkHistory",
     "PREFIX_BLOCK_TOKENS",
+    "PREFILL_TOKENS_PER_S",
     "PRIORITY_CLASSES",
     "PauseRisk",
     "PeerLoad",
--- a/figpaddle/wire/__init__.py
+++ b/figpaddle/wire/__init__.py
@@ -24,6 +24,12 @@
     encode,
     message,
 )
+from figpaddle.wire._lease_messages import (
+    EngineLeaseAsk,
+    EngineLeaseGrant,
+    EngineLeaseItem,
+    GrantedLease,
+)
 from figpaddle.wire._placement_values import BackendState, Prefix, PromptShape
 from figpaddle.wire._quarantine_messages import (
     BackendLoss,
@@ -210,6 +216,9 @@
     "ConfigurationQuestion",
     "CrashReport",
     "EXCHANGE_NONCE_BYTES",
+    "EngineLeaseAsk",
+    "EngineLeaseGrant",
+    "EngineLeaseItem",
     "Entry",
     "EntryKind",
     "ExchangeAuthenticator",
@@ -222,6 +231,7 @@
     "ForwardHead",
     "ForwardOpen",
     "Frame",
+    "GrantedLease",
     "Handshake",
     "Hello",
     "InForce",
--- a/figpaddle/wire/_regional_messages.py
+++ b/figpaddle/wire/_regional_messages.py
@@ -127,6 +127,8 @@
     states_offers: bool = False
     #: Whether the sender's build reads the workspace of a request that is forwarded to it.
     states_workspaces: bool = False
+    #: Whether the sender's build keeps accounts of engines and grants leases of them.
+    leases_engines: bool = False
     #: Whether it is an entry that reaches no backend server.
     cut_off: bool = False
     #: Whether the sender's build understands the messages of relays.
--- a/figpaddle/wire/_relay_messages.py
+++ b/figpaddle/wire/_relay_messages.py
@@ -46,12 +46,14 @@
     states_offers: bool = False
     #: Whether its build reads the workspace of a request that is forwarded to it.
     states_workspaces: bool = False
+    #: Whether its build keeps accounts of engines and grants leases of them.
+    leases_engines: bool = False
 
     def row(self) -> RosterRow:
         """Return the fields in the form that a roster carries."""
         flags = self.founding | self.keeps_stream_versions << 1 | self.relays << 2
         flags |= self.cut_off << 3 | self.states_offers << 4
-        flags |= self.states_workspaces << 5
+        flags |= self.states_workspaces << 5 | self.leases_engines << 6
         return (
             self.name,
             self.incarnation,
@@ -85,6 +87,7 @@
             cut_off=bool(flags & 8),
             states_offers=bool(flags & 16),
             states_workspaces=bool(flags & 32),
+            leases_engines=bool(flags & 64),
         )
 
 
