--- a/figpaddle/engine_leases/_account.py
+++ b/figpaddle/engine_leases/_account.py
@@ -7,7 +7,7 @@
 import math
 
 from figpaddle.engine_leases._division import divide
-from figpaddle.engine_leases._lease import EngineLease
+from figpaddle.engine_leases._lease import Allowance, EngineLease
 from figpaddle.engine_leases._pace import (
     MAX_READING_FRACTION,
     MIN_READING_FRACTION,
@@ -52,6 +52,8 @@
         self._stated: dict[str, _Stated] = {}
         self._leases: dict[str, tuple[EngineLease, float]] = {}
         self._settled_at = now + SETTLE_S
+        # What entries leave unused, for single requests beyond their leases.
+        self._unused = Allowance()
 
     def note_capacity(self, *, slots: int, prompt_per_s: float) -> None:
         """Record what the engine does: requests at once, and prompt tokens a second."""
@@ -70,6 +72,26 @@
         self._leases[entry] = (lease, now + LEASE_S)
         return lease
 
+    def lend(self, urgency_class: int, *, prompt_tokens: float, now: float) -> bool:
+        """Return whether one request may begin beyond the leases, as entries leave reading time unused.
+
+        The next loan waits until that time has made up for the request, whatever it costs.
+        """
+        self._expire(now)
+        pace = self._pace()
+        fraction = pace.reading_fraction(owed_s=self._owed_s(urgency_class))
+        most = pace.most_streams(
+            owed_s=self._owed_s(urgency_class),
+            slots=self._slots,
+            yielding=self._reading_of(urgency_class + 1),
+        )
+        is_settled = now >= self._settled_at
+        unused = fraction - self._reading_of(0) if is_settled and pace.streams < most else 0.0
+        if self._unused.level(max(0.0, unused) * self._speed, now=now) <= 0.0:
+            return False
+        self._unused.spend(prompt_tokens)
+        return True
+
     def pace(self, *, now: float) -> PaceEstimate:
         """Return the pace of the engine by what entries state."""
         self._expire(now)
--- a/figpaddle/engine_leases/_book.py
+++ b/figpaddle/engine_leases/_book.py
@@ -209,27 +209,49 @@
         )
         self._engine(engine, service).unleased.renew(lease, asked_at=now)
 
+    def lender(self, service: str, urgency_class: int, *, now: float) -> str | None:
+        """Return the engine at which a loan for a request is asked: the one that leaves the class most."""
+        held = {
+            name: engine.held.lease.prompt_per_s[urgency_class]
+            for (name, of_service), engine in self._engines.items()
+            if of_service == service and engine.held.lease and engine.held.is_held(now=now)
+        }
+        return max(held, key=lambda name: held[name], default=None)
+
+    def note_lent(
+        self, engine: str, service: str, urgency_class: int, *, prompt_tokens: float, now: float
+    ) -> None:
+        """Let one request of a class begin at an engine beyond the lease."""
+        held = self._engine(engine, service).held
+        held.lend(urgency_class, prompt_tokens=prompt_tokens, now=now)
+
     def room(
         self, service: str, urgency_class: int, *, entries: int, within_s: float, now: float
     ) -> int:
-        """Return how many requests of a class the engines of the region may begin within a time, beyond the demand.
+        """Return how many more requests of a class the engines of the region may begin within a time.
 
-        It concludes from the leases of this entry, which are about as large as those of each other one.
+        It concludes from what this entry leaves of its leases, which are about as large as those of each other one.
         """
         demand = self._demands.get(service)
         if urgency_class >= self._classes.get(service, 0):
             return 0
-        leased = sum(
-            engine.held.lease.prompt_per_s[urgency_class]
+        engines = [
+            engine
             for (_, name), engine in self._engines.items()
             if name == service and engine.held.lease and engine.held.is_held(now=now)
+        ]
+        unused_per_s = sum(
+            max(0.0, engine.held.lease.prompt_per_s[urgency_class] - begun)
+            for engine in engines
+            if engine.held.lease
+            for begun in (engine.begun[urgency_class].per_s(now=now),)
         )
-        if demand is None:
-            return int(entries * leased * within_s / USUAL_PROMPT_TOKENS)
-        wanted = demand.prompts[urgency_class].per_s(now=now)
-        mean_tokens = wanted / max(demand.starts[urgency_class].per_s(now=now), 1e-9)
-        free_per_s = max(0.0, leased - wanted)
-        return int(entries * free_per_s * within_s / max(mean_tokens, USUAL_PROMPT_TOKENS))
+        mean_tokens = USUAL_PROMPT_TOKENS
+        if demand is not None:
+            starts_per_s = max(demand.starts[urgency_class].per_s(now=now), 1e-9)
+            prompts_per_s = demand.prompts[urgency_class].per_s(now=now)
+            mean_tokens = max(mean_tokens, prompts_per_s / starts_per_s)
+        return int(entries * unused_per_s * within_s / mean_tokens)
 
     def forget(self, known: Iterable[str]) -> None:
         """Forget the engines that aren't among the ``known`` ones."""
--- a/figpaddle/engine_leases/_exchange.py
+++ b/figpaddle/engine_leases/_exchange.py
@@ -12,7 +12,12 @@
 import anyio
 
 from figpaddle.engine_leases._account import EngineAccount
-from figpaddle.engine_leases._book import ASK_INTERVAL_S, EngineState, LeaseBook
+from figpaddle.engine_leases._book import (
+    ASK_INTERVAL_S,
+    EngineState,
+    LeaseBook,
+    LeasedRequest,
+)
 from figpaddle.engine_leases._lease import EngineLease
 from figpaddle.engine_leases._owners import account_owner
 from figpaddle.engine_leases._pace import EngineUse
@@ -25,6 +30,8 @@
     Message,
 )
 
+#: Time for which a request waits for a loan, seconds; the keeper's event loop may be late.
+LOAN_TIMEOUT_S = 0.1
 #: Interval between log lines about each account, seconds.
 LOG_INTERVAL_S = 2.0
 #: Time after which an account that nobody asks, and a question without an answer, are forgotten, seconds.
@@ -58,6 +65,10 @@
     def send(self, message: Message, name: str) -> None:
         """Send a datagram to another entry."""
 
+    @abc.abstractmethod
+    def expect_reply(self, within_s: float) -> Callable[[], object]:
+        """Have datagrams read soon while a request waits for one; return what ends that."""
+
     @abc.abstractmethod
     def on_message(self, kind: type[Message], handler: Callable[[Message], None]) -> None:
         """Have a handler called for each message of a type."""
@@ -87,6 +98,14 @@
         """Return the zone of an engine; None for one that isn't known."""
 
 
+@dataclasses.dataclass(kw_only=True)
+class _Borrower:
+    """A request that waits for the answer to its question for a loan."""
+
+    answered: anyio.Event = dataclasses.field(default_factory=anyio.Event)
+    is_lent: bool = False
+
+
 class LeaseExchange:
     """Asks for the leases of this entry, and keeps the accounts of some engines.
 
@@ -110,11 +129,58 @@
         self._numbers = itertools.count(1)
         # When each question without an answer was asked, by its number.
         self._asked_at: dict[int, float] = {}
+        # Requests that wait for a loan, by the number of their question.
+        self._waiting: dict[int, _Borrower] = {}
         # Accounts by engine, and when each was last used.
         self._accounts: dict[str, tuple[EngineAccount, float]] = {}
         surroundings.on_message(EngineLeaseAsk, self._answer)
         surroundings.on_message(EngineLeaseGrant, self._take)
 
+    async def borrow(self, request: LeasedRequest) -> bool:
+        """Ask for a loan for a request that no lease lets begin; return whether it may begin now.
+
+        It is asked of the account of the engine whose lease leaves its class most.
+        """
+        now = self._clock()
+        service, urgency_class = request.service, request.urgency_class
+        name = self._book.lender(service, urgency_class, now=now)
+        asked = {engine.name: engine for engine in self._surroundings.asked_engines(service)}
+        if name is None or name not in asked:
+            return False
+        engine = asked[name]
+        keeper = account_owner(name, engine.zone, self._surroundings.keepers())
+        if keeper is None:
+            return False
+        states = {other.name: other.state for other in asked.values()}
+        use = self._book.uses(service, states, now=now)[name]
+        item = dataclasses.replace(
+            _item(engine, service, use),
+            borrower=urgency_class,
+            borrowed_tokens=float(request.prompt_tokens),
+        )
+        question = self._question((item,), now=now)
+        waiting = self._waiting[question.number] = _Borrower()
+        end_expectation = self._surroundings.expect_reply(LOAN_TIMEOUT_S)
+        try:
+            if keeper == self._surroundings.name:
+                self._take(self._grant(question, now=now))
+            else:
+                self._surroundings.send(question, keeper)
+            with anyio.move_on_after(LOAN_TIMEOUT_S):
+                await waiting.answered.wait()
+        finally:
+            end_expectation()
+            del self._waiting[question.number]
+        if waiting.is_lent:
+            self._book.note_lent(
+                name,
+                service,
+                urgency_class,
+                prompt_tokens=float(request.prompt_tokens),
+                now=self._clock(),
+            )
+        return waiting.is_lent
+
     async def run(self) -> None:
         """Ask for leases until cancelled."""
         while True:
@@ -148,14 +214,7 @@
                 if keeper is not None:
                     items_by_keeper[keeper].append(_item(engine, service, use))
         for keeper, items in items_by_keeper.items():
-            number = next(self._numbers)
-            self._asked_at[number] = now
-            question = EngineLeaseAsk(
-                sender=self._surroundings.name,
-                incarnation=self._surroundings.incarnation,
-                number=number,
-                items=tuple(items),
-            )
+            question = self._question(tuple(items), now=now)
             if keeper == self._surroundings.name:
                 self._take(self._grant(question, now=now))
             else:
@@ -191,6 +250,16 @@
             "leases": self._book.dump(now=now),
         }
 
+    def _question(self, items: tuple[EngineLeaseItem, ...], *, now: float) -> EngineLeaseAsk:
+        number = next(self._numbers)
+        self._asked_at[number] = now
+        return EngineLeaseAsk(
+            sender=self._surroundings.name,
+            incarnation=self._surroundings.incarnation,
+            number=number,
+            items=items,
+        )
+
     def _answer(self, question: Message) -> None:
         assert isinstance(question, EngineLeaseAsk)
         grant = self._grant(question, now=self._clock())
@@ -204,7 +273,11 @@
             zone = self._surroundings.zone_of(item.engine)
             if zone is None or account_owner(item.engine, zone, keepers) != self._surroundings.name:
                 continue
-            lease = self._account(item, now=now).grant(question.sender, _use(item), now=now)
+            account = self._account(item, now=now)
+            lease = account.grant(question.sender, _use(item), now=now)
+            is_lent = item.borrower is not None and account.lend(
+                item.borrower, prompt_tokens=item.borrowed_tokens, now=now
+            )
             granted.append(
                 GrantedLease(
                     engine=item.engine,
@@ -212,6 +285,7 @@
                     prompt_per_s=lease.prompt_per_s,
                     starts_per_s=lease.starts_per_s,
                     life_s=lease.life_s,
+                    lent=is_lent,
                 )
             )
         return EngineLeaseGrant(
@@ -233,6 +307,10 @@
                 prompt_per_s=item.prompt_per_s, starts_per_s=item.starts_per_s, life_s=item.life_s
             )
             self._book.renew(item.engine, item.service, lease, asked_at=asked_at)
+        waiting = self._waiting.get(grant.number)
+        if waiting is not None:
+            waiting.is_lent = any(item.lent for item in grant.items)
+            waiting.answered.set()
 
     def _account(self, item: EngineLeaseItem, *, now: float) -> EngineAccount:
         account, _ = self._accounts.get(item.engine, (None, now))
--- a/figpaddle/engine_leases/_lease.py
+++ b/figpaddle/engine_leases/_lease.py
@@ -20,7 +20,7 @@
     life_s: float
 
 
-class _Allowance:
+class Allowance:
     """A rate that may be used up to what has gathered, and beyond that by the last request."""
 
     def __init__(self) -> None:
@@ -38,8 +38,13 @@
         return self._level
 
     def spend(self, amount: float) -> None:
+        """Take an amount, beyond what has gathered too."""
         self._level -= amount
 
+    def lend(self, amount: float) -> None:
+        """Add an amount for one request that may begin now."""
+        self._level = max(0.0, self._level) + amount
+
 
 class HeldLease:
     """A lease at the entry that holds it.
@@ -59,8 +64,8 @@
     def __init__(self, *, classes: int) -> None:
         self._lease: EngineLease | None = None
         self._expires_at = float("-inf")
-        self._prompts = [_Allowance() for _ in range(classes)]
-        self._starts = [_Allowance() for _ in range(classes)]
+        self._prompts = [Allowance() for _ in range(classes)]
+        self._starts = [Allowance() for _ in range(classes)]
 
     @property
     def lease(self) -> EngineLease | None:
@@ -90,6 +95,13 @@
         self._prompts[urgency_class].spend(prompt_tokens)
         self._starts[urgency_class].spend(1.0)
 
+    def lend(self, urgency_class: int, *, prompt_tokens: float, now: float) -> None:
+        """Let one request begin beyond the lease."""
+        if self._lease is not None:
+            self._levels(self._lease, urgency_class, now=now)
+        self._prompts[urgency_class].lend(max(1.0, prompt_tokens))
+        self._starts[urgency_class].lend(1.0)
+
     def _levels(self, lease: EngineLease, urgency_class: int, *, now: float) -> tuple[float, float]:
         return (
             self._prompts[urgency_class].level(lease.prompt_per_s[urgency_class], now=now),
--- a/figpaddle/regional/_entry.py
+++ b/figpaddle/regional/_entry.py
@@ -154,6 +154,7 @@
             quarantine=self._quarantine,
             streams=self._streams,
             quotas=self._quotas,
+            leases=self._lease_exchange,
             rng=self._rng,
             log=self._log,
             metrics=self._metrics,
--- a/figpaddle/regional/_gateway.py
+++ b/figpaddle/regional/_gateway.py
@@ -12,6 +12,7 @@
 import anyio
 
 from figpaddle.deployment import GatewayConfiguration, GatewayService, Repeat, Workspace
+from figpaddle.engine_leases import LeaseExchange
 from figpaddle.errors import InvalidRequestError, MalformedRequestError
 from figpaddle.http1 import ConnectionPool, Headers, HttpRequest, Responder, header
 from figpaddle.regional._attempts import AttemptRunner
@@ -122,6 +123,7 @@
         quarantine: RequestQuarantine,
         streams: StreamOrigins,
         quotas: QuotaClient,
+        leases: LeaseExchange,
         rng: random.Random,
         log: Log,
         metrics: MetricsRegistry,
@@ -129,6 +131,7 @@
         self._quarantine = quarantine
         self._streams = streams
         self._quotas = quotas
+        self._leases = leases
         self._settings = settings
         self._dialect = dialect
         self._mesh = mesh
@@ -618,6 +621,7 @@
         failed: AttemptResult | None = None
         # Whether the next attempt is a repeat that the retry budget hasn't been charged with.
         owes_charge = False
+        has_borrowed = False
         while True:
             now = self._clock()
             if context.remaining_s(now=now) < MIN_REMAINING_S:
@@ -641,6 +645,11 @@
                 unplaced_since = now - waited_s
                 await anyio.sleep(PLACE_INTERVAL_S)
                 continue
+            if choice is None and not has_borrowed and self._placer.waits_for_lease(context):
+                # Other entries may leave unused what this one lacks.
+                has_borrowed = True
+                if await self._leases.borrow(self._placer.leased_request(context)):
+                    continue
             if choice is None:
                 await self._fail_unplaced(context, responder)
                 return
--- a/figpaddle/regional/_lease_surroundings.py
+++ b/figpaddle/regional/_lease_surroundings.py
@@ -33,6 +33,10 @@
         """Send a datagram to another entry."""
         self._mesh.send_datagrams(message, [name])
 
+    def expect_reply(self, within_s: float) -> Callable[[], object]:
+        """Have datagrams read soon while a request waits for one; return what ends that."""
+        return self._mesh.expect_reply(within_s)
+
     def on_message(self, kind: type[Message], handler: Callable[[Message], None]) -> None:
         """Have a handler called for each message of a type."""
         self._mesh.on_datagram(kind, handler)
--- a/figpaddle/regional/_placer.py
+++ b/figpaddle/regional/_placer.py
@@ -1021,23 +1021,28 @@
 
     def note_demand(self, context: RequestContext) -> None:
         """Count a request that has come, whether or not it gets a place."""
+        if self._leases.is_leased(context.service.name):
+            self._leases.note_request(self.leased_request(context), now=self._clock())
+
+    def leased_request(self, context: RequestContext) -> LeasedRequest:
+        """Return what leases of engines depend on of a request."""
         service = context.service.name
-        if not self._leases.is_leased(service):
-            return
-        now = self._clock()
-        demand = context.demand(now=now)
-        self._leases.note_request(
-            LeasedRequest(
-                service=service,
-                urgency_class=self._classes_above(service, context.route.priority),
-                prompt_tokens=demand.prompt_tokens,
-                events=demand.events,
-                timeout_s=context.route.timeout_s,
-                target_s=context.route.target_s,
-            ),
-            now=now,
+        demand = context.demand(now=self._clock())
+        return LeasedRequest(
+            service=service,
+            urgency_class=self._classes_above(service, context.route.priority),
+            prompt_tokens=demand.prompt_tokens,
+            events=demand.events,
+            timeout_s=context.route.timeout_s,
+            target_s=context.route.target_s,
         )
 
+    def waits_for_lease(self, context: RequestContext) -> bool:
+        """Return whether engines of the region would get a request if the leases of this entry let it begin."""
+        if not self._leases.is_leased(context.service.name) or context.may_have_run:
+            return False
+        return context.route.allows(self._settings.region) and not self._contact.cut_off
+
     def leased_classes(self) -> dict[str, int]:
         """Return the number of priorities of each service of model engines, whose engines are leased."""
         configuration = self._follower.configuration
--- a/figpaddle/wire/_lease_messages.py
+++ b/figpaddle/wire/_lease_messages.py
@@ -27,6 +27,9 @@
     stream_s: float
     #: Time between events that its streams are owed, seconds; infinity where nothing is.
     owed_s: tuple[float, ...]
+    #: Class of one request that waits for a loan beyond the leases, and its prompt tokens; None for none.
+    borrower: int | None = None
+    borrowed_tokens: float = 0.0
 
 
 @message("regional.lease_ask")
@@ -52,6 +55,8 @@
     starts_per_s: tuple[float, ...]
     #: Time from the question until the lease ends, seconds.
     life_s: float
+    #: Whether the request that waits for a loan may begin.
+    lent: bool = False
 
 
 @message("regional.lease_grant")
--- a/tests/test_charged_repeats.py
+++ b/tests/test_charged_repeats.py
@@ -159,6 +159,7 @@
         quarantine=quarantine,
         streams=unused,
         # Its requests are of no workspace, so there is no quota to charge.
+        leases=SimpleNamespace(),
         quotas=SimpleNamespace(
             known_refusal=lambda context: None,
             refusal_of_region=lambda context, region: None,
