--- a/figpaddle/engine_leases/_account.py
+++ b/figpaddle/engine_leases/_account.py
@@ -5,6 +5,7 @@
 import dataclasses
 import itertools
 import math
+import statistics
 
 from figpaddle.engine_leases._division import divide
 from figpaddle.engine_leases._lease import Allowance, EngineLease
@@ -18,7 +19,7 @@
 
 #: Time for which a lease is granted, and for which a statement of use counts, seconds; two lost questions in a row
 #: leave a lease in force.
-LEASE_S = ACTIVE_S = 1.2
+LEASE_S = ACTIVE_S = 1.5
 #: Multiple of its part of the demand up to which an entry gets of each engine: engines differ in what they have left.
 ASKED_FACTOR = 1.5
 #: Time in which the number of streams may approach the one that fits, seconds.
@@ -36,28 +37,35 @@
 class EngineAccount:
     """Divides the reading time and the streams of one engine among the entries that use it.
 
-    Classes are served in their order: a less urgent one gets what the more urgent ones leave. All leases in force
-    together stay within what the streams that run leave, except for the least part that each class keeps.
+    Classes are served in their order: a less urgent one gets what the more urgent ones leave, and never less than its
+    least part. A lease leaves out what the others of its class have, except that each entry may have an equal part
+    at once; so leases exceed the whole only until the next question of each other entry.
 
     >>> account = EngineAccount(slots=64, prompt_per_s=80_000.0, now=0.0)
     >>> use = EngineUse(prompt_per_s=(1000.0, 90_000.0), starts_per_s=(2.0, 5.0))
     >>> lease = account.grant("entry", use, now=2.0)
     >>> [round(rate) for rate in lease.prompt_per_s], lease.life_s
-    ([72000, 71000], 1.2)
+    ([72000, 71000], 1.5)
     """
 
     def __init__(self, *, slots: int, prompt_per_s: float, now: float) -> None:
         self._slots = slots
         self._speed = prompt_per_s
+        self._speeds: dict[str, float] = {}
         self._stated: dict[str, _Stated] = {}
         self._leases: dict[str, tuple[EngineLease, float]] = {}
         self._settled_at = now + SETTLE_S
         # What entries leave unused, for single requests beyond their leases.
         self._unused = Allowance()
 
-    def note_capacity(self, *, slots: int, prompt_per_s: float) -> None:
-        """Record what the engine does: requests at once, and prompt tokens a second."""
-        self._slots, self._speed = slots, prompt_per_s
+    def note_capacity(self, entry: str, *, slots: int, prompt_per_s: float) -> None:
+        """Record what the engine does by an entry: requests at once, and prompt tokens a second.
+
+        The median of the speeds counts, as an entry that seldom uses the engine knows little of it.
+        """
+        self._slots = slots
+        self._speeds[entry] = prompt_per_s
+        self._speed = statistics.median(self._speeds.values())
 
     def grant(self, entry: str, use: EngineUse, *, now: float) -> EngineLease:
         """Return the lease of an entry that states its use and asks for one."""
@@ -206,3 +214,4 @@
             name: stated for name, stated in self._stated.items() if now - stated.at <= ACTIVE_S
         }
         self._leases = {name: item for name, item in self._leases.items() if item[1] > now}
+        self._speeds = {name: speed for name, speed in self._speeds.items() if name in self._stated}
--- a/figpaddle/engine_leases/_book.py
+++ b/figpaddle/engine_leases/_book.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import dataclasses
 import math
 from collections.abc import Iterable, Mapping
@@ -13,10 +14,17 @@
 ASK_INTERVAL_S = 0.4
 #: Time constant of the measured demand, seconds.
 DEMAND_S = 1.0
-#: Time for which the most events that a route states are remembered, seconds.
-EVENTS_SPAN_S = 30.0
+#: Time for which the pace that a request was owed is remembered, seconds, and the largest number of requests.
+OWED_SPAN_S, MAX_OWED = 30.0, 100
+#: Fraction of the requests that may state that they are owed a faster pace than the account goes by: a few that state
+#: answers of any length must not slow down all others.
+FASTEST_FRACTION = 0.05
+#: Weight of a request in the average part of its prompt that an engine hasn't cached.
+UNCACHED_WEIGHT = 0.05
 #: Length of a prompt where none of its class was seen, tokens.
 USUAL_PROMPT_TOKENS = 3000.0
+#: Rate of starts that limits nothing, streams a second.
+UNLIMITED_PER_S = 1e9
 #: Fraction of an engine's time that all entries together use for each less urgent class while they hold no lease,
 #: as the keeper of the account is silent.
 UNLEASED_FRACTION = 0.05
@@ -72,8 +80,12 @@
     def __init__(self, *, classes: int) -> None:
         self.prompts = [_Rate() for _ in range(classes)]
         self.starts = [_Rate() for _ in range(classes)]
-        #: Least time between events that is owed, by class, and until when it counts.
-        self.owed: list[tuple[float, float]] = [(math.inf, 0.0)] * classes
+        #: Average part of the prompts that engines had to read, by class.
+        self.uncached = [1.0] * classes
+        # Times between events that requests were owed, and when they came, by class.
+        self._owed: list[collections.deque[tuple[float, float]]] = [
+            collections.deque(maxlen=MAX_OWED) for _ in range(classes)
+        ]
 
     def note(self, request: LeasedRequest, *, now: float) -> None:
         self.prompts[request.urgency_class].note(float(request.prompt_tokens), now=now)
@@ -81,9 +93,20 @@
         owed_s = owed_gap_s(
             timeout_s=request.timeout_s, target_s=request.target_s, events=request.events
         )
-        known_s, until = self.owed[request.urgency_class]
-        if owed_s <= known_s or now >= until:
-            self.owed[request.urgency_class] = (owed_s, now + EVENTS_SPAN_S)
+        self._owed[request.urgency_class].append((owed_s, now))
+
+    def note_begun(self, urgency_class: int, *, read: float, of_tokens: float) -> None:
+        """Record how much of a prompt an engine reads."""
+        if of_tokens > 0.0:
+            part = min(1.0, read / of_tokens)
+            self.uncached[urgency_class] += UNCACHED_WEIGHT * (part - self.uncached[urgency_class])
+
+    def owed_s(self, urgency_class: int, *, now: float) -> float:
+        """Return the time between events that requests of a class are owed, seconds."""
+        recent = sorted(
+            owed_s for owed_s, at in self._owed[urgency_class] if now - at <= OWED_SPAN_S
+        )
+        return recent[int(FASTEST_FRACTION * len(recent))] if recent else math.inf
 
 
 class _Engine:
@@ -151,19 +174,42 @@
         if known is not None and known.held.is_held(now=now):
             return known.held.may_begin(urgency_class, now=now)
         if urgency_class == 0:
-            # Beyond its leases nothing begins, or entries would meet at the engines that none of them asks for.
-            return now >= self._held_until.get(service, float("-inf"))
+            # An engine whose account doesn't answer is used as if there were none. At others nothing begins beyond
+            # the leases, or entries would meet at the engines that none of them asks for.
+            is_asked = known is not None and known.unleased.is_held(now=now)
+            return is_asked or now >= self._held_until.get(service, float("-inf"))
         return known is not None and known.unleased.may_begin(urgency_class, now=now)
 
+    def holds(self, engine: str, service: str, *, now: float) -> bool:
+        """Return whether a lease of an engine is in force."""
+        known = self._engines.get((engine, service))
+        return known is not None and known.held.is_held(now=now)
+
     def note_begun(
-        self, engine: str, service: str, urgency_class: int, *, prompt_tokens: float, now: float
+        self,
+        engine: str,
+        service: str,
+        urgency_class: int,
+        *,
+        prompt_tokens: float,
+        of_tokens: float,
+        now: float,
+        is_charged: bool = True,
     ) -> None:
-        """Count a request that begins at an engine."""
+        """Count a request that begins at an engine, which reads ``prompt_tokens`` of its prompt.
+
+        One that goes on with what has begun elsewhere isn't charged to the lease: others would wait for it.
+        """
         classes = self._classes.get(service)
         if classes is None or urgency_class >= classes:
             return
         known = self._engine(engine, service)
         known.begun[urgency_class].note(prompt_tokens, now=now)
+        demand = self._demands.get(service)
+        if demand is not None:
+            demand.note_begun(urgency_class, read=prompt_tokens, of_tokens=of_tokens)
+        if not is_charged:
+            return
         held = known.held if known.held.is_held(now=now) else known.unleased
         held.spend(urgency_class, prompt_tokens=prompt_tokens, now=now)
 
@@ -176,7 +222,10 @@
         part = 1.0 / max(1, len(engines))
         return {
             name: EngineUse(
-                prompt_per_s=tuple(part * rate.per_s(now=now) for rate in demand.prompts),
+                prompt_per_s=tuple(
+                    part * uncached * rate.per_s(now=now)
+                    for uncached, rate in zip(demand.uncached, demand.prompts, strict=True)
+                ),
                 starts_per_s=tuple(part * rate.per_s(now=now) for rate in demand.starts),
                 begun_per_s=tuple(
                     rate.per_s(now=now) for rate in self._engine(name, service).begun
@@ -184,7 +233,7 @@
                 streams=state.streams,
                 gap_s=state.gap_s,
                 stream_s=state.stream_s,
-                owed_s=tuple(owed_s for owed_s, _ in demand.owed),
+                owed_s=tuple(demand.owed_s(index, now=now) for index in range(classes)),
             )
             for name, state in engines.items()
         }
@@ -204,7 +253,7 @@
         per_s = UNLEASED_FRACTION * prompt_per_s / max(1, entries)
         lease = EngineLease(
             prompt_per_s=(per_s,) * classes,
-            starts_per_s=(math.inf,) * classes,
+            starts_per_s=(UNLIMITED_PER_S,) * classes,
             life_s=2.0 * ASK_INTERVAL_S,
         )
         self._engine(engine, service).unleased.renew(lease, asked_at=now)
--- a/figpaddle/engine_leases/_exchange.py
+++ b/figpaddle/engine_leases/_exchange.py
@@ -273,7 +273,7 @@
             zone = self._surroundings.zone_of(item.engine)
             if zone is None or account_owner(item.engine, zone, keepers) != self._surroundings.name:
                 continue
-            account = self._account(item, now=now)
+            account = self._account(question.sender, item, now=now)
             lease = account.grant(question.sender, _use(item), now=now)
             is_lent = item.borrower is not None and account.lend(
                 item.borrower, prompt_tokens=item.borrowed_tokens, now=now
@@ -312,11 +312,11 @@
             waiting.is_lent = any(item.lent for item in grant.items)
             waiting.answered.set()
 
-    def _account(self, item: EngineLeaseItem, *, now: float) -> EngineAccount:
+    def _account(self, entry: str, item: EngineLeaseItem, *, now: float) -> EngineAccount:
         account, _ = self._accounts.get(item.engine, (None, now))
         if account is None:
             account = EngineAccount(slots=item.slots, prompt_per_s=item.speed, now=now)
-        account.note_capacity(slots=item.slots, prompt_per_s=item.speed)
+        account.note_capacity(entry, slots=item.slots, prompt_per_s=item.speed)
         self._accounts[item.engine] = (account, now)
         return account
 
--- a/figpaddle/regional/_lease_surroundings.py
+++ b/figpaddle/regional/_lease_surroundings.py
@@ -46,7 +46,7 @@
         zones = {
             heartbeat.name: heartbeat.zone
             for heartbeat in self._mesh.live_entries(self._settings.region)
-            if heartbeat.leases_engines
+            if heartbeat.leases_engines and not heartbeat.cut_off and not heartbeat.stopping_s
         }
         return {**zones, self._settings.ip: self._settings.zone}
 
--- a/figpaddle/regional/_placer.py
+++ b/figpaddle/regional/_placer.py
@@ -435,7 +435,9 @@
             service,
             self._classes_above(service, context.route.priority),
             prompt_tokens=choice.prefill,
+            of_tokens=float(context.caller.prompt_tokens),
             now=now,
+            is_charged=not _goes_on(context),
         )
 
     def _track(self, context: RequestContext, choice: Choice) -> None:
@@ -1013,11 +1015,19 @@
 
         One that has begun elsewhere has had its part of an engine, and its caller would lose what has come.
         """
-        if context.may_have_run or context.last_event or context.confined_by is not None:
+        if _goes_on(context):
             return True
         service = context.service.name
         urgency_class = self._classes_above(service, context.route.priority)
-        return self._leases.may_begin(backend.name, service, urgency_class, now=now)
+        if self._leases.may_begin(backend.name, service, urgency_class, now=now):
+            return True
+        # Few entries have a part of what such a server takes, and they may not be those that ask for a lease.
+        has_limit = (
+            self._is_cold(backend, context, now)
+            or self._limit_of(backend, now=now) is not None
+            or self._brittle.bears(service) is not None
+        )
+        return has_limit and not self._leases.holds(backend.name, service, now=now)
 
     def note_demand(self, context: RequestContext) -> None:
         """Count a request that has come, whether or not it gets a place."""
@@ -1292,6 +1302,11 @@
     return frozenset() if is_part and context.may_have_run else context.confined_regions
 
 
+def _goes_on(context: RequestContext) -> bool:
+    """Return whether a request goes on with what has begun elsewhere, or may go to one server alone."""
+    return context.may_have_run or bool(context.last_event) or context.confined_by is not None
+
+
 def _has_version(context: RequestContext, version: str) -> bool:
     """Return whether a software version may serve a request: a stream goes on at its own."""
     return context.version is None or (bool(version) and version == context.version)
--- a/figpaddle/regional/tests/simulated_region.py
+++ b/figpaddle/regional/tests/simulated_region.py
@@ -291,7 +291,14 @@
             result.lengths.append((length, False))
             return
         name = choice.backend.name
-        entry.leases.note_begun(name, "s", kind.priority, prompt_tokens=choice.prefill, now=now)
+        entry.leases.note_begun(
+            name,
+            "s",
+            kind.priority,
+            prompt_tokens=choice.prefill,
+            of_tokens=kind.prompt_tokens,
+            now=now,
+        )
         entry.trackers[name].note_sent(
             demand.request_id,
             demand,
