--- a/figpaddle/engine_leases/_book.py
+++ b/figpaddle/engine_leases/_book.py
@@ -129,6 +129,7 @@
         self._engines = {
             key: engine for key, engine in self._engines.items() if key[1] not in changed
         }
+        self._find_held()
 
     def is_leased(self, service: str) -> bool:
         """Return whether the engines of a service are used under leases."""
@@ -191,7 +192,9 @@
 
     def renew(self, engine: str, service: str, lease: EngineLease, *, asked_at: float) -> None:
         """Take a lease that was asked for at ``asked_at``."""
-        if len(lease.prompt_per_s) >= self._classes.get(service, 0):
+        classes = self._classes.get(service)
+        # The classes may have changed since the question.
+        if classes is not None and lease.classes >= classes:
             self._engine(engine, service).held.renew(lease, asked_at=asked_at)
             held_until = self._held_until.get(service, float("-inf"))
             self._held_until[service] = max(held_until, asked_at + lease.life_s)
@@ -200,7 +203,9 @@
         self, engine: str, service: str, *, prompt_per_s: float, entries: int, now: float
     ) -> None:
         """Renew the part of an engine that this entry uses while no account answers it."""
-        classes = self._classes.get(service, 0)
+        classes = self._classes.get(service)
+        if classes is None:
+            return
         per_s = UNLEASED_FRACTION * prompt_per_s / max(1, entries)
         lease = EngineLease(
             prompt_per_s=(per_s,) * classes,
@@ -235,6 +240,7 @@
         """Forget the engines that aren't among the ``known`` ones."""
         names = set(known)
         self._engines = {key: item for key, item in self._engines.items() if key[0] in names}
+        self._find_held()
 
     def dump(self, *, now: float) -> dict[str, dict[str, object]]:
         """Return the leases for operators, by engine."""
@@ -249,6 +255,13 @@
             if engine.held.lease is not None
         }
 
+    def _find_held(self) -> None:
+        """Find until when some lease is in force, after some were dropped."""
+        self._held_until = {}
+        for (_, service), engine in self._engines.items():
+            known = self._held_until.get(service, float("-inf"))
+            self._held_until[service] = max(known, engine.held.expires_at)
+
     def _engine(self, name: str, service: str) -> _Engine:
         engine = self._engines.get((name, service))
         if engine is None:
--- a/figpaddle/engine_leases/_lease.py
+++ b/figpaddle/engine_leases/_lease.py
@@ -19,6 +19,11 @@
     #: Time from the question until it ends, seconds.
     life_s: float
 
+    @property
+    def classes(self) -> int:
+        """Number of classes for which it has both rates."""
+        return min(len(self.prompt_per_s), len(self.starts_per_s))
+
 
 class _Allowance:
     """A rate that may be used up to what has gathered, and beyond that by the last request."""
@@ -67,6 +72,11 @@
         """The last lease."""
         return self._lease
 
+    @property
+    def expires_at(self) -> float:
+        """When the lease ends, seconds of the caller's clock; minus infinity without one."""
+        return self._expires_at
+
     def is_held(self, *, now: float) -> bool:
         """Return whether the lease hasn't ended."""
         return now < self._expires_at
