--- a/figpaddle/engine_leases/_account.py
+++ b/figpaddle/engine_leases/_account.py
@@ -36,8 +36,8 @@
 class EngineAccount:
     """Divides the reading time and the streams of one engine among the entries that use it.
 
-    Classes are served in their order: a less urgent one gets what the more urgent ones leave. All leases in force
-    together stay within what the streams that run leave, except for the least part that each class keeps.
+    Classes are served in their order: a less urgent one gets what the more urgent ones leave. The leases in force for
+    one of these together stay within that, plus the least part that the class keeps, as long as no answer is lost.
 
     >>> account = EngineAccount(slots=64, prompt_per_s=80_000.0, now=0.0)
     >>> use = EngineUse(prompt_per_s=(1000.0, 90_000.0), starts_per_s=(2.0, 5.0))
@@ -117,7 +117,8 @@
             left = max(least, fraction * self._speed - taken)
             asked = {name: ASKED_FACTOR * rate for name, rate in wanted.items()}
             part = divide(left, asked)[entry]
-            rates.append(min(part, self._unleased(entry, urgency_class, left)))
+            kept = left if urgency_class == 0 else least
+            rates.append(min(part, self._unleased(entry, urgency_class, left, kept=kept)))
             taken += min(left, sum(wanted.values()))
         return tuple(rates)
 
@@ -141,14 +142,21 @@
             taken += min(left, sum(wanted.values()))
         return tuple(rates)
 
-    def _unleased(self, entry: str, urgency_class: int, capacity: float) -> float:
-        """Return what the leases of other entries for a class leave of its capacity; never less than an equal part."""
+    def _unleased(self, entry: str, urgency_class: int, capacity: float, *, kept: float) -> float:
+        """Return what the leases of other entries for a class leave of its capacity.
+
+        It isn't less than an equal part of what the class keeps. Less urgent classes keep their least part only,
+        and that once: each of many entries that join would add an equal part of its own.
+        """
         leased = sum(
             lease.prompt_per_s[urgency_class]
             for name, (lease, _) in self._leases.items()
             if name != entry and urgency_class < len(lease.prompt_per_s)
         )
-        return max(capacity / max(1, len(self._stated)), capacity - leased)
+        equal_part = kept / max(1, len(self._stated))
+        if urgency_class > 0:
+            equal_part = min(equal_part, max(0.0, capacity + kept - leased))
+        return max(equal_part, capacity - leased)
 
     def _wanted(self, urgency_class: int, resource: str) -> dict[str, float]:
         wanted = {}
