--- a/figpaddle/engine_leases/_account.py
+++ b/figpaddle/engine_leases/_account.py
@@ -22,6 +22,8 @@
 LEASE_S = ACTIVE_S = 1.5
 #: Multiple of its part of the demand up to which an entry gets of each engine: engines differ in what they have left.
 ASKED_FACTOR = 1.5
+#: Time constant of the measured reading, seconds; about that of the measured time between events, to which it belongs.
+READING_S = 2.0
 #: Time in which the number of streams may approach the one that fits, seconds.
 APPROACH_S = 0.5
 #: Time after the account begins in which leases of an earlier one may be in force, seconds.
@@ -52,6 +54,9 @@
         self._slots = slots
         self._speed = prompt_per_s
         self._speeds: dict[str, float] = {}
+        # Moving average of the fraction of the time in which prompts are read, and when it was updated.
+        self._reading = 0.0
+        self._reading_at = now
         self._stated: dict[str, _Stated] = {}
         self._leases: dict[str, tuple[EngineLease, float]] = {}
         self._settled_at = now + SETTLE_S
@@ -71,6 +76,9 @@
         """Return the lease of an entry that states its use and asks for one."""
         self._expire(now)
         self._stated[entry] = _Stated(use=use, at=now)
+        kept = math.exp(-max(0.0, now - self._reading_at) / READING_S)
+        self._reading = self._reading * kept + self._reading_of(0) * (1.0 - kept)
+        self._reading_at = now
         classes = max(len(stated.use.prompt_per_s) for stated in self._stated.values())
         lease = EngineLease(
             prompt_per_s=self._prompt_rates(entry, classes, is_settled=now >= self._settled_at),
@@ -125,7 +133,7 @@
         return PaceEstimate(
             gap_s=mean_gap_s(uses),
             streams=sum(use.streams for use in uses),
-            reading=min(MAX_READING_FRACTION, self._reading_of(0)),
+            reading=min(MAX_READING_FRACTION, self._reading),
         )
 
     def _prompt_rates(self, entry: str, classes: int, *, is_settled: bool) -> tuple[float, ...]:
--- a/figpaddle/engine_leases/_book.py
+++ b/figpaddle/engine_leases/_book.py
@@ -265,14 +265,13 @@
         )
         self._engine(engine, service).unleased.renew(lease, asked_at=now)
 
-    def lender(self, service: str, urgency_class: int, *, now: float) -> str | None:
-        """Return the engine at which a loan for a request is asked: the one that leaves the class most."""
-        held = {
-            name: engine.held.lease.prompt_per_s[urgency_class]
+    def lenders(self, service: str, *, now: float) -> list[str]:
+        """Return the engines of a service at which a loan may be asked: those with a lease in force."""
+        return [
+            name
             for (name, of_service), engine in self._engines.items()
-            if of_service == service and engine.held.lease and engine.held.is_held(now=now)
-        }
-        return max(held, key=lambda name: held[name], default=None)
+            if of_service == service and engine.held.is_held(now=now)
+        ]
 
     def note_lent(
         self, engine: str, service: str, urgency_class: int, *, prompt_tokens: float, now: float
--- a/figpaddle/engine_leases/_exchange.py
+++ b/figpaddle/engine_leases/_exchange.py
@@ -6,6 +6,7 @@
 import collections
 import dataclasses
 import itertools
+import random
 from collections.abc import Callable, Mapping
 from typing import Any
 
@@ -30,6 +31,8 @@
     Message,
 )
 
+#: Number of accounts that are asked for one loan.
+MAX_LENDERS = 2
 #: Time for which a request waits for a loan, seconds; the keeper's event loop may be late.
 LOAN_TIMEOUT_S = 0.1
 #: Interval between log lines about each account, seconds.
@@ -119,11 +122,13 @@
         surroundings: LeaseSurroundings,
         book: LeaseBook,
         clock: Callable[[], float],
+        rng: random.Random,
         log: Log,
     ) -> None:
         self._surroundings = surroundings
         self._book = book
         self._clock = clock
+        self._rng = rng
         self._log = log
         self._logged_at = float("-inf")
         self._numbers = itertools.count(1)
@@ -139,25 +144,41 @@
     async def borrow(self, request: LeasedRequest) -> bool:
         """Ask for a loan for a request that no lease lets begin; return whether it may begin now.
 
-        It is asked of the account of the engine whose lease leaves its class most.
+        The accounts of a few engines are asked one after another. Which ones is drawn, as all entries would meet at
+        the engine that looks best to them.
         """
         now = self._clock()
-        service, urgency_class = request.service, request.urgency_class
-        name = self._book.lender(service, urgency_class, now=now)
-        asked = {engine.name: engine for engine in self._surroundings.asked_engines(service)}
-        if name is None or name not in asked:
-            return False
-        engine = asked[name]
-        keeper = account_owner(name, engine.zone, self._surroundings.keepers())
+        held = set(self._book.lenders(request.service, now=now))
+        engines = [
+            engine
+            for engine in self._surroundings.asked_engines(request.service)
+            if engine.name in held
+        ]
+        states = {engine.name: engine.state for engine in engines}
+        uses = self._book.uses(request.service, states, now=now)
+        for engine in self._rng.sample(engines, min(MAX_LENDERS, len(engines))):
+            item = dataclasses.replace(
+                _item(engine, request.service, uses[engine.name]),
+                borrower=request.urgency_class,
+                borrowed_tokens=float(request.prompt_tokens),
+            )
+            if await self._ask_loan(engine, item):
+                self._book.note_lent(
+                    engine.name,
+                    request.service,
+                    request.urgency_class,
+                    prompt_tokens=float(request.prompt_tokens),
+                    now=self._clock(),
+                )
+                return True
+        return False
+
+    async def _ask_loan(self, engine: AskedEngine, item: EngineLeaseItem) -> bool:
+        """Ask the keeper of an engine's account for a loan; return whether it lends."""
+        now = self._clock()
+        keeper = account_owner(engine.name, engine.zone, self._surroundings.keepers())
         if keeper is None:
             return False
-        states = {other.name: other.state for other in asked.values()}
-        use = self._book.uses(service, states, now=now)[name]
-        item = dataclasses.replace(
-            _item(engine, service, use),
-            borrower=urgency_class,
-            borrowed_tokens=float(request.prompt_tokens),
-        )
         question = self._question((item,), now=now)
         waiting = self._waiting[question.number] = _Borrower()
         end_expectation = self._surroundings.expect_reply(LOAN_TIMEOUT_S)
@@ -171,14 +192,6 @@
         finally:
             end_expectation()
             del self._waiting[question.number]
-        if waiting.is_lent:
-            self._book.note_lent(
-                name,
-                service,
-                urgency_class,
-                prompt_tokens=float(request.prompt_tokens),
-                now=self._clock(),
-            )
         return waiting.is_lent
 
     async def run(self) -> None:
--- a/figpaddle/regional/_entry.py
+++ b/figpaddle/regional/_entry.py
@@ -105,6 +105,7 @@
             ),
             book=self._placer.leases,
             clock=self._clock,
+            rng=self._rng,
             log=self._log,
         )
         tasks.start_service(self._lease_exchange.run)
