--- a/figpaddle/engine_leases/_exchange.py
+++ b/figpaddle/engine_leases/_exchange.py
@@ -6,7 +6,7 @@
 import collections
 import dataclasses
 import itertools
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from typing import Any
 
 import anyio
@@ -23,12 +23,15 @@
     EngineLeaseItem,
     GrantedLease,
     Message,
+    number,
 )
 
 #: Interval between log lines about each account, seconds.
 LOG_INTERVAL_S = 2.0
 #: Time after which an account that nobody asks, and a question without an answer, are forgotten, seconds.
 RETENTION_S = 5.0
+#: Largest amount that a message may state of anything; sums of such ones stay finite.
+MAX_AMOUNT = 1e9
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -108,8 +111,8 @@
         self._log = log
         self._logged_at = float("-inf")
         self._numbers = itertools.count(1)
-        # When each question without an answer was asked, by its number.
-        self._asked_at: dict[int, float] = {}
+        # When each question without an answer was asked, and of which entry, by its number.
+        self._asked: dict[int, tuple[float, str]] = {}
         # Accounts by engine, and when each was last used.
         self._accounts: dict[str, tuple[EngineAccount, float]] = {}
         surroundings.on_message(EngineLeaseAsk, self._answer)
@@ -148,12 +151,12 @@
                 if keeper is not None:
                     items_by_keeper[keeper].append(_item(engine, service, use))
         for keeper, items in items_by_keeper.items():
-            number = next(self._numbers)
-            self._asked_at[number] = now
+            question_number = next(self._numbers)
+            self._asked[question_number] = (now, keeper)
             question = EngineLeaseAsk(
                 sender=self._surroundings.name,
                 incarnation=self._surroundings.incarnation,
-                number=number,
+                number=question_number,
                 items=tuple(items),
             )
             if keeper == self._surroundings.name:
@@ -201,6 +204,8 @@
         keepers = self._surroundings.keepers()
         granted = []
         for item in question.items:
+            if not _is_usable_item(item):
+                continue
             zone = self._surroundings.zone_of(item.engine)
             if zone is None or account_owner(item.engine, zone, keepers) != self._surroundings.name:
                 continue
@@ -225,10 +230,13 @@
         assert isinstance(grant, EngineLeaseGrant)
         if grant.incarnation != self._surroundings.incarnation:
             return
-        asked_at = self._asked_at.pop(grant.number, None)
-        if asked_at is None:
+        asked_at, keeper = self._asked.get(grant.number, (0.0, None))
+        if grant.sender != keeper:
             return
+        del self._asked[grant.number]
         for item in grant.items:
+            if not _is_usable_grant(item):
+                continue
             lease = EngineLease(
                 prompt_per_s=item.prompt_per_s, starts_per_s=item.starts_per_s, life_s=item.life_s
             )
@@ -246,8 +254,10 @@
         self._accounts = {
             name: item for name, item in self._accounts.items() if now - item[1] <= RETENTION_S
         }
-        self._asked_at = {
-            number: at for number, at in self._asked_at.items() if now - at <= RETENTION_S
+        self._asked = {
+            question_number: asked
+            for question_number, asked in self._asked.items()
+            if now - asked[0] <= RETENTION_S
         }
         self._book.forget(self._surroundings.engine_names())
 
@@ -268,6 +278,25 @@
     )
 
 
+def _are_amounts(values: Iterable[float]) -> bool:
+    return all(number(value, most=MAX_AMOUNT) is not None for value in values)
+
+
+def _is_usable_item(item: EngineLeaseItem) -> bool:
+    """Return whether an account can count with what an entry states."""
+    amounts = (item.slots, item.speed, item.streams, item.gap_s, item.stream_s)
+    rates = item.prompt_per_s + item.starts_per_s + item.begun_per_s
+    # Nothing is owed where the time is infinite; a comparison with NaN fails.
+    owed_is_positive = all(owed_s > 0.0 for owed_s in item.owed_s)
+    return item.speed > 0.0 and _are_amounts(amounts + rates) and owed_is_positive
+
+
+def _is_usable_grant(item: GrantedLease) -> bool:
+    """Return whether a lease has finite rates and ends soon."""
+    is_short = number(item.life_s, most=RETENTION_S) is not None
+    return is_short and _are_amounts(item.prompt_per_s + item.starts_per_s)
+
+
 def _use(item: EngineLeaseItem) -> EngineUse:
     return EngineUse(
         prompt_per_s=item.prompt_per_s,
