--- a/figpaddle/engine_leases/_account.py
+++ b/figpaddle/engine_leases/_account.py
@@ -136,7 +136,8 @@
             )
             per_s = max(0.0, pace.streams / stream_s + (most - pace.streams) / APPROACH_S)
             wanted = self._wanted(urgency_class, "starts_per_s")
-            left = max(0.0, per_s - taken)
+            least = MIN_READING_FRACTION * per_s if urgency_class > 0 else 0.0
+            left = max(least, per_s - taken)
             asked = {name: ASKED_FACTOR * rate for name, rate in wanted.items()}
             rates.append(divide(left, asked)[entry])
             taken += min(left, sum(wanted.values()))
--- a/figpaddle/engine_leases/tests/test_accounts.py
+++ b/figpaddle/engine_leases/tests/test_accounts.py
@@ -1,3 +1,4 @@
+import dataclasses
 import random
 
 import pytest
@@ -78,3 +79,17 @@
         rates = {"a": (9.0,), "b": (9.0, 9.0, 9.0), "c": (9.0, 9.0)}[name]
         lease = engine.grant(name, use(*rates), now=step * 0.1)
         assert len(lease.prompt_per_s) == len(lease.starts_per_s) >= len(rates)
+
+
+@pytest.mark.parametrize("entries", [1, 12])
+def test_less_urgent_streams_keep_a_least_part_unless_nothing_may_begin(entries: int) -> None:
+    # They got no start at all while the most urgent class wanted more than fits, so that their prompts got none either.
+    urgent = dataclasses.replace(use(9.0, 9.0), starts_per_s=(900.0 / entries, 5.0), streams=0)
+    slow = dataclasses.replace(urgent, streams=64, gap_s=5.0)
+    for item, least in [(urgent, 0.05 * 64 / 0.5), (slow, 0.0)]:
+        engine = account()
+        leases = {}
+        for step in range(2 * entries):
+            leases[step % entries] = engine.grant(f"e{step % entries}", item, now=0.0)
+        total = [sum(lease.starts_per_s[index] for lease in leases.values()) for index in (0, 1)]
+        assert least - 1e-9 <= total[1] <= 0.06 * total[0] + 1e-9
