--- a/figpaddle/engine_leases/_book.py
+++ b/figpaddle/engine_leases/_book.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import dataclasses
 import math
 from collections.abc import Iterable, Mapping
@@ -13,10 +14,17 @@
 ASK_INTERVAL_S = 0.4
 #: Time constant of the measured demand, seconds.
 DEMAND_S = 1.0
-#: Time for which the most events that a route states are remembered, seconds.
-EVENTS_SPAN_S = 30.0
+#: Time for which the pace that a request was owed is remembered, seconds, and the largest number of requests.
+OWED_SPAN_S, MAX_OWED = 30.0, 100
+#: Fraction of the requests that may state that they are owed a faster pace than the account goes by: a few that state
+#: answers of any length must not slow down all others.
+FASTEST_FRACTION = 0.05
+#: Weight of a request in the average part of its prompt that an engine hasn't cached.
+UNCACHED_WEIGHT = 0.05
 #: Length of a prompt where none of its class was seen, tokens.
 USUAL_PROMPT_TOKENS = 3000.0
+#: Rate of starts that limits nothing, streams a second.
+UNLIMITED_PER_S = 1e9
 #: Fraction of an engine's time that all entries together use for each less urgent class while they hold no lease,
 #: as the keeper of the account is silent.
 UNLEASED_FRACTION = 0.05
@@ -72,8 +80,12 @@
     def __init__(self, *, classes: int) -> None:
         self.prompts = [_Rate() for _ in range(classes)]
         self.starts = [_Rate() for _ in range(classes)]
-        #: Least time between events that is owed, by class, and until when it counts.
-        self.owed: list[tuple[float, float]] = [(math.inf, 0.0)] * classes
+        #: Average part of the prompts that engines had to read, by class.
+        self.uncached = [1.0] * classes
+        # Times between events that requests were owed, and when they came, by class.
+        self._owed: list[collections.deque[tuple[float, float]]] = [
+            collections.deque(maxlen=MAX_OWED) for _ in range(classes)
+        ]
 
     def note(self, request: LeasedRequest, *, now: float) -> None:
         self.prompts[request.urgency_class].note(float(request.prompt_tokens), now=now)
@@ -81,9 +93,20 @@
         owed_s = owed_gap_s(
             timeout_s=request.timeout_s, target_s=request.target_s, events=request.events
         )
-        known_s, until = self.owed[request.urgency_class]
-        if owed_s <= known_s or now >= until:
-            self.owed[request.urgency_class] = (owed_s, now + EVENTS_SPAN_S)
+        self._owed[request.urgency_class].append((owed_s, now))
+
+    def note_begun(self, urgency_class: int, *, read: float, of_tokens: float) -> None:
+        """Record how much of a prompt an engine reads."""
+        if of_tokens > 0.0:
+            part = min(1.0, read / of_tokens)
+            self.uncached[urgency_class] += UNCACHED_WEIGHT * (part - self.uncached[urgency_class])
+
+    def owed_s(self, urgency_class: int, *, now: float) -> float:
+        """Return the time between events that requests of a class are owed, seconds."""
+        recent = sorted(
+            owed_s for owed_s, at in self._owed[urgency_class] if now - at <= OWED_SPAN_S
+        )
+        return recent[int(FASTEST_FRACTION * len(recent))] if recent else math.inf
 
 
 class _Engine:
@@ -129,6 +152,7 @@
         self._engines = {
             key: engine for key, engine in self._engines.items() if key[1] not in changed
         }
+        self._find_held()
 
     def is_leased(self, service: str) -> bool:
         """Return whether the engines of a service are used under leases."""
@@ -151,19 +175,44 @@
         if known is not None and known.held.is_held(now=now):
             return known.held.may_begin(urgency_class, now=now)
         if urgency_class == 0:
-            # Beyond its leases nothing begins, or entries would meet at the engines that none of them asks for.
-            return now >= self._held_until.get(service, float("-inf"))
+            # An engine whose account doesn't answer is used as if there were none. At others nothing begins beyond
+            # the leases, or entries would meet at the engines that none of them asks for.
+            is_asked = known is not None and known.unleased.is_held(now=now)
+            return is_asked or now >= self._held_until.get(service, float("-inf"))
         return known is not None and known.unleased.may_begin(urgency_class, now=now)
 
+    def holds(self, engine: str, service: str, *, now: float) -> bool:
+        """Return whether a lease of an engine is in force."""
+        known = self._engines.get((engine, service))
+        return known is not None and known.held.is_held(now=now)
+
     def note_begun(
-        self, engine: str, service: str, urgency_class: int, *, prompt_tokens: float, now: float
+        self,
+        engine: str,
+        service: str,
+        urgency_class: int,
+        *,
+        prompt_tokens: float,
+        of_tokens: float = 0.0,
+        now: float,
+        is_charged: bool = True,
     ) -> None:
-        """Count a request that begins at an engine."""
+        """Count a request that begins at an engine, which reads ``prompt_tokens`` of the ``of_tokens`` of its prompt.
+
+        ``of_tokens`` is 0 where the whole prompt isn't known.
+
+        One that goes on with what has begun elsewhere isn't charged to the lease: others would wait for it.
+        """
         classes = self._classes.get(service)
         if classes is None or urgency_class >= classes:
             return
         known = self._engine(engine, service)
         known.begun[urgency_class].note(prompt_tokens, now=now)
+        demand = self._demands.get(service)
+        if demand is not None:
+            demand.note_begun(urgency_class, read=prompt_tokens, of_tokens=of_tokens)
+        if not is_charged:
+            return
         held = known.held if known.held.is_held(now=now) else known.unleased
         held.spend(urgency_class, prompt_tokens=prompt_tokens, now=now)
 
@@ -176,7 +225,10 @@
         part = 1.0 / max(1, len(engines))
         return {
             name: EngineUse(
-                prompt_per_s=tuple(part * rate.per_s(now=now) for rate in demand.prompts),
+                prompt_per_s=tuple(
+                    part * uncached * rate.per_s(now=now)
+                    for uncached, rate in zip(demand.uncached, demand.prompts, strict=True)
+                ),
                 starts_per_s=tuple(part * rate.per_s(now=now) for rate in demand.starts),
                 begun_per_s=tuple(
                     rate.per_s(now=now) for rate in self._engine(name, service).begun
@@ -184,14 +236,16 @@
                 streams=state.streams,
                 gap_s=state.gap_s,
                 stream_s=state.stream_s,
-                owed_s=tuple(owed_s for owed_s, _ in demand.owed),
+                owed_s=tuple(demand.owed_s(index, now=now) for index in range(classes)),
             )
             for name, state in engines.items()
         }
 
     def renew(self, engine: str, service: str, lease: EngineLease, *, asked_at: float) -> None:
         """Take a lease that was asked for at ``asked_at``."""
-        if len(lease.prompt_per_s) >= self._classes.get(service, 0):
+        classes = self._classes.get(service)
+        # The classes may have changed since the question.
+        if classes is not None and lease.classes >= classes:
             self._engine(engine, service).held.renew(lease, asked_at=asked_at)
             held_until = self._held_until.get(service, float("-inf"))
             self._held_until[service] = max(held_until, asked_at + lease.life_s)
@@ -200,41 +254,65 @@
         self, engine: str, service: str, *, prompt_per_s: float, entries: int, now: float
     ) -> None:
         """Renew the part of an engine that this entry uses while no account answers it."""
-        classes = self._classes.get(service, 0)
+        classes = self._classes.get(service)
+        if classes is None:
+            return
         per_s = UNLEASED_FRACTION * prompt_per_s / max(1, entries)
         lease = EngineLease(
             prompt_per_s=(per_s,) * classes,
-            starts_per_s=(math.inf,) * classes,
+            starts_per_s=(UNLIMITED_PER_S,) * classes,
             life_s=2.0 * ASK_INTERVAL_S,
         )
         self._engine(engine, service).unleased.renew(lease, asked_at=now)
 
+    def lenders(self, service: str, *, now: float) -> list[str]:
+        """Return the engines of a service at which a loan may be asked: those with a lease in force."""
+        return [
+            name
+            for (name, of_service), engine in self._engines.items()
+            if of_service == service and engine.held.is_held(now=now)
+        ]
+
+    def note_lent(
+        self, engine: str, service: str, urgency_class: int, *, prompt_tokens: float, now: float
+    ) -> None:
+        """Let one request of a class begin at an engine beyond the lease."""
+        held = self._engine(engine, service).held
+        held.lend(urgency_class, prompt_tokens=prompt_tokens, now=now)
+
     def room(
         self, service: str, urgency_class: int, *, entries: int, within_s: float, now: float
     ) -> int:
-        """Return how many requests of a class the engines of the region may begin within a time, beyond the demand.
+        """Return how many more requests of a class the engines of the region may begin within a time.
 
-        It concludes from the leases of this entry, which are about as large as those of each other one.
+        It concludes from what this entry leaves of its leases, which are about as large as those of each other one.
         """
         demand = self._demands.get(service)
         if urgency_class >= self._classes.get(service, 0):
             return 0
-        leased = sum(
-            engine.held.lease.prompt_per_s[urgency_class]
+        engines = [
+            engine
             for (_, name), engine in self._engines.items()
             if name == service and engine.held.lease and engine.held.is_held(now=now)
+        ]
+        unused_per_s = sum(
+            max(0.0, engine.held.lease.prompt_per_s[urgency_class] - begun)
+            for engine in engines
+            if engine.held.lease
+            for begun in (engine.begun[urgency_class].per_s(now=now),)
         )
-        if demand is None:
-            return int(entries * leased * within_s / USUAL_PROMPT_TOKENS)
-        wanted = demand.prompts[urgency_class].per_s(now=now)
-        mean_tokens = wanted / max(demand.starts[urgency_class].per_s(now=now), 1e-9)
-        free_per_s = max(0.0, leased - wanted)
-        return int(entries * free_per_s * within_s / max(mean_tokens, USUAL_PROMPT_TOKENS))
+        mean_tokens = USUAL_PROMPT_TOKENS
+        if demand is not None:
+            starts_per_s = max(demand.starts[urgency_class].per_s(now=now), 1e-9)
+            prompts_per_s = demand.prompts[urgency_class].per_s(now=now)
+            mean_tokens = max(mean_tokens, prompts_per_s / starts_per_s)
+        return int(entries * unused_per_s * within_s / mean_tokens)
 
     def forget(self, known: Iterable[str]) -> None:
         """Forget the engines that aren't among the ``known`` ones."""
         names = set(known)
         self._engines = {key: item for key, item in self._engines.items() if key[0] in names}
+        self._find_held()
 
     def dump(self, *, now: float) -> dict[str, dict[str, object]]:
         """Return the leases for operators, by engine."""
@@ -249,6 +327,13 @@
             if engine.held.lease is not None
         }
 
+    def _find_held(self) -> None:
+        """Find until when some lease is in force, after some were dropped."""
+        self._held_until = {}
+        for (_, service), engine in self._engines.items():
+            known = self._held_until.get(service, float("-inf"))
+            self._held_until[service] = max(known, engine.held.expires_at)
+
     def _engine(self, name: str, service: str) -> _Engine:
         engine = self._engines.get((name, service))
         if engine is None:
--- a/figpaddle/engine_leases/_lease.py
+++ b/figpaddle/engine_leases/_lease.py
@@ -19,8 +19,13 @@
     #: Time from the question until it ends, seconds.
     life_s: float
 
+    @property
+    def classes(self) -> int:
+        """Number of classes for which it has both rates."""
+        return min(len(self.prompt_per_s), len(self.starts_per_s))
+
 
-class _Allowance:
+class Allowance:
     """A rate that may be used up to what has gathered, and beyond that by the last request."""
 
     def __init__(self) -> None:
@@ -38,8 +43,13 @@
         return self._level
 
     def spend(self, amount: float) -> None:
+        """Take an amount, beyond what has gathered too."""
         self._level -= amount
 
+    def lend(self, amount: float) -> None:
+        """Add an amount for one request that may begin now."""
+        self._level = max(0.0, self._level) + amount
+
 
 class HeldLease:
     """A lease at the entry that holds it.
@@ -59,14 +69,19 @@
     def __init__(self, *, classes: int) -> None:
         self._lease: EngineLease | None = None
         self._expires_at = float("-inf")
-        self._prompts = [_Allowance() for _ in range(classes)]
-        self._starts = [_Allowance() for _ in range(classes)]
+        self._prompts = [Allowance() for _ in range(classes)]
+        self._starts = [Allowance() for _ in range(classes)]
 
     @property
     def lease(self) -> EngineLease | None:
         """The last lease."""
         return self._lease
 
+    @property
+    def expires_at(self) -> float:
+        """When the lease ends, seconds of the caller's clock; minus infinity without one."""
+        return self._expires_at
+
     def is_held(self, *, now: float) -> bool:
         """Return whether the lease hasn't ended."""
         return now < self._expires_at
@@ -90,6 +105,13 @@
         self._prompts[urgency_class].spend(prompt_tokens)
         self._starts[urgency_class].spend(1.0)
 
+    def lend(self, urgency_class: int, *, prompt_tokens: float, now: float) -> None:
+        """Let one request begin beyond the lease."""
+        if self._lease is not None:
+            self._levels(self._lease, urgency_class, now=now)
+        self._prompts[urgency_class].lend(max(1.0, prompt_tokens))
+        self._starts[urgency_class].lend(1.0)
+
     def _levels(self, lease: EngineLease, urgency_class: int, *, now: float) -> tuple[float, float]:
         return (
             self._prompts[urgency_class].level(lease.prompt_per_s[urgency_class], now=now),
--- a/figpaddle/regional/_entry.py
+++ b/figpaddle/regional/_entry.py
@@ -105,6 +105,7 @@
             ),
             book=self._placer.leases,
             clock=self._clock,
+            rng=self._rng,
             log=self._log,
         )
         tasks.start_service(self._lease_exchange.run)
@@ -154,6 +155,7 @@
             quarantine=self._quarantine,
             streams=self._streams,
             quotas=self._quotas,
+            leases=self._lease_exchange,
             rng=self._rng,
             log=self._log,
             metrics=self._metrics,
