--- a/figpaddle/daemon/_quarantine.py
+++ b/figpaddle/daemon/_quarantine.py
@@ -230,7 +230,6 @@
             peers = self._directory.peers()
             for traits in self._attempts.take_settled(now=now):
                 self._quarantine.note_answer(traits)
-            self._quarantine.note_instances(1 + len(peers))
             news = self._quarantine.news(now=now)
             if (news.records or news.parts) and peers:
                 self._network.post(self._rng.choice(peers).name, news)
--- a/figpaddle/regional/_request_quarantine.py
+++ b/figpaddle/regional/_request_quarantine.py
@@ -264,7 +264,6 @@
         """Count the answers that have settled."""
         for traits in self._attempts.take_settled(now=self._clock()):
             self._quarantine.note_answer(traits)
-        self._quarantine.note_instances(1 + len(self._entries()))
         self._examined &= self._quarantine.processes_lost()
         self._log_verdicts()
 
--- a/figpaddle/routing/_crash_quarantine.py
+++ b/figpaddle/routing/_crash_quarantine.py
@@ -5,12 +5,13 @@
 import collections
 import dataclasses
 import enum
+import random
 from collections.abc import Iterable, Mapping
 
 from figpaddle.routing._loss_records import LOSS_TTL_S, Loss, LossRecords
 from figpaddle.routing._outages import Outages
 from figpaddle.routing._unsettled_attempts import Process, RequestTraits, SuspectedAttempt
-from figpaddle.wire import SuspectNews, SuspectRecord
+from figpaddle.wire import InstanceAnswers, SuspectNews, SuspectRecord
 
 #: Settled answers that outweigh the losses of one moment. Parts that nearly all prompts share are in progress at
 #: most crashes too, but have far more settled answers than losses.
@@ -29,6 +30,16 @@
 #: Largest number of digests whose answers are counted; beyond it, the least recently answered one of
 #: the member with the most is dropped.
 MAX_COUNTED_DIGESTS = 16384
+#: Largest number of digests of which the answers of other instances are kept, and of instances for
+#: each. Answers of further instances don't count.
+MAX_STATED_DIGESTS, MAX_STATING_INSTANCES = 1024, 128
+#: Largest number of instances whose answers a record states, the last that changed.
+MAX_STATED_IN_RECORD = 8
+#: Longest time for which a refusal waits for what others state of the answers up to the last loss, and
+#: for which an instance tells others of answers that one of them lacks, seconds.
+CONFIRM_S, TELL_S = 3.0, 3.0
+#: Size of a drawn identity, bits.
+IDENTITY_BITS = 53
 #: Longest time for which verdicts are reused, seconds.
 VERDICTS_TTL_S = 0.5
 
@@ -68,8 +79,10 @@
     the losses that it explains no longer count against others. A digest with one unexplained loss is
     suspect.
 
-    Answers are counted by each instance and scaled by the number of instances, since callers spread
-    over all of them. Instances that exchange records reach the same verdicts.
+    Each instance counts its own answers and states them, with those it has heard of, in its records. The
+    sum counts. Instances that exchange records reach the same verdicts. ``identity`` distinguishes the
+    process from all others that exchange records with it, also from those before its restart; it is
+    drawn if it isn't given.
 
     >>> quarantine = CrashQuarantine()
     >>> traits = RequestTraits(member="guide.example", fingerprint=b"f", parts=(b"p",))
@@ -81,18 +94,17 @@
     b'f'
     """
 
-    def __init__(self, *, loss_ttl_s: float = LOSS_TTL_S) -> None:
+    def __init__(self, *, loss_ttl_s: float = LOSS_TTL_S, identity: int | None = None) -> None:
         self._loss_ttl_s = loss_ttl_s
         self._losses = LossRecords(loss_ttl_s=loss_ttl_s)
-        self._answers = _AnswerCounts()
+        self._answers = _AnswerCounts(
+            identity=random.getrandbits(IDENTITY_BITS) if identity is None else identity
+        )
         self._verdicts: _Verdicts | None = None
+        #: Digests with answers that another instance lacks, by the time when it was last heard to.
+        self._lacking: dict[bytes, float] = {}
         #: Outages by member, as of the last change of the losses.
         self._outages: dict[str, Outages] = {}
-        self._instances = 1
-
-    def note_instances(self, instances: int) -> None:
-        """Set the number of instances among which callers spread, this one included."""
-        self._instances = max(1, instances)
 
     def note_answer(self, traits: RequestTraits) -> None:
         """Count a settled answer."""
@@ -161,7 +173,7 @@
         return len(self._possible_losses(digest, now=now))
 
     def answers_to(self, digest: bytes) -> float:
-        """Return the estimated number of settled answers of the deployment to a digest."""
+        """Return the number of settled answers of the deployment to a digest, as far as it is known."""
         return self._answers_of(digest)
 
     def knows_more(self, record: SuspectRecord, *, now: float) -> bool:
@@ -229,16 +241,19 @@
         """Merge the records of another instance; return when the processes in them were lost."""
         not_clear = frozenset() if self._verdicts is None else self._verdicts.not_clear
         has_new_answers = False
-        for record in (*news.records, *news.parts):
-            is_higher = self._answers.raise_to(
-                record.member, record.digest, max(0, record.answers) / self._instances
-            )
-            has_new_answers |= is_higher and record.digest in not_clear
+        records = (*news.records, *news.parts)
+        for record in records:
+            if not record.stated:
+                is_higher = self._answers.raise_to(record.member, record.digest, record.answers)
+                has_new_answers |= is_higher and record.digest in not_clear
         changed = self._losses.merge(news, now=now)
         for digest in changed:
             moments = _moments(self._losses.losses_of(digest, now=now))
             if moments:
                 self._limit_answers(digest, moments - 1)
+        for record in records:
+            if record.stated and self._merge_answers(record, now=now):
+                has_new_answers |= record.digest in not_clear
         # Most records come again several times, and a decision takes long beside many records.
         if changed or has_new_answers:
             self._forget_verdicts()
@@ -259,11 +274,12 @@
         """
 
         def is_wanted(digest: bytes) -> bool:
-            if digests is not None or self._losses.is_pardoned(digest):
+            if digests is not None or digest in self._lacking or self._losses.is_pardoned(digest):
                 return True
             losses = self._possible_losses(digest, now=now)
             return bool(losses) and self._matters(digest, self._moments_of(digest, losses))
 
+        self._lacking = {key: at for key, at in self._lacking.items() if now - at < TELL_S}
         known = self._losses.digests(now=now) if digests is None else digests
         found = self._losses.news(now=now, digests=filter(is_wanted, known))
         return SuspectNews(
@@ -272,10 +288,34 @@
 
     def _with_answers(self, records: tuple[SuspectRecord, ...]) -> tuple[SuspectRecord, ...]:
         return tuple(
-            dataclasses.replace(record, answers=int(self._answers_of(record.digest)))
+            dataclasses.replace(
+                record,
+                answers=int(self._answers_of(record.digest)),
+                stated=self._answers.stated(record.digest),
+            )
             for record in records
         )
 
+    def _merge_answers(self, record: SuspectRecord, *, now: float) -> bool:
+        """Merge the answers that a record states; return whether any are new."""
+        moments = _moments(self._losses.losses_of(record.digest, now=now))
+        if not moments:
+            return False
+        limit = _earlier_limit(moments - 1)
+        is_behind = self.knows_more(record, now=now)
+        if not is_behind:
+            self._answers.note_confirmed(record.digest, moments, by=record.stated[0].instance)
+        if not self._matters(record.digest, moments) and record.answers < self._answers_of(
+            record.digest
+        ):
+            self._lacking[record.digest] = now
+        has_new = False
+        for stated in record.stated[:MAX_STATED_IN_RECORD]:
+            has_new |= self._answers.merge(
+                record.member, record.digest, stated, limit=limit, is_behind=is_behind
+            )
+        return has_new
+
     def _possible_losses(self, digest: bytes, *, now: float) -> dict[Process, Loss]:
         """Return the losses that a digest may have caused."""
         losses = self._losses.losses_of(digest, now=now)
@@ -310,15 +350,14 @@
 
     def _limit_answers(self, digest: bytes, earlier_moments: int) -> None:
         """Limit the answers before a loss that followed ``earlier_moments`` other moments of losses."""
-        earlier = MAX_EARLIER_ANSWERS + ANSWERS_PER_LOSS * earlier_moments
-        self._answers.limit(digest, earlier / self._instances)
+        self._answers.limit(digest, _earlier_limit(earlier_moments))
 
     def _matters(self, digest: bytes, moments: int) -> bool:
         """Return whether the losses of a digest may soon outweigh its answers."""
         return self._answers_of(digest) < ANSWERS_PER_LOSS * (moments + 2)
 
     def _answers_of(self, digest: bytes) -> float:
-        return self._answers.get(digest) * self._instances
+        return self._answers.get(digest)
 
     def _current_verdicts(self, now: float) -> _Verdicts:
         verdicts = self._verdicts
@@ -336,7 +375,7 @@
         refused: set[bytes] = set()
         suspect: dict[bytes, set[str]] = collections.defaultdict(set)
         while best := self._best_explanations(unexplained):
-            enough = self._enough_losses(best, unexplained)
+            enough = self._enough_losses(best, unexplained, now)
             refused |= enough
             for digest in best - enough:
                 suspect[digest] |= {loss.region for loss in unexplained[digest].values()}
@@ -379,7 +418,7 @@
         return {digest for digest in candidates if rank(digest) == best_rank}
 
     def _enough_losses(
-        self, digests: set[bytes], unexplained: dict[bytes, dict[Process, Loss]]
+        self, digests: set[bytes], unexplained: dict[bytes, dict[Process, Loss]], now: float
     ) -> set[bytes]:
         """Return those of equally good explanations whose losses are enough to refuse them."""
         enough = set()
@@ -395,10 +434,19 @@
             count = len(losses)
             if not is_request or has_answers:
                 count = self._moments_of(digest, losses)
-            if count >= (MAX_AMBIGUOUS_LOSSES if is_ambiguous else MAX_LOSSES):
+            is_enough = count >= (MAX_AMBIGUOUS_LOSSES if is_ambiguous else MAX_LOSSES)
+            if is_enough and not self._is_unconfirmed(digest, now):
                 enough.add(digest)
         return enough
 
+    def _is_unconfirmed(self, digest: bytes, now: float) -> bool:
+        """Return whether others that answer a digest may still state answers up to its last loss."""
+        losses = self._losses.losses_of(digest, now=now)
+        last_at = max((loss.lost_at for loss in losses.values()), default=now)
+        return now - last_at < CONFIRM_S and self._answers.lacks_confirmation(
+            digest, _moments(losses)
+        )
+
     def _least_proven(
         self, unexplained: dict[bytes, dict[Process, Loss]]
     ) -> Iterable[tuple[Process, set[bytes]]]:
@@ -416,42 +464,166 @@
             yield process, {digest for digest in digests if self._answers_of(digest) == fewest}
 
 
+@dataclasses.dataclass(kw_only=True)
+class _AnswerCount:
+    """Settled answers to one digest, of all instances as far as they are known."""
+
+    #: Answers before the last known loss that count, and answers since.
+    before: float = 0.0
+    since: float = 0.0
+    #: The same of each instance that has any, by identity, the last that changed at the end.
+    by_instance: dict[int, InstanceAnswers] = dataclasses.field(default_factory=dict)
+
+    #: Number of moments of losses that another instance knew when it last stated its answers.
+    confirmed_moments: int = 0
+
+    @property
+    def sum(self) -> float:
+        """All answers that count."""
+        return self.before + self.since
+
+    def put(self, stated: InstanceAnswers) -> None:
+        """Set the answers of one instance."""
+        self.by_instance.pop(stated.instance, None)
+        self.by_instance[stated.instance] = stated
+
+    def limit(self, limit: float, *, identity: int) -> None:
+        """Count all answers as earlier ones, ``limit`` at most."""
+        share = min(1.0, limit / self.sum) if self.sum else 1.0
+        self.before, self.since = self.sum * share, 0.0
+        for instance, stated in self.by_instance.items():
+            before = stated.before + stated.since
+            # An instance gives up its own share only, as the others do so themselves.
+            before *= share if instance == identity else 1.0
+            self.by_instance[instance] = dataclasses.replace(stated, before=before, since=0)
+
+    def add_earlier(self, count: float, limit: float, *, identity: int) -> None:
+        """Add answers before the last loss, as far as all of these stay within ``limit``."""
+        before = self.before + count
+        if not before:
+            return
+        share = min(before, max(self.before, limit)) / before
+        self.before = before * share
+        own = self.by_instance.get(identity)
+        if own is not None:
+            self.by_instance[identity] = dataclasses.replace(own, before=own.before * share)
+
+
 class _AnswerCounts:
     """Counts settled answers by digest, of a bounded number of digests."""
 
-    def __init__(self) -> None:
-        self._counts: dict[str, collections.OrderedDict[bytes, float]] = {}
+    def __init__(self, *, identity: int) -> None:
+        self._identity = identity
+        self._counts: dict[str, collections.OrderedDict[bytes, _AnswerCount]] = {}
         self._members: dict[bytes, str] = {}
+        #: Digests with answers of other instances, the last heard of at the end.
+        self._stated: collections.OrderedDict[bytes, None] = collections.OrderedDict()
 
     def get(self, digest: bytes) -> float:
-        member = self._members.get(digest)
-        return 0.0 if member is None else self._counts[member][digest]
+        count = self._find(digest)
+        return 0.0 if count is None else count.sum
 
     def add(self, member: str, digest: bytes) -> None:
-        self._set(member, digest, self.get(digest) + 1.0)
+        count = self._touch(member, digest)
+        own = count.by_instance.get(self._identity, self._none())
+        count.since += 1.0
+        count.put(dataclasses.replace(own, total=own.total + 1, since=own.since + 1))
 
     def raise_to(self, member: str, digest: bytes, count: float) -> bool:
-        """Raise a count to ``count``; return whether it was lower."""
-        if count <= self.get(digest):
+        """Raise a sum to ``count``, an estimate; return whether it was lower."""
+        missing = count - self.get(digest)
+        if missing <= 0:
             return False
-        self._set(member, digest, count)
+        self._touch(member, digest).before += missing
         return True
 
-    def limit(self, digest: bytes, count: float) -> None:
-        if self.get(digest) > count:
-            self._set(self._members[digest], digest, count)
+    def limit(self, digest: bytes, limit: float) -> None:
+        count = self._find(digest)
+        if count is not None:
+            count.limit(limit, identity=self._identity)
+
+    def merge(
+        self, member: str, digest: bytes, stated: InstanceAnswers, *, limit: float, is_behind: bool
+    ) -> bool:
+        """Add the answers of another instance that are new; return whether any are.
 
-    def _set(self, member: str, digest: bytes, count: float) -> None:
+        Those before the last loss count up to ``limit``. ``is_behind`` tells that the sender lacks a loss,
+        so that all its answers may be earlier.
+        """
+        if stated.instance == self._identity or stated.total <= 0:
+            return False
+        count = self._touch(member, digest)
+        known = count.by_instance.get(stated.instance)
+        new = stated.total - (known.total if known else 0)
+        if new <= 0 or (known is None and len(count.by_instance) >= MAX_STATING_INSTANCES):
+            return False
+        since = 0 if is_behind else min(new, max(0, stated.since))
+        earlier = max(0.0, stated.before) + (max(0, stated.since) if is_behind else 0)
+        count.since += since
+        count.add_earlier(min(new - since, earlier), limit, identity=self._identity)
+        if is_behind:
+            stated = dataclasses.replace(stated, before=earlier, since=0)
+        count.put(stated)
+        self._stated[digest] = None
+        self._stated.move_to_end(digest)
+        if len(self._stated) > MAX_STATED_DIGESTS:
+            self._forget_stated()
+        return True
+
+    def note_confirmed(self, digest: bytes, moments: int, *, by: int) -> None:
+        """Record that another instance that knows so many moments of losses has stated answers."""
+        count = self._find(digest)
+        if count is not None and by != self._identity:
+            count.confirmed_moments = moments
+
+    def lacks_confirmation(self, digest: bytes, moments: int) -> bool:
+        """Return whether others have answers, and none has stated them after so many losses."""
+        count = self._find(digest)
+        if count is None or not count.by_instance.keys() - {self._identity}:
+            return False
+        return count.confirmed_moments < moments
+
+    def stated(self, digest: bytes) -> tuple[InstanceAnswers, ...]:
+        """Return the answers of this instance, and those of others that changed last."""
+        count = self._find(digest)
+        if count is None or count.sum < 1.0:
+            return ()
+        others = [item for key, item in count.by_instance.items() if key != self._identity]
+        own = count.by_instance.get(self._identity, self._none())
+        return own, *others[:-MAX_STATED_IN_RECORD:-1]
+
+    def _none(self) -> InstanceAnswers:
+        return InstanceAnswers(instance=self._identity, total=0, before=0.0, since=0)
+
+    def _forget_stated(self) -> None:
+        digest, _ = self._stated.popitem(last=False)
+        count = self._find(digest)
+        if count is not None:
+            own = count.by_instance.get(self._identity)
+            count.by_instance = {} if own is None else {self._identity: own}
+
+    def _find(self, digest: bytes) -> _AnswerCount | None:
+        member = self._members.get(digest)
+        return None if member is None else self._counts[member][digest]
+
+    def _touch(self, member: str, digest: bytes) -> _AnswerCount:
         member = self._members.setdefault(digest, member)
         counts = self._counts.setdefault(member, collections.OrderedDict())
-        counts[digest] = count
+        count = counts.setdefault(digest, _AnswerCount())
         counts.move_to_end(digest)
         if len(self._members) > MAX_COUNTED_DIGESTS:
             largest = max(sorted(self._counts), key=lambda name: len(self._counts[name]))
             dropped, _ = self._counts[largest].popitem(last=False)
             del self._members[dropped]
+            self._stated.pop(dropped, None)
             if not self._counts[largest]:
                 del self._counts[largest]
+        return count
+
+
+def _earlier_limit(earlier_moments: int) -> float:
+    """Return how many answers count before a loss that followed ``earlier_moments`` of losses."""
+    return float(MAX_EARLIER_ANSWERS + ANSWERS_PER_LOSS * earlier_moments)
 
 
 def _moments(losses: dict[Process, Loss]) -> int:
--- a/figpaddle/routing/tests/test_crash_quarantine.py
+++ b/figpaddle/routing/tests/test_crash_quarantine.py
@@ -170,12 +170,20 @@
         answer(quarantine, SHARED, 2 * ANSWERS_PER_LOSS)
 
 
-def test_answers_of_one_instance_are_scaled_by_the_number_of_instances() -> None:
-    quarantine = CrashQuarantine()
-    quarantine.note_instances(60)
-    answer(quarantine, SHARED, 1)
-    Crashes(quarantine).add((SHARED,), at=1.0)
-    assert verdicts(quarantine, SHARED, at=1.0) == [CLEAR]
+def test_answers_of_all_instances_add_up_and_repeats_of_them_do_not() -> None:
+    # Guards against one answer that outweighs a crash, as a share of those of many instances.
+    instances = [CrashQuarantine() for _ in range(ANSWERS_PER_LOSS)]
+    for number, quarantine in enumerate(instances):
+        answer(quarantine, SHARED, 1)
+        if number:
+            answer(quarantine, BAD, 1)
+    Crashes(instances[0]).add((SHARED,), (BAD,), at=1.0)
+    for _ in range(3):
+        for source, target in itertools.permutations(instances, 2):
+            target.merge(source.news(now=1.0), now=1.0)
+    for quarantine in instances:
+        assert verdicts(quarantine, SHARED, BAD, at=1.0) == [CLEAR, SUSPECT]
+        assert quarantine.answers_to(BAD) == ANSWERS_PER_LOSS - 1
 
 
 def test_an_instance_without_answers_of_its_own_learns_them_with_the_losses() -> None:
@@ -290,8 +298,6 @@
     """
     rng = random.Random(seed)
     instances = [CrashQuarantine() for _ in range(6)]
-    for quarantine in instances:
-        quarantine.note_instances(len(instances))
     sound = [b"sound %d" % number for number in range(6)]
     now, ended, numbers = 0.0, 0, itertools.count()
     for step in range(400):
@@ -344,7 +350,6 @@
     rng = random.Random(seed)
     instances = [CrashQuarantine() for _ in range(3)]
     for instance in instances:
-        instance.note_instances(3)
         for number in range(shared):
             # What nearly all servers run has had answers.
             answer(instance, f"part-{number}".encode(), 10 if shared < 10 else 0)
--- a/figpaddle/routing/tests/test_crashing_requests.py
+++ b/figpaddle/routing/tests/test_crashing_requests.py
@@ -267,8 +267,6 @@
     """
     rng = random.Random(seed)
     entries = [CrashQuarantine() for _ in range(7)]
-    for entry in entries:
-        entry.note_instances(len(entries))
     popular = [request(b"popular %d" % number) for number in range(4)]
     numbers = itertools.count()
     now, ended, lost_reports = 0.0, 0, 0
--- a/figpaddle/wire/__init__.py
+++ b/figpaddle/wire/__init__.py
@@ -33,6 +33,7 @@
 from figpaddle.wire._placement_values import BackendState, Prefix, PromptShape
 from figpaddle.wire._quarantine_messages import (
     BackendLoss,
+    InstanceAnswers,
     SuspectNews,
     SuspectRecord,
     SuspectSlot,
@@ -237,6 +238,7 @@
     "InForce",
     "InForceQuestion",
     "IndirectPing",
+    "InstanceAnswers",
     "InstanceHeartbeat",
     "InstanceInfo",
     "InstanceRole",
--- a/figpaddle/wire/_quarantine_messages.py
+++ b/figpaddle/wire/_quarantine_messages.py
@@ -25,6 +25,20 @@
     region: str = ""
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class InstanceAnswers:
+    """Settled answers that one instance has counted itself, to requests with one digest."""
+
+    #: Identity of the instance's process, drawn at its start.
+    instance: int
+    #: Answers since its start; only grows.
+    total: int
+    #: Those before the last loss that count, see ``CrashQuarantine``.
+    before: float
+    #: Those since the last loss that the sender of the record knows.
+    since: int
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class SuspectRecord:
     """Crashes that one request, or requests with one prompt part, may have caused."""
@@ -35,8 +49,10 @@
     digest: bytes
     #: Backend server processes that crashed while they ran it.
     losses: tuple[BackendLoss, ...]
-    #: Estimated number of settled answers of the deployment to requests with the digest.
+    #: Settled answers of the deployment to requests with the digest, as far as the sender knows.
     answers: int = 0
+    #: Those of single instances, the sender first; none from instances that estimate the sum.
+    stated: tuple[InstanceAnswers, ...] = ()
 
 
 @message("quarantine.news")
