--- a/figpaddle/regional/_quota_holder.py
+++ b/figpaddle/regional/_quota_holder.py
@@ -183,7 +183,10 @@
         items = []
         for item in ask.items:
             lent, spare = self._shares.lend(item.workspace, item.amount, now=now)
-            items.append(QuotaLoanItem(workspace=item.workspace, amount=lent, spare=spare))
+            largest = self._shares.exchange_largest(item.workspace, item.largest, now=now)
+            items.append(
+                QuotaLoanItem(workspace=item.workspace, amount=lent, spare=spare, largest=largest)
+            )
         self._mesh.send_datagrams(
             QuotaLoan(
                 sender=self._settings.ip,
@@ -200,6 +203,8 @@
             return
         now = self._boot_clock()
         loans = {item.workspace: (item.amount, item.spare) for item in loan.items}
+        for item in loan.items:
+            self._shares.note_largest(item.workspace, item.largest, now=now)
         self._shares.note_loans(loan.sender, loan.number, loans, now=now)
         self._settle(now)
         self._ask_loans(now)
@@ -211,7 +216,11 @@
         questions = self._shares.ask_loans(now=now, ahead=ahead)
         for peer, number, amounts in questions:
             items = tuple(
-                QuotaLoanItem(workspace=workspace, amount=amount)
+                QuotaLoanItem(
+                    workspace=workspace,
+                    amount=amount,
+                    largest=self._shares.largest_cost(workspace, now=now),
+                )
                 for workspace, amount in amounts.items()
             )
             self._metrics.count("quota_loans_asked_total")
--- a/figpaddle/routing/_quota_shares.py
+++ b/figpaddle/routing/_quota_shares.py
@@ -7,7 +7,8 @@
 from collections.abc import Collection, Mapping
 
 from figpaddle.deployment import QuotaUnit, WorkspaceQuota
-from figpaddle.routing._request_costs import RequestCosts
+from figpaddle.routing._recent_maximum import RecentMaximum
+from figpaddle.routing._request_costs import SPAN_S, RequestCosts
 
 #: Part of what the bounds allow beyond rate and burst that the lifetime of grants uses; the rest makes
 #: the buckets larger.
@@ -124,6 +125,9 @@
         #: What was asked for, and what of it was granted.
         self.demand, self.granted = DemandEstimate(now=now), DemandEstimate(now=now)
         self.costs = RequestCosts()
+        # The largest costs that other voters stated as they asked for loans, and as they answered.
+        self._asked_for = RecentMaximum(span_s=SPAN_S)
+        self._answered = RecentMaximum(span_s=SPAN_S)
         #: When a demand was refused last.
         self.refused_at = float("-inf")
 
@@ -137,6 +141,25 @@
         """Largest amount in the bucket."""
         return self._capacity
 
+    def note_largest_asked(self, cost: float, *, now: float) -> None:
+        """Record the largest recent cost that another voter stated as it asked for a loan."""
+        self._asked_for.note(cost, now=now)
+
+    def note_largest_answered(self, cost: float, *, now: float) -> None:
+        """Record the largest recent cost that another voter stated as it answered."""
+        self._answered.note(cost, now=now)
+
+    def largest_to_answer(self, *, now: float) -> float:
+        """Return the largest recent cost here and at the voters that asked.
+
+        What others answered isn't passed on, or it would go round for ever.
+        """
+        return max(self.costs.largest(now=now), self._asked_for.value(now=now))
+
+    def largest(self, *, now: float) -> float:
+        """Return the largest recent cost that is known of any voter."""
+        return max(self.largest_to_answer(now=now), self._answered.value(now=now))
+
     def set_part(self, *, per_s: float, capacity: float, now: float) -> None:
         """Change the rate and the size of the bucket; what it holds never exceeds the new size."""
         self._fill(now)
@@ -386,6 +409,25 @@
             questions.append((peer, number, asked))
         return questions
 
+    def largest_cost(self, workspace: str, *, now: float) -> float:
+        """Return the largest recent cost of a request here, which a question for a loan states."""
+        share = self._shares.get(workspace)
+        return 0.0 if share is None else share.costs.largest(now=now)
+
+    def exchange_largest(self, workspace: str, cost: float, *, now: float) -> float:
+        """Record the largest cost that a question for a loan states; return what the answer states."""
+        share = self._shares.get(workspace)
+        if share is None:
+            return 0.0
+        share.note_largest_asked(cost, now=now)
+        return share.largest_to_answer(now=now)
+
+    def note_largest(self, workspace: str, cost: float, *, now: float) -> None:
+        """Record the largest cost that an answer to a question for a loan states."""
+        share = self._shares.get(workspace)
+        if share is not None:
+            share.note_largest_answered(cost, now=now)
+
     def lend(self, workspace: str, amount: float, *, now: float) -> tuple[float, float]:
         """Return what is lent to another voter, and what could be lent beyond that."""
         share = self._shares.get(workspace)
@@ -478,10 +520,10 @@
     def _reserve(self, workspace: str, share: QuotaShare, *, now: float) -> float:
         """Return what has to be within reach for a request of any cost to be met.
 
-        It is the cost of a large request, so that a smaller one is met no sooner.
+        It is the cost of a large request at any voter, so that a smaller one is met no sooner, here or there.
         """
         held = self._terms[workspace].capacity * self._reached_fraction()
-        largest = share.costs.largest(now=now)
+        largest = share.largest(now=now)
         return min(self._reserve_factor * largest, MAX_RESERVE_FRACTION * held)
 
     def _unreserved(self, workspace: str, share: QuotaShare, *, now: float) -> float:
--- a/figpaddle/routing/tests/test_quota_shares.py
+++ b/figpaddle/routing/tests/test_quota_shares.py
@@ -140,15 +140,19 @@
     def _loan_question(
         self, name: str, voter: Voter, peer: str, number: int, amounts: dict[str, float]
     ) -> Callable[[], None]:
+        largest = voter.shares.largest_cost("acme", now=self.now)
+
         def lend() -> None:
             if peer not in self.voters:
                 return
+            known = self.voters[peer].shares.exchange_largest("acme", largest, now=self.now)
             loans = {
                 workspace: self.voters[peer].shares.lend(workspace, amount, now=self.now)
                 for workspace, amount in amounts.items()
             }
 
             def take() -> None:
+                voter.shares.note_largest("acme", known, now=self.now)
                 voter.shares.note_loans(peer, number, loans, now=self.now)
                 if self.voters.get(name) is voter:
                     self.exchange(name)
--- a/figpaddle/routing/tests/test_quota_sizes.py
+++ b/figpaddle/routing/tests/test_quota_sizes.py
@@ -147,14 +147,14 @@
 @pytest.mark.parametrize("demand", [0.9, 1.2, 1.5, 2.0, 4.0, 8.0])
 @pytest.mark.parametrize(
     ("costs", "plays", "least"),
-    # What is missing from an equal share is chance, as a tenth has a few dozen grants at eight times the quota. A
-    # document needs loans of several voters at once, some of which come too late: half is the least.
-    [(question, 2, 0.8), (question_or_document, 4, 0.5)],
+    # What is missing from an equal share is chance, as a tenth has a few dozen grants a play at eight times the quota.
+    [(question, 2, 0.8), (question_or_document, 12, 0.8)],
 )
 def test_size_alone_decides_nothing_beyond_a_quota(
     costs: Callable[[random.Random], float], plays: int, least: float, demand: float
 ) -> None:
-    # Guards against small requests that take each bit of a quota before the cost of a large one has gathered.
+    # Guards against small requests that take each bit of a quota before the cost of a large one has gathered, and
+    # against voters that reserve less than others since they haven't seen a large one.
     requests: list[Request] = []
     spent = 0.0
     for seed in range(plays):
--- a/figpaddle/wire/_quota_messages.py
+++ b/figpaddle/wire/_quota_messages.py
@@ -70,6 +70,8 @@
     amount: float
     #: What the lender could lend beyond that; 0 in questions.
     spare: float = 0.0
+    #: Largest cost of a recent request: at the voter that asks, and that known to the lender.
+    largest: float = 0.0
 
 
 @message("regional.quota_loan_ask")
