--- a/figpaddle/routing/tests/test_quota_sizes.py
+++ b/figpaddle/routing/tests/test_quota_sizes.py
@@ -148,7 +148,7 @@
 @pytest.mark.parametrize(
     ("costs", "plays", "least"),
     # What is missing from an equal share is chance, as a tenth has a few dozen grants a play at eight times the quota.
-    [(question, 2, 0.8), (question_or_document, 12, 0.8)],
+    [(question, 2, 0.8), (question_or_document, 12, 0.9)],
 )
 def test_size_alone_decides_nothing_beyond_a_quota(
     costs: Callable[[random.Random], float], plays: int, least: float, demand: float
