--- a/figpaddle/engine_leases/_book.py
+++ b/figpaddle/engine_leases/_book.py
@@ -181,6 +181,15 @@
             return is_asked or now >= self._held_until.get(service, float("-inf"))
         return known is not None and known.unleased.may_begin(urgency_class, now=now)
 
+    def lacks_lease(self, service: str, urgency_class: int, *, now: float) -> bool:
+        """Return whether some leases of a service are in force and none lets a request of a class begin."""
+        held = [
+            engine.held
+            for (_, name), engine in self._engines.items()
+            if name == service and engine.held.is_held(now=now)
+        ]
+        return bool(held) and not any(item.may_begin(urgency_class, now=now) for item in held)
+
     def holds(self, engine: str, service: str, *, now: float) -> bool:
         """Return whether a lease of an engine is in force."""
         known = self._engines.get((engine, service))
--- a/figpaddle/regional/_gateway.py
+++ b/figpaddle/regional/_gateway.py
@@ -645,8 +645,9 @@
                 unplaced_since = now - waited_s
                 await anyio.sleep(PLACE_INTERVAL_S)
                 continue
-            if choice is None and not has_borrowed and self._placer.waits_for_lease(context):
-                # Other entries may leave unused what this one lacks.
+            is_local = choice is not None and choice.backend is not None
+            if not is_local and not has_borrowed and self._placer.lacks_lease(context):
+                # Other entries may leave unused what this one lacks, and the way to another region is longer.
                 has_borrowed = True
                 if await self._leases.borrow(self._placer.leased_request(context)):
                     continue
--- a/figpaddle/regional/_placer.py
+++ b/figpaddle/regional/_placer.py
@@ -1047,11 +1047,15 @@
             target_s=context.route.target_s,
         )
 
-    def waits_for_lease(self, context: RequestContext) -> bool:
-        """Return whether engines of the region would get a request if the leases of this entry let it begin."""
-        if not self._leases.is_leased(context.service.name) or context.may_have_run:
+    def lacks_lease(self, context: RequestContext) -> bool:
+        """Return whether no engine of the region gets a request as the leases of this entry are used up."""
+        service = context.service.name
+        if not self._leases.is_leased(service) or _goes_on(context) or self._contact.cut_off:
+            return False
+        if not context.route.allows(self._settings.region):
             return False
-        return context.route.allows(self._settings.region) and not self._contact.cut_off
+        urgency_class = self._classes_above(service, context.route.priority)
+        return self._leases.lacks_lease(service, urgency_class, now=self._clock())
 
     def leased_classes(self) -> dict[str, int]:
         """Return the number of priorities of each service of model engines, whose engines are leased."""
