--- a/figpaddle/engine_leases/_exchange.py
+++ b/figpaddle/engine_leases/_exchange.py
@@ -377,7 +377,14 @@
 
 def _is_usable_item(item: EngineLeaseItem) -> bool:
     """Return whether an account can count with what an entry states."""
-    amounts = (item.slots, item.speed, item.streams, item.gap_s, item.stream_s)
+    amounts = (
+        item.slots,
+        item.speed,
+        item.streams,
+        item.gap_s,
+        item.stream_s,
+        item.borrowed_tokens,
+    )
     rates = item.prompt_per_s + item.starts_per_s + item.begun_per_s
     # Nothing is owed where the time is infinite; a comparison with NaN fails.
     owed_is_positive = all(owed_s > 0.0 for owed_s in item.owed_s)
