--- a/figpaddle/engine_leases/_account.py
+++ b/figpaddle/engine_leases/_account.py
@@ -102,7 +102,9 @@
             yielding=self._reading_of(urgency_class + 1),
         )
         is_settled = now >= self._settled_at
-        unused = fraction - self._reading_of(0) if is_settled and pace.streams < most else 0.0
+        # Prompts come in lumps: what is read just now is often less than what the leases let entries read.
+        reading = max(self._reading, self._reading_of(0))
+        unused = fraction - reading if is_settled and pace.streams < most else 0.0
         if self._unused.level(max(0.0, unused) * self._speed, now=now) <= 0.0:
             return False
         self._unused.spend(prompt_tokens)
--- a/figpaddle/regional/_placer.py
+++ b/figpaddle/regional/_placer.py
@@ -1256,7 +1256,7 @@
                 RemoteRegion(
                     region=region,
                     expected_s=load.expected_s,
-                    room=load.room,
+                    room=self._part_of_room(load, context.service.name),
                     backends=load.backends,
                     round_trip_s=ROUND_TRIP_S,
                     recently_sent=(
@@ -1268,6 +1268,13 @@
             )
         return options
 
+    def _part_of_room(self, load: RegionalLoad, service: str) -> int:
+        """Return the part of another region's room that this entry may use; all of it where engines aren't leased.
+
+        All entries of the region send there at once, and each of them would take the whole for its own.
+        """
+        return load.room // self.count_sharers() if self._leases.is_leased(service) else load.room
+
     def _apply_backend_news(self, message: Message) -> None:
         assert isinstance(message, BackendNews)
         now = self._mesh.message_at
