--- a/figpaddle/engine_leases/_book.py
+++ b/figpaddle/engine_leases/_book.py
@@ -21,8 +21,8 @@
 FASTEST_FRACTION = 0.05
 #: Weight of a request in the average part of its prompt that an engine hasn't cached.
 UNCACHED_WEIGHT = 0.05
-#: Length of a prompt where none of its class was seen, tokens.
-USUAL_PROMPT_TOKENS = 3000.0
+#: Least demand from which on the mean length of the prompts of a class counts as known, tokens a second.
+MIN_PROMPTS_PER_S = 1.0
 #: Rate of starts that limits nothing, streams a second.
 UNLIMITED_PER_S = 1e9
 #: Fraction of an engine's time that all entries together use for each less urgent class while they hold no lease,
@@ -291,30 +291,25 @@
 
     def room(
         self, service: str, urgency_class: int, *, entries: int, within_s: float, now: float
-    ) -> int:
+    ) -> int | None:
         """Return how many more requests of a class the engines of the region may begin within a time.
 
         It concludes from what this entry leaves of its leases, which are about as large as those of each other one.
+        None where no prompts of the class have come that would say how long they are.
         """
         demand = self._demands.get(service)
-        if urgency_class >= self._classes.get(service, 0):
-            return 0
-        engines = [
-            engine
+        if demand is None or urgency_class >= self._classes.get(service, 0):
+            return None
+        prompts_per_s = demand.prompts[urgency_class].per_s(now=now)
+        if prompts_per_s < MIN_PROMPTS_PER_S:
+            return None
+        mean_tokens = prompts_per_s / demand.starts[urgency_class].per_s(now=now)
+        unused_per_s = sum(
+            max(0.0, engine.held.lease.prompt_per_s[urgency_class] - begun.per_s(now=now))
             for (_, name), engine in self._engines.items()
+            for begun in (engine.begun[urgency_class],)
             if name == service and engine.held.lease and engine.held.is_held(now=now)
-        ]
-        unused_per_s = sum(
-            max(0.0, engine.held.lease.prompt_per_s[urgency_class] - begun)
-            for engine in engines
-            if engine.held.lease
-            for begun in (engine.begun[urgency_class].per_s(now=now),)
         )
-        mean_tokens = USUAL_PROMPT_TOKENS
-        if demand is not None:
-            starts_per_s = max(demand.starts[urgency_class].per_s(now=now), 1e-9)
-            prompts_per_s = demand.prompts[urgency_class].per_s(now=now)
-            mean_tokens = max(mean_tokens, prompts_per_s / starts_per_s)
         return int(entries * unused_per_s * within_s / mean_tokens)
 
     def forget(self, known: Iterable[str]) -> None:
--- a/figpaddle/regional/_placer.py
+++ b/figpaddle/regional/_placer.py
@@ -768,7 +768,7 @@
                         within_s=REMOTE_REPORT_DELAY_S,
                         now=now,
                     )
-                    room = min(room, leased_room)
+                    room = room if leased_room is None else min(room, leased_room)
                 loads.append(
                     RegionalLoad(
                         service=service.name,
