--- a/figpaddle/regional/_placer.py
+++ b/figpaddle/regional/_placer.py
@@ -1038,12 +1038,17 @@
         """Return what leases of engines depend on of a request."""
         service = context.service.name
         demand = context.demand(now=self._clock())
+        route: GatewayRoute | None = context.route
+        if context.forwarded:
+            # The timeout of a forwarded route is what its request has left, which says nothing of the pace.
+            routes = () if (known := self._follower.configuration) is None else known.routes
+            route = next((item for item in routes if item.name == context.route.name), None)
         return LeasedRequest(
             service=service,
             urgency_class=self._classes_above(service, context.route.priority),
             prompt_tokens=demand.prompt_tokens,
-            events=demand.events,
-            timeout_s=context.route.timeout_s,
+            events=0 if route is None else demand.events,
+            timeout_s=0.0 if route is None else route.timeout_s,
             target_s=context.route.target_s,
         )
 
