--- a/figpaddle/regional/_placer.py
+++ b/figpaddle/regional/_placer.py
@@ -1063,9 +1063,12 @@
         return self._leases.lacks_lease(service, urgency_class, now=self._clock())
 
     def leased_classes(self) -> dict[str, int]:
-        """Return the number of priorities of each service of model engines, whose engines are leased."""
+        """Return the number of priorities of each service of model engines, whose engines are leased.
+
+        Engines are leased where the configuration has workspaces, whose callers compete for them.
+        """
         configuration = self._follower.configuration
-        if configuration is None:
+        if configuration is None or not configuration.workspaces:
             return {}
         return {
             service.name: len(configuration.priorities_of(service.name))
