--- a/figpaddle/engine_leases/tests/test_lease_exchange.py
+++ b/figpaddle/engine_leases/tests/test_lease_exchange.py
@@ -226,6 +226,16 @@
     item = dataclasses.replace(grant.items[0], **{field: value})  # type: ignore[arg-type]
     node.handlers[EngineLeaseGrant](dataclasses.replace(grant, items=(item,)))
     assert node.held() == 0
+    # Without a prompt of the class its room isn't known.
+    request = LeasedRequest(
+        service="draft",
+        urgency_class=1,
+        prompt_tokens=100,
+        events=0,
+        timeout_s=9.0,
+        target_s=1.0,
+    )
+    node.book.note_request(request, now=0.1)
     assert node.book.room("draft", 1, entries=9, within_s=0.5, now=0.1) == 0
 
 
